--- /dev/null
+++ b/spurdeal/benchlink/start.py
@@ -0,0 +1,84 @@
+"""Turns the settings of a Provision into a Deployment: names to indices, absent keys to their defaults."""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from ..interface import Deployment, Effect, Reach, Reading, Workload
+from .frames import BadInput
+
+EFFECTS = {"repeatable": Effect.REDOABLE, "by_key": Effect.LABELLED, "once": Effect.IRREVERSIBLE}
+REACHES = {"all": Reach.ALL, "zone": Reach.LOCATION, "cell": Reach.CELL}
+READINGS = {"rif": Reading.IN_HAND, "q": Reading.QUEUE, "busy": Reading.BUSY, "lat_ms": Reading.LATENCY,
+            "rate": Reading.SERVED_RATE, "fail_rate": Reading.ERROR_RATE, "x0": Reading.MEMORY_GRANTED,
+            "x1": Reading.DISKS_BUSY}
+
+
+def indices(names: Sequence[Any] | None, known: Sequence[str]) -> tuple[int, ...] | None:
+    """Places given by name or by number, in the terms of list entries."""
+    if names is None:
+        return None
+    return tuple(name if isinstance(name, int) else known.index(name) for name in names)
+
+
+def optional(figure: Any) -> float | None:
+    return None if figure is None else float(figure)
+
+
+def deployment(text: bytes) -> Deployment:
+    try:
+        options = json.loads(text)
+    except ValueError as fault:
+        raise BadInput(f"settings are not JSON: {fault}") from None
+    if not isinstance(options, dict):
+        raise BadInput("settings are not a JSON object")
+    try:
+        return _deployment(options)
+    except KeyError as missing:
+        raise BadInput(f"settings: {missing} is missing or has a value that is not known") from None
+    except (TypeError, ValueError, AttributeError, IndexError) as fault:
+        raise BadInput(f"settings cannot be used: {fault}") from None
+
+
+def _deployment(options: dict[str, Any]) -> Deployment:
+    extra, limits, rules = options.get("extra", {}), options.get("limits", {}), options.get("rules", {})
+    zones, models, grades = options.get("zones", []), options.get("models", []), options["grades"]
+    threads = extra.get("parallelism") or [1] * len(grades)
+    holds = extra.get("holds_tables") or [False] * len(grades)
+    waits = extra.get("class_waits") or [False] * len(grades)
+    report = options.get("report") or {}
+    workloads = tuple(
+        Workload(
+            agreed=float(grade["aim"]), stretch=float(grade.get("aim_stretch", 0.0)),
+            expiry=float(grade["deadline"]), utility=float(grade.get("worth", 1.0)),
+            late_utility=float(grade.get("late_worth", 0.0)),
+            effect=EFFECTS[grade.get("effect", "repeatable")], reach=REACHES[grade.get("group", "all")],
+            known_for=float(grade.get("window", 0.0)), in_order=bool(grade.get("serial_by_key", False)),
+            locations=indices(grade.get("zones_open"), zones),
+            kinds=indices(grade.get("models_allowed"), models),
+            threads=max(1, int(threads[place])), holds_tables=bool(holds[place]),
+            waits_for_loads=bool(waits[place]))
+        for place, grade in enumerate(grades))
+    if not workloads:
+        raise ValueError("no workloads")
+    return Deployment(
+        index=int(options.get("index", 0)), dispatchers=max(1, int(options.get("balancers", 1))),
+        location=int(options.get("zone", 0)), workloads=workloads,
+        quotas=tuple(float(tenant.get("quota_per_s", 0.0)) for tenant in options.get("tenants", [])),
+        over_share_utility=float(options.get("over_share_worth", 1.0)),
+        cores=tuple(int(cores) for cores in extra.get("cpu_of_kind", [])),
+        memory_mb=tuple(float(memory) for memory in extra.get("memory_by_kind_mb", [])),
+        readings=tuple(READINGS[field] for field in report.get("fields", [])),
+        reports_in_answers=report.get("how") == "piggyback",
+        list_pushed=options.get("membership_mode", "pushed") == "pushed",
+        may_call_off=bool(limits.get("cancelling", False)), may_probe=bool(limits.get("may_probe", False)),
+        may_tell=bool(limits.get("may_tell", False)), second_copies=bool(limits.get("second_copies", False)),
+        most_trips=max(1, int(limits.get("send_cap", 1))),
+        most_come_back=float(limits.get("max_retry_after", 0.0)) if limits.get("retry_after") else 0.0,
+        grants=bool(extra.get("grants_count", False)), priorities=bool(extra.get("priorities", False)),
+        largest_grant=float(extra.get("grant_cap", 1.0)), notes_every=float(extra.get("note_period", 0.0)),
+        drain_grace=float(rules.get("drain_grace", 0.0)), cold_for=float(rules.get("cold", 0.0)),
+        cold_share=float(rules.get("cold_share", 1.0)), cold_multiple=float(rules.get("fall_multiple", 1.0)),
+        cold_window=float(rules.get("tip_after", 0.0)), order_rest=optional(rules.get("order_settle")),
+        further_free=optional(rules.get("extra_floor")), further_share=optional(rules.get("repeat_ratio")),
+        further_window=optional(rules.get("counted_over")))
--- /dev/null
+++ b/spurdeal/interface.py
@@ -0,0 +1,179 @@
+"""What a link and the rules say to each other. Times are milliseconds, ids are small indices given at the door."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Protocol
+
+
+class Effect(IntEnum):
+    """What a repeat does: nothing, nothing where its mark is known, or harm."""
+
+    REDOABLE = 0
+    LABELLED = 1
+    IRREVERSIBLE = 2
+
+
+class Reach(IntEnum):
+    """Which engines know a labelled submission's mark: all, those of one location, or those of one cell."""
+
+    ALL = 0
+    LOCATION = 1
+    CELL = 2
+
+
+class Ending(IntEnum):
+    """How a trip ended. FULL, UNREACHED and MOOT prove that it never ran."""
+
+    DELIVERED = 0
+    ERROR = 1
+    FULL = 2
+    TIME_OUT = 3
+    UNREACHED = 4
+    RESET = 5
+    CALLED_OFF = 6
+    MOOT = 7
+
+
+class Life(IntEnum):
+    GONE = 0
+    DRAINING = 1
+    READY = 2
+
+
+class Word(IntEnum):
+    """What a note tells of a trip that is out: its share done, the megabytes it lacks, or what it waits for."""
+
+    PROGRESS = 1
+    SPILLS = 2
+    WAITS = 3
+
+
+WAITS_FOR_MEMORY, WAITS_FOR_LOAD = 1, 2
+
+
+class Reading(IntEnum):
+    """What a value of a load report means."""
+
+    IN_HAND = 0
+    QUEUE = 1
+    BUSY = 2
+    LATENCY = 3
+    SERVED_RATE = 4
+    ERROR_RATE = 5
+    MEMORY_GRANTED = 6
+    DISKS_BUSY = 7
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    agreed: float
+    stretch: float
+    expiry: float
+    utility: float
+    late_utility: float
+    effect: Effect = Effect.REDOABLE
+    reach: Reach = Reach.ALL
+    known_for: float = 0.0
+    in_order: bool = False
+    locations: tuple[int, ...] | None = None
+    kinds: tuple[int, ...] | None = None
+    threads: int = 1
+    holds_tables: bool = False
+    waits_for_loads: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """All that a dispatcher is told once, at its start. None means that the deployment sets no such figure."""
+
+    index: int
+    dispatchers: int
+    location: int
+    workloads: tuple[Workload, ...]
+    quotas: tuple[float, ...]
+    over_share_utility: float
+    cores: tuple[int, ...]
+    memory_mb: tuple[float, ...]
+    readings: tuple[Reading, ...]
+    reports_in_answers: bool
+    list_pushed: bool
+    may_call_off: bool
+    may_probe: bool
+    may_tell: bool
+    second_copies: bool
+    most_trips: int
+    most_come_back: float
+    grants: bool
+    priorities: bool
+    largest_grant: float
+    notes_every: float
+    drain_grace: float
+    cold_for: float
+    cold_share: float
+    cold_multiple: float
+    cold_window: float
+    order_rest: float | None = None
+    further_free: float | None = None
+    further_share: float | None = None
+    further_window: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One line of the list of engines; started is 0 for long ago."""
+
+    engine: int
+    location: int
+    kind: int
+    cell: int
+    life: Life
+    weight: float
+    started: float
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A submission as taken; cost and memory are 0 without an estimate, key is 0 without one."""
+
+    number: int
+    workload: int
+    customer: int
+    key: int
+    expiry: float
+    cost: float
+    memory: float
+    group: int
+    repeat: bool
+
+
+class Rules(Protocol):
+    """What a link tells the rules. Every call names the time; turn() closes a batch of them."""
+
+    def listed(self, now: float, lines: Sequence[Listed], whole: bool) -> None: ...
+    def list_failed(self, now: float) -> None: ...
+    def submitted(self, now: float, arrival: Arrival) -> None: ...
+    def answer_begun(self, now: float, number: int, trip: int) -> None: ...
+    def noted(self, now: float, number: int, trip: int, word: Word, level: float) -> None: ...
+    def ended(self, now: float, number: int, trip: int, ending: Ending, took: float, final: bool,
+              work: float, memory: float, report: Sequence[float]) -> None: ...
+    def withdrawn(self, now: float, number: int) -> None: ...
+    def woken(self, now: float, token: int) -> None: ...
+    def probed(self, now: float, engine: int, ending: Ending, took: float, report: Sequence[float]) -> None: ...
+    def heard(self, now: float, dispatcher: int, words: bytes) -> None: ...
+    def turn(self, now: float) -> None: ...
+
+
+class Link(Protocol):
+    """What the rules ask of a link."""
+
+    def send(self, number: int, engine: int, time_limit: float) -> None: ...
+    def terms(self, number: int, memory: float, priority: int) -> None: ...
+    def shed(self, number: int, come_back: float) -> None: ...
+    def break_off(self, number: int) -> None: ...
+    def call_off(self, number: int, trip: int) -> None: ...
+    def wake(self, delay: float, token: int) -> None: ...
+    def probe(self, engine: int) -> None: ...
+    def tell(self, dispatcher: int | None, words: bytes) -> None: ...
+    def watch(self) -> None: ...
+    def log(self, line: str) -> None: ...
