--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -21,6 +21,7 @@
 START_THREADS = 2.0  # n* starts at this many threads a core, over all dispatchers
 PRESSURE = 1.8  # pressure: half of the work runs this many times longer than at its best
 PRESSURE_HOLD = 1000.0  # how long pressure stays once shown
+UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed before its answers can show it
 CHEAP_MARK = 1.5  # cost mark: this many times the usual cost of the lightest workload
 COST_WEIGHT = 2.0  # held line: each ms of cost per utility counts as this many ms of age
 RIPE = 600.0  # a held one of this age has room kept for it
@@ -436,7 +437,10 @@
 
     def admits(self, engine: Engine, threads: int) -> bool:
         """The bound binds only under pressure; below one query's threads it is a matter of chance."""
-        if self.now >= engine.pressed_until or engine.threads + threads <= engine.bound:
+        # Sent faster than its answers can tell, an engine is jammed before it shows pressure: beyond this much
+        # out at once it counts as pressed (a burst, the line let go at once, stale or slow answers).
+        unseen = engine.threads + threads <= UNSEEN * engine.bound and self.now >= engine.pressed_until
+        if unseen or engine.threads + threads <= engine.bound:
             return True
         return engine.bound < threads and not engine.out and engine.luck < engine.bound / threads
 
