--- a/spurdeal/benchlink/frames.py
+++ b/spurdeal/benchlink/frames.py
@@ -1,7 +1,7 @@
 """Reading and writing the bench's frames: little-endian, no padding."""
 
 import struct
-from typing import BinaryIO
+from typing import Any, BinaryIO
 
 HEADER = struct.Struct("<IdI")
 LARGEST = 1 << 28
@@ -20,7 +20,7 @@
         self.body = body
         self.at = 0
 
-    def take(self, layout: struct.Struct) -> tuple[int, ...]:
+    def take(self, layout: struct.Struct) -> tuple[Any, ...]:
         try:
             fields = layout.unpack_from(self.body, self.at)
         except struct.error:
--- a/spurdeal/benchlink/host.py
+++ b/spurdeal/benchlink/host.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
-from ..interface import Arrival, Ending, Life, Listed, Word
+from ..interface import Ending, Life, Listed, Word
 from ..rules import Dispatcher
 from .frames import BadInput, Reader, read_frame, write_frame
 from .start import deployment
@@ -25,8 +25,7 @@
 ENTRY = struct.Struct("<6sBHHBfd")
 DELTA, FULL, CACHED, FAILED = range(4)
 MOST_LISTS = 16
-ESTIMATED, REPEAT = 1, 2
-EVERYONE = 0xFFFF
+ESTIMATED = 1
 LONGEST_TEXT = 400
 LONGEST_SLEEP = 71 * 60_000.0
 
@@ -34,8 +33,12 @@
 class Instance:
     """One dispatcher of the bench: its rules, its indices, and the records of its reply."""
 
-    def __init__(self, who: int, seed: int, options: bytes, now: float) -> None:
+    rules: Dispatcher
+
+    def __init__(self, who: int, options: bytes) -> None:
         self.who = who
+        self.broken = False
+        self.site = deployment(options)
         self.records: list[bytes] = []
         self.numbers: dict[int, int] = {}
         self.names: dict[int, int] = {}
@@ -44,7 +47,15 @@
         self.taken = 0
         self.engines: dict[bytes, int] = {}
         self.addresses: list[bytes] = []
-        self.rules = Dispatcher(deployment(options), seed, self, now)
+
+    def start(self, now: float, seed: int) -> None:
+        self.rules = Dispatcher(self.site, seed, self, now)
+
+    def turn(self, now: float) -> None:
+        self.rules.turn(now)
+
+    def woken(self, now: float, token: int) -> None:
+        self.rules.woken(now, token)
 
     def engine(self, address: bytes) -> int:
         try:
@@ -65,27 +76,34 @@
         self.rules.listed(now, lines, scope != DELTA)
 
     def submitted(self, now: float, tid: int, fields: tuple[Any, ...]) -> None:
-        workload, customer, key, expiry, cost, memory, group, bits = fields
+        kind, customer, key, expiry, cost, memory, group, bits = fields
         if tid in self.numbers:
             raise BadInput(f"instance {self.who}: submission {tid} came twice")
         number = self.taken
         self.taken += 1
         self.numbers[tid], self.names[number], self.trips_out[number] = number, tid, 0
-        self.rules.submitted(now, Arrival(number, workload, customer, key, expiry, cost if bits & ESTIMATED else 0.0,
-                                          memory, int(group), bool(bits & REPEAT)))
+        cost = cost if bits & ESTIMATED else 0.0
+        self.rules.submitted(now, number, kind, customer, key, expiry, cost, memory, int(group))
 
-    def settled(self, now: float, tid: int, trip: int, ending: int, took: float, final: int, bill: int,
-                report: tuple[float, ...]) -> None:
+    def settled(self, now: float, tid: int, trip: int, engine: int, ending: int, took: float, final: int,
+                bill: int, report: tuple[float, ...]) -> None:
         number = self.numbers.get(tid)
         if number is None:
             return
         self.trips_out[number] -= 1
-        self.rules.ended(now, number, trip, Ending(ending), took, bool(final), float(bill >> 12),
+        self.rules.ended(now, number, trip, engine, Ending(ending), took, bool(final), float(bill >> 12),
                          float((bill & 4095) * 4), report)
         if final:
             self.over.add(number)
         self.forget(number)
 
+    def withdrawn(self, now: float, number: int) -> None:
+        self.rules.withdrawn(now, number)
+        self.closed(number)
+
+    def noted(self, now: float, number: int, trip: int, engine: int, word: int, level: float) -> None:
+        self.rules.noted(now, number, trip, engine, Word(word), level)
+
     def closed(self, number: int) -> None:
         self.over.add(number)
         self.forget(number)
@@ -100,7 +118,8 @@
 
     def send(self, number: int, engine: int, time_limit: float) -> None:
         self.trips_out[number] += 1
-        self.records.append(struct.pack("<BHQ6sd", 0, self.who, self.names[number], self.addresses[engine], time_limit))
+        address = self.addresses[engine]
+        self.records.append(struct.pack("<BHQ6sd", 0, self.who, self.names[number], address, time_limit))
 
     def terms(self, number: int, memory: float, priority: int) -> None:
         self.records.append(struct.pack("<BHQfB", 12, self.who, self.names[number], memory, priority))
@@ -119,13 +138,6 @@
     def wake(self, delay: float, token: int) -> None:
         self.records.append(struct.pack("<BHdI", 4, self.who, min(delay, LONGEST_SLEEP), token))
 
-    def probe(self, engine: int) -> None:
-        self.records.append(struct.pack("<BH6s", 5, self.who, self.addresses[engine]))
-
-    def tell(self, dispatcher: int | None, words: bytes) -> None:
-        to = EVERYONE if dispatcher is None else dispatcher
-        self.records.append(struct.pack("<BHHH", 7, self.who, to, len(words)) + words)
-
     def watch(self) -> None:
         self.records.append(struct.pack("<BHB", 10, self.who, 1))
 
@@ -146,8 +158,8 @@
         self.touched: dict[int, Instance] = {}
         self.replies: list[bytes] = []
         self.readers: dict[int, Callable[[float, Reader], None]] = {
-            0: self.provision, 1: self.membership, 2: self.inbound, 3: self.head, 4: self.settled, 5: self.aborted,
-            6: self.wakeup, 7: self.checked, 8: self.peer, 9: self.retire, 10: self.update, 11: self.page}
+            0: self.provision, 1: self.membership, 2: self.inbound, 3: self.head, 4: self.settled,
+            5: self.aborted, 6: self.wakeup, 7: self.checked, 8: self.peer, 9: self.retire, 10: self.update, 11: self.page}
 
     def serve(self, source: BinaryIO, sink: BinaryIO) -> None:
         batch = 0
@@ -164,20 +176,24 @@
                 except BadInput as fault:
                     raise BadInput(f"batch {batch}, record {place + 1}: {fault}") from None
             if reader.at < len(reader.body):
-                raise BadInput(f"batch {batch}: {len(reader.body) - reader.at} bytes left after the last record")
+                left = len(reader.body) - reader.at
+                raise BadInput(f"batch {batch}: {left} bytes left after the last record")
             for instance in self.touched.values():
-                self.guarded(instance, instance.rules.turn, now)
+                self.guarded(instance, instance.turn, now)
                 self.replies += instance.records
                 instance.records = []
             write_frame(sink, self.replies)
 
     def guarded(self, instance: Instance, call: Callable[..., None], *words: Any) -> None:
-        """A fault of the rules is the instance's own, and is reported for it."""
+        """A fault of the rules is the instance's own, and is reported for it; it then decides nothing more."""
+        if instance.broken:
+            return
         try:
             call(*words)
         except BadInput:
             raise
         except Exception as fault:
+            instance.broken = True
             instance.records.append(instance.text(9, f"{type(fault).__name__}: {fault}"))
 
     def instance(self, who: int) -> Instance:
@@ -188,7 +204,8 @@
     def provision(self, now: float, reader: Reader) -> None:
         who, seed, size = reader.take(PROVISION)
         self.retired(who)
-        self.instances[who] = self.touched[who] = Instance(who, seed, reader.take_bytes(size), now)
+        instance = self.instances[who] = self.touched[who] = Instance(who, reader.take_bytes(size))
+        self.guarded(instance, instance.start, now, seed)
 
     def retire(self, now: float, reader: Reader) -> None:
         (who,) = reader.take(RETIRE)
@@ -222,57 +239,51 @@
     def inbound(self, now: float, reader: Reader) -> None:
         who, tid, *fields = reader.take(INBOUND)
         instance = self.instance(who)
-        if fields[0] >= len(instance.rules.workloads):
+        if fields[0] >= len(instance.site.workloads):
             raise BadInput(f"class {fields[0]} is out of range")
         self.guarded(instance, instance.submitted, now, tid, tuple(fields))
 
     def head(self, now: float, reader: Reader) -> None:
-        who, tid, trip, address, _ = reader.take(HEAD)
+        who, _, _, address, _ = reader.take(HEAD)
         instance = self.instance(who)
-        instance.engine(address)  # type: ignore[arg-type]
-        if tid in instance.numbers:
-            self.guarded(instance, instance.rules.answer_begun, now, instance.numbers[tid], trip)
+        instance.engine(address)
 
     def settled(self, now: float, reader: Reader) -> None:
         who, tid, trip, address, ending, took, final, bill, count = reader.take(SETTLED)
         report = reader.take(struct.Struct(f"<{count}f"))
         instance = self.instance(who)
-        instance.engine(address)  # type: ignore[arg-type]
+        engine = instance.engine(address)
         if ending > max(Ending):
             raise BadInput(f"ending {ending} is out of range")
-        self.guarded(instance, instance.settled, now, tid, trip, ending, took, final, bill, report)
+        self.guarded(instance, instance.settled, now, tid, trip, engine, ending, took, final, bill, report)
 
     def aborted(self, now: float, reader: Reader) -> None:
         who, tid = reader.take(ABORTED)
         instance = self.instance(who)
         if tid in instance.numbers:
-            number = instance.numbers[tid]
-            self.guarded(instance, instance.rules.withdrawn, now, number)
-            instance.closed(number)
+            self.guarded(instance, instance.withdrawn, now, instance.numbers[tid])
 
     def wakeup(self, now: float, reader: Reader) -> None:
         who, token = reader.take(WAKEUP)
         instance = self.instance(who)
-        self.guarded(instance, instance.rules.woken, now, token)
+        self.guarded(instance, instance.woken, now, token)
 
     def checked(self, now: float, reader: Reader) -> None:
-        who, address, ending, took, count = reader.take(CHECKED)
-        report = reader.take(struct.Struct(f"<{count}f"))
+        who, address, ending, _, count = reader.take(CHECKED)
+        reader.take(struct.Struct(f"<{count}f"))
         instance = self.instance(who)
         if ending > max(Ending):
             raise BadInput(f"ending {ending} is out of range")
-        engine = instance.engine(address)  # type: ignore[arg-type]
-        self.guarded(instance, instance.rules.probed, now, engine, Ending(ending), took, report)
+        instance.engine(address)
 
     def peer(self, now: float, reader: Reader) -> None:
-        who, source, size = reader.take(PEER)
-        words = reader.take_bytes(size)
-        instance = self.instance(who)
-        self.guarded(instance, instance.rules.heard, now, source, words)
+        who, _, size = reader.take(PEER)
+        reader.take_bytes(size)
+        self.instance(who)
 
     def update(self, now: float, reader: Reader) -> None:
         who, tid, word, address, trip, level = reader.take(UPDATE)
         instance = self.instance(who)
-        instance.engine(address)  # type: ignore[arg-type]
+        engine = instance.engine(address)
         if tid in instance.numbers and 1 <= word <= max(Word):
-            self.guarded(instance, instance.rules.noted, now, instance.numbers[tid], trip, Word(word), level)
+            self.guarded(instance, instance.noted, now, instance.numbers[tid], trip, engine, word, level)
--- a/spurdeal/interface.py
+++ b/spurdeal/interface.py
@@ -1,9 +1,9 @@
-"""What a link and the rules say to each other. Times are milliseconds, ids are small indices given at the door."""
+"""What a link and the rules say to each other. Times are milliseconds, ids small indices."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 
 class Effect(IntEnum):
@@ -42,7 +42,7 @@
 
 
 class Word(IntEnum):
-    """What a note tells of a trip that is out: its share done, the megabytes it lacks, or what it waits for."""
+    """What a note tells of a trip that is out: its share done, the megabytes it lacks, what it waits for."""
 
     PROGRESS = 1
     SPILLS = 2
@@ -85,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """All that a dispatcher is told once, at its start. None means that the deployment sets no such figure."""
+    """All that a dispatcher is told once, at its start. None: the deployment sets no such figure."""
 
     index: int
     dispatchers: int
@@ -119,8 +119,7 @@
     further_window: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Listed:
+class Listed(NamedTuple):
     """One line of the list of engines; started is 0 for long ago."""
 
     engine: int
@@ -132,35 +131,21 @@
     started: float
 
 
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """A submission as taken; cost and memory are 0 without an estimate, key is 0 without one."""
-
-    number: int
-    workload: int
-    customer: int
-    key: int
-    expiry: float
-    cost: float
-    memory: float
-    group: int
-    repeat: bool
-
-
 class Rules(Protocol):
-    """What a link tells the rules. Every call names the time; turn() closes a batch of them."""
+    """What a link tells the rules. Every call names the time; turn() closes a batch of them.
+
+    Without an estimate, cost and memory are 0; without a key, key is 0. A submission's trips count from 0.
+    """
 
     def listed(self, now: float, lines: Sequence[Listed], whole: bool) -> None: ...
     def list_failed(self, now: float) -> None: ...
-    def submitted(self, now: float, arrival: Arrival) -> None: ...
-    def answer_begun(self, now: float, number: int, trip: int) -> None: ...
-    def noted(self, now: float, number: int, trip: int, word: Word, level: float) -> None: ...
-    def ended(self, now: float, number: int, trip: int, ending: Ending, took: float, final: bool,
+    def submitted(self, now: float, number: int, kind: int, customer: int, key: int, expiry: float,
+                  cost: float, memory: float, group: int) -> None: ...
+    def noted(self, now: float, number: int, trip: int, engine: int, word: Word, level: float) -> None: ...
+    def ended(self, now: float, number: int, trip: int, engine: int, ending: Ending, took: float, final: bool,
               work: float, memory: float, report: Sequence[float]) -> None: ...
     def withdrawn(self, now: float, number: int) -> None: ...
     def woken(self, now: float, token: int) -> None: ...
-    def probed(self, now: float, engine: int, ending: Ending, took: float, report: Sequence[float]) -> None: ...
-    def heard(self, now: float, dispatcher: int, words: bytes) -> None: ...
     def turn(self, now: float) -> None: ...
 
 
@@ -173,7 +158,5 @@
     def break_off(self, number: int) -> None: ...
     def call_off(self, number: int, trip: int) -> None: ...
     def wake(self, delay: float, token: int) -> None: ...
-    def probe(self, engine: int) -> None: ...
-    def tell(self, dispatcher: int | None, words: bytes) -> None: ...
     def watch(self) -> None: ...
     def log(self, line: str) -> None: ...
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -1,78 +1,60 @@
-"""All decisions of a dispatcher: what runs, on which engine, when, with which terms.
+"""All decisions of a dispatcher: what runs, on which engine, when, and on which terms.
 
-A link makes one Dispatcher per start, reports events by the calls of `interface.Rules`, closes each batch of them
-with turn(), and carries out what it is asked through `interface.Link`; the types are in interface.py.
-A submission passes the stages in the order of Dispatcher.chain, each passing it on (True), keeping it or ending
-it (False); what comes back from a trip runs through them the other way. docs/design.md has the reasons.
+A link makes one Dispatcher per start, reports events by the calls of interface.Rules, closes each batch with
+turn(), and carries out what it is asked by interface.Link. A submission passes the stages of Dispatcher.chain;
+each passes it on (True), keeps it or ends it (False); what comes back runs the other way, in ended().
 """
 
 from __future__ import annotations
 
 from bisect import insort
 from collections import deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from .histogram import Histogram
-from .interface import WAITS_FOR_LOAD, Arrival, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word, Workload
+from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word, Workload
 
+TICK = 50.0
 INTERVAL = 5000.0  # between two moves of n*
-GAIN_C = 0.4  # C: the least gain in P per gain in n*
+GAIN_C = 0.4  # C, the least relative gain in P for a relative gain in n*
 START_THREADS = 2.0  # n* starts at this many threads a core, over all dispatchers
-PRESSURE = 1.8  # pressure: half of the work runs this many times longer than at its best
-PRESSURE_HOLD = 1000.0  # how long pressure stays once shown
-UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed before its answers can show it
-CHEAP_MARK = 1.5  # cost mark: this many times the usual cost of the lightest workload
-COST_WEIGHT = 2.0  # held line: each ms of cost per utility counts as this many ms of age
-RIPE = 600.0  # a held one of this age has room kept for it
-LOOK_AHEAD = 60  # how many of the held line are tried at each turn
-TICK = 50.0
-PACE_EDGES = tuple(0.25 * 1.15**step for step in range(40))  # time taken over time expected
-BEST_SHARE, BEST_SAMPLES, BEST_DRIFT = 0.25, 15.0, 1.1
-PACE_SAMPLES = 6.0
-SLOW = 3.0  # an engine this many times slower than the middle one is set aside
-STRIKES = 3.0
+PRESSURE, PRESSURE_HOLD = 1.8, 1000.0  # this many times its best latency is pressure, for this long
+UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed before answers show it
+CHEAP_MARK = 1.5  # cost mark, in the usual cost of the lightest workload
+COST_WEIGHT = 2.0  # held line: a ms of cost per utility counts as this many ms of age
+RIPE = 600.0  # a held one this old has room kept for it
+PACE_EDGES = tuple(0.25 * 1.15**step for step in range(40))  # of time taken over time expected
+BEST_SHARE, BEST_SAMPLES, BEST_DRIFT = 0.25, 15.0, 1.1  # best latency: a low quantile
+PACE_SAMPLES, SLOW = 6.0, 3.0  # an engine this many times slower than the middle one is set aside
+STRIKES, STRIKE_LOST, STRIKE_ERROR = 3.0, 1.5, 1.0
+SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
 ASIDE, ASIDE_RANDOM = 3000.0, 3000.0
-SILENCE, SILENCE_OF_DUE = 2000.0, 4.0
-COLD_MARGIN = 0.5  # of our share of what a cold engine bears
-CAPACITY_SHARE, SPEED_FLOOR = 0.85, 0.8
-FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0
-LEAST_LEFT = 2 * TICK  # a held one is answered this long before its expiry
-LATE_WORTH_IT = 0.25  # less of its utility than this when late, and a hopeless submission is shed
+COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
+FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0  # credit for further trips, by submission taken
+LAST_MOMENT = 2 * TICK  # a held one is answered this long before its expiry
+LATE_WORTH_IT = 0.25  # with less utility left when late, a submission that will be late is shed
 CHEAP_PRIORITY, HEAVY_PRIORITY = 3, 1
 NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.MOOT)
 MAY_RUN_ON = (Ending.TIME_OUT, Ending.RESET, Ending.CALLED_OFF)
+WAKE_TICK, WAKE_WATCH = 0, 1
 
 
 class Chance:
-    """A linear congruential generator; only its high bits are used."""
+    """A linear congruential generator, of which the high bits are used."""
 
     def __init__(self, seed: int) -> None:
-        self.state = seed & (1 << 64) - 1
-        self.draw()
+        self.state = seed
 
     def draw(self) -> float:
         self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
         return (self.state >> 40) / (1 << 24)
 
 
-@dataclass(slots=True, eq=False)
-class Trip:
-    submission: Submission
-    number: int
-    engine: Engine
-    sent: float
-    due: float  # how long it takes at its best
-    further: bool
-    called_off: bool = False
-    blocked: bool = False
-
-
 @dataclass(slots=True, eq=False)
 class Submission:
     number: int
     kind: int
-    workload: Workload
     customer: int
     key: int
     expiry: float
@@ -80,556 +62,439 @@
     memory: float
     group: int
     taken: float
-    agreed: float = 0.0
-    due: float = 0.0
-    utility: float = 0.0
-    cheap: bool = False
+    workload: Workload
+    due: float  # how long it runs at its best
+    agreed: float
+    utility: float
+    cheap: bool
     late: bool = False
     over: bool = False
-    begun: bool = False
     made: int = 0
     rank: tuple[float, int] = (0.0, 0)
     out: dict[int, Trip] = field(default_factory=dict)
-    ran: Engine | None = None  # the engine of the first trip that may have run
-    ran_since: float = 0.0
+    ran: Trip | None = None  # the first trip that may have run
     avoid: list[Engine] = field(default_factory=list)
+    engine: Engine | None = None  # chosen for the next trip
 
-    @property
-    def in_line(self) -> bool:
-        return self.workload.in_order and self.key != 0
 
-    def __lt__(self, other: Submission) -> bool:
-        return self.number < other.number
+@dataclass(slots=True, eq=False)
+class Trip:
+    submission: Submission
+    number: int
+    engine: Engine
+    sent: float
+    called_off: bool = False
+    stands: bool = False  # waits for a load
 
 
 class Engine:
-    """One engine as this dispatcher sees it."""
+    """One engine as this dispatcher sees it, with its bound n*."""
 
-    def __init__(self, line: Listed, cores: int, start: float, now: float) -> None:
-        self.number, self.cores, self.start = line.engine, cores, start
-        self.line = line
+    def __init__(self, line: Listed, cores: int, now: float) -> None:
+        self.number, self.line, self.cores = line.engine, line, cores
         self.out: dict[tuple[int, int], Trip] = {}
-        self.threads = 0
-        self.bound = self.before = start
-        self.served, self.served_before = 0.0, 0.0
-        self.work, self.work_before = 0.0, 0.0
-        self.most = 0.0
-        self.luck = 1.0
-        self.pace = Histogram(PACE_EDGES)
-        self.slowness = 1.0
-        self.pressed_until = 0.0
-        self.answered = now
-        self.strikes = 0.0
-        self.aside_until = 0.0
+        self.threads, self.answered, self.luck = 0, now, 1.0
+        self.aside_until, self.warm_at = 0.0, 0.0
         self.trial = False
-        self.warm_at = 0.0
         self.cold_sends: deque[tuple[float, float]] = deque()
+        self.start_over(0.0)
+
+    def start_over(self, start: float) -> None:
+        """A hang or a restart swings n* and P: both begin anew."""
+        self.bound = self.before = self.start = start
+        self.served = self.served_before = self.work = self.work_before = self.most = 0.0
+        self.pace = Histogram(PACE_EDGES)
+        self.slowness, self.strikes, self.pressed_until = 1.0, 0.0, 0.0
 
     def room(self) -> float:
         return self.bound - self.threads
 
-    def move_bound(self, gain: float, step: float) -> None:
+    def move_bound(self, step: float) -> None:
         """The design's hill climbing, once an interval."""
-        # A heavy draw reads as lost throughput: where as much work was served, P counts as unchanged.
+        # A heavy draw reads as lost throughput: where no less work was served, P counts as not fallen.
         served = max(self.served, self.served_before) if self.work >= self.work_before > 0 else self.served
-        lowered = self.bound < self.before
-        grown = served >= self.served_before if not self.served_before else \
-            (served - self.served_before) / self.served_before >= gain * (self.bound - self.before) / self.before
-        if not lowered and (grown or not self.served_before):
-            following = self.bound + step
-        elif lowered and served > self.served_before:
-            following = max(1.0, self.bound - step)
+        lowered, gain = self.bound < self.before, served - self.served_before
+        enough = GAIN_C * (self.bound - self.before) / self.before * self.served_before
+        if not lowered and (not self.served_before or gain >= enough):
+            self.before, self.bound = self.bound, self.bound + step
+        elif lowered and gain > 0:
+            self.before, self.bound = self.bound, max(1.0, self.bound - step)
         else:
-            following = self.before
-        self.before, self.bound = self.bound, following
+            self.before, self.bound = self.bound, self.before
         demand = max(self.start, self.most)
         if demand < self.bound:  # demand lowers n*, not below its start, and counts as no lowering
             self.before = self.bound = demand
         self.served_before, self.work_before = served, self.work
         self.served, self.work, self.most = 0.0, 0.0, float(self.threads)
 
-    def start_over(self) -> None:
-        """A hang or a restart swings n*: it begins anew, and P with it."""
-        self.bound = self.before = self.start
-        self.served = self.served_before = self.work = self.work_before = 0.0
-        self.pace = Histogram(PACE_EDGES)
-        self.slowness, self.strikes, self.pressed_until = 1.0, 0.0, 0.0
-
 
 class Dispatcher:
     """The rules of one dispatcher, from its start to its end."""
 
     def __init__(self, site: Deployment, seed: int, link: Link, now: float) -> None:
-        self.link, self.chance, self.now = link, Chance(seed), now
-        self.began = now
-        self.workloads = site.workloads
-        self.cores = site.cores or (1,)
+        self.link, self.chance, self.now, self.began = link, Chance(seed), now, now
+        self.workloads, self.cores = site.workloads, site.cores or (1,)
         self.share = 1.0 / site.dispatchers
         self.step = float(max(workload.threads for workload in site.workloads))
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
-        self.credit = [quota * 1000 for quota in self.quotas]
-        self.credit_at = now
-        self.over_share = site.over_share_utility
+        self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.come_back = site.most_trips, site.most_come_back
-        self.may_call_off, self.second_copies = site.may_call_off, site.second_copies
-        self.priorities, self.grants = site.priorities, site.grants
-        self.pushed = site.list_pushed
+        self.may_call_off, self.priorities = site.may_call_off, site.priorities
         self.cold_for, self.cold_window = site.cold_for, site.cold_window
-        self.cold_rate = site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR * self.share * COLD_MARGIN
-        self.order_rest = site.order_rest or 0.0
-        self.further_window = site.further_window
+        self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
+                            * site.cold_window * self.share * COLD_MARGIN)
+        self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window
         self.further_free, self.further_share = site.further_free or 0.0, site.further_share or 0.0
         self.taken_times: deque[float] = deque()
         self.further_times: deque[float] = deque()
-        self.further_credit, self.further_won = FURTHER_MOST, Histogram((0.5,))
+        self.further_credit, self.further_won = FURTHER_MOST, Histogram((0.5, 1.5))
         self.engines: dict[int, Engine] = {}
-        self.open: dict[int, Submission] = {}
         self.held: list[tuple[tuple[float, int], Submission]] = []
+        self.open: dict[int, Submission] = {}
+        self.lines: dict[int, deque[Submission]] = {}
+        self.rests: dict[int, float] = {}
         self.promised: Engine | None = None
         self.usual = [0.0 for _ in site.workloads]
         self.best = [1.0 for _ in site.workloads]
         self.paces = [Histogram(PACE_EDGES) for _ in site.workloads]
-        self.lines: dict[int, deque[Submission]] = {}
-        self.rests: dict[int, float] = {}
-        self.mode = ""
-        self.next_interval = now + INTERVAL
-        self.next_tick = now + TICK
-        self.chain = (self.expiry_stage, self.share_stage, self.order_stage, self.line_stage, self.trip_stage)
-        link.wake(TICK, 0)
-        if not self.pushed:
+        self.middle = 1.0
+        self.next_interval, self.next_tick = now + INTERVAL, now + TICK
+        self.chain = (self.duty_stage, self.share_stage, self.order_stage, self.line_stage, self.choice_stage,
+                      self.trip_stage)
+        link.wake(TICK, WAKE_TICK)
+        if not site.list_pushed:
             link.watch()
 
-    # What the link tells.
+    # The list of engines.
 
     def listed(self, now: float, lines: Sequence[Listed], whole: bool) -> None:
         self.now = now
-        if whole:
-            named = [line.engine for line in lines]
-            for engine in self.engines.values():
-                if engine.number not in named:
-                    self.relist(engine, Listed(engine.number, engine.line.location, engine.line.kind,
-                                               engine.line.cell, Life.GONE, 0.0, engine.line.started))
+        named = [line.engine for line in lines]
+        for engine in self.engines.values():
+            if whole and engine.number not in named:
+                engine.line = engine.line._replace(life=Life.GONE)
         for line in lines:
-            engine = self.engines.get(line.engine)
-            if engine is None:
-                cores = self.cores[min(line.kind, len(self.cores) - 1)]
-                engine = Engine(line, cores, START_THREADS * cores * self.share, now)
-                self.engines[line.engine] = engine
-                if line.started:
-                    self.chill(engine, line.started)
-            else:
-                self.relist(engine, line)
+            cores = self.cores[line.kind % len(self.cores)]
+            engine = self.engines.get(line.engine) or Engine(line, cores, now)
+            if line.engine not in self.engines or line.started != engine.line.started:
+                engine.start_over(START_THREADS * engine.cores * self.share)
+                engine.aside_until, engine.trial = 0.0, False
+                engine.warm_at = line.started + self.cold_for if line.started else 0.0
+                # What we sent before our own restart is unknown: the budget counts as spent for one window.
+                engine.cold_sends.append((self.began, self.cold_budget * engine.cores))
+            engine.line = line
+            self.engines[line.engine] = engine
 
-    def relist(self, engine: Engine, line: Listed) -> None:
-        if line.started != engine.line.started and line.started:
-            engine.start_over()
-            engine.aside_until, engine.trial = 0.0, False
-            self.chill(engine, line.started)
-        engine.line = line
+    def list_failed(self, now: float) -> None:
+        self.link.wake(500.0 + 1000.0 * self.chance.draw(), WAKE_WATCH)
 
-    def chill(self, engine: Engine, started: float) -> None:
-        engine.warm_at = started + self.cold_for
-        # What we sent before our own restart is not known: the budget counts as spent for one window.
-        if self.began + self.cold_window > self.now and engine.warm_at > self.now:
-            engine.cold_sends.append((self.began, self.cold_rate * engine.cores * self.cold_window))
+    def ready(self) -> list[Engine]:
+        return [engine for engine in self.engines.values() if engine.line.life == Life.READY]
 
-    def list_failed(self, now: float) -> None:
-        self.now = now
-        self.link.wake(500.0 + 1000.0 * self.chance.draw(), 1)
+    # Submissions on their way out: the stages.
 
-    def submitted(self, now: float, arrival: Arrival) -> None:
+    def submitted(self, now: float, number: int, kind: int, customer: int, key: int, expiry: float,
+                  cost: float, memory: float, group: int) -> None:
         self.now = now
-        workload = self.workloads[arrival.workload]
-        usual = self.usual[arrival.workload]
-        cost = arrival.cost or usual or workload.agreed / 4
-        self.usual[arrival.workload] = usual + (cost - usual) / 30 if usual else cost
-        s = Submission(arrival.number, arrival.workload, workload, arrival.customer, arrival.key, arrival.expiry, cost,
-                       arrival.memory, arrival.group, now, utility=workload.utility)
-        s.due = cost / workload.threads * self.best[arrival.workload]
-        s.agreed = now + workload.agreed + workload.stretch * s.due
-        s.cheap = workload.threads == 1 and cost <= CHEAP_MARK * min(self.usual[i] or cost for i in self.kinds())
+        w, usual = self.workloads[kind], self.usual[kind]
+        cost = cost or usual or w.agreed / 4
+        self.usual[kind] = usual + (cost - usual) / 30 if usual else cost
+        due = cost / w.threads * self.best[kind]
+        cheap = w.threads == 1 and cost <= CHEAP_MARK * min(usual or cost for usual in self.usual)
+        agreed = now + w.agreed + w.stretch * due
+        s = Submission(number, kind, customer, key if w.in_order else 0, expiry, cost, memory, group, now, w,
+                       due, agreed, w.utility, cheap)
+        self.open[number] = s
         self.taken_times.append(now)
         self.further_credit = min(FURTHER_MOST, self.further_credit + FURTHER_EACH
                                   + FURTHER_SUCCESS * self.further_won.quantile(0.5))
-        self.open[s.number] = s
-        self.pass_on(s, 0)
-
-    def kinds(self) -> range:
-        return range(len(self.workloads))
+        self.pass_on(s)
 
-    def pass_on(self, s: Submission, place: int) -> None:
-        for stage in self.chain[place:]:
-            if not stage(s):
-                return
-
-    def answer_begun(self, now: float, number: int, trip: int) -> None:
-        if number in self.open:
-            self.open[number].begun = True
-
-    def noted(self, now: float, number: int, trip: int, word: Word, level: float) -> None:
-        self.now = now
-        s = self.open.get(number)
-        if s is None or trip not in s.out:
-            return
-        if word == Word.PROGRESS and level > 0:
-            s.out[trip].engine.answered = now
-        s.out[trip].blocked = word == Word.WAITS and level == WAITS_FOR_LOAD
+    def pass_on(self, s: Submission, first: int = 0) -> bool:
+        return all(stage(s) for stage in self.chain[first:])
 
-    def ended(self, now: float, number: int, trip: int, ending: Ending, took: float, final: bool, work: float,
-              memory: float, report: Sequence[float]) -> None:
-        """What comes back runs the chain in reverse: trip, engine and bound, order, answer duty."""
-        self.now = now
-        found = next((e.out[number, trip] for e in self.engines.values() if (number, trip) in e.out), None)
-        if found is None:
-            return
-        s, engine = found.submission, found.engine
-        del engine.out[number, trip], s.out[trip]
-        engine.threads -= s.workload.threads
-        if ending not in NEVER_RAN and s.ran is None:
-            s.ran, s.ran_since = engine, found.sent
-        if found.further:
-            self.further_won.add(1.0 if ending == Ending.DELIVERED else 0.0)
-        if ending == Ending.MOOT and found.further and self.further_times:
-            self.further_times.pop()
-        self.judge(engine, found, ending, took, work)
-        if s.in_line and ending in MAY_RUN_ON:
-            self.rests[s.key] = max(self.rests.get(s.key, 0.0), now + self.order_rest)
-        if final or s.over:
-            self.close(s)
-        elif not s.out:
-            self.again(s, engine, ending)
-        elif now >= s.expiry - 1.0:
+    def duty_stage(self, s: Submission) -> bool:
+        if self.now >= s.expiry - LAST_MOMENT:
             self.end(s)
-
-    def again(self, s: Submission, engine: Engine, ending: Ending) -> None:
-        """After a trip that did not deliver: another one, or the final answer at once."""
-        if self.now >= s.expiry - LEAST_LEFT or s.made >= self.most_trips or ending == Ending.TIME_OUT \
-                or (s.ran is not None and s.workload.effect == Effect.IRREVERSIBLE):
-            self.end(s)
-            return
-        if ending != Ending.CALLED_OFF or engine not in s.avoid:
-            s.avoid.append(engine)
-        if self.further_credit < 1.0:
-            self.end(s)
-        else:
-            self.pass_on(s, 3)
-
-    def withdrawn(self, now: float, number: int) -> None:
-        self.now = now
-        if number in self.open:
-            s = self.open[number]
-            if self.may_call_off:
-                self.call_off(s)
-            self.close(s)
-
-    def woken(self, now: float, token: int) -> None:
-        self.now = now
-        if token == 1:
-            self.link.watch()
-        elif now >= self.next_tick - 1.0:
-            self.next_tick = now + TICK
-            self.link.wake(TICK, 0)
-            self.tick()
-
-    def probed(self, now: float, engine: int, ending: Ending, took: float, report: Sequence[float]) -> None:
-        self.now = now
-
-    def heard(self, now: float, dispatcher: int, words: bytes) -> None:
-        self.now = now
-
-    def turn(self, now: float) -> None:
-        """Held ones leave, lowest aged cost per utility first, each to the engine with most room."""
-        self.now = now
-        kept: list[tuple[tuple[float, int], Submission]] = []
-        self.promised = None
-        for place, item in enumerate(self.held):
-            s = item[1]
-            if s.over:
-                continue
-            if place >= LOOK_AHEAD:
-                kept.append(item)
-                continue
-            engine = self.choose(s, held=True)
-            if engine is None:
-                kept.append(item)
-                if self.promised is None and now - s.taken > RIPE:
-                    self.promised = max(self.allowed(s), key=Engine.room, default=None)
-            else:
-                self.send(s, engine)
-        self.held = kept
-
-    # The stages.
-
-    def expiry_stage(self, s: Submission) -> bool:
-        if self.now >= s.expiry - LEAST_LEFT:
-            self.end(s)
-            return False
-        return True
+        return not s.over
 
     def share_stage(self, s: Submission) -> bool:
-        """A customer beyond its share is not shed for that: it only weighs less in the held line."""
+        """A customer beyond its share is not shed for that: what it sends weighs less in the held line."""
         if s.customer < len(self.quotas):
-            passed, self.credit_at = self.now - self.credit_at, self.now
-            self.credit = [min(c + q * passed, q * 1000)
-                           for c, q in zip(self.credit, self.quotas, strict=True)]
             if self.credit[s.customer] < 1.0:
-                s.utility *= self.over_share
-                s.cheap = False
+                s.utility, s.cheap = s.utility * self.over_share, False
             else:
                 self.credit[s.customer] -= 1.0
         return True
 
     def order_stage(self, s: Submission) -> bool:
-        """Rule 5: those of one key run one at a time, in the order taken."""
-        if s.in_line:
+        if s.key:
             self.lines.setdefault(s.key, deque()).append(s)
-            return self.in_turn(s)
         return True
 
-    def in_turn(self, s: Submission) -> bool:
-        return not s.in_line or (self.lines[s.key][0] is s and self.now >= self.rests.get(s.key, 0.0))
-
     def line_stage(self, s: Submission) -> bool:
-        """Cheap ones pass the held line while the bound has room; the rest is held in its order."""
-        weight = COST_WEIGHT * s.due * s.workload.threads / max(1e-6, s.utility)
-        s.rank = (s.taken + weight, s.number)
-        if (s.cheap or not self.held) and self.choose(s, held=False) is not None:
-            return True
-        insort(self.held, (s.rank, s))
-        return False
+        """Cheap ones pass the held line; the others stand in it by aged cost per utility."""
+        s.rank = (s.taken + COST_WEIGHT * s.due * s.workload.threads / max(1e-6, s.utility), s.number)
+        if s.cheap or not self.held:
+            s.engine = self.choose(s, fewest=s.cheap)
+        if s.engine is None:
+            insort(self.held, (s.rank, s), key=lambda item: item[0])
+        return s.engine is not None
+
+    def choice_stage(self, s: Submission) -> bool:
+        s.engine = s.engine or self.choose(s, fewest=False)
+        return s.engine is not None
 
     def trip_stage(self, s: Submission) -> bool:
-        engine = self.choose(s, held=False)
-        if engine is not None:
-            self.send(s, engine)
+        engine = s.engine
+        assert engine is not None
+        trip = Trip(s, s.made, engine, self.now)
+        s.out[s.made] = engine.out[s.number, s.made] = trip
+        s.made, s.engine = s.made + 1, None
+        engine.threads += s.workload.threads
+        engine.most = max(engine.most, engine.threads)
+        if trip.number:
+            self.further_times.append(self.now)
+            self.further_credit -= 1.0
+        elif self.priorities:
+            self.link.terms(s.number, 0.0, CHEAP_PRIORITY if s.cheap else HEAVY_PRIORITY)
+        if engine.warm_at > self.now:
+            engine.cold_sends.append((self.now, self.usual[s.kind]))
+        if len(engine.out) == 1:
+            engine.answered = self.now
+        self.link.send(s.number, engine.number, 0.0)
         return True
 
-    # The choice of engine, with its guards.
+    def turn(self, now: float) -> None:
+        """Held ones leave, lowest aged cost per utility first, each to the engine with most room."""
+        self.now, self.promised = now, None
+        kept = []
+        stuck = [False for _ in self.workloads]  # nothing frees room within a turn: one speaks for its kind
+        for rank, s in self.held:
+            if s.over or (not stuck[s.kind] and self.pass_on(s, self.chain.index(self.choice_stage))):
+                continue
+            kept.append((rank, s))
+            stuck[s.kind] |= not s.key and not s.made
+            if self.promised is None and now - s.taken > RIPE and self.in_turn(s):
+                self.promised = max(self.allowed(s), key=Engine.room, default=None)
+        self.held = kept
+
+    # The choice of engine, with its guards and the bound.
+
+    def choose(self, s: Submission, fewest: bool) -> Engine | None:
+        if not self.in_turn(s) or (s.made and not self.may_go_further()):
+            return None
+        engines = self.allowed(s)
+        engines = [e for e in engines if e not in s.avoid] or engines  # further trips go elsewhere
+        engines = [e for e in engines if e is not self.promised and self.admits(e, s.workload.threads)]
+        if s.workload.waits_for_loads or s.workload.holds_tables:
+            engines = [e for e in engines if not self.stands(e, s.group)] or engines
+        if fewest:
+            return min(engines, key=lambda e: (e.threads / e.cores, self.chance.draw()), default=None)
+        return max(engines, key=lambda e: (e.room(), self.chance.draw()), default=None)
+
+    def in_turn(self, s: Submission) -> bool:
+        """Rule 5: those of one key run one at a time, in the order taken, and rest after a doubtful end."""
+        return not s.key or (self.lines[s.key][0] is s and self.now >= self.rests.get(s.key, 0.0))
 
     def allowed(self, s: Submission) -> list[Engine]:
-        """Engines that the rules let this submission go to now."""
-        w, now = s.workload, self.now
-        if s.ran is not None and w.effect == Effect.LABELLED and now >= s.ran_since + w.known_for - 1.0:
+        """Rules 2, 3, 4 and 6, and health: where this submission may go now."""
+        w, ran = s.workload, s.ran if s.workload.effect == Effect.LABELLED else None
+        if ran and self.now >= ran.sent + w.known_for - 1.0:
             return []
-        found = []
-        for engine in self.engines.values():
-            line = engine.line
-            if line.life != Life.READY or (w.locations is not None and line.location not in w.locations) \
-                    or (w.kinds is not None and line.kind not in w.kinds):
-                continue
-            if s.ran is not None and w.effect == Effect.LABELLED and (
-                    (w.reach == Reach.LOCATION and line.location != s.ran.line.location)
-                    or (w.reach == Reach.CELL and line.cell != s.ran.line.cell)):
-                continue
-            if engine.warm_at > now and not self.bears(engine, s):
-                continue
-            if now < engine.aside_until or (engine.trial and (engine.out or w.effect != Effect.REDOABLE)):
-                continue
-            found.append(engine)
-        return found
-
-    def bears(self, engine: Engine, s: Submission) -> bool:
+        return [e for e in self.ready()
+                if (w.locations is None or e.line.location in w.locations)
+                and (w.kinds is None or e.line.kind in w.kinds)
+                and not (ran and w.reach == Reach.LOCATION and e.line.location != ran.engine.line.location)
+                and not (ran and w.reach == Reach.CELL and e.line.cell != ran.engine.line.cell)
+                and self.now >= e.aside_until
+                and not (e.trial and (e.out or w.effect != Effect.REDOABLE))
+                and (self.now >= e.warm_at or self.bears(e, self.usual[s.kind]))]
+
+    def bears(self, engine: Engine, work: float) -> bool:
         """Rule 4: our share of what a cold engine bears in any window, by the workload's usual work."""
         while engine.cold_sends and engine.cold_sends[0][0] <= self.now - self.cold_window:
             engine.cold_sends.popleft()
-        spent = sum(work for _, work in engine.cold_sends)
-        return spent + self.usual[s.kind] <= self.cold_rate * engine.cores * self.cold_window
+        return work + sum(sent for _, sent in engine.cold_sends) <= self.cold_budget * engine.cores
 
     def admits(self, engine: Engine, threads: int) -> bool:
         """The bound binds only under pressure; below one query's threads it is a matter of chance."""
-        # Sent faster than its answers can tell, an engine is jammed before it shows pressure: beyond this much
-        # out at once it counts as pressed (a burst, the line let go at once, stale or slow answers).
+        # Sent faster than its answers can tell, an engine is jammed before it shows pressure: beyond this
+        # much out at once it counts as pressed (a burst, a held line let go at once, late answers).
         unseen = engine.threads + threads <= UNSEEN * engine.bound and self.now >= engine.pressed_until
         if unseen or engine.threads + threads <= engine.bound:
             return True
         return engine.bound < threads and not engine.out and engine.luck < engine.bound / threads
 
-    def choose(self, s: Submission, held: bool) -> Engine | None:
-        if not self.in_turn(s) or (s.made and not self.may_go_further()):
-            return None
-        engines = self.allowed(s)
-        if s.avoid:  # a further trip goes elsewhere where it can
-            engines = [e for e in engines if e not in s.avoid] or engines
-        engines = [e for e in engines if self.admits(e, s.workload.threads) and e is not self.promised]
-        if s.workload.waits_for_loads or s.workload.holds_tables:
-            engines = [e for e in engines if not self.blocked(e, s.group)] or engines
-        if not engines:
-            return None
-        if s.cheap and not held:
-            return min(engines, key=lambda e: (e.threads / e.cores, self.chance.draw()))
-        return max(engines, key=lambda e: (e.room(), self.chance.draw()))
-
-    def blocked(self, engine: Engine, group: int) -> bool:
+    def stands(self, engine: Engine, group: int) -> bool:
         """A load of ours holds that group of tables there, or one of ours stands still behind another's."""
-        return any(t.submission.group == group and (t.submission.workload.holds_tables or t.blocked)
+        return any(t.submission.group == group and (t.submission.workload.holds_tables or t.stands)
                    for t in engine.out.values())
 
     def may_go_further(self) -> bool:
         """Rule 7, and our own credit, which follows how many of the recent further trips succeeded."""
         if self.further_window is not None:
-            since = self.now - self.further_window
             for times in (self.taken_times, self.further_times):
-                while times and times[0] <= since:
+                while times and times[0] <= self.now - self.further_window:
                     times.popleft()
             if len(self.further_times) + 1 > self.further_free + self.further_share * len(self.taken_times):
                 return False
         return self.further_credit >= 1.0
 
-    def send(self, s: Submission, engine: Engine) -> None:
-        number, threads = s.made, s.workload.threads
-        s.made += 1
-        trip = Trip(s, number, engine, self.now, s.due, number > 0)
-        s.out[number] = engine.out[s.number, number] = trip
-        engine.threads += threads
-        engine.most = max(engine.most, engine.threads)
-        if number:
-            self.further_times.append(self.now)
-            self.further_credit -= 1.0
-        if engine.warm_at > self.now:
-            engine.cold_sends.append((self.now, self.usual[s.kind]))
-        if len(engine.out) == 1:
-            engine.answered = self.now
-        if self.priorities and not number:
-            self.link.terms(s.number, 0.0, CHEAP_PRIORITY if s.cheap else HEAVY_PRIORITY)
-        self.link.send(s.number, engine.number, 0.0)
+    # What comes back: trip, engine, order, then the answer owed.
 
-    # Answers.
+    def ended(self, now: float, number: int, trip: int, engine: int, ending: Ending, took: float, final: bool,
+              work: float, memory: float, report: Sequence[float]) -> None:
+        self.now = now
+        e = self.engines[engine]
+        t = e.out.pop((number, trip))
+        s = t.submission
+        del s.out[trip]
+        e.threads -= s.workload.threads
+        if ending not in NEVER_RAN:
+            s.ran = s.ran or t
+        if trip:
+            self.further_won.add(1.0 if ending == Ending.DELIVERED else 0.0)
+        self.judge(e, t, ending, took, work)
+        if s.key and ending in MAY_RUN_ON:
+            self.rests[s.key] = now + self.order_rest
+        if final or s.over:
+            self.close(s)
+        elif now >= s.expiry - 1.0 or (not s.out and (
+                ending == Ending.TIME_OUT or s.made >= self.most_trips or self.further_credit < 1.0
+                or (s.ran and s.workload.effect == Effect.IRREVERSIBLE))):
+            self.end(s)
+        elif not s.out:
+            s.avoid.append(e)
+            self.pass_on(s, self.chain.index(self.line_stage))
 
-    def close(self, s: Submission) -> None:
-        s.over = True
-        self.open.pop(s.number, None)
-        if s.in_line and not s.out and s in self.lines.get(s.key, ()):
-            self.lines[s.key].remove(s)
-            if not self.lines[s.key]:
-                del self.lines[s.key]
+    def withdrawn(self, now: float, number: int) -> None:
+        self.now = now
+        if number in self.open:
+            self.call_off(list(self.open[number].out.values()))
+            self.close(self.open[number])
 
     def end(self, s: Submission) -> None:
         """Shed where trying again is harmless, broken off where it may not be."""
-        ran = s.ran is not None or any(s.out)
-        effect = s.workload.effect
-        if ran and (effect == Effect.IRREVERSIBLE or (effect == Effect.LABELLED and s.workload.reach != Reach.ALL)) \
-                or self.now >= s.expiry - 1.0:
-            self.link.break_off(s.number)
-        else:
+        w = s.workload
+        harmless = w.effect == Effect.REDOABLE or (w.effect == Effect.LABELLED and w.reach == Reach.ALL)
+        if harmless or not (s.ran or s.out):
             self.link.shed(s.number, self.come_back)
-        if self.may_call_off:
-            self.call_off(s)
+        else:
+            self.link.break_off(s.number)
+        self.call_off(list(s.out.values()))
         self.close(s)
 
-    def call_off(self, s: Submission) -> None:
-        for trip in s.out.values():
-            if not trip.called_off:
+    def close(self, s: Submission) -> None:
+        s.over = True
+        self.open.pop(s.number, None)
+        if s.key and not s.out and s in self.lines.get(s.key, ()):
+            self.lines[s.key].remove(s)
+
+    def call_off(self, trips: list[Trip]) -> None:
+        for trip in trips:
+            if self.may_call_off and not trip.called_off:
                 trip.called_off = True
-                self.link.call_off(s.number, trip.number)
+                self.link.call_off(trip.submission.number, trip.number)
 
-    # Measurements and health.
+    # Time, measurements and health.
 
-    def judge(self, engine: Engine, trip: Trip, ending: Ending, took: float, work: float) -> None:
-        s = trip.submission
-        threads = s.workload.threads
+    def woken(self, now: float, token: int) -> None:
+        self.now = now
+        if token == WAKE_WATCH:
+            self.link.watch()
+        elif now >= self.next_tick - 1.0:
+            self.next_tick = now + TICK
+            self.link.wake(TICK, WAKE_TICK)
+            self.credit = [min(credit + quota * TICK, quota * 1000)
+                           for credit, quota in zip(self.credit, self.quotas, strict=True)]
+            self.watch_engines()
+            self.watch_held()
+            if now >= self.next_interval:
+                self.next_interval += INTERVAL
+                self.close_interval()
+
+    def watch_held(self) -> None:
+        """What can no longer be worth its wait is answered at once."""
+        for _, s in self.held:
+            if s.over:
+                continue
+            done = self.now + s.due * self.middle
+            if self.now >= s.expiry - LAST_MOMENT or done > s.expiry \
+                    or (done > s.agreed and s.workload.late_utility < LATE_WORTH_IT):
+                self.end(s)
+
+    def watch_engines(self) -> None:
+        ready = self.ready()
+        for e in ready:
+            overdue = sum(t.submission.workload.threads for t in e.out.values()
+                          if self.now - t.sent > PRESSURE * t.submission.due)
+            if e.pace.total >= PACE_SAMPLES:
+                e.slowness = e.pace.quantile(0.5)
+            if e.slowness > PRESSURE or 2 * overdue > max(e.threads, 1):
+                e.pressed_until = self.now + PRESSURE_HOLD
+        if ready:
+            self.middle = max(1.0, sorted(e.slowness for e in ready)[len(ready) // 2])
+            heard = sorted(e.answered for e in ready)[len(ready) // 2]
+        for e in ready:
+            quiet = self.now - e.answered
+            lost = [t for t in e.out.values() if quiet > SILENCE_OF_DUE * t.submission.due * self.middle]
+            # Silence while others answer: a hang, a lost link, answers lost on the way.
+            if quiet > SILENCE and len(lost) >= SILENT_TRIPS and heard > e.answered + SILENCE / 2:
+                self.set_aside(e, f"silent {quiet:.0f} ms")
+            # Far slower than its peers: a sick machine, a neighbour. All slow at once moves the middle.
+            elif e.pace.total >= PACE_SAMPLES and e.slowness > SLOW * self.middle:
+                self.set_aside(e, f"pace {e.slowness:.1f} of {self.middle:.1f}")
+
+    def noted(self, now: float, number: int, trip: int, engine: int, word: Word, level: float) -> None:
+        if (number, trip) in self.engines[engine].out:
+            self.engines[engine].out[number, trip].stands = word == Word.WAITS and level == WAITS_FOR_LOAD
+            if word == Word.PROGRESS and level > 0:
+                self.engines[engine].answered = now
+
+    def judge(self, e: Engine, t: Trip, ending: Ending, took: float, work: float) -> None:
+        s, threads = t.submission, t.submission.workload.threads
         if ending == Ending.DELIVERED:
-            engine.served += threads
-            engine.work += s.cost
-            engine.answered, engine.strikes = self.now, 0.0
+            e.served, e.work = e.served + threads, e.work + s.cost
+            e.answered, e.strikes = self.now, 0.0
             ratio = took * threads / (work or s.cost)
             self.paces[s.kind].add(ratio, threads)
-            pace = ratio / self.best[s.kind]
-            engine.pace.add(pace, threads)
-            if engine.trial and pace < SLOW:
-                engine.trial = False
-                self.say(f"engine {engine.number} back, pace {pace:.2f}")
+            e.pace.add(ratio / self.best[s.kind], threads)
+            if e.trial and ratio < SLOW * self.best[s.kind]:
+                e.trial = False
+                self.link.log(f"engine {e.number} back, pace {ratio / self.best[s.kind]:.2f}")
         elif ending == Ending.FULL:
-            engine.answered = self.now
-            engine.pressed_until = self.now + PRESSURE_HOLD
+            e.answered, e.pressed_until = self.now, self.now + PRESSURE_HOLD
         elif ending in (Ending.UNREACHED, Ending.RESET, Ending.ERROR):
             # Covers a crash, a cut link and an engine that fails all it takes, whatever the list says.
-            engine.strikes += 1.0 if ending == Ending.ERROR else 1.5
-            if engine.strikes >= STRIKES or engine.trial:
-                self.set_aside(engine, f"strikes {engine.strikes:.1f}", died=ending != Ending.ERROR)
+            e.strikes += STRIKE_ERROR if ending == Ending.ERROR else STRIKE_LOST
+            if e.strikes >= STRIKES or e.trial:
+                self.set_aside(e, f"strikes {e.strikes:.1f}")
+                if ending != Ending.ERROR:  # it comes back cold, even where the list has not told
+                    e.warm_at = max(e.warm_at, e.aside_until + self.cold_for)
 
-    def tick(self) -> None:
-        self.watch_engines()
-        for _, s in list(self.held):
-            if s.over:
-                continue
-            run = s.due * self.middle
-            if self.now >= s.expiry - LEAST_LEFT:
-                self.end(s)
-            elif not s.late and self.now + run > s.agreed:
-                if s.workload.late_utility < LATE_WORTH_IT or self.now + run > s.expiry:
-                    self.end(s)
-                else:
-                    s.late = True
-        if self.now >= self.next_interval:
-            self.next_interval += INTERVAL
-            self.interval()
-
-    @property
-    def middle(self) -> float:
-        paces = sorted(e.slowness for e in self.ready())
-        return max(1.0, paces[len(paces) // 2]) if paces else 1.0
-
-    def ready(self) -> Iterator[Engine]:
-        return (e for e in self.engines.values() if e.line.life == Life.READY)
-
-    def watch_engines(self) -> None:
-        for engine in self.ready():
-            trips = engine.out.values()
-            overdue = sum(t.submission.workload.threads for t in trips if self.now - t.sent > PRESSURE * t.due)
-            if engine.pace.total >= PACE_SAMPLES:
-                engine.slowness = engine.pace.quantile(0.5)
-            if engine.slowness > PRESSURE or 2 * overdue > max(engine.threads, 1):
-                engine.pressed_until = self.now + PRESSURE_HOLD
-        middle = self.middle
-        newest = sorted(e.answered for e in self.ready())
-        for engine in self.ready():
-            if engine.aside_until > self.now:
-                continue
-            if engine.trial and not engine.out:
-                continue
-            oldest = min(engine.out.values(), key=lambda t: t.sent, default=None)
-            quiet = self.now - engine.answered
-            # Silence while others answer: a hang, a lost link, answers lost on the way.
-            if oldest is not None and quiet > SILENCE and quiet > SILENCE_OF_DUE * oldest.due * middle \
-                    and newest[len(newest) // 2] > engine.answered + SILENCE / 2:
-                self.set_aside(engine, f"silent {quiet:.0f} ms", died=False)
-            # Far slower than its peers: a sick machine or a neighbour; all slow at once moves the middle instead.
-            elif engine.pace.total >= PACE_SAMPLES and engine.slowness > SLOW * middle:
-                self.set_aside(engine, f"pace {engine.slowness:.1f} of {middle:.1f}", died=False)
-
-    def set_aside(self, engine: Engine, why: str, died: bool) -> None:
+    def set_aside(self, e: Engine, why: str) -> None:
         """For a fixed time and a random part; never most of the fleet."""
-        ready = list(self.ready())
-        aside = sum(1 for e in ready if e.aside_until > self.now or e.trial)
-        if engine.aside_until > self.now or (not engine.trial and 2 * (aside + 1) >= len(ready)):
+        aside = [other for other in self.ready() if other.aside_until > self.now or other.trial]
+        if e.aside_until > self.now or (not e.trial and 2 * (len(aside) + 1) >= len(self.ready())):
             return
-        engine.start_over()
-        engine.aside_until = self.now + ASIDE + ASIDE_RANDOM * self.chance.draw()
-        engine.trial = True
-        if died:  # it comes back cold, even where the list has not told
-            engine.warm_at = engine.aside_until + self.cold_for
-        self.say(f"engine {engine.number} aside: {why}, {len(engine.out)} out, {aside} others aside")
-        for trip in list(engine.out.values()):
-            s = trip.submission
-            if self.may_call_off and s.workload.effect == Effect.REDOABLE and not trip.called_off and not s.over \
-                    and s.made < self.most_trips:
-                trip.called_off = True
-                self.link.call_off(s.number, trip.number)
-
-    def interval(self) -> None:
-        for engine in self.engines.values():
-            engine.luck = self.chance.draw()
-            engine.pace.halve()
-            if engine.aside_until <= self.now and not engine.trial:
-                engine.move_bound(GAIN_C, self.step)
+        e.start_over(e.start)
+        e.aside_until, e.trial = self.now + ASIDE + ASIDE_RANDOM * self.chance.draw(), True
+        self.link.log(f"engine {e.number} aside: {why}, {len(e.out)} out, {len(aside)} others aside")
+        self.call_off([t for t in e.out.values() if t.submission.workload.effect == Effect.REDOABLE])
+
+    def close_interval(self) -> None:
+        for e in self.engines.values():
+            e.luck = self.chance.draw()
+            e.pace.halve()
+            if self.now >= e.aside_until and not e.trial:
+                e.move_bound(self.step)
         for kind, paces in enumerate(self.paces):
             if paces.total >= BEST_SAMPLES:
                 low = paces.quantile(BEST_SHARE)
                 self.best[kind] = min(low, self.best[kind] * BEST_DRIFT) if self.best[kind] != 1.0 else low
             paces.halve()
         self.further_won.halve()
-        bounds = " ".join(f"{e.bound:.0f}/{e.threads}{'*' if e.pressed_until > self.now else ''}" for e in self.ready())
-        self.say(f"n*/own {bounds}; held {len(self.held)}; middle pace {self.middle:.2f}")
-
-    def say(self, line: str) -> None:
-        self.link.log(line)
+        bounds = " ".join(f"{e.bound:.0f}/{e.threads}{'*' if e.pressed_until > self.now else ''}"
+                          for e in self.ready())
+        self.link.log(f"n*/own {bounds}; held {len(self.held)}; pace {self.middle:.2f}")
