--- a/spurdeal/benchlink/host.py
+++ b/spurdeal/benchlink/host.py
@@ -159,7 +159,8 @@
         self.replies: list[bytes] = []
         self.readers: dict[int, Callable[[float, Reader], None]] = {
             0: self.provision, 1: self.membership, 2: self.inbound, 3: self.head, 4: self.settled,
-            5: self.aborted, 6: self.wakeup, 7: self.checked, 8: self.peer, 9: self.retire, 10: self.update, 11: self.page}
+            5: self.aborted, 6: self.wakeup, 7: self.checked, 8: self.peer, 9: self.retire,
+            10: self.update, 11: self.page}
 
     def serve(self, source: BinaryIO, sink: BinaryIO) -> None:
         batch = 0
@@ -185,7 +186,7 @@
             write_frame(sink, self.replies)
 
     def guarded(self, instance: Instance, call: Callable[..., None], *words: Any) -> None:
-        """A fault of the rules is the instance's own, and is reported for it; it then decides nothing more."""
+        """A fault of the rules is reported for its instance, which then decides nothing more."""
         if instance.broken:
             return
         try:
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -361,7 +361,7 @@
         if final or s.over:
             self.close(s)
         elif now >= s.expiry - 1.0 or (not s.out and (
-                ending == Ending.TIME_OUT or s.made >= self.most_trips or self.further_credit < 1.0
+                now >= s.expiry - LAST_MOMENT or ending == Ending.TIME_OUT or s.made >= self.most_trips or self.further_credit < 1.0
                 or (s.ran and s.workload.effect == Effect.IRREVERSIBLE))):
             self.end(s)
         elif not s.out:
