A held one that will be late loses its age and ranks by its late utility

Cause: under overload reports that could only come late kept their age and filled the engines. Holds against any lasting shortage; hurts where late answers are worth nearly as much as timely ones, as these then wait longest.

--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -1,8 +1,8 @@
 """All decisions of a dispatcher: what runs, on which engine, when, and on which terms.
 
 A link makes one Dispatcher per start, reports events by the calls of interface.Rules, closes each batch with
-turn(), and carries out what it is asked by interface.Link. A submission passes the stages of Dispatcher.chain;
-each passes it on (True), keeps it or ends it (False); what comes back runs the other way, in ended().
+turn(), and carries out what it is asked by interface.Link. A submission passes the stages of Dispatcher.chain,
+each of which passes it on (True), keeps it or ends it (False); what comes back runs the other way, in ended().
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 GAIN_C = 0.4  # C, the least relative gain in P for a relative gain in n*
 START_THREADS = 2.0  # n* starts at this many threads a core, over all dispatchers
 PRESSURE, PRESSURE_HOLD = 1.8, 1000.0  # this many times its best latency is pressure, for this long
-UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed before answers show it
+UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed unheard
 CHEAP_MARK = 1.5  # cost mark, in the usual cost of the lightest workload
 COST_WEIGHT = 2.0  # held line: a ms of cost per utility counts as this many ms of age
 RIPE = 600.0  # a held one this old has room kept for it
@@ -234,13 +234,18 @@
 
     def line_stage(self, s: Submission) -> bool:
         """Cheap ones pass the held line; the others stand in it by aged cost per utility."""
-        s.rank = (s.taken + COST_WEIGHT * s.due * s.workload.threads / max(1e-6, s.utility), s.number)
+        s.rank = self.rank(s)
         if s.cheap or not self.held:
             s.engine = self.choose(s, fewest=s.cheap)
         if s.engine is None:
             insort(self.held, (s.rank, s), key=lambda item: item[0])
         return s.engine is not None
 
+    def rank(self, s: Submission) -> tuple[float, int]:
+        """Cost per utility, aged; one that will be late has lost utility, and its age."""
+        utility = s.utility * (s.workload.late_utility if s.late else 1.0)
+        return self.now + COST_WEIGHT * s.due * s.workload.threads / max(1e-6, utility), s.number
+
     def choice_stage(self, s: Submission) -> bool:
         s.engine = s.engine or self.choose(s, fewest=False)
         return s.engine is not None
@@ -361,8 +366,8 @@
         if final or s.over:
             self.close(s)
         elif now >= s.expiry - 1.0 or (not s.out and (
-                now >= s.expiry - LAST_MOMENT or ending == Ending.TIME_OUT or s.made >= self.most_trips or self.further_credit < 1.0
-                or (s.ran and s.workload.effect == Effect.IRREVERSIBLE))):
+                now >= s.expiry - LAST_MOMENT or ending == Ending.TIME_OUT or s.made >= self.most_trips
+                or self.further_credit < 1.0 or (s.ran and s.workload.effect == Effect.IRREVERSIBLE))):
             self.end(s)
         elif not s.out:
             s.avoid.append(e)
@@ -417,12 +422,16 @@
     def watch_held(self) -> None:
         """What can no longer be worth its wait is answered at once."""
         for _, s in self.held:
-            if s.over:
-                continue
             done = self.now + s.due * self.middle
-            if self.now >= s.expiry - LAST_MOMENT or done > s.expiry \
-                    or (done > s.agreed and s.workload.late_utility < LATE_WORTH_IT):
+            if s.over or (done <= s.agreed and self.now < s.expiry - LAST_MOMENT):
+                continue
+            hopeless = done > s.expiry or s.workload.late_utility < LATE_WORTH_IT
+            if hopeless or self.now >= s.expiry - LAST_MOMENT:
                 self.end(s)
+            elif not s.late:
+                s.late = True
+                s.rank = self.rank(s)
+        self.held = sorted(((s.rank, s) for _, s in self.held if not s.over), key=lambda item: item[0])
 
     def watch_engines(self) -> None:
         ready = self.ready()
