--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -2,8 +2,8 @@
 
 A link makes one Dispatcher per start, reports events by the calls of interface.Rules, closes each batch
 with turn(), and carries out what it is asked by interface.Link. A submission passes the stages of
-Dispatcher.chain, each of which passes it on (True), keeps it or ends it (False); what comes back runs the other
-way, in ended().
+Dispatcher.chain; each passes it on (True), keeps it or ends it (False). What comes back runs the other way,
+in ended().
 """
 
 from __future__ import annotations
