--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -54,7 +54,7 @@
                            (frame(1.0, b"\x63"), "code 99"),
                            (frame(1.0, MEMBERSHIP), "instance 3"),
                            (frame(1.0, *start[:2], MEMBERSHIP[:-2] + b"\5\0"), "list 5"),
-                           (frame(1.0, page(9)), "node state 9"), (frame(1.0, provision(3), b"\0"), "cut short"),
+                           (frame(1.0, page(9)), "node state 9"), (frame(1.0, start[0], b"\0"), "cut short"),
                            (frame(1.0, *start, INBOUND[:11] + b"\7\0" + INBOUND[13:]), "class 7"),
                            (frame(1.0, *start, SETTLED.replace(b"engine", b"others")), "was in no list"),
                            (frame(1.0, provision(3, {"grades": []})), "no workloads"),
