Timed-out trips count on for half their time where trips cannot be called off

Covers slow engines, paging, lost answers; hurts where a time-out does end the work although nothing can be called off.

--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -28,6 +28,7 @@
 PACE_EDGES = tuple(0.25 * 1.15**step for step in range(40))  # of time taken over time expected
 BEST_SHARE, BEST_SAMPLES, BEST_DRIFT = 0.25, 15.0, 1.1  # best latency: a low quantile
 PACE_SAMPLES, SLOW = 6.0, 3.0  # an engine this many times slower than the middle one is set aside
+GHOST = 0.5  # where work cannot be stopped, a timed-out trip counts on, for this part of its time
 STRIKES, STRIKE_LOST, STRIKE_ERROR = 3.0, 1.5, 1.0
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
 ASIDE, ASIDE_RANDOM = 3000.0, 3000.0
@@ -95,6 +96,7 @@
         self.number, self.line, self.cores = line.engine, line, cores
         self.out: dict[tuple[int, int], Trip] = {}
         self.threads, self.answered, self.luck = 0, now, 1.0
+        self.ghosts: deque[tuple[float, int]] = deque()
         self.aside_until, self.warm_at = 0.0, 0.0
         self.trial = False
         self.cold_sends: deque[tuple[float, float]] = deque()
@@ -356,7 +358,11 @@
         t = e.out.pop((number, trip))
         s = t.submission
         del s.out[trip]
-        e.threads -= s.workload.threads
+        if ending == Ending.TIME_OUT and not self.may_call_off:
+            # Its work runs on unseen; counted as gone, it lets a jam grow (slow engine, paging, lost answer).
+            e.ghosts.append((now + GHOST * took, s.workload.threads))
+        else:
+            e.threads -= s.workload.threads
         if ending not in NEVER_RAN:
             s.ran = s.ran or t
         if trip:
@@ -437,6 +443,8 @@
     def watch_engines(self) -> None:
         ready = self.ready()
         for e in ready:
+            while e.ghosts and e.ghosts[0][0] <= self.now:
+                e.threads -= e.ghosts.popleft()[1]
             overdue = sum(t.submission.workload.threads for t in e.out.values()
                           if self.now - t.sent > PRESSURE * t.submission.due)
             if e.pace.total >= PACE_SAMPLES:
