A trip that waits for a load leaves the own threads and the pressure

Cause: under the bound, trips standing behind loads filled n* though they held no core. Without notes a waiting class's trip far over its due at an engine in pace is taken to stand. Covers any wait that costs no core; hurts where a trip is long because its estimate was far too low.

--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -30,6 +30,7 @@
 PACE_SAMPLES, SLOW = 6.0, 3.0  # an engine this many times slower than the middle one is set aside
 GHOST = 0.5  # where work cannot be stopped, a timed-out trip counts on, for this part of its time
 STRIKES, STRIKE_LOST, STRIKE_ERROR = 3.0, 1.5, 1.0
+STANDS = 3.0  # without notes, a trip this many times over its due at an engine in pace waits for a load
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
 ASIDE, ASIDE_RANDOM = 3000.0, 3000.0
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
@@ -109,6 +110,12 @@
         self.pace = Histogram(PACE_EDGES)
         self.slowness, self.strikes, self.pressed_until = 1.0, 0.0, 0.0
 
+    def stand(self, trip: Trip, stands: bool) -> None:
+        """A trip that waits for a load holds no core: it leaves the own threads until it runs."""
+        if stands != trip.stands:
+            trip.stands = stands
+            self.threads += -trip.submission.workload.threads if stands else trip.submission.workload.threads
+
     def room(self) -> float:
         return self.bound - self.threads
 
@@ -143,6 +150,7 @@
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.come_back = site.most_trips, site.most_come_back
         self.may_call_off, self.priorities = site.may_call_off, site.priorities
+        self.notes = site.notes_every > 0.0
         self.cold_for, self.cold_window = site.cold_for, site.cold_window
         self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
                             * site.cold_window * self.share * COLD_MARGIN)
@@ -355,6 +363,7 @@
               work: float, memory: float, report: Sequence[float]) -> None:
         self.now = now
         e = self.engines[engine]
+        e.stand(e.out[number, trip], False)
         t = e.out.pop((number, trip))
         s = t.submission
         del s.out[trip]
@@ -445,8 +454,12 @@
         for e in ready:
             while e.ghosts and e.ghosts[0][0] <= self.now:
                 e.threads -= e.ghosts.popleft()[1]
-            overdue = sum(t.submission.workload.threads for t in e.out.values()
-                          if self.now - t.sent > PRESSURE * t.submission.due)
+            overdue = 0
+            for t in e.out.values():
+                s, age = t.submission, (self.now - t.sent) / t.submission.due
+                if not self.notes and (s.workload.waits_for_loads or s.workload.holds_tables):
+                    e.stand(t, age > STANDS * max(1.0, e.slowness))
+                overdue += s.workload.threads if age > PRESSURE and not t.stands else 0
             if e.pace.total >= PACE_SAMPLES:
                 e.slowness = e.pace.quantile(0.5)
             if e.slowness > PRESSURE or 2 * overdue > max(e.threads, 1):
@@ -465,10 +478,11 @@
                 self.set_aside(e, f"pace {e.slowness:.1f} of {self.middle:.1f}")
 
     def noted(self, now: float, number: int, trip: int, engine: int, word: Word, level: float) -> None:
-        if (number, trip) in self.engines[engine].out:
-            self.engines[engine].out[number, trip].stands = word == Word.WAITS and level == WAITS_FOR_LOAD
+        e = self.engines[engine]
+        if (number, trip) in e.out:
+            e.stand(e.out[number, trip], word == Word.WAITS and level == WAITS_FOR_LOAD)
             if word == Word.PROGRESS and level > 0:
-                self.engines[engine].answered = now
+                e.answered = now
 
     def judge(self, e: Engine, t: Trip, ending: Ending, took: float, work: float) -> None:
         s, threads = t.submission, t.submission.workload.threads
