--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -19,7 +19,7 @@
 TICK = 50.0
 INTERVAL = 5000.0  # between two moves of n*
 GAIN_C = 0.4  # C, the least relative gain in P for a relative gain in n*
-START_THREADS = 1.6  # n* starts at this many threads a core, over all dispatchers
+START_THREADS = 2.0  # n* starts at this many threads a core, over all dispatchers
 PRESSURE, PRESSURE_HOLD = 1.8, 1000.0  # this many times its best latency is pressure, for this long
 UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed unheard
 CHEAP_MARK = 1.5  # cost mark, in the usual cost of the lightest workload
