--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -38,6 +38,7 @@
 LAST_MOMENT = 2 * TICK  # a held one is answered this long before its expiry
 LATE_WORTH_IT = 0.25  # with less utility left when late, a submission that will be late is shed
 CHEAP_PRIORITY, HEAVY_PRIORITY = 3, 1
+GRANT = 1.05  # memory granted, in the estimate
 NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.MOOT)
 MAY_RUN_ON = (Ending.TIME_OUT, Ending.RESET, Ending.CALLED_OFF)
 WAKE_TICK, WAKE_WATCH = 0, 1
@@ -150,7 +151,7 @@
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.come_back = site.most_trips, site.most_come_back
         self.may_call_off, self.priorities = site.may_call_off, site.priorities
-        self.notes = site.notes_every > 0.0
+        self.notes, self.grant = site.notes_every > 0.0, GRANT if site.grants else 0.0
         self.cold_for, self.cold_window = site.cold_for, site.cold_window
         self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
                             * site.cold_window * self.share * COLD_MARGIN)
@@ -272,8 +273,8 @@
         if trip.number:
             self.further_times.append(self.now)
             self.further_credit -= 1.0
-        elif self.priorities:
-            self.link.terms(s.number, 0.0, CHEAP_PRIORITY if s.cheap else HEAVY_PRIORITY)
+        elif self.priorities or self.grant:
+            self.link.terms(s.number, self.grant * s.memory, CHEAP_PRIORITY if s.cheap else HEAVY_PRIORITY)
         if engine.warm_at > self.now:
             engine.cold_sends.append((self.now, self.usual[s.kind]))
         if len(engine.out) == 1:
