A trip with no word is called off and goes elsewhere

Seen in the wire's own record: trips of 70 ms with no note for 9 s beside trips answered in time. Not a hang: the engine answered others; not a load: no note of a wait.

--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -31,6 +31,7 @@
 GHOST = 0.5  # where work cannot be stopped, a timed-out trip counts on, for this part of its time
 STRIKES, STRIKE_LOST, STRIKE_ERROR = 3.0, 1.5, 1.0
 STANDS = 3.0  # without notes, a trip this many times over its due at an engine in pace waits for a load
+LOST_NOTES, LOST_DUE, LOST_LEAST = 2.5, 5.0, 1000.0  # a trip is lost after so many notes, or times its due
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
 ASIDE, ASIDE_RANDOM = 3000.0, 3000.0
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
@@ -87,6 +88,7 @@
     number: int
     engine: Engine
     sent: float
+    heard: float
     called_off: bool = False
     stands: bool = False  # waits for a load
 
@@ -151,7 +153,7 @@
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.come_back = site.most_trips, site.most_come_back
         self.may_call_off, self.priorities = site.may_call_off, site.priorities
-        self.notes, self.grant = site.notes_every > 0.0, GRANT if site.grants else 0.0
+        self.notes, self.grant = site.notes_every, GRANT if site.grants else 0.0
         self.cold_for, self.cold_window = site.cold_for, site.cold_window
         self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
                             * site.cold_window * self.share * COLD_MARGIN)
@@ -265,7 +267,7 @@
     def trip_stage(self, s: Submission) -> bool:
         engine = s.engine
         assert engine is not None
-        trip = Trip(s, s.made, engine, self.now)
+        trip = Trip(s, s.made, engine, self.now, self.now)
         s.out[s.made] = engine.out[s.number, s.made] = trip
         s.made, s.engine = s.made + 1, None
         engine.threads += s.workload.threads
@@ -458,8 +460,10 @@
             overdue = 0
             for t in e.out.values():
                 s, age = t.submission, (self.now - t.sent) / t.submission.due
-                if not self.notes and (s.workload.waits_for_loads or s.workload.holds_tables):
+                waits = s.workload.waits_for_loads or s.workload.holds_tables
+                if not self.notes and waits:
                     e.stand(t, age > STANDS * max(1.0, e.slowness))
+                self.mind(e, t, self.now - t.sent > max(LOST_LEAST, LOST_DUE * s.due * e.slowness))
                 overdue += s.workload.threads if age > PRESSURE and not t.stands else 0
             if e.pace.total >= PACE_SAMPLES:
                 e.slowness = e.pace.quantile(0.5)
@@ -478,9 +482,20 @@
             elif e.pace.total >= PACE_SAMPLES and e.slowness > SLOW * self.middle:
                 self.set_aside(e, f"pace {e.slowness:.1f} of {self.middle:.1f}")
 
+    def mind(self, e: Engine, t: Trip, overdue: bool) -> None:
+        """A trip with no word where others have some: its answer was lost, or it stands. It goes elsewhere."""
+        s = t.submission
+        if not (self.now - t.heard > LOST_NOTES * self.notes if self.notes else overdue):
+            return
+        e.stand(t, True)
+        if s.workload.effect == Effect.REDOABLE and s.made < self.most_trips and self.may_go_further() \
+                and self.now + s.due * self.middle < s.expiry - LAST_MOMENT:
+            self.call_off([t])
+
     def noted(self, now: float, number: int, trip: int, engine: int, word: Word, level: float) -> None:
         e = self.engines[engine]
         if (number, trip) in e.out:
+            e.out[number, trip].heard = now
             e.stand(e.out[number, trip], word == Word.WAITS and level == WAITS_FOR_LOAD)
             if word == Word.PROGRESS and level > 0:
                 e.answered = now
