--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -24,7 +24,6 @@
 UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed unheard
 CHEAP_MARK = 1.5  # cost mark, in the usual cost of the lightest workload
 COST_WEIGHT = 2.0  # held line: a ms of cost per utility counts as this many ms of age
-RIPE = 600.0  # a held one this old has room kept for it
 PACE_EDGES = tuple(0.25 * 1.15**step for step in range(40))  # of time taken over time expected
 BEST_SHARE, BEST_SAMPLES, BEST_DRIFT = 0.25, 15.0, 1.1  # best latency: a low quantile
 PACE_SAMPLES, SLOW = 6.0, 3.0  # an engine this many times slower than the middle one is set aside
@@ -167,7 +166,6 @@
         self.open: dict[int, Submission] = {}
         self.lines: dict[int, deque[Submission]] = {}
         self.rests: dict[int, float] = {}
-        self.promised: Engine | None = None
         self.usual = [0.0 for _ in site.workloads]
         self.best = [1.0 for _ in site.workloads]
         self.paces = [Histogram(PACE_EDGES) for _ in site.workloads]
@@ -286,7 +284,7 @@
 
     def turn(self, now: float) -> None:
         """Held ones leave, lowest aged cost per utility first, each to the engine with most room."""
-        self.now, self.promised = now, None
+        self.now = now
         kept = []
         stuck = [False for _ in self.workloads]  # nothing frees room within a turn: one speaks for its kind
         for rank, s in self.held:
@@ -294,8 +292,6 @@
                 continue
             kept.append((rank, s))
             stuck[s.kind] |= not s.key and not s.made
-            if self.promised is None and now - s.taken > RIPE and self.in_turn(s):
-                self.promised = max(self.allowed(s), key=Engine.room, default=None)
         self.held = kept
 
     # The choice of engine, with its guards and the bound.
@@ -305,7 +301,7 @@
             return None
         engines = self.allowed(s)
         engines = [e for e in engines if e not in s.avoid] or engines  # further trips go elsewhere
-        engines = [e for e in engines if e is not self.promised and self.admits(e, s.workload.threads)]
+        engines = [e for e in engines if self.admits(e, s.workload.threads)]
         if s.workload.waits_for_loads or s.workload.holds_tables:
             engines = [e for e in engines if not self.stands(e, s.group)] or engines
         if fewest:
@@ -459,12 +455,9 @@
                 e.threads -= e.ghosts.popleft()[1]
             overdue = 0
             for t in e.out.values():
-                s, age = t.submission, (self.now - t.sent) / t.submission.due
-                waits = s.workload.waits_for_loads or s.workload.holds_tables
-                if not self.notes and waits:
-                    e.stand(t, age > STANDS * max(1.0, e.slowness))
-                self.mind(e, t, self.now - t.sent > max(LOST_LEAST, LOST_DUE * s.due * e.slowness))
-                overdue += s.workload.threads if age > PRESSURE and not t.stands else 0
+                age = (self.now - t.sent) / t.submission.due
+                self.mind(e, t, age / e.slowness)
+                overdue += t.submission.workload.threads if age > PRESSURE and not t.stands else 0
             if e.pace.total >= PACE_SAMPLES:
                 e.slowness = e.pace.quantile(0.5)
             if e.slowness > PRESSURE or 2 * overdue > max(e.threads, 1):
@@ -482,13 +475,16 @@
             elif e.pace.total >= PACE_SAMPLES and e.slowness > SLOW * self.middle:
                 self.set_aside(e, f"pace {e.slowness:.1f} of {self.middle:.1f}")
 
-    def mind(self, e: Engine, t: Trip, overdue: bool) -> None:
-        """A trip with no word where others have some: its answer was lost, or it stands. It goes elsewhere."""
-        s = t.submission
-        if not (self.now - t.heard > LOST_NOTES * self.notes if self.notes else overdue):
-            return
-        e.stand(t, True)
-        if s.workload.effect == Effect.REDOABLE and s.made < self.most_trips and self.may_go_further() \
+    def mind(self, e: Engine, t: Trip, times_due: float) -> None:
+        """A trip with no word while its engine answers others stands still, or its answer was lost."""
+        s, quiet = t.submission, self.now - t.heard
+        if self.notes:
+            lost = quiet > LOST_NOTES * self.notes
+            e.stand(t, t.stands or lost)
+        else:
+            lost = quiet > LOST_LEAST and times_due > LOST_DUE
+            e.stand(t, times_due > STANDS and (s.workload.waits_for_loads or s.workload.holds_tables))
+        if lost and s.workload.effect == Effect.REDOABLE and s.made < self.most_trips and self.may_go_further() \
                 and self.now + s.due * self.middle < s.expiry - LAST_MOMENT:
             self.call_off([t])
 
