--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -16,7 +16,7 @@
 from .histogram import Histogram
 from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word, Workload
 
-TICK = 50.0
+TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
 INTERVAL = 5000.0  # between two moves of n*
 GAIN_C = 0.4  # C, the least relative gain in P for a relative gain in n*
 START_THREADS = 2.0  # n* starts at this many threads a core, over all dispatchers
@@ -24,24 +24,22 @@
 UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed unheard
 CHEAP_MARK = 1.5  # cost mark, in the usual cost of the lightest workload
 COST_WEIGHT = 2.0  # held line: a ms of cost per utility counts as this many ms of age
+RIPE = 600.0  # a held one this old has room kept for it, or cheap ones starve it
 PACE_EDGES = tuple(0.25 * 1.15**step for step in range(40))  # of time taken over time expected
 BEST_SHARE, BEST_SAMPLES, BEST_DRIFT = 0.25, 15.0, 1.1  # best latency: a low quantile
 PACE_SAMPLES, SLOW = 6.0, 3.0  # an engine this many times slower than the middle one is set aside
 GHOST = 0.5  # where work cannot be stopped, a timed-out trip counts on, for this part of its time
 STRIKES, STRIKE_LOST, STRIKE_ERROR = 3.0, 1.5, 1.0
-STANDS = 3.0  # without notes, a trip this many times over its due at an engine in pace waits for a load
-LOST_NOTES, LOST_DUE, LOST_LEAST = 2.5, 10.0, 2500.0  # a trip is lost after so many notes, or times its due
+STANDS, LOST_DUE, LOST_LEAST, LOST_NOTES = 3.0, 10.0, 2500.0, 2.5  # in its due, ms, gaps between notes
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
 ASIDE, ASIDE_RANDOM = 3000.0, 3000.0
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
 FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0  # credit for further trips
 LAST_MOMENT = 2 * TICK  # a held one is answered this long before its expiry
 LATE_WORTH_IT = 0.25  # with less utility left when late, a submission that will be late is shed
-CHEAP_PRIORITY, HEAVY_PRIORITY = 3, 1
-GRANT = 1.35  # memory granted, in the estimate
+CHEAP_PRIORITY, HEAVY_PRIORITY, GRANT = 3, 1, 1.35  # the grant is in the estimate of memory
 NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.MOOT)
 MAY_RUN_ON = (Ending.TIME_OUT, Ending.RESET, Ending.CALLED_OFF)
-WAKE_TICK, WAKE_WATCH = 0, 1
 
 
 class Chance:
@@ -99,10 +97,8 @@
         self.number, self.line, self.cores = line.engine, line, cores
         self.out: dict[tuple[int, int], Trip] = {}
         self.threads, self.answered, self.luck = 0, now, 1.0
-        self.ghosts: deque[tuple[float, int]] = deque()
-        self.aside_until, self.warm_at = 0.0, 0.0
-        self.trial = False
-        self.cold_sends: deque[tuple[float, float]] = deque()
+        self.aside_until, self.warm_at, self.trial = 0.0, 0.0, False
+        self.cold_sends, self.ghosts = deque[tuple[float, float]](), deque[tuple[float, int]]()
         self.start_over(0.0)
 
     def start_over(self, start: float) -> None:
@@ -158,16 +154,15 @@
                             * site.cold_window * self.share * COLD_MARGIN)
         self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window
         self.further_free, self.further_share = site.further_free or 0.0, site.further_share or 0.0
-        self.taken_times: deque[float] = deque()
-        self.further_times: deque[float] = deque()
+        self.taken_times, self.further_times = deque[float](), deque[float]()
         self.further_credit, self.further_won = FURTHER_MOST, Histogram((0.5, 1.5))
         self.engines: dict[int, Engine] = {}
         self.held: list[tuple[tuple[float, int], Submission]] = []
         self.open: dict[int, Submission] = {}
+        self.promised: Engine | None = None
         self.lines: dict[int, deque[Submission]] = {}
         self.rests: dict[int, float] = {}
-        self.usual = [0.0 for _ in site.workloads]
-        self.best = [1.0 for _ in site.workloads]
+        self.usual, self.best = [0.0 for _ in site.workloads], [1.0 for _ in site.workloads]
         self.paces = [Histogram(PACE_EDGES) for _ in site.workloads]
         self.middle = 1.0
         self.next_interval, self.next_tick = now + INTERVAL, now + TICK
@@ -284,7 +279,7 @@
 
     def turn(self, now: float) -> None:
         """Held ones leave, lowest aged cost per utility first, each to the engine with most room."""
-        self.now = now
+        self.now, self.promised = now, None
         kept = []
         stuck = [False for _ in self.workloads]  # nothing frees room within a turn: one speaks for its kind
         for rank, s in self.held:
@@ -292,6 +287,8 @@
                 continue
             kept.append((rank, s))
             stuck[s.kind] |= not s.key and not s.made
+            if self.promised is None and now - s.taken > RIPE and self.in_turn(s):
+                self.promised = max(self.allowed(s), key=Engine.room, default=None)
         self.held = kept
 
     # The choice of engine, with its guards and the bound.
@@ -301,7 +298,7 @@
             return None
         engines = self.allowed(s)
         engines = [e for e in engines if e not in s.avoid] or engines  # further trips go elsewhere
-        engines = [e for e in engines if self.admits(e, s.workload.threads)]
+        engines = [e for e in engines if e is not self.promised and self.admits(e, s.workload.threads)]
         if s.workload.waits_for_loads or s.workload.holds_tables:
             engines = [e for e in engines if not self.stands(e, s.group)] or engines
         if fewest:
@@ -456,7 +453,7 @@
             overdue = 0
             for t in e.out.values():
                 age = (self.now - t.sent) / t.submission.due
-                self.mind(e, t, age / e.slowness)
+                self.mind(e, t, age / max(1.0, e.slowness))
                 overdue += t.submission.workload.threads if age > PRESSURE and not t.stands else 0
             if e.pace.total >= PACE_SAMPLES:
                 e.slowness = e.pace.quantile(0.5)
@@ -476,7 +473,7 @@
                 self.set_aside(e, f"pace {e.slowness:.1f} of {self.middle:.1f}")
 
     def mind(self, e: Engine, t: Trip, times_due: float) -> None:
-        """A trip with no word while its engine answers others stands still, or its answer was lost."""
+        """A trip with no word while its engine answers others stands still, or its answer is lost."""
         s, quiet = t.submission, self.now - t.heard
         if self.notes:
             lost = quiet > LOST_NOTES * self.notes
@@ -484,8 +481,8 @@
         else:
             lost = quiet > LOST_LEAST and times_due > LOST_DUE
             e.stand(t, times_due > STANDS and (s.workload.waits_for_loads or s.workload.holds_tables))
-        if lost and s.workload.effect == Effect.REDOABLE and s.made < self.most_trips and self.may_go_further() \
-                and self.now + s.due * self.middle < s.expiry - LAST_MOMENT:
+        if lost and s.workload.effect == Effect.REDOABLE and s.made < self.most_trips \
+                and self.may_go_further() and self.now + s.due * self.middle < s.expiry - LAST_MOMENT:
             self.call_off([t])
 
     def noted(self, now: float, number: int, trip: int, engine: int, word: Word, level: float) -> None:
