Where engines page, one far over its best latency gives up a step of n*

Condition: engines let all in when memory runs short, and half of the work took over 2.5 times its best. Covers any jam that feeds itself; hurts where all engines are slow for a reason outside, for as long as that lasts.

--- a/spurdeal/interface.py
+++ b/spurdeal/interface.py
@@ -105,6 +105,7 @@
     most_trips: int
     most_come_back: float
     grants: bool
+    pages: bool
     priorities: bool
     largest_grant: float
     notes_every: float
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -1,9 +1,8 @@
 """All decisions of a dispatcher: what runs, on which engine, when, and on which terms.
 
 A link makes one Dispatcher per start, reports events by the calls of interface.Rules, closes each batch
-with turn(), and carries out what it is asked by interface.Link. A submission passes the stages of
-Dispatcher.chain; each passes it on (True), keeps it or ends it (False). What comes back runs the other way,
-in ended().
+with turn(), and carries out what interface.Link asks. A submission passes the stages of Dispatcher.chain;
+each passes it on (True), keeps it or ends it (False). What comes back runs the other way, in ended().
 """
 
 from __future__ import annotations
@@ -21,6 +20,7 @@
 GAIN_C = 0.4  # C, the least relative gain in P for a relative gain in n*
 START_THREADS = 2.0  # n* starts at this many threads a core, over all dispatchers
 PRESSURE, PRESSURE_HOLD = 1.8, 1000.0  # this many times its best latency is pressure, for this long
+JAM = 2.5  # where engines page, one this far over its best latency gives up a step of n*
 UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed unheard
 CHEAP_MARK = 1.5  # cost mark, in the usual cost of the lightest workload
 COST_WEIGHT = 2.0  # held line: a ms of cost per utility counts as this many ms of age
@@ -148,7 +148,7 @@
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.come_back = site.most_trips, site.most_come_back
         self.may_call_off, self.priorities = site.may_call_off, site.priorities
-        self.notes, self.grant = site.notes_every, GRANT if site.grants else 0.0
+        self.notes, self.pages, self.grant = site.notes_every, site.pages, GRANT if site.grants else 0.0
         self.cold_for, self.cold_window = site.cold_for, site.cold_window
         self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
                             * site.cold_window * self.share * COLD_MARGIN)
@@ -172,8 +172,6 @@
         if not site.list_pushed:
             link.watch()
 
-    # The list of engines.
-
     def listed(self, now: float, lines: Sequence[Listed], whole: bool) -> None:
         self.now = now
         named = [line.engine for line in lines]
@@ -433,14 +431,12 @@
 
     def watch_held(self) -> None:
         """What can no longer be worth its wait is answered at once."""
-        for _, s in self.held:
-            done = self.now + s.due * self.middle
-            if s.over or (done <= s.agreed and self.now < s.expiry - LAST_MOMENT):
-                continue
-            hopeless = done > s.expiry or s.workload.late_utility < LATE_WORTH_IT
-            if hopeless or self.now >= s.expiry - LAST_MOMENT:
+        for s in [s for _, s in self.held if not s.over]:
+            done = max(self.now + LAST_MOMENT, self.now + s.due * self.middle)
+            late = done > s.agreed
+            if done >= s.expiry or (late and s.workload.late_utility < LATE_WORTH_IT):
                 self.end(s)
-            elif not s.late:
+            elif late and not s.late:
                 s.late = True
                 s.rank = self.rank(s)
         self.held = sorted(((s.rank, s) for _, s in self.held if not s.over), key=lambda item: item[0])
@@ -530,6 +526,8 @@
             e.pace.halve()
             if self.now >= e.aside_until and not e.trial:
                 e.move_bound(self.step)
+                if self.pages and e.slowness > JAM:  # once memory has run over, a jam feeds itself
+                    e.bound = e.before = max(e.start / 2, e.bound - self.step)
         for kind, paces in enumerate(self.paces):
             if paces.total >= BEST_SAMPLES:
                 low = paces.quantile(BEST_SHARE)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -13,7 +13,7 @@
     index=0, dispatchers=1, location=0, quotas=(), over_share_utility=1.0, cores=(8,), memory_mb=(8192.0,),
     readings=(), reports_in_answers=True, list_pushed=True, may_call_off=True, may_probe=False,
     may_tell=False, second_copies=False, most_trips=3, most_come_back=500.0, grants=False, priorities=False,
-    largest_grant=0.4, notes_every=0.0, drain_grace=500.0, cold_for=15000.0, cold_share=0.3,
+    pages=False, largest_grant=0.4, notes_every=0.0, drain_grace=500.0, cold_for=15000.0, cold_share=0.3,
     cold_multiple=3.0, cold_window=2000.0)
 KINDS: tuple[Any, ...] = (Effect, Ending, Life, Reach, Word)
 WORDS: dict[str, Any] = {word.name.lower(): word for kind in KINDS for word in kind}
