--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -150,6 +150,9 @@
     def do_bound(self, engine: str, wanted: str) -> None:
         self.case.assertEqual(self.rules.engines[int(engine)].bound, float(wanted))
 
+    def do_cold(self, engine: str) -> None:
+        self.case.assertGreater(self.rules.engines[int(engine)].warm_at, self.now)
+
     def do_aside(self, *engines: str) -> None:
         aside = [str(e.number) for e in self.rules.engines.values() if e.aside_until > self.now]
         self.case.assertEqual(aside, list(engines))
