--- a/spurdeal/interface.py
+++ b/spurdeal/interface.py
@@ -52,19 +52,6 @@
 WAITS_FOR_MEMORY, WAITS_FOR_LOAD = 1, 2
 
 
-class Reading(IntEnum):
-    """What a value of a load report means."""
-
-    IN_HAND = 0
-    QUEUE = 1
-    BUSY = 2
-    LATENCY = 3
-    SERVED_RATE = 4
-    ERROR_RATE = 5
-    MEMORY_GRANTED = 6
-    DISKS_BUSY = 7
-
-
 @dataclass(frozen=True, slots=True)
 class Workload:
     agreed: float
@@ -85,7 +72,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """All that a dispatcher is told once, at its start. None: the deployment sets no such figure."""
+    """All that a dispatcher is told once, at its start. None: the deployment sets no such figure.
+
+    in_hand is the place, in the reports that come with answers, of how many submissions the engine holds.
+    """
 
     index: int
     dispatchers: int
@@ -95,8 +85,7 @@
     over_share_utility: float
     cores: tuple[int, ...]
     memory_mb: tuple[float, ...]
-    readings: tuple[Reading, ...]
-    reports_in_answers: bool
+    in_hand: int | None
     list_pushed: bool
     may_call_off: bool
     may_probe: bool
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -38,8 +38,6 @@
 LAST_MOMENT = 2 * TICK  # a held one is answered this long before its expiry
 LATE_WORTH_IT = 0.25  # with less utility left when late, a submission that will be late is shed
 CHEAP_PRIORITY, HEAVY_PRIORITY, GRANT = 3, 1, 1.35  # the grant is in the estimate of memory
-NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.MOOT)
-MAY_RUN_ON = (Ending.TIME_OUT, Ending.RESET, Ending.CALLED_OFF)
 
 
 class Chance:
@@ -143,6 +141,7 @@
         self.link, self.chance, self.now, self.began = link, Chance(seed), now, now
         self.workloads, self.cores = site.workloads, site.cores or (1,)
         self.share = 1.0 / site.dispatchers
+        self.in_hand, self.own, self.all = site.in_hand, self.share, 1.0
         self.step = float(max(workload.threads for workload in site.workloads))
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
@@ -156,12 +155,10 @@
         self.further_free, self.further_share = site.further_free or 0.0, site.further_share or 0.0
         self.taken_times, self.further_times = deque[float](), deque[float]()
         self.further_credit, self.further_won = FURTHER_MOST, Histogram((0.5, 1.5))
-        self.engines: dict[int, Engine] = {}
         self.held: list[tuple[tuple[float, int], Submission]] = []
-        self.open: dict[int, Submission] = {}
+        self.engines, self.open = dict[int, Engine](), dict[int, Submission]()
         self.promised: Engine | None = None
-        self.lines: dict[int, deque[Submission]] = {}
-        self.rests: dict[int, float] = {}
+        self.lines, self.rests = dict[int, deque[Submission]](), dict[int, float]()
         self.usual, self.best = [0.0 for _ in site.workloads], [1.0 for _ in site.workloads]
         self.paces = [Histogram(PACE_EDGES) for _ in site.workloads]
         self.middle = 1.0
@@ -182,7 +179,7 @@
             cores = self.cores[line.kind % len(self.cores)]
             engine = self.engines.get(line.engine) or Engine(line, cores, now)
             if line.engine not in self.engines or line.started != engine.line.started:
-                engine.start_over(START_THREADS * engine.cores * self.share)
+                engine.start_over(START_THREADS * engine.cores * self.own / self.all)
                 engine.aside_until, engine.trial = 0.0, False
                 engine.warm_at = line.started + self.cold_for if line.started else 0.0
                 # What we sent before our own restart is unknown: the budget counts as spent for one window.
@@ -366,12 +363,14 @@
             e.ghosts.append((now + GHOST * took, s.workload.threads))
         else:
             e.threads -= s.workload.threads
-        if ending not in NEVER_RAN:
+        if ending not in (Ending.FULL, Ending.UNREACHED, Ending.MOOT):
             s.ran = s.ran or t
         if trip:
             self.further_won.add(1.0 if ending == Ending.DELIVERED else 0.0)
+        if report and self.in_hand is not None:  # our share of what engines hold tells our share of sends
+            self.own, self.all = self.own + len(e.out), self.all + max(len(e.out), report[self.in_hand])
         self.judge(e, t, ending, took, work)
-        if s.key and ending in MAY_RUN_ON:
+        if s.key and ending in (Ending.TIME_OUT, Ending.RESET, Ending.CALLED_OFF):
             self.rests[s.key] = now + self.order_rest
         if final or s.over:
             self.close(s)
@@ -521,8 +520,10 @@
         self.call_off([t for t in e.out.values() if t.submission.workload.effect == Effect.REDOABLE])
 
     def close_interval(self) -> None:
+        self.own, self.all = self.own / 2, self.all / 2
         for e in self.engines.values():
-            e.luck = self.chance.draw()
+            e.luck, moved = self.chance.draw(), START_THREADS * e.cores * self.own / self.all - e.start
+            e.start, e.bound, e.before = (max(1.0, n + moved) for n in (e.start, e.bound, e.before))
             e.pace.halve()
             if self.now >= e.aside_until and not e.trial:
                 e.move_bound(self.step)
