--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -354,12 +354,11 @@
               work: float, memory: float, report: Sequence[float]) -> None:
         self.now = now
         e = self.engines[engine]
+        e.stand(e.out[number, trip], False)
         t = e.out.pop((number, trip))
-        ghost = ending == Ending.TIME_OUT and not self.may_call_off and not t.stands
-        e.stand(t, False)
         s = t.submission
         del s.out[trip]
-        if ghost:
+        if ending == Ending.TIME_OUT and not self.may_call_off:
             # Its work runs on unseen; counted as gone, it lets a jam grow (slow engine, paging, lost answer).
             e.ghosts.append((now + GHOST * took, s.workload.threads))
         else:
@@ -471,10 +470,12 @@
     def mind(self, e: Engine, t: Trip, times_due: float) -> None:
         """A trip with no word while its engine answers others stands still, or its answer is lost."""
         s, quiet = t.submission, self.now - t.heard
-        lost = quiet > LOST_NOTES * self.notes if self.notes else False
-        lost |= quiet > LOST_LEAST and times_due > LOST_DUE
-        waits = s.workload.waits_for_loads or s.workload.holds_tables
-        e.stand(t, lost or (t.stands if self.notes else waits and times_due > STANDS))
+        if self.notes:
+            lost = quiet > LOST_NOTES * self.notes
+            e.stand(t, t.stands or lost)
+        else:
+            lost = quiet > LOST_LEAST and times_due > LOST_DUE
+            e.stand(t, times_due > STANDS and (s.workload.waits_for_loads or s.workload.holds_tables))
         if lost and s.workload.effect == Effect.REDOABLE and s.made < self.most_trips \
                 and self.may_go_further() and self.now + s.due * self.middle < s.expiry - LAST_MOMENT:
             self.call_off([t])
