--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -16,23 +16,27 @@
 from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word, Workload
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
-INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
+INTERVAL = 5000.0  # between two moves of n*
+GAIN_C = 0.4  # C, the least relative gain in P for a relative gain in n*
 START_THREADS = 2.0  # n* starts at this many threads a core, over all dispatchers
 PRESSURE, PRESSURE_HOLD = 1.8, 1000.0  # this many times its best latency is pressure, for this long
 JAM = 2.5  # where engines page, one this far over its best latency gives up a step of n*
 UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed unheard
-CHEAP_MARK, COST_WEIGHT = 1.5, 8.0  # in usual costs of the lightest workload; ms of age for one of cost
+CHEAP_MARK = 1.5  # cost mark, in the usual cost of the lightest workload
+COST_WEIGHT = 8.0  # held line: a ms of cost per utility counts as this many ms of age
 RIPE = 600.0  # a held one this old has room kept for it, or cheap ones starve it
 PACE_EDGES = tuple(0.25 * 1.15**step for step in range(40))  # of time taken over time expected
 BEST_SHARE, BEST_SAMPLES, BEST_DRIFT = 0.25, 15.0, 1.1  # best latency: a low quantile
 PACE_SAMPLES, SLOW = 6.0, 3.0  # an engine this many times slower than the middle one is set aside
 GHOST = 0.5  # where work cannot be stopped, a timed-out trip counts on, for this part of its time
-STRIKES, STRIKE_LOST, STRIKE_ERROR, ASIDE, ASIDE_RANDOM = 3.0, 1.5, 1.0, 3000.0, 3000.0
-STANDS, LOST_DUE, LOST_LEAST, LOST_NOTES, LOSING = 3.0, 10.0, 2500.0, 2.5, 0.05  # in its due, ms, gaps between notes
+STRIKES, STRIKE_LOST, STRIKE_ERROR = 3.0, 1.5, 1.0
+STANDS, LOST_DUE, LOST_LEAST, LOST_NOTES = 3.0, 10.0, 2500.0, 2.5  # in its due, ms, gaps between notes
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
+ASIDE, ASIDE_RANDOM = 3000.0, 3000.0
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
 FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0  # credit for further trips
-LAST_MOMENT, LATE_WORTH_IT = 2 * TICK, 0.25  # before expiry; the least late utility worth waiting for
+LAST_MOMENT = 2 * TICK  # a held one is answered this long before its expiry
+LATE_WORTH_IT = 0.25  # with less utility left when late, a submission that will be late is shed
 CHEAP_PRIORITY, HEAVY_PRIORITY, GRANT = 3, 1, 1.35  # the grant is in the estimate of memory
 
 
@@ -137,7 +141,7 @@
         self.link, self.chance, self.now, self.began = link, Chance(seed), now, now
         self.workloads, self.cores = site.workloads, site.cores or (1,)
         self.share = 1.0 / site.dispatchers
-        self.in_hand, self.own, self.all, self.losing = site.in_hand, self.share, 1.0, 0.0
+        self.in_hand, self.own, self.all = site.in_hand, self.share, 1.0
         self.step = float(max(workload.threads for workload in site.workloads))
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
@@ -265,9 +269,7 @@
             engine.cold_sends.append((self.now, self.usual[s.kind]))
         if len(engine.out) == 1:
             engine.answered = self.now
-        # Answers are being lost and nothing can be called off: a light trip is given up in time for another.
-        again = s.cheap and not trip.number and self.losing > LOSING and s.workload.effect == Effect.REDOABLE
-        self.link.send(s.number, engine.number, max(1.0, (s.agreed - self.now) / 2) if again else 0.0)
+        self.link.send(s.number, engine.number, 0.0)
         return True
 
     def turn(self, now: float) -> None:
@@ -363,8 +365,6 @@
             e.threads -= s.workload.threads
         if ending not in (Ending.FULL, Ending.UNREACHED, Ending.MOOT):
             s.ran = s.ran or t
-        if not self.may_call_off and e.slowness < PRESSURE:
-            self.losing += ((ending == Ending.TIME_OUT) - self.losing) / 50
         if trip:
             self.further_won.add(1.0 if ending == Ending.DELIVERED else 0.0)
         if report and self.in_hand is not None:  # our share of what engines hold tells our share of sends
@@ -375,7 +375,7 @@
         if final or s.over:
             self.close(s)
         elif now >= s.expiry - 1.0 or (not s.out and (
-                now >= s.expiry - LAST_MOMENT or s.made >= self.most_trips
+                now >= s.expiry - LAST_MOMENT or ending == Ending.TIME_OUT or s.made >= self.most_trips
                 or self.further_credit < 1.0 or (s.ran and s.workload.effect == Effect.IRREVERSIBLE))):
             self.end(s)
         elif not s.out:
