Long runs: the share no longer halves to nothing, and old keys and times are forgotten

Found by reading: after 90 minutes without reports the halved share divided by zero; the lines of keys and the times of rule 7 grew without end.

--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -16,27 +16,23 @@
 from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word, Workload
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
-INTERVAL = 5000.0  # between two moves of n*
-GAIN_C = 0.4  # C, the least relative gain in P for a relative gain in n*
+INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
 START_THREADS = 2.0  # n* starts at this many threads a core, over all dispatchers
 PRESSURE, PRESSURE_HOLD = 1.5, 1000.0  # this many times its best latency is pressure, for this long
 JAM = 2.5  # where engines page, one this far over its best latency gives up a step of n*
 UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed unheard
-CHEAP_MARK = 1.5  # cost mark, in the usual cost of the lightest workload
-COST_WEIGHT = 8.0  # held line: a ms of cost per utility counts as this many ms of age
+CHEAP_MARK, COST_WEIGHT = 1.5, 8.0  # in usual costs of the lightest workload; ms of age for one of cost
 RIPE = 600.0  # a held one this old has room kept for it, or cheap ones starve it
 PACE_EDGES = tuple(0.25 * 1.15**step for step in range(40))  # of time taken over time expected
 BEST_SHARE, BEST_SAMPLES, BEST_DRIFT = 0.25, 15.0, 1.1  # best latency: a low quantile
 PACE_SAMPLES, SLOW = 6.0, 3.0  # an engine this many times slower than the middle one is set aside
 GHOST = 0.5  # where work cannot be stopped, a timed-out trip counts on, for this part of its time
-STRIKES, STRIKE_LOST, STRIKE_ERROR = 3.0, 1.5, 1.0
+STRIKES, STRIKE_LOST, STRIKE_ERROR, ASIDE, ASIDE_RANDOM = 3.0, 1.5, 1.0, 3000.0, 3000.0
 STANDS, LOST_DUE, LOST_LEAST, LOST_NOTES = 3.0, 10.0, 2500.0, 2.5  # in its due, ms, gaps between notes
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
-ASIDE, ASIDE_RANDOM = 3000.0, 3000.0
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
 FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0  # credit for further trips
-LAST_MOMENT = 2 * TICK  # a held one is answered this long before its expiry
-LATE_WORTH_IT = 0.25  # with less utility left when late, a submission that will be late is shed
+LAST_MOMENT, LATE_WORTH_IT = 2 * TICK, 0.25  # before an expiry; the late utility worth a wait
 CHEAP_PRIORITY, HEAVY_PRIORITY, GRANT = 3, 1, 1.35  # the grant is in the estimate of memory
 
 
@@ -151,8 +147,9 @@
         self.cold_for, self.cold_window = site.cold_for, site.cold_window
         self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
                             * site.cold_window * self.share * COLD_MARGIN)
-        self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window
-        self.further_free, self.further_share = site.further_free or 0.0, site.further_share or 0.0
+        self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window or 0.0
+        self.further_free = site.further_free or 0.0 if site.further_window else float("inf")
+        self.further_share = site.further_share or 0.0
         self.taken_times, self.further_times = deque[float](), deque[float]()
         self.further_credit, self.further_won = FURTHER_MOST, Histogram((0.5, 1.5))
         self.held: list[tuple[tuple[float, int], Submission]] = []
@@ -161,8 +158,7 @@
         self.lines, self.rests = dict[int, deque[Submission]](), dict[int, float]()
         self.usual, self.best = [0.0 for _ in site.workloads], [1.0 for _ in site.workloads]
         self.paces = [Histogram(PACE_EDGES) for _ in site.workloads]
-        self.middle = 1.0
-        self.next_interval, self.next_tick = now + INTERVAL, now + TICK
+        self.middle, self.next_interval, self.next_tick = 1.0, now + INTERVAL, now + TICK
         self.chain = (self.duty_stage, self.share_stage, self.order_stage, self.line_stage, self.choice_stage,
                       self.trip_stage)
         link.wake(TICK, WAKE_TICK)
@@ -340,13 +336,14 @@
 
     def may_go_further(self) -> bool:
         """Rule 7, and our own credit, which follows how many of the recent further trips succeeded."""
-        if self.further_window is not None:
-            for times in (self.taken_times, self.further_times):
-                while times and times[0] <= self.now - self.further_window:
-                    times.popleft()
-            if len(self.further_times) + 1 > self.further_free + self.further_share * len(self.taken_times):
-                return False
-        return self.further_credit >= 1.0
+        self.forget_times()
+        most = self.further_free + self.further_share * len(self.taken_times)
+        return self.further_credit >= 1.0 and len(self.further_times) + 1 <= most
+
+    def forget_times(self) -> None:
+        for times in (self.taken_times, self.further_times):
+            while times and times[0] <= self.now - self.further_window:
+                times.popleft()
 
     # What comes back: trip, engine, order, then the answer owed.
 
@@ -520,7 +517,11 @@
         self.call_off([t for t in e.out.values() if t.submission.workload.effect == Effect.REDOABLE])
 
     def close_interval(self) -> None:
-        self.own, self.all = self.own / 2, self.all / 2
+        self.forget_times()
+        self.lines = {key: line for key, line in self.lines.items() if line}
+        self.rests = {key: rest for key, rest in self.rests.items() if rest > self.now}
+        if self.all > 1.0:
+            self.own, self.all = self.own / 2, self.all / 2
         for e in self.engines.values():
             e.luck, moved = self.chance.draw(), START_THREADS * e.cores * self.own / self.all - e.start
             e.start, e.bound, e.before = (max(1.0, n + moved) for n in (e.start, e.bound, e.before))
