Trips whose answer is worth nothing any more are ended and called off

Covers any shortage where work stops when called off; hurts where the estimates are far too low, as the agreed time then lies later than we think.

--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -32,7 +32,7 @@
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
 FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0  # credit for further trips
-LAST_MOMENT, LATE_WORTH_IT = 2 * TICK, 0.25  # before an expiry; the late utility worth a wait
+LAST_MOMENT, LATE_WORTH_IT, TOO_LATE = 2 * TICK, 0.25, 1.5  # ms; late utility; in the agreed time
 CHEAP_PRIORITY, HEAVY_PRIORITY, GRANT = 3, 1, 1.35  # the grant is in the estimate of memory
 
 
@@ -137,14 +137,13 @@
         self.link, self.chance, self.now, self.began = link, Chance(seed), now, now
         self.workloads, self.cores = site.workloads, site.cores or (1,)
         self.share = 1.0 / site.dispatchers
-        self.in_hand, self.own, self.all = site.in_hand, self.share, 1.0
+        self.in_hand, self.priorities, self.own, self.all = site.in_hand, site.priorities, self.share, 1.0
         self.step = float(max(workload.threads for workload in site.workloads))
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
-        self.most_trips, self.come_back = site.most_trips, site.most_come_back
-        self.may_call_off, self.priorities = site.may_call_off, site.priorities
+        self.most_trips, self.may_call_off = site.most_trips, site.may_call_off
         self.notes, self.pages, self.grant = site.notes_every, site.pages, GRANT if site.grants else 0.0
-        self.cold_for, self.cold_window = site.cold_for, site.cold_window
+        self.cold_for, self.cold_window, self.come_back = site.cold_for, site.cold_window, site.most_come_back
         self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
                             * site.cold_window * self.share * COLD_MARGIN)
         self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window or 0.0
@@ -158,7 +157,7 @@
         self.lines, self.rests = dict[int, deque[Submission]](), dict[int, float]()
         self.usual, self.best = [0.0 for _ in site.workloads], [1.0 for _ in site.workloads]
         self.paces = [Histogram(PACE_EDGES) for _ in site.workloads]
-        self.middle, self.next_interval, self.next_tick = 1.0, now + INTERVAL, now + TICK
+        self.middle, self.next_interval = 1.0, now + INTERVAL
         self.chain = (self.duty_stage, self.share_stage, self.order_stage, self.line_stage, self.choice_stage,
                       self.trip_stage)
         link.wake(TICK, WAKE_TICK)
@@ -263,8 +262,7 @@
             self.link.terms(s.number, self.grant * s.memory, CHEAP_PRIORITY if s.cheap else HEAVY_PRIORITY)
         if engine.warm_at > self.now:
             engine.cold_sends.append((self.now, self.usual[s.kind]))
-        if len(engine.out) == 1:
-            engine.answered = self.now
+        engine.answered = engine.answered if len(engine.out) > 1 else self.now
         self.link.send(s.number, engine.number, 0.0)
         return True
 
@@ -414,8 +412,7 @@
         self.now = now
         if token == WAKE_WATCH:
             self.link.watch()
-        elif now >= self.next_tick - 1.0:
-            self.next_tick = now + TICK
+        else:
             self.link.wake(TICK, WAKE_TICK)
             self.credit = [min(credit + quota * TICK, quota * 1000)
                            for credit, quota in zip(self.credit, self.quotas, strict=True)]
@@ -466,14 +463,17 @@
 
     def mind(self, e: Engine, t: Trip, times_due: float) -> None:
         """A trip with no word while its engine answers others stands still, or its answer is lost."""
-        s, quiet = t.submission, self.now - t.heard
+        s, w, quiet = t.submission, t.submission.workload, self.now - t.heard
+        if self.may_call_off and not s.over and w.effect == Effect.REDOABLE \
+                and w.late_utility < LATE_WORTH_IT and self.now > s.taken + TOO_LATE * (s.agreed - s.taken):
+            self.end(s)  # its answer is worth nothing any more, and its trip holds an engine
         if self.notes:
             lost = quiet > LOST_NOTES * self.notes
             e.stand(t, t.stands or lost)
         else:
             lost = quiet > LOST_LEAST and times_due > LOST_DUE
-            e.stand(t, times_due > STANDS and (s.workload.waits_for_loads or s.workload.holds_tables))
-        if lost and s.workload.effect == Effect.REDOABLE and s.made < self.most_trips \
+            e.stand(t, times_due > STANDS and (w.waits_for_loads or w.holds_tables))
+        if lost and w.effect == Effect.REDOABLE and s.made < self.most_trips \
                 and self.may_go_further() and self.now + s.due * self.middle < s.expiry - LAST_MOMENT:
             self.call_off([t])
 
