--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -16,7 +16,7 @@
 from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word, Workload
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
-INTERVAL, GAIN_C = 3000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
+INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
 START_THREADS = 2.0  # n* starts at this many threads a core, over all dispatchers
 PRESSURE, PRESSURE_HOLD = 1.5, 1000.0  # this many times its best latency is pressure, for this long
 JAM = 2.5  # where engines page, one this far over its best latency gives up a step of n*
