--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -151,7 +151,7 @@
         self.further_share = site.further_share or 0.0
         self.taken_times, self.further_times = deque[float](), deque[float]()
         self.further_credit, self.further_won = FURTHER_MOST, Histogram((0.5, 1.5))
-        self.held: list[tuple[tuple[float, int], Submission]] = []
+        self.held: list[Submission] = []
         self.engines, self.open = dict[int, Engine](), dict[int, Submission]()
         self.promised: Engine | None = None
         self.lines, self.rests = dict[int, deque[Submission]](), dict[int, float]()
@@ -235,7 +235,7 @@
         if s.cheap or not self.held:
             s.engine = self.choose(s, fewest=s.cheap)
         if s.engine is None:
-            insort(self.held, (s.rank, s), key=lambda item: item[0])
+            insort(self.held, s, key=lambda held: held.rank)
         return s.engine is not None
 
     def rank(self, s: Submission) -> tuple[float, int]:
@@ -271,10 +271,10 @@
         self.now, self.promised = now, None
         kept = []
         stuck = [False for _ in self.workloads]  # nothing frees room within a turn: one speaks for its kind
-        for rank, s in self.held:
+        for s in self.held:
             if s.over or (not stuck[s.kind] and self.pass_on(s, self.chain.index(self.choice_stage))):
                 continue
-            kept.append((rank, s))
+            kept.append(s)
             stuck[s.kind] |= not s.key and not s.made
             if self.promised is None and now - s.taken > RIPE and self.in_turn(s):
                 self.promised = max(self.allowed(s), key=Engine.room, default=None)
@@ -349,8 +349,8 @@
               work: float, memory: float, report: Sequence[float]) -> None:
         self.now = now
         e = self.engines[engine]
-        e.stand(e.out[number, trip], False)
         t = e.out.pop((number, trip))
+        e.stand(t, False)
         s = t.submission
         del s.out[trip]
         if ending == Ending.TIME_OUT and not self.may_call_off:
@@ -424,7 +424,7 @@
 
     def watch_held(self) -> None:
         """What can no longer be worth its wait is answered at once."""
-        for s in [s for _, s in self.held if not s.over]:
+        for s in [s for s in self.held if not s.over]:
             done = max(self.now + LAST_MOMENT, self.now + s.due * self.middle)
             late = done > s.agreed
             if done >= s.expiry or (late and s.workload.late_utility < LATE_WORTH_IT):
@@ -432,7 +432,7 @@
             elif late and not s.late:
                 s.late = True
                 s.rank = self.rank(s)
-        self.held = sorted(((s.rank, s) for _, s in self.held if not s.over), key=lambda item: item[0])
+        self.held = sorted((s for s in self.held if not s.over), key=lambda held: held.rank)
 
     def watch_engines(self) -> None:
         ready = self.ready()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -15,6 +15,7 @@
     most_trips=3, most_come_back=500.0, grants=False, priorities=False, pages=False, largest_grant=0.4,
     notes_every=0.0, drain_grace=500.0, cold_for=15000.0, cold_share=0.3, cold_multiple=3.0,
     cold_window=2000.0)
+LINE = Listed(0, 0, 0, 0, Life.READY, 1.0, 0.0)
 KINDS: tuple[Any, ...] = (Effect, Ending, Life, Reach, Word)
 WORDS: dict[str, Any] = {word.name.lower(): word for kind in KINDS for word in kind}
 
@@ -93,11 +94,11 @@
 
     def do_engines(self, count: str, **given: Any) -> None:
         for engine in range(int(count)):
-            self.lines[engine] = Listed(engine, 0, 0, 0, Life.READY, 1.0, 0.0)._replace(**given)
+            self.lines[engine] = LINE._replace(engine=engine, **given)
         self.rules.listed(self.now, list(self.lines.values()), True)
 
     def do_engine(self, engine: str, **given: Any) -> None:
-        line = self.lines.get(int(engine), Listed(int(engine), 0, 0, 0, Life.READY, 1.0, 0.0))
+        line = self.lines.get(int(engine), LINE._replace(engine=int(engine)))
         self.lines[int(engine)] = line._replace(**given)
         self.rules.listed(self.now, [self.lines[int(engine)]], False)
 
