A thin view: pressure, pace and unseen trips are judged over all engines together

Cause: with many dispatchers n* is under one submission's threads, so every engine counted as pressed unheard, one late trip was pressure, and two samples set an engine aside.

Also covers slow starts of any large fleet. May hurt where a few engines are truly pressed and ours are few there.

--- /dev/null
+++ b/spurdeal/chance.py
@@ -0,0 +1,12 @@
+"""Chance for the rules, from a seed alone."""
+
+
+class Chance:
+    """A linear congruential generator, of which the high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed
+
+    def draw(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
+        return (self.state >> 40) / (1 << 24)
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -10,87 +10,42 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
+from .chance import Chance
 from .histogram import Histogram
-from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word, Workload
+from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word
+from .state import Submission, Trip
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
 INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
-START_THREADS = 2.0  # n* starts at this many threads a core, over all dispatchers
+START_THREADS, FLOOR = 2.0, 0.125  # n* starts at so many threads a core, over all dispatchers; its least part
 PRESSURE, PRESSURE_HOLD = 1.5, 1000.0  # this many times its best latency is pressure, for this long
 JAM = 2.5  # where engines page, one this far over its best latency gives up a step of n*
-UNSEEN = 1.25  # own threads out, in n*, beyond which an engine counts as pressed unheard
+UNSEEN, SPARE = 1.25, 2.0  # in n*, in widest submissions: own threads out that count as pressure unheard
+POOL = 6.0  # threads' worth of evidence that all engines together lend to each, where its own is thin
 CHEAP_MARK, COST_WEIGHT = 1.5, 8.0  # in usual costs of the lightest workload; ms of age for one of cost
 RIPE = 600.0  # a held one this old has room kept for it, or cheap ones starve it
 PACE_EDGES = tuple(0.25 * 1.15**step for step in range(40))  # of time taken over time expected
 BEST_SHARE, BEST_SAMPLES, BEST_DRIFT = 0.25, 15.0, 1.1  # best latency: a low quantile
-PACE_SAMPLES, SLOW = 6.0, 3.0  # an engine this many times slower than the middle one is set aside
+SLOW, FULL_REST = 3.0, 500.0  # in the middle pace: far slower, set aside; ms after a refusal as full
 GHOST = 0.5  # where work cannot be stopped, a timed-out trip counts on, for this part of its time
 STRIKES, STRIKE_LOST, STRIKE_ERROR, ASIDE, ASIDE_RANDOM = 3.0, 1.5, 1.0, 3000.0, 3000.0
 STANDS, LOST_DUE, LOST_LEAST, LOST_NOTES = 3.0, 10.0, 2500.0, 2.5  # in its due, ms, gaps between notes
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
+COLD_GRAIN = 0.1  # of all dispatchers' budget: work so light may go there by chance
 FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0  # credit for further trips
 LAST_MOMENT, LATE_WORTH_IT, TOO_LATE = 2 * TICK, 0.25, 1.5  # ms; late utility; in the agreed time
 CHEAP_PRIORITY, HEAVY_PRIORITY, GRANT = 3, 1, 1.35  # the grant is in the estimate of memory
 
 
-class Chance:
-    """A linear congruential generator, of which the high bits are used."""
-
-    def __init__(self, seed: int) -> None:
-        self.state = seed
-
-    def draw(self) -> float:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
-        return (self.state >> 40) / (1 << 24)
-
-
-@dataclass(slots=True, eq=False)
-class Submission:
-    number: int
-    kind: int
-    customer: int
-    key: int
-    expiry: float
-    cost: float
-    memory: float
-    group: int
-    taken: float
-    workload: Workload
-    due: float  # how long it runs at its best
-    agreed: float
-    utility: float
-    cheap: bool
-    late: bool = False
-    over: bool = False
-    made: int = 0
-    rank: tuple[float, int] = (0.0, 0)
-    out: dict[int, Trip] = field(default_factory=dict)
-    ran: Trip | None = None  # the first trip that may have run
-    avoid: list[Engine] = field(default_factory=list)
-    engine: Engine | None = None  # chosen for the next trip
-
-
-@dataclass(slots=True, eq=False)
-class Trip:
-    submission: Submission
-    number: int
-    engine: Engine
-    sent: float
-    heard: float
-    called_off: bool = False
-    stands: bool = False  # waits for a load
-
-
 class Engine:
     """One engine as this dispatcher sees it, with its bound n*."""
 
     def __init__(self, line: Listed, cores: int, now: float) -> None:
         self.number, self.line, self.cores = line.engine, line, cores
         self.out: dict[tuple[int, int], Trip] = {}
-        self.threads, self.answered, self.luck = 0, now, 1.0
+        self.threads, self.overdue, self.answered, self.luck = 0, 0, now, 1.0
         self.aside_until, self.warm_at, self.trial = 0.0, 0.0, False
         self.cold_sends, self.ghosts = deque[tuple[float, float]](), deque[tuple[float, int]]()
         self.start_over(0.0)
@@ -111,6 +66,9 @@
     def room(self) -> float:
         return self.bound - self.threads
 
+    def pressed(self, now: float) -> bool:
+        return now < self.pressed_until or self.slowness > PRESSURE
+
     def move_bound(self, step: float) -> None:
         """The design's hill climbing, once an interval."""
         # A heavy draw reads as lost throughput: where no less work was served, P counts as not fallen.
@@ -120,7 +78,7 @@
         if not lowered and (not self.served_before or gain >= enough):
             self.before, self.bound = self.bound, self.bound + step
         elif lowered and gain > 0:
-            self.before, self.bound = self.bound, max(1.0, self.bound - step)
+            self.before, self.bound = self.bound, max(FLOOR * self.start, self.bound - step)
         else:
             self.before, self.bound = self.bound, self.before
         demand = max(self.start, self.most)
@@ -138,7 +96,7 @@
         self.workloads, self.cores = site.workloads, site.cores or (1,)
         self.share = 1.0 / site.dispatchers
         self.in_hand, self.priorities, self.own, self.all = site.in_hand, site.priorities, self.share, 1.0
-        self.step = float(max(workload.threads for workload in site.workloads))
+        self.widest = float(max(workload.threads for workload in site.workloads))
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.may_call_off = site.most_trips, site.may_call_off
@@ -156,8 +114,8 @@
         self.promised: Engine | None = None
         self.lines, self.rests = dict[int, deque[Submission]](), dict[int, float]()
         self.usual, self.best = [0.0 for _ in site.workloads], [1.0 for _ in site.workloads]
-        self.paces = [Histogram(PACE_EDGES) for _ in site.workloads]
-        self.middle, self.next_interval = 1.0, now + INTERVAL
+        self.paces, self.pace = [Histogram(PACE_EDGES) for _ in site.workloads], Histogram(PACE_EDGES)
+        self.middle, self.pressed_until, self.next_interval = 1.0, 0.0, now + INTERVAL
         self.chain = (self.duty_stage, self.share_stage, self.order_stage, self.line_stage, self.choice_stage,
                       self.trip_stage)
         link.wake(TICK, WAKE_TICK)
@@ -179,6 +137,7 @@
                 engine.warm_at = line.started + self.cold_for if line.started else 0.0
                 # What we sent before our own restart is unknown: the budget counts as spent for one window.
                 engine.cold_sends.append((self.began, self.cold_budget * engine.cores))
+                engine.luck = self.chance.draw()
             engine.line = line
             self.engines[line.engine] = engine
 
@@ -277,7 +236,8 @@
             kept.append(s)
             stuck[s.kind] |= not s.key and not s.made
             if self.promised is None and now - s.taken > RIPE and self.in_turn(s):
-                self.promised = max(self.allowed(s), key=Engine.room, default=None)
+                wide = [e for e in self.allowed(s) if e.bound >= s.workload.threads]
+                self.promised = max(wide, key=Engine.room, default=None)
         self.held = kept
 
     # The choice of engine, with its guards and the bound.
@@ -285,14 +245,16 @@
     def choose(self, s: Submission, fewest: bool) -> Engine | None:
         if not self.in_turn(s) or (s.made and not self.may_go_further()):
             return None
-        engines = self.allowed(s)
+        w, engines = s.workload, self.allowed(s)
         engines = [e for e in engines if e not in s.avoid] or engines  # further trips go elsewhere
-        engines = [e for e in engines if e is not self.promised and self.admits(e, s.workload.threads)]
-        if s.workload.waits_for_loads or s.workload.holds_tables:
+        calm = self.calm(w.threads)
+        engines = [e for e in engines if e is not self.promised and self.admits(e, w.threads, calm)]
+        if w.waits_for_loads or w.holds_tables:
             engines = [e for e in engines if not self.stands(e, s.group)] or engines
-        if fewest:
-            return min(engines, key=lambda e: (e.threads / e.cores, self.chance.draw()), default=None)
-        return max(engines, key=lambda e: (e.room(), self.chance.draw()), default=None)
+        ranks = [-e.threads / e.cores if fewest else e.room() for e in engines]
+        top = max(ranks, default=0.0)
+        best = [e for e, rank in zip(engines, ranks, strict=True) if rank == top]
+        return best[int(self.chance.draw() * len(best))] if best else None
 
     def in_turn(self, s: Submission) -> bool:
         """Rule 5: those of one key run one at a time, in the order taken, and rest after a doubtful end."""
@@ -304,11 +266,10 @@
         if ran and self.now >= ran.sent + w.known_for - 1.0:
             return []
         return [e for e in self.ready()
-                if (w.locations is None or e.line.location in w.locations)
+                if self.now >= e.aside_until and (w.locations is None or e.line.location in w.locations)
                 and (w.kinds is None or e.line.kind in w.kinds)
                 and not (ran and w.reach == Reach.LOCATION and e.line.location != ran.engine.line.location)
                 and not (ran and w.reach == Reach.CELL and e.line.cell != ran.engine.line.cell)
-                and self.now >= e.aside_until
                 and not (e.trial and (e.out or w.effect != Effect.REDOABLE))
                 and (self.now >= e.warm_at or self.bears(e, self.usual[s.kind]))]
 
@@ -316,14 +277,24 @@
         """Rule 4: our share of what a cold engine bears in any window, by the workload's usual work."""
         while engine.cold_sends and engine.cold_sends[0][0] <= self.now - self.cold_window:
             engine.cold_sends.popleft()
-        return work + sum(sent for _, sent in engine.cold_sends) <= self.cold_budget * engine.cores
+        budget, sent = self.cold_budget * engine.cores, sum(sent for _, sent in engine.cold_sends)
+        # Our share may be under one submission: light ones then go by chance, so that it holds in sum.
+        light = work <= COLD_GRAIN * budget / self.share
+        return work + sent <= budget or (light and not sent and engine.luck < budget / work)
 
-    def admits(self, engine: Engine, threads: int) -> bool:
-        """The bound binds only under pressure; below one query's threads it is a matter of chance."""
+    def calm(self, threads: int) -> bool:
+        """No pressure over all engines, neither heard nor unheard."""
         # Sent faster than its answers can tell, an engine is jammed before it shows pressure: beyond this
         # much out at once it counts as pressed (a burst, a held line let go at once, late answers).
-        unseen = engine.threads + threads <= UNSEEN * engine.bound and self.now >= engine.pressed_until
-        if unseen or engine.threads + threads <= engine.bound:
+        room = sum(UNSEEN * e.bound - e.threads for e in self.ready()) + SPARE * self.widest
+        return self.now >= self.pressed_until and threads <= room
+
+    def admits(self, engine: Engine, threads: int, calm: bool) -> bool:
+        """The bound binds only under pressure; below one query's threads it is a matter of chance."""
+        after = engine.threads + threads
+        if after <= engine.bound:
+            return True
+        if calm and not engine.pressed(self.now) and (not engine.threads or after <= UNSEEN * engine.bound):
             return True
         return engine.bound < threads and not engine.out and engine.luck < engine.bound / threads
 
@@ -435,31 +406,34 @@
         self.held = sorted((s for s in self.held if not s.over), key=lambda held: held.rank)
 
     def watch_engines(self) -> None:
-        ready = self.ready()
-        for e in ready:
+        """Looks only where something of ours is out: idle engines cost nothing."""
+        busy = [e for e in self.engines.values() if e.out or e.ghosts]
+        for e in busy:
             while e.ghosts and e.ghosts[0][0] <= self.now:
                 e.threads -= e.ghosts.popleft()[1]
-            overdue = 0
+            e.overdue = 0
             for t in e.out.values():
                 age = (self.now - t.sent) / t.submission.due
                 self.mind(e, t, age / max(1.0, e.slowness))
-                overdue += t.submission.workload.threads if age > PRESSURE and not t.stands else 0
-            if e.pace.total >= PACE_SAMPLES:
-                e.slowness = e.pace.quantile(0.5)
-            if e.slowness > PRESSURE or 2 * overdue > max(e.threads, 1):
+                e.overdue += t.submission.workload.threads if age > PRESSURE and not t.stands else 0
+        late = sum(e.overdue for e in busy) / (sum(e.threads for e in busy) + POOL)
+        if 2 * late > 1 or self.middle > PRESSURE:
+            self.pressed_until = self.now + PRESSURE_HOLD
+        for e in busy:
+            if 2 * (e.overdue + POOL * late) > e.threads + POOL:
                 e.pressed_until = self.now + PRESSURE_HOLD
-        if ready:
-            self.middle = max(1.0, sorted(e.slowness for e in ready)[len(ready) // 2])
-            heard = sorted(e.answered for e in ready)[len(ready) // 2]
-        for e in ready:
             quiet = self.now - e.answered
-            lost = [t for t in e.out.values() if quiet > SILENCE_OF_DUE * t.submission.due * self.middle]
             # Silence while others answer: a hang, a lost link, answers lost on the way.
-            if quiet > SILENCE and len(lost) >= SILENT_TRIPS and heard > e.answered + SILENCE / 2:
-                self.set_aside(e, f"silent {quiet:.0f} ms")
-            # Far slower than its peers: a sick machine, a neighbour. All slow at once moves the middle.
-            elif e.pace.total >= PACE_SAMPLES and e.slowness > SLOW * self.middle:
-                self.set_aside(e, f"pace {e.slowness:.1f} of {self.middle:.1f}")
+            if quiet > SILENCE and sum(quiet > SILENCE_OF_DUE * t.submission.due * self.middle
+                                       for t in e.out.values()) >= SILENT_TRIPS:
+                heard = sorted(other.answered for other in self.ready())
+                if heard and heard[len(heard) // 2] > e.answered + SILENCE / 2:
+                    self.set_aside(e, f"silent {quiet:.0f} ms")
+
+    def weigh(self, e: Engine) -> None:
+        """An engine's pace: its own recent answers, beside what all engines show as far as those are few."""
+        own = e.pace.total
+        e.slowness = (own * e.pace.quantile(0.5) + POOL * self.middle) / (own + POOL)
 
     def mind(self, e: Engine, t: Trip, times_due: float) -> None:
         """A trip with no word while its engine answers others stands still, or its answer is lost."""
@@ -493,11 +467,20 @@
             ratio = took * threads / (work or s.cost)
             self.paces[s.kind].add(ratio, threads)
             e.pace.add(ratio / self.best[s.kind], threads)
+            self.pace.add(ratio / self.best[s.kind], threads)
+            seen = self.pace.total
+            self.middle = max(1.0, (seen * self.pace.quantile(0.5) + POOL) / (seen + POOL))
+            self.weigh(e)
             if e.trial and ratio < SLOW * self.best[s.kind]:
                 e.trial = False
                 self.link.log(f"engine {e.number} back, pace {ratio / self.best[s.kind]:.2f}")
+            # Far slower than its peers: a sick machine, a neighbour. All slow at once moves the middle.
+            elif e.slowness > SLOW * self.middle:
+                self.set_aside(e, f"pace {e.slowness:.1f} of {self.middle:.1f}")
         elif ending == Ending.FULL:
+            # It has fewest of ours and answers at once: without a rest it would draw all that comes.
             e.answered, e.pressed_until = self.now, self.now + PRESSURE_HOLD
+            e.aside_until = max(e.aside_until, self.now + FULL_REST * (0.5 + self.chance.draw()))
         elif ending in (Ending.UNREACHED, Ending.RESET, Ending.ERROR):
             # Covers a crash, a cut link and an engine that fails all it takes, whatever the list says.
             e.strikes += STRIKE_ERROR if ending == Ending.ERROR else STRIKE_LOST
@@ -522,20 +505,29 @@
         self.rests = {key: rest for key, rest in self.rests.items() if rest > self.now}
         if self.all > 1.0:
             self.own, self.all = self.own / 2, self.all / 2
-        for e in self.engines.values():
-            e.luck, moved = self.chance.draw(), START_THREADS * e.cores * self.own / self.all - e.start
-            e.start, e.bound, e.before = (max(1.0, n + moved) for n in (e.start, e.bound, e.before))
+        self.pace.halve()
+        first, count = self.chance.draw(), len(self.engines)
+        # Held ones are not sends: one that holds would take its share for smaller and smaller.
+        share = max(self.own / self.all, self.share if self.held else 0.0)
+        # Luck lies even over the engines, so that in each interval as many are open as chance means.
+        for place, e in enumerate(sorted(self.engines.values(), key=lambda _: self.chance.draw())):
+            e.luck, moved = (first + place / count) % 1.0, START_THREADS * e.cores * share - e.start
+            e.start += moved
+            e.bound, e.before = (max(FLOOR * e.start, n + moved) for n in (e.bound, e.before))
             e.pace.halve()
+            self.weigh(e)
             if self.now >= e.aside_until and not e.trial:
-                e.move_bound(self.step)
+                e.move_bound(self.widest * share)
                 if self.pages and e.slowness > JAM:  # once memory has run over, a jam feeds itself
-                    e.bound = e.before = max(e.start / 2, e.bound - self.step)
+                    e.bound = e.before = max(e.start / 2, e.bound - e.start / 4)
         for kind, paces in enumerate(self.paces):
             if paces.total >= BEST_SAMPLES:
                 low = paces.quantile(BEST_SHARE)
                 self.best[kind] = min(low, self.best[kind] * BEST_DRIFT) if self.best[kind] != 1.0 else low
             paces.halve()
         self.further_won.halve()
-        bounds = " ".join(f"{e.bound:.0f}/{e.threads}{'*' if e.pressed_until > self.now else ''}"
-                          for e in self.ready())
-        self.link.log(f"n*/own {bounds}; held {len(self.held)}; pace {self.middle:.2f}")
+        ready = self.ready()
+        n, own, pressed = (sum(f) for f in ((e.bound for e in ready), (e.threads for e in ready),
+                                            (e.pressed(self.now) for e in ready)))
+        self.link.log(f"n* {n:.1f} own {own} pressed {pressed} of {len(ready)}; held {len(self.held)}; "
+                      f"pace {self.middle:.2f}")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -144,12 +144,16 @@
     def do_interval(self, engine: str, served: float, work: float = 0.0, most: float = 99.0) -> None:
         e = self.rules.engines[int(engine)]
         e.served, e.work, e.most = served, work, most
-        e.move_bound(self.rules.step)
+        e.move_bound(self.rules.widest * self.rules.own / self.rules.all)
 
     def do_set(self, engine: str, **given: Any) -> None:
         for name, new in given.items():
             setattr(self.rules.engines[int(engine)], name, new)
 
+    def do_set_all(self, **given: Any) -> None:
+        for engine in self.rules.engines:
+            self.do_set(str(engine), **given)
+
     def do_bound(self, engine: str, wanted: str) -> None:
         self.case.assertAlmostEqual(self.rules.engines[int(engine)].bound, float(wanted))
 
