--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -97,6 +97,7 @@
         self.share = 1.0 / site.dispatchers
         self.in_hand, self.priorities, self.own, self.all = site.in_hand, site.priorities, self.share, 1.0
         self.widest = float(max(workload.threads for workload in site.workloads))
+        self.spare = 0.0 if site.pages else SPARE * self.widest  # what lets all in has no room for chance
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.may_call_off = site.most_trips, site.may_call_off
@@ -247,8 +248,14 @@
             return None
         w, engines = s.workload, self.allowed(s)
         engines = [e for e in engines if e not in s.avoid] or engines  # further trips go elsewhere
-        calm = self.calm(w.threads)
-        engines = [e for e in engines if e is not self.promised and self.admits(e, w.threads, calm)]
+        after, bounds = w.threads, 0.0
+        for e in self.ready():
+            after, bounds = after + e.threads, bounds + e.bound
+        # Sent faster than its answers can tell, an engine is jammed before it shows pressure: with this much
+        # out at once all count as pressed (a burst, a held line let go at once, late answers).
+        calm = self.now >= self.pressed_until and after <= max(UNSEEN * bounds + self.spare, w.threads)
+        even = after <= max(bounds + self.spare, w.threads)  # chance overshoots n* where widths mix
+        engines = [e for e in engines if e is not self.promised and self.admits(e, w.threads, calm, even)]
         if w.waits_for_loads or w.holds_tables:
             engines = [e for e in engines if not self.stands(e, s.group)] or engines
         ranks = [-e.threads / e.cores if fewest else e.room() for e in engines]
@@ -282,21 +289,14 @@
         light = work <= COLD_GRAIN * budget / self.share
         return work + sent <= budget or (light and not sent and engine.luck < budget / work)
 
-    def calm(self, threads: int) -> bool:
-        """No pressure over all engines, neither heard nor unheard."""
-        # Sent faster than its answers can tell, an engine is jammed before it shows pressure: beyond this
-        # much out at once it counts as pressed (a burst, a held line let go at once, late answers).
-        room = sum(UNSEEN * e.bound - e.threads for e in self.ready()) + SPARE * self.widest
-        return self.now >= self.pressed_until and threads <= room
-
-    def admits(self, engine: Engine, threads: int, calm: bool) -> bool:
+    def admits(self, engine: Engine, threads: int, calm: bool, even: bool) -> bool:
         """The bound binds only under pressure; below one query's threads it is a matter of chance."""
         after = engine.threads + threads
         if after <= engine.bound:
             return True
         if calm and not engine.pressed(self.now) and (not engine.threads or after <= UNSEEN * engine.bound):
             return True
-        return engine.bound < threads and not engine.out and engine.luck < engine.bound / threads
+        return even and engine.bound < threads and not engine.out and engine.luck < engine.bound / threads
 
     def stands(self, engine: Engine, group: int) -> bool:
         """A load of ours holds that group of tables there, or one of ours stands still behind another's."""
