--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -22,7 +22,7 @@
 PRESSURE, PRESSURE_HOLD = 1.5, 1000.0  # this many times its best latency is pressure, for this long
 JAM = 2.5  # where engines page, one this far over its best latency gives up a step of n*
 UNSEEN, SPARE = 1.25, 2.0  # in n*, in widest submissions: own threads out that count as pressure unheard
-POOL, DOUBT = 6.0, 24.0  # threads' worth of evidence that all engines lend to each; that calm counts for
+POOL = 6.0  # threads' worth of evidence that all engines together lend to each, where its own is thin
 CHEAP_MARK, COST_WEIGHT = 1.5, 8.0  # in usual costs of the lightest workload; ms of age for one of cost
 RIPE = 600.0  # a held one this old has room kept for it, or cheap ones starve it
 PACE_EDGES = tuple(0.25 * 1.15**step for step in range(40))  # of time taken over time expected
@@ -416,7 +416,7 @@
                 age = (self.now - t.sent) / t.submission.due
                 self.mind(e, t, age / max(1.0, e.slowness))
                 e.overdue += t.submission.workload.threads if age > PRESSURE and not t.stands else 0
-        late = sum(e.overdue for e in busy) / (sum(e.threads for e in busy) + DOUBT)
+        late = sum(e.overdue for e in busy) / (sum(e.threads for e in busy) + POOL)
         if 2 * late > 1 or self.middle > PRESSURE:
             self.pressed_until = self.now + PRESSURE_HOLD
         for e in busy:
@@ -469,7 +469,7 @@
             e.pace.add(ratio / self.best[s.kind], threads)
             self.pace.add(ratio / self.best[s.kind], threads)
             seen = self.pace.total
-            self.middle = max(1.0, (seen * self.pace.quantile(0.5) + DOUBT) / (seen + DOUBT))
+            self.middle = max(1.0, (seen * self.pace.quantile(0.5) + POOL) / (seen + POOL))
             self.weigh(e)
             if e.trial and ratio < SLOW * self.best[s.kind]:
                 e.trial = False
