--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -111,7 +111,7 @@
         self.taken_times, self.further_times = deque[float](), deque[float]()
         self.further_credit, self.further_won = FURTHER_MOST, Histogram((0.5, 1.5))
         self.held: list[Submission] = []
-        self.engines, self.open = dict[int, Engine](), dict[int, Submission]()
+        self.engines, self.open, self.ready = dict[int, Engine](), dict[int, Submission](), list[Engine]()
         self.promised: Engine | None = None
         self.lines, self.rests = dict[int, deque[Submission]](), dict[int, float]()
         self.usual, self.best = [0.0 for _ in site.workloads], [1.0 for _ in site.workloads]
@@ -141,13 +141,11 @@
                 engine.luck = self.chance.draw()
             engine.line = line
             self.engines[line.engine] = engine
+        self.ready = [engine for engine in self.engines.values() if engine.line.life == Life.READY]
 
     def list_failed(self, now: float) -> None:
         self.link.wake(500.0 + 1000.0 * self.chance.draw(), WAKE_WATCH)
 
-    def ready(self) -> list[Engine]:
-        return [engine for engine in self.engines.values() if engine.line.life == Life.READY]
-
     # Submissions on their way out: the stages.
 
     def submitted(self, now: float, number: int, kind: int, customer: int, key: int, expiry: float,
@@ -229,14 +227,15 @@
     def turn(self, now: float) -> None:
         """Held ones leave, lowest aged cost per utility first, each to the engine with most room."""
         self.now, self.promised = now, None
-        kept = []
+        kept, ripe = [], False
         stuck = [False for _ in self.workloads]  # nothing frees room within a turn: one speaks for its kind
         for s in self.held:
             if s.over or (not stuck[s.kind] and self.pass_on(s, self.chain.index(self.choice_stage))):
                 continue
             kept.append(s)
             stuck[s.kind] |= not s.key and not s.made
-            if self.promised is None and now - s.taken > RIPE and self.in_turn(s):
+            if not ripe and now - s.taken > RIPE and self.in_turn(s):
+                ripe = True
                 wide = [e for e in self.allowed(s) if e.bound >= s.workload.threads]
                 self.promised = max(wide, key=Engine.room, default=None)
         self.held = kept
@@ -247,9 +246,10 @@
         if not self.in_turn(s) or (s.made and not self.may_go_further()):
             return None
         w, engines = s.workload, self.allowed(s)
-        engines = [e for e in engines if e not in s.avoid] or engines  # further trips go elsewhere
+        if s.avoid:  # further trips go elsewhere
+            engines = [e for e in engines if e not in s.avoid] or engines
         after, bounds = w.threads, 0.0
-        for e in self.ready():
+        for e in self.ready:
             after, bounds = after + e.threads, bounds + e.bound
         # Sent faster than its answers can tell, an engine is jammed before it shows pressure: with this much
         # out at once all count as pressed (a burst, a held line let go at once, late answers).
@@ -269,16 +269,16 @@
 
     def allowed(self, s: Submission) -> list[Engine]:
         """Rules 2, 3, 4 and 6, and health: where this submission may go now."""
-        w, ran = s.workload, s.ran if s.workload.effect == Effect.LABELLED else None
-        if ran and self.now >= ran.sent + w.known_for - 1.0:
+        w, now, ran = s.workload, self.now, s.ran if s.workload.effect == Effect.LABELLED else None
+        if ran and now >= ran.sent + w.known_for - 1.0:
             return []
-        return [e for e in self.ready()
-                if self.now >= e.aside_until and (w.locations is None or e.line.location in w.locations)
+        return [e for e in self.ready if now >= e.aside_until
+                and not (e.trial and (e.out or w.effect != Effect.REDOABLE))
+                and (now >= e.warm_at or self.bears(e, self.usual[s.kind]))
+                and (w.locations is None or e.line.location in w.locations)
                 and (w.kinds is None or e.line.kind in w.kinds)
                 and not (ran and w.reach == Reach.LOCATION and e.line.location != ran.engine.line.location)
-                and not (ran and w.reach == Reach.CELL and e.line.cell != ran.engine.line.cell)
-                and not (e.trial and (e.out or w.effect != Effect.REDOABLE))
-                and (self.now >= e.warm_at or self.bears(e, self.usual[s.kind]))]
+                and not (ran and w.reach == Reach.CELL and e.line.cell != ran.engine.line.cell)]
 
     def bears(self, engine: Engine, work: float) -> bool:
         """Rule 4: our share of what a cold engine bears in any window, by the workload's usual work."""
@@ -426,7 +426,7 @@
             # Silence while others answer: a hang, a lost link, answers lost on the way.
             if quiet > SILENCE and sum(quiet > SILENCE_OF_DUE * t.submission.due * self.middle
                                        for t in e.out.values()) >= SILENT_TRIPS:
-                heard = sorted(other.answered for other in self.ready())
+                heard = sorted(other.answered for other in self.ready)
                 if heard and heard[len(heard) // 2] > e.answered + SILENCE / 2:
                     self.set_aside(e, f"silent {quiet:.0f} ms")
 
@@ -491,8 +491,8 @@
 
     def set_aside(self, e: Engine, why: str) -> None:
         """For a fixed time and a random part; never most of the fleet."""
-        aside = [other for other in self.ready() if other.aside_until > self.now or other.trial]
-        if e.aside_until > self.now or (not e.trial and 2 * (len(aside) + 1) >= len(self.ready())):
+        aside = [other for other in self.ready if other.aside_until > self.now or other.trial]
+        if e.aside_until > self.now or (not e.trial and 2 * (len(aside) + 1) >= len(self.ready)):
             return
         e.start_over(e.start)
         e.aside_until, e.trial = self.now + ASIDE + ASIDE_RANDOM * self.chance.draw(), True
@@ -526,7 +526,7 @@
                 self.best[kind] = min(low, self.best[kind] * BEST_DRIFT) if self.best[kind] != 1.0 else low
             paces.halve()
         self.further_won.halve()
-        ready = self.ready()
+        ready = self.ready
         n, own, pressed = (sum(f) for f in ((e.bound for e in ready), (e.threads for e in ready),
                                             (e.pressed(self.now) for e in ready)))
         self.link.log(f"n* {n:.1f} own {own} pressed {pressed} of {len(ready)}; held {len(self.held)}; "
