Ties where n* is under one submission: fewer trips out, then the better pace of two drawn

Cause: with n* of 0.1 a dispatcher has nothing out nearly everywhere, so the choice was plain chance, and engines that age or hold standing trips drew as much as others. May hurt where the better pace herds dispatchers.

--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -107,10 +107,9 @@
                             * site.cold_window * self.share * COLD_MARGIN)
         self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window or 0.0
         self.further_free = site.further_free or 0.0 if site.further_window else float("inf")
-        self.further_share = site.further_share or 0.0
-        self.taken_times, self.further_times = deque[float](), deque[float]()
-        self.further_credit, self.further_won = FURTHER_MOST, Histogram((0.5, 1.5))
-        self.held: list[Submission] = []
+        self.further_share, self.further_credit = site.further_share or 0.0, FURTHER_MOST
+        self.taken_times, self.further_times, self.held = deque[float](), deque[float](), list[Submission]()
+        self.further_won = Histogram((0.5, 1.5))
         self.engines, self.open, self.ready = dict[int, Engine](), dict[int, Submission](), list[Engine]()
         self.promised: Engine | None = None
         self.lines, self.rests = dict[int, deque[Submission]](), dict[int, float]()
@@ -258,10 +257,14 @@
         engines = [e for e in engines if e is not self.promised and self.admits(e, w.threads, calm, even)]
         if w.waits_for_loads or w.holds_tables:
             engines = [e for e in engines if not self.stands(e, s.group)] or engines
-        ranks = [-e.threads / e.cores if fewest else e.room() for e in engines]
-        top = max(ranks, default=0.0)
+        # Where n* is under one submission ties are the rule: fewer trips out, then better pace of two drawn.
+        ranks = [(-e.threads / e.cores if fewest else e.room(), -len(e.out) if e.bound < w.threads else 0)
+                 for e in engines]
+        top = max(ranks, default=None)
         best = [e for e, rank in zip(engines, ranks, strict=True) if rank == top]
-        return best[int(self.chance.draw() * len(best))] if best else None
+        draws = 2 if best and best[0].bound < w.threads else 1
+        drawn = [best[int(self.chance.draw() * len(best))] for _ in best[:draws]]
+        return min(drawn, key=lambda e: e.slowness, default=None)
 
     def in_turn(self, s: Submission) -> bool:
         """Rule 5: those of one key run one at a time, in the order taken, and rest after a doubtful end."""
@@ -526,8 +529,6 @@
                 self.best[kind] = min(low, self.best[kind] * BEST_DRIFT) if self.best[kind] != 1.0 else low
             paces.halve()
         self.further_won.halve()
-        ready = self.ready
-        n, own, pressed = (sum(f) for f in ((e.bound for e in ready), (e.threads for e in ready),
-                                            (e.pressed(self.now) for e in ready)))
-        self.link.log(f"n* {n:.1f} own {own} pressed {pressed} of {len(ready)}; held {len(self.held)}; "
-                      f"pace {self.middle:.2f}")
+        n, own = sum(e.bound for e in self.ready), sum(e.threads for e in self.ready)
+        self.link.log(f"n* {n:.1f} own {own} pressed {sum(e.pressed(self.now) for e in self.ready)} "
+                      f"of {len(self.ready)}; held {len(self.held)}; pace {self.middle:.2f}")
