Our share of what engines hold counts the trip that ended

The share was taken from the trips left at an engine after one ended; as we send where we have fewest, none was left as a rule, and the share ran down. Ruled out: traffic (own 23 out, none held), pressure (0 of 27).

--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -250,8 +250,7 @@
         after, bounds = w.threads, 0.0
         for e in self.ready:
             after, bounds = after + e.threads, bounds + e.bound
-        # Sent faster than its answers can tell, an engine is jammed before it shows pressure: with this much
-        # out at once all count as pressed (a burst, a held line let go at once, late answers).
+        # So much out at once is pressure before answers can show it (a burst, a held line let go, late answers).
         calm = self.now >= self.pressed_until and after <= max(UNSEEN * bounds + self.spare, w.threads)
         even = after <= max(bounds + self.spare, w.threads)  # chance overshoots n* where widths mix
         engines = [e for e in engines if e is not self.promised and self.admits(e, w.threads, calm, even)]
@@ -262,8 +261,8 @@
                  for e in engines]
         top = max(ranks, default=None)
         best = [e for e, rank in zip(engines, ranks, strict=True) if rank == top]
-        draws = 2 if best and best[0].bound < w.threads else 1
-        drawn = [best[int(self.chance.draw() * len(best))] for _ in best[:draws]]
+        two = best[:2] if best and best[0].bound < w.threads else best[:1]
+        drawn = [best[int(self.chance.draw() * len(best))] for _ in two]
         return min(drawn, key=lambda e: e.slowness, default=None)
 
     def in_turn(self, s: Submission) -> bool:
@@ -337,7 +336,8 @@
         if trip:
             self.further_won.add(1.0 if ending == Ending.DELIVERED else 0.0)
         if report and self.in_hand is not None:  # our share of what engines hold tells our share of sends
-            self.own, self.all = self.own + len(e.out), self.all + max(len(e.out), report[self.in_hand])
+            here = len(e.out) + 1  # this one with them: sent where we have fewest, it is often the only one
+            self.own, self.all = self.own + here, self.all + max(here, report[self.in_hand])
         self.judge(e, t, ending, took, work)
         if s.key and ending in (Ending.TIME_OUT, Ending.RESET, Ending.CALLED_OFF):
             self.rests[s.key] = now + self.order_rest
