--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -250,7 +250,7 @@
         after, bounds = w.threads, 0.0
         for e in self.ready:
             after, bounds = after + e.threads, bounds + e.bound
-        # So much out at once is pressure before answers can show it (a burst, a held line let go, late answers).
+        # So much out at once is pressure before answers show it (a burst, a held line let go, late answers).
         calm = self.now >= self.pressed_until and after <= max(UNSEEN * bounds + self.spare, w.threads)
         even = after <= max(bounds + self.spare, w.threads)  # chance overshoots n* where widths mix
         engines = [e for e in engines if e is not self.promised and self.admits(e, w.threads, calm, even)]
