--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -99,7 +99,6 @@
         self.widest = float(max(workload.threads for workload in site.workloads))
         self.spare = 0.0 if site.pages else SPARE * self.widest  # what lets all in has no room for chance
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
-        self.mean = 0.0
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.may_call_off = site.most_trips, site.may_call_off
         self.notes, self.pages, self.grant = site.notes_every, site.pages, GRANT if site.grants else 0.0
@@ -154,7 +153,6 @@
         w, usual = self.workloads[kind], self.usual[kind]
         cost = cost or usual or w.agreed / 4
         self.usual[kind] = usual + (cost - usual) / 30 if usual else cost
-        self.mean += (cost - self.mean) / 50 if self.mean else cost
         due = cost / w.threads * self.best[kind]
         cheap = w.threads == 1 and cost <= CHEAP_MARK * min(usual or cost for usual in self.usual)
         agreed = now + w.agreed + w.stretch * due
@@ -471,9 +469,8 @@
             e.answered, e.strikes = self.now, 0.0
             ratio = took * threads / (work or s.cost)
             self.paces[s.kind].add(ratio, threads)
-            weight = s.cost / self.mean  # by work: priority shields light ones from what slows the rest
-            e.pace.add(ratio / self.best[s.kind], weight)
-            self.pace.add(ratio / self.best[s.kind], weight)
+            e.pace.add(ratio / self.best[s.kind], threads)
+            self.pace.add(ratio / self.best[s.kind], threads)
             seen = self.pace.total
             self.middle = max(1.0, (seen * self.pace.quantile(0.5) + POOL) / (seen + POOL))
             self.weigh(e)
