--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -35,7 +35,7 @@
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
 COLD_GRAIN = 0.1  # of all dispatchers' budget: work so light may go there by chance
 FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0  # credit for further trips
-LAST_MOMENT, LATE_WORTH_IT, TOO_LATE = 2 * TICK, 0.25, 1.15  # ms; late utility; in the agreed time
+LAST_MOMENT, LATE_WORTH_IT, TOO_LATE = 2 * TICK, 0.25, 1.5  # ms; late utility; in the agreed time
 CHEAP_PRIORITY, HEAVY_PRIORITY, GRANT = 3, 1, 1.35  # the grant is in the estimate of memory
 
 
