--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -216,8 +216,7 @@
             self.further_times.append(self.now)
             self.further_credit -= 1.0
         elif self.priorities or self.grant:
-            first = s.cheap or s.workload.holds_tables  # a load that ends soon lets those behind it run
-            self.link.terms(s.number, self.grant * s.memory, CHEAP_PRIORITY if first else HEAVY_PRIORITY)
+            self.link.terms(s.number, self.grant * s.memory, CHEAP_PRIORITY if s.cheap else HEAVY_PRIORITY)
         if engine.warm_at > self.now:
             engine.cold_sends.append((self.now, self.usual[s.kind]))
         engine.answered = engine.answered if len(engine.out) > 1 else self.now
