--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -18,7 +18,7 @@
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
 INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
-START_THREADS, FLOOR = 2.0, 0.125  # n* starts at so many threads a core, over all dispatchers; its least part
+START_THREADS, START_PAGES, FLOOR = 2.0, 1.5, 0.125  # threads a core of n* at its start; where engines page
 PRESSURE, PRESSURE_HOLD = 1.5, 1000.0  # this many times its best latency is pressure, for this long
 JAM = 2.5  # where engines page, one this far over its best latency gives up a step of n*
 UNSEEN, SPARE = 1.25, 2.0  # in n*, in widest submissions: own threads out that count as pressure unheard
@@ -97,7 +97,8 @@
         self.share = 1.0 / site.dispatchers
         self.in_hand, self.priorities, self.own, self.all = site.in_hand, site.priorities, self.share, 1.0
         self.widest = float(max(workload.threads for workload in site.workloads))
-        self.spare = 0.0 if site.pages else SPARE * self.widest  # what lets all in has no room for chance
+        # What lets all in has no room for chance, and is past its best at two threads a core.
+        self.spare, self.start = (0.0, START_PAGES) if site.pages else (SPARE * self.widest, START_THREADS)
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.may_call_off = site.most_trips, site.may_call_off
@@ -132,7 +133,7 @@
             cores = self.cores[line.kind % len(self.cores)]
             engine = self.engines.get(line.engine) or Engine(line, cores, now)
             if line.engine not in self.engines or line.started != engine.line.started:
-                engine.start_over(START_THREADS * engine.cores * self.own / self.all)
+                engine.start_over(self.start * engine.cores * self.own / self.all)
                 engine.aside_until, engine.trial = 0.0, False
                 engine.warm_at = line.started + self.cold_for if line.started else 0.0
                 # What we sent before our own restart is unknown: the budget counts as spent for one window.
@@ -514,9 +515,9 @@
         share = max(self.own / self.all, self.share if self.held else 0.0)
         # Luck lies even over the engines, so that in each interval as many are open as chance means.
         for place, e in enumerate(sorted(self.engines.values(), key=lambda _: self.chance.draw())):
-            e.luck, moved = (first + place / count) % 1.0, START_THREADS * e.cores * share - e.start
-            e.start += moved
-            e.bound, e.before = (max(FLOOR * e.start, n + moved) for n in (e.bound, e.before))
+            e.luck, moved = (first + place / count) % 1.0, self.start * e.cores * share - e.start
+            least = FLOOR * (e.start + moved)
+            e.start, e.bound, e.before = (max(least, n + moved) for n in (e.start, e.bound, e.before))
             e.pace.halve()
             self.weigh(e)
             if self.now >= e.aside_until and not e.trial:
@@ -530,5 +531,4 @@
             paces.halve()
         self.further_won.halve()
         n, own = sum(e.bound for e in self.ready), sum(e.threads for e in self.ready)
-        self.link.log(f"n* {n:.1f} own {own} pressed {sum(e.pressed(self.now) for e in self.ready)} "
-                      f"of {len(self.ready)}; held {len(self.held)}; pace {self.middle:.2f}")
+        self.link.log(f"n* {n:.1f} own {own} held {len(self.held)} pace {self.middle:.2f}")
