--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -18,7 +18,7 @@
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
 INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
-START_THREADS, START_PAGES, FLOOR = 2.0, 1.25, 0.125  # threads a core of n* at its start; where engines page
+START_THREADS, START_PAGES, FLOOR = 2.0, 1.5, 0.125  # threads a core of n* at its start; where engines page
 PRESSURE, PRESSURE_HOLD = 1.5, 1000.0  # this many times its best latency is pressure, for this long
 JAM = 2.5  # where engines page, one this far over its best latency gives up a step of n*
 UNSEEN, SPARE = 1.25, 2.0  # in n*, in widest submissions: own threads out that count as pressure unheard
