--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -449,7 +449,7 @@
             lost = quiet > LOST_NOTES * self.notes
             e.stand(t, t.stands or lost)
         else:
-            lost = quiet > LOST_LEAST and times_due > LOST_DUE
+            lost = quiet > LOST_LEAST and times_due > LOST_DUE and self.now >= self.pressed_until
             e.stand(t, times_due > STANDS and (w.waits_for_loads or w.holds_tables))
         if lost and w.effect == Effect.REDOABLE and s.made < self.most_trips \
                 and self.may_go_further() and self.now + s.due * self.middle < s.expiry - LAST_MOMENT:
