--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -527,8 +527,7 @@
         for kind, paces in enumerate(self.paces):
             if paces.total >= BEST_SAMPLES:
                 low = paces.quantile(BEST_SHARE)
-                best = self.best[kind] if self.best[kind] != 1.0 else low
-                self.best[kind] = min(max(low, best / BEST_DRIFT), best * BEST_DRIFT)
+                self.best[kind] = min(low, self.best[kind] * BEST_DRIFT) if self.best[kind] != 1.0 else low
             paces.halve()
         self.further_won.halve()
         n, own = sum(e.bound for e in self.ready), sum(e.threads for e in self.ready)
