--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -99,7 +99,6 @@
         self.widest = float(max(workload.threads for workload in site.workloads))
         # What lets all in has no room for chance, and is past its best at two threads a core.
         self.spare, self.start = (0.0, START_PAGES) if site.pages else (SPARE * self.widest, START_THREADS)
-        self.unseen = UNSEEN * START_THREADS / self.start
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.may_call_off = site.most_trips, site.may_call_off
@@ -253,7 +252,7 @@
         for e in self.ready:
             after, bounds = after + e.threads, bounds + e.bound
         # So much out at once is pressure before answers show it (a burst, a held line let go, late answers).
-        calm = self.now >= self.pressed_until and after <= max(self.unseen * bounds + self.spare, w.threads)
+        calm = self.now >= self.pressed_until and after <= max(UNSEEN * bounds + self.spare, w.threads)
         even = after <= max(bounds + self.spare, w.threads)  # chance overshoots n* where widths mix
         engines = [e for e in engines if e is not self.promised and self.admits(e, w.threads, calm, even)]
         if w.waits_for_loads or w.holds_tables:
@@ -298,7 +297,7 @@
         after = engine.threads + threads
         if after <= engine.bound:
             return True
-        if calm and not engine.pressed(self.now) and (not engine.threads or after <= self.unseen * engine.bound):
+        if calm and not engine.pressed(self.now) and (not engine.threads or after <= UNSEEN * engine.bound):
             return True
         return even and engine.bound < threads and not engine.out and engine.luck < engine.bound / threads
 
