--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -18,7 +18,7 @@
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
 INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
-START_THREADS, START_PAGES, FLOOR = 2.0, 1.5, 0.125  # threads a core of n* at its start; where engines page
+START_THREADS, FLOOR = 2.0, 0.125  # n* starts at so many threads a core, over all dispatchers; its least part
 PRESSURE, PRESSURE_HOLD = 1.5, 1000.0  # this many times its best latency is pressure, for this long
 JAM = 2.5  # where engines page, one this far over its best latency gives up a step of n*
 UNSEEN, SPARE = 1.25, 2.0  # in n*, in widest submissions: own threads out that count as pressure unheard
@@ -97,8 +97,7 @@
         self.share = 1.0 / site.dispatchers
         self.in_hand, self.priorities, self.own, self.all = site.in_hand, site.priorities, self.share, 1.0
         self.widest = float(max(workload.threads for workload in site.workloads))
-        # What lets all in has no room for chance, and is past its best at two threads a core.
-        self.spare, self.start = (0.0, START_PAGES) if site.pages else (SPARE * self.widest, START_THREADS)
+        self.spare = 0.0 if site.pages else SPARE * self.widest  # what lets all in has no room for chance
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
         self.most_trips, self.may_call_off = site.most_trips, site.may_call_off
@@ -133,7 +132,7 @@
             cores = self.cores[line.kind % len(self.cores)]
             engine = self.engines.get(line.engine) or Engine(line, cores, now)
             if line.engine not in self.engines or line.started != engine.line.started:
-                engine.start_over(self.start * engine.cores * self.own / self.all)
+                engine.start_over(START_THREADS * engine.cores * self.own / self.all)
                 engine.aside_until, engine.trial = 0.0, False
                 engine.warm_at = line.started + self.cold_for if line.started else 0.0
                 # What we sent before our own restart is unknown: the budget counts as spent for one window.
@@ -248,11 +247,11 @@
         w, engines = s.workload, self.allowed(s)
         if s.avoid:  # further trips go elsewhere
             engines = [e for e in engines if e not in s.avoid] or engines
-        after, bounds = w.threads, 0.0
-        for e in self.ready:
-            after, bounds = after + e.threads, bounds + e.bound
-        # So much out at once is pressure before answers show it (a burst, a held line let go, late answers).
-        calm = self.now >= self.pressed_until and after <= max(UNSEEN * bounds + self.spare, w.threads)
+        after, bounds = w.threads + sum(e.threads for e in self.ready), sum(e.bound for e in self.ready)
+        # So much out is pressure before answers show it (a burst, a held line let go). Where n* is under one
+        # submission engines fill unevenly, and those that page bear no more than n*.
+        beyond = 1.0 if self.pages and bounds < self.widest * len(self.ready) else UNSEEN
+        calm = self.now >= self.pressed_until and after <= max(beyond * bounds + self.spare, w.threads)
         even = after <= max(bounds + self.spare, w.threads)  # chance overshoots n* where widths mix
         engines = [e for e in engines if e is not self.promised and self.admits(e, w.threads, calm, even)]
         if w.waits_for_loads or w.holds_tables:
@@ -515,7 +514,7 @@
         share = max(self.own / self.all, self.share if self.held else 0.0)
         # Luck lies even over the engines, so that in each interval as many are open as chance means.
         for place, e in enumerate(sorted(self.engines.values(), key=lambda _: self.chance.draw())):
-            e.luck, moved = (first + place / count) % 1.0, self.start * e.cores * share - e.start
+            e.luck, moved = (first + place / count) % 1.0, START_THREADS * e.cores * share - e.start
             least = FLOOR * (e.start + moved)
             e.start, e.bound, e.before = (max(least, n + moved) for n in (e.start, e.bound, e.before))
             e.pace.halve()
