The pooled pace in one function; no sums over the fleet where no engine is allowed

The median beside POOL threads of the middle stood twice (Dispatcher.weigh and the middle in judge), and the pace of an answer was worked out four times. choose() now stops before its sums where allowed() leaves nothing.

--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -39,6 +39,11 @@
 CHEAP_PRIORITY, HEAVY_PRIORITY, GRANT = 3, 1, 1.35  # the grant is in the estimate of memory
 
 
+def pooled(pace: Histogram, middle: float) -> float:
+    """The median pace, beside POOL threads' worth of the middle: what there is counts as far as it goes."""
+    return (pace.total * pace.quantile(0.5) + POOL * middle) / (pace.total + POOL)
+
+
 class Engine:
     """One engine as this dispatcher sees it, with its bound n*."""
 
@@ -245,6 +250,8 @@
         if not self.in_turn(s) or (s.made and not self.may_go_further()):
             return None
         w, engines = s.workload, self.allowed(s)
+        if not engines:
+            return None
         if s.avoid:  # further trips go elsewhere
             engines = [e for e in engines if e not in s.avoid] or engines
         after, bounds = w.threads + sum(e.threads for e in self.ready), sum(e.bound for e in self.ready)
@@ -433,11 +440,6 @@
                 if heard and heard[len(heard) // 2] > e.answered + SILENCE / 2:
                     self.set_aside(e, f"silent {quiet:.0f} ms")
 
-    def weigh(self, e: Engine) -> None:
-        """An engine's pace: its own recent answers, beside what all engines show as far as those are few."""
-        own = e.pace.total
-        e.slowness = (own * e.pace.quantile(0.5) + POOL * self.middle) / (own + POOL)
-
     def mind(self, e: Engine, t: Trip, times_due: float) -> None:
         """A trip with no word while its engine answers others stands still, or its answer is lost."""
         s, w, quiet = t.submission, t.submission.workload, self.now - t.heard
@@ -468,15 +470,15 @@
             e.served, e.work = e.served + threads, e.work + s.cost
             e.answered, e.strikes = self.now, 0.0
             ratio = took * threads / (work or s.cost)
+            pace = ratio / self.best[s.kind]
             self.paces[s.kind].add(ratio, threads)
-            e.pace.add(ratio / self.best[s.kind], threads)
-            self.pace.add(ratio / self.best[s.kind], threads)
-            seen = self.pace.total
-            self.middle = max(1.0, (seen * self.pace.quantile(0.5) + POOL) / (seen + POOL))
-            self.weigh(e)
-            if e.trial and ratio < SLOW * self.best[s.kind]:
+            e.pace.add(pace, threads)
+            self.pace.add(pace, threads)
+            self.middle = max(1.0, pooled(self.pace, 1.0))
+            e.slowness = pooled(e.pace, self.middle)
+            if e.trial and pace < SLOW:
                 e.trial = False
-                self.link.log(f"engine {e.number} back, pace {ratio / self.best[s.kind]:.2f}")
+                self.link.log(f"engine {e.number} back, pace {pace:.2f}")
             # Far slower than its peers: a sick machine, a neighbour. All slow at once moves the middle.
             elif e.slowness > SLOW * self.middle:
                 self.set_aside(e, f"pace {e.slowness:.1f} of {self.middle:.1f}")
@@ -518,7 +520,7 @@
             least = FLOOR * (e.start + moved)
             e.start, e.bound, e.before = (max(least, n + moved) for n in (e.start, e.bound, e.before))
             e.pace.halve()
-            self.weigh(e)
+            e.slowness = pooled(e.pace, self.middle)
             if self.now >= e.aside_until and not e.trial:
                 e.move_bound(self.widest * share)
                 if self.pages and e.slowness > JAM:  # once memory has run over, a jam feeds itself
