A dispatcher on sockets: HTTP clients, RESP engines, DNS list, one turn a loop

The module gains one call, stopping(): a planned restart caps the expiry of what is open and of what still comes; some lines were folded to stay within 480. Settings to Deployment moved to spurdeal/deployment.py for both links.

--- a/spurdeal/benchlink/host.py
+++ b/spurdeal/benchlink/host.py
@@ -1,13 +1,14 @@
 """Hosts the instances of one process: each has rules and indices of its own and shares nothing."""
 
+import json
 import struct
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
+from ..deployment import deployment
 from ..interface import Ending, Life, Listed, Word
 from ..rules import Dispatcher
 from .frames import BadInput, Reader, read_frame, write_frame
-from .start import deployment
 
 CODE = struct.Struct("<B")
 PROVISION = struct.Struct("<HQI")
@@ -38,7 +39,10 @@
     def __init__(self, who: int, options: bytes) -> None:
         self.who = who
         self.broken = False
-        self.site = deployment(options)
+        try:
+            self.site = deployment(json.loads(options))
+        except ValueError as fault:
+            raise BadInput(f"settings of instance {who}: {fault}") from None
         self.records: list[bytes] = []
         self.numbers: dict[int, int] = {}
         self.names: dict[int, int] = {}
--- a/spurdeal/benchlink/start.py
+++ b/spurdeal/deployment.py
@@ -1,11 +1,9 @@
-"""Turns the settings of a Provision into a Deployment: names to indices, absent keys to their defaults."""
+"""Turns the settings that a link hands over into a Deployment: names to indices, absent keys to defaults."""
 
-import json
 from collections.abc import Sequence
 from typing import Any
 
-from ..interface import Deployment, Effect, Reach, Workload
-from .frames import BadInput
+from .interface import Deployment, Effect, Reach, Workload
 
 EFFECTS = {"repeatable": Effect.REDOABLE, "by_key": Effect.LABELLED, "once": Effect.IRREVERSIBLE}
 REACHES = {"all": Reach.ALL, "zone": Reach.LOCATION, "cell": Reach.CELL}
@@ -23,19 +21,19 @@
     return None if figure is None else float(figure)
 
 
-def deployment(text: bytes) -> Deployment:
-    try:
-        options = json.loads(text)
-    except ValueError as fault:
-        raise BadInput(f"settings are not JSON: {fault}") from None
+class BadSettings(ValueError):
+    """Settings that cannot be used; the text says why."""
+
+
+def deployment(options: object) -> Deployment:
     if not isinstance(options, dict):
-        raise BadInput("settings are not a JSON object")
+        raise BadSettings("settings are not a JSON object")
     try:
         return _deployment(options)
     except KeyError as missing:
-        raise BadInput(f"settings: {missing} is missing or has a value that is not known") from None
+        raise BadSettings(f"settings: {missing} is missing or has a value that is not known") from None
     except (TypeError, ValueError, AttributeError, IndexError) as fault:
-        raise BadInput(f"settings cannot be used: {fault}") from None
+        raise BadSettings(f"settings cannot be used: {fault}") from None
 
 
 def _deployment(options: dict[str, Any]) -> Deployment:
--- /dev/null
+++ b/spurdeal/net/clients.py
@@ -0,0 +1,217 @@
+"""Clients: HTTP/1.1 calls taken, and answers written."""
+
+from __future__ import annotations
+
+import json
+import logging
+import re
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Protocol, ServerFactory
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from .counters import Counters
+from .http import BadMessage, RequestParser, response
+from .link import Answer, BrokenOff, Delivered, Shed, SocketLink
+from .statement import group_of
+
+IDENT = re.compile(rb"[0-9a-fA-F]{16}")
+NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+LONGEST_UNFINISHED, LONGEST_IDLE, LONGEST_UNREAD = 10_000.0, 60_000.0, 20_000.0  # ms; clients close after 4 s
+
+
+def number(fields: Mapping[bytes, memoryview], name: bytes, default: float | None = None) -> float:
+    if name not in fields and default is not None:
+        return default
+    text = bytes(fields.get(name, b""))
+    if not NUMBER.fullmatch(text):
+        raise BadMessage(400, f"{name.decode()} is missing or no number")
+    return float(text)
+
+
+def rows_of(pages: tuple[bytes, ...]) -> list[list[str]]:
+    text = b"".join(pages).decode("utf-8")
+    return [row.split("\t") for row in text.split("\n")[:-1]]
+
+
+@implementer(IPushProducer)
+class Client(Protocol):
+    """One client's connection: one call at a time, each with one answer."""
+
+    def __init__(self, clients: Clients) -> None:
+        self.clients, self.parser = clients, RequestParser()
+        self.call: Deferred[Answer] | None = None
+        self.closing = self.clogged = False
+        self.since = clients.clock()
+
+    # Twisted's calls.
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.clients.came(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.closing:
+            return
+        self.parser.feed(data)
+        if self.call is not None and len(self.parser.buffer) > self.clients.most_ahead:
+            self.clients.counters.add("client_ran_ahead")
+            self.transport.abortConnection()
+            return
+        self.advance()
+
+    def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
+        self.closing = True
+        call, self.call = self.call, None
+        if call is not None:
+            call.cancel()
+        self.clients.went(self)
+
+    def pauseProducing(self) -> None:
+        """Its answers go unread: nothing more is taken from it until they are."""
+        self.clogged, self.since = True, self.clients.clock()
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        self.clogged = False
+        self.transport.resumeProducing()
+        self.advance()
+
+    def stopProducing(self) -> None:
+        self.closing = True
+
+    # Calls and answers.
+
+    def advance(self) -> None:
+        while self.call is None and not self.closing and not self.clogged:
+            try:
+                taken = self.parser.take()
+                if taken is None:
+                    return
+                self.since = self.clients.clock()
+                self.handle(*taken)
+            except BadMessage as fault:
+                self.clients.counters.add("client_bad_messages")
+                self.answer(fault.status, {"fault": str(fault)}, False)
+
+    def handle(self, method: bytes, target: bytes, fields: dict[bytes, memoryview], body: memoryview,
+               keep: bool) -> None:
+        last = target.partition(b"?")[0].rpartition(b"/")[2]
+        if method == b"POST":
+            self.submit(last, fields, body, keep)
+        elif method == b"DELETE":
+            found = self.clients.link.withdraw(bytes(last).lower())
+            self.answer(200 if found else 404, {}, keep)
+        elif method == b"GET" and last == b"alive":
+            self.answer(200 if self.clients.ready else 503, {}, keep)
+        elif method == b"GET" and last == b"counters":
+            self.answer(200, self.clients.counters.figures(), keep)
+        else:
+            self.answer(404 if method == b"GET" else 405, {"fault": "NotKnown"}, keep)
+
+    def submit(self, workload: bytes, fields: dict[bytes, memoryview], body: memoryview, keep: bool) -> None:
+        kind = self.clients.workloads.get(workload)
+        if kind is None:
+            raise BadMessage(404, "the workload is not known")
+        ident, wait = bytes(fields.get(b"req-id", b"")), number(fields, b"req-wait-ms")
+        cost, memory = number(fields, b"req-cost", 0.0), number(fields, b"x-est-mb", 0.0)
+        if not IDENT.fullmatch(ident) or wait <= 0:
+            raise BadMessage(400, "req-id or req-wait-ms cannot be used")
+        statement = bytes(body)  # outlives the buffer: further trips may need it
+        call = self.clients.link.take(ident.lower(), ident, workload, kind, wait, cost, memory,
+                                      group_of(statement), statement)
+        if call is None:
+            raise BadMessage(400, "a submission with this id is open")
+        self.call = call
+        call.addCallbacks(self.concluded, self.withdrawn, (keep,))
+
+    def concluded(self, answer: Answer, keep: bool) -> None:
+        self.call = None
+        match answer:
+            case Delivered(pages):
+                self.answer(200, {"result": rows_of(pages)}, keep)
+            case Shed(come_back):
+                wait = (("Srv-Wait-Ms", f"{come_back:.0f}"),) if come_back > 0 else ()
+                self.answer(503, {"fault": "TryLater"}, keep, wait)
+            case BrokenOff():
+                self.answer(500, {"fault": "Aborted"}, keep)
+        self.advance()
+
+    def withdrawn(self, failure: Failure) -> None:
+        failure.trap(CancelledError)
+        self.call = None
+        if not self.closing:
+            self.close()
+
+    def answer(self, status: int, value: object, keep: bool, extra: tuple[tuple[str, str], ...] = ()) -> None:
+        self.clients.counters.add(f"answers_{status}")
+        self.since = self.clients.clock()
+        body = json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode()
+        self.transport.write(response(status, body, keep, extra))
+        if not keep:
+            self.close()
+
+    def close(self) -> None:
+        self.closing = True
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def overstays(self, now: float) -> bool:
+        """Unread answers, unfinished messages and long idleness each hold a descriptor for nothing."""
+        if self.call is not None:
+            return False
+        longest = LONGEST_UNREAD if self.clogged or self.closing else \
+            LONGEST_UNFINISHED if self.parser.buffer else LONGEST_IDLE
+        return now - self.since > longest
+
+    def is_idle(self) -> bool:
+        return self.call is None and not self.closing and not self.clogged and not self.parser.buffer
+
+
+class Clients(ServerFactory):
+    """All clients' connections, within a bound on their number."""
+
+    noisy = False
+
+    def __init__(self, link: SocketLink, workloads: Mapping[bytes, int], most: int, most_ahead: int,
+                 clock: Callable[[], float], counters: Counters, log: logging.Logger) -> None:
+        self.link, self.workloads, self.most, self.most_ahead = link, workloads, most, most_ahead
+        self.clock, self.counters, self.log = clock, counters, log
+        self.connections: dict[Client, None] = {}
+        self.port: Any = None
+        self.ready = self.full = False
+
+    def buildProtocol(self, addr: Any) -> Client:
+        return Client(self)
+
+    def came(self, client: Client) -> None:
+        self.connections[client] = None
+        self.counters.add("client_connections")
+        self.counters.most("most_client_connections", len(self.connections))
+        if len(self.connections) >= self.most and not self.full:
+            idle = [other for other in self.connections if other.is_idle() and other is not client]
+            if idle:
+                min(idle, key=lambda other: other.since).close()
+            else:  # further ones wait at the machine's door
+                self.full = True
+                self.counters.add("door_closed")
+                self.log.warning("door_closed", extra={"figures": {"connections": len(self.connections)}})
+                self.port.stopReading()
+
+    def went(self, client: Client) -> None:
+        self.connections.pop(client, None)
+        if self.full and len(self.connections) < self.most:
+            self.full = False
+            self.port.startReading()
+
+    def sweep(self) -> None:
+        now = self.clock()
+        for client in list(self.connections):
+            if client.overstays(now):
+                self.counters.add("client_overstayed")
+                client.transport.abortConnection()
--- /dev/null
+++ b/spurdeal/net/engines.py
@@ -0,0 +1,315 @@
+"""The way to the engines: connections, trips and the pages of their results."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.python.failure import Failure
+
+from ..interface import Ending, Life
+from .counters import Counters
+from .names import Seat
+from .resp import ArrayParser, BadAnswer, command
+
+ENDINGS = {b"503": Ending.FULL, b"500": Ending.ERROR, b"504": Ending.MOOT}
+MOST_PAGES, LARGEST_RESULT, COLUMNS = 256, 96_000, 3
+MOST_CONNECTIONS = 24  # to one engine
+MOST_GIVEN_UP = 256  # remembered on a connection: more than can cross
+IDLE_PART = 0.5  # of the time after which engines close: ours closes first, or a trip would cross their close
+
+
+class Outcome(NamedTuple):
+    ending: Ending
+    pages: tuple[bytes, ...] = ()
+    report: tuple[float, ...] = ()
+
+
+class Trip:
+    """One trip from its sending to its outcome, which its Deferred brings exactly once."""
+
+    __slots__ = ("connection", "done", "ident", "pages", "parts", "report", "size", "words")
+
+    def __init__(self, ident: bytes, words: tuple[bytes, bytes]) -> None:
+        self.ident, self.words = ident, words
+        self.done: Deferred[Outcome] = Deferred()
+        self.connection: Connection | None = None
+        self.parts, self.size, self.pages = 0, 0, dict[int, bytes]()
+        self.report: tuple[float, ...] = ()
+
+
+def read_fields(text: memoryview) -> dict[str, str]:
+    words = bytes(text).decode("utf-8")
+    if words == "-":
+        return {}
+    pairs = [pair.partition("=") for pair in words.split(",")]
+    if not all(mark for _, mark, _ in pairs):
+        raise BadAnswer("fields cannot be read")
+    return {name: value for name, _, value in pairs}
+
+
+class Connection(Protocol):
+    """One connection to an engine: trips go out on it, answers come back in any order."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine, self.parser = engine, ArrayParser()
+        self.trips: dict[bytes, Trip] = {}
+        self.given_up: dict[bytes, None] = {}
+        self.up = self.closing = False
+        self.opened = self.used = engine.engines.clock()
+
+    # Twisted's calls.
+
+    def connectionMade(self) -> None:
+        self.up, self.opened = True, self.engine.engines.clock()
+        self.transport.setTcpNoDelay(True)
+        self.engine.engines.counters.add("engine_connections")
+        for trip in list(self.trips.values()):
+            self.write_trip(trip)
+        if not self.trips:
+            self.used = self.opened
+        if self.closing and not self.trips:
+            self.transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        self.parser.feed(data)
+        try:
+            while (parts := self.parser.take()) is not None:
+                self.answered(parts)
+        except (BadAnswer, ValueError) as fault:
+            self.engine.engines.counters.add("engine_bad_answers")
+            self.engine.say("bad_answer", why=str(fault))
+            self.transport.abortConnection()
+            self.lost()
+
+    def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
+        self.lost()
+
+    # What is written.
+
+    def write(self, *parts: bytes) -> None:
+        if self.up:
+            self.used = self.engine.engines.clock()
+            self.transport.write(command(*parts))
+
+    def carry(self, trip: Trip) -> None:
+        self.trips[trip.ident], trip.connection = trip, self
+        if self.up:
+            self.write_trip(trip)
+
+    def write_trip(self, trip: Trip) -> None:
+        self.engine.engines.counters.add("trips_written")
+        self.write(b"serve", trip.ident, *trip.words)
+
+    def give_up(self, trip: Trip, ending: Ending) -> None:
+        """Nothing more is wanted of it: it is cancelled while it may run, and its pages let go after that."""
+        self.write(b"release" if trip.parts else b"cancel", trip.ident)
+        self.given_up[trip.ident] = None  # its answer may cross: the same id does not go here again
+        if len(self.given_up) > MOST_GIVEN_UP:
+            del self.given_up[next(iter(self.given_up))]
+        self.finish(trip, Outcome(ending))
+
+    def finish(self, trip: Trip, outcome: Outcome) -> None:
+        del self.trips[trip.ident]
+        trip.connection = None
+        if self.closing and not self.trips and self.up:
+            self.transport.loseConnection()
+        trip.done.callback(outcome)
+
+    def lost(self, ending: Ending = Ending.RESET) -> None:
+        self.up, self.closing = False, True
+        if self in self.engine.connections:
+            self.engine.connections.remove(self)
+        for trip in list(self.trips.values()):
+            self.finish(trip, Outcome(ending))
+
+    # What is read.
+
+    def answered(self, parts: list[memoryview]) -> None:
+        if len(parts) != 4:
+            raise BadAnswer(f"{len(parts)} parts where 4 were expected")
+        ident, word, fields = bytes(parts[0]), bytes(parts[1]), read_fields(parts[2])
+        trip = self.trips.get(ident)
+        if word == b"200":
+            pages = int(fields["parts"]) if "parts" in fields else 1
+            if not 1 <= pages <= MOST_PAGES:
+                raise BadAnswer("a result has no usable number of pages")
+            if trip is None or trip.parts:
+                self.crossed(ident, pages if trip is None else 1)
+                return
+            trip.parts, trip.report = pages, self.engine.engines.report(fields.get("stats", ""))
+            for page in range(1, pages):
+                self.write(b"read", ident, b"%d" % page)
+            self.page(trip, 0, parts[3])
+        elif word == b"chunk":
+            if trip is None:
+                self.crossed(ident, 1)
+                return
+            number = int(fields["part_no"]) if "part_no" in fields else -1
+            if not 0 < number < trip.parts or number in trip.pages:
+                raise BadAnswer("a page that was not asked for")
+            self.page(trip, number, parts[3])
+        elif word in ENDINGS:
+            if trip is None:
+                self.crossed(ident, 1)
+                return
+            # Once it was delivered, whatever else is said of it only tells that its pages are lost.
+            ending = Ending.ERROR if trip.parts else ENDINGS[word]
+            if trip.parts:
+                self.engine.engines.counters.add("pages_lost")
+                self.write(b"release", ident)
+            self.finish(trip, Outcome(ending, (), self.engine.engines.report(fields.get("stats", ""))))
+        else:
+            raise BadAnswer("an answer with an unknown word")
+
+    def crossed(self, ident: bytes, pages: int) -> None:
+        """An answer to what was given up meanwhile; its further pages are let go."""
+        self.engine.engines.counters.add("answers_crossed")
+        if pages > 1:
+            self.write(b"release", ident)
+
+    def page(self, trip: Trip, number: int, text: memoryview) -> None:
+        trip.size += len(text)
+        if trip.size > LARGEST_RESULT:
+            raise BadAnswer("a result is too large")
+        page = bytes(text)  # it outlives the buffer: the others are still to come
+        if page and (not page.endswith(b"\n") or any(row.count(b"\t") != COLUMNS - 1
+                                                     for row in page[:-1].split(b"\n"))):
+            raise BadAnswer("a page does not hold whole rows")
+        page.decode("utf-8")
+        trip.pages[number] = page
+        if len(trip.pages) == trip.parts:
+            if trip.parts > 1:
+                self.write(b"release", trip.ident)
+            self.finish(trip, Outcome(Ending.DELIVERED, tuple(trip.pages[place] for place in range(trip.parts)),
+                                      trip.report))
+
+
+class Dial(ClientFactory):
+    noisy = False
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def buildProtocol(self, addr: Any) -> Connection:
+        return self.connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """Refused or never up: either way not a byte of a trip has left."""
+        refused = reason.check(ConnectionRefusedError) is not None
+        self.connection.engine.engines.counters.add("dials_refused" if refused else "dials_not_up")
+        self.connection.lost(Ending.UNREACHED)
+
+
+class Engine:
+    """One engine's seat and the connections to it."""
+
+    def __init__(self, engines: Engines, seat: Seat) -> None:
+        self.engines, self.seat = engines, seat
+        self.connections: list[Connection] = []
+
+    def say(self, event: str, **figures: object) -> None:
+        self.engines.log.warning(event, extra={"figures": {"engine": self.seat.ident} | figures})
+
+    def reseat(self, seat: Seat) -> None:
+        before, self.seat = self.seat, seat
+        for connection in list(self.connections):
+            if seat.started != before.started and connection.up and connection.opened < seat.started:
+                connection.transport.abortConnection()  # the process that it led to is no more
+                connection.lost()
+            elif seat.life == Life.GONE or seat[1:3] != before[1:3]:
+                self.retire(connection)
+            if seat.life != Life.READY and not connection.up:
+                # Dialled for, not yet sent: what would be sent now comes too late for a drain.
+                connection.lost(Ending.UNREACHED)
+
+    def retire(self, connection: Connection) -> None:
+        connection.closing = True
+        if not connection.trips and connection.up:
+            connection.transport.loseConnection()
+
+    def connection_for(self, trip: Trip) -> Connection | None:
+        for connection in self.connections:
+            if not connection.closing and len(connection.trips) < self.engines.trips_a_connection \
+                    and trip.ident not in connection.trips \
+                    and trip.ident not in connection.given_up:
+                return connection
+        if len(self.connections) >= MOST_CONNECTIONS:
+            return None
+        connection = Connection(self)
+        self.connections.append(connection)
+        self.engines.dial(self.seat.host, self.seat.port, Dial(connection))
+        return connection if connection in self.connections else None
+
+    def sweep(self, idle_since: float) -> None:
+        for connection in list(self.connections):
+            if connection.up and not connection.trips and connection.used < idle_since:
+                self.retire(connection)
+
+
+class Engines:
+    """All engines by index. A trip is sent, and its Deferred tells how it ended."""
+
+    def __init__(self, reactor: Any, clock: Callable[[], float], connect_within: float, idle_after: float,
+                 trips_a_connection: int, report_fields: Sequence[str], counters: Counters,
+                 log: logging.Logger) -> None:
+        self.reactor, self.clock, self.counters, self.log = reactor, clock, counters, log
+        self.connect_within, self.idle_after = connect_within, idle_after
+        self.trips_a_connection, self.report_fields = max(1, trips_a_connection), tuple(report_fields)
+        self.engines: dict[int, Engine] = {}
+
+    def dial(self, host: str, port: int, factory: Dial) -> None:
+        self.reactor.connectTCP(host, port, factory, timeout=self.connect_within / 1000)
+
+    def report(self, text: str) -> tuple[float, ...]:
+        """The figures that the settings name, in their order; none if one is missing."""
+        told = dict(pair.partition(":")[::2] for pair in text.split(";"))
+        if not all(name in told for name in self.report_fields):
+            return ()
+        return tuple(float(told[name]) for name in self.report_fields)
+
+    def listed(self, engine: int, seat: Seat) -> None:
+        if engine in self.engines:
+            self.engines[engine].reseat(seat)
+        else:
+            self.engines[engine] = Engine(self, seat)
+
+    def forget(self, engine: int) -> None:
+        """Gone from the list: its connections end with their trips."""
+        self.engines.pop(engine, None)
+
+    def send(self, engine: int, ident: bytes, workload: bytes, wait: float, rank: int | None,
+             statement: bytes) -> Trip:
+        fields = b"class=%b,wait=%d" % (workload, max(1, int(wait)))
+        if rank is not None:
+            fields += b",rank=%d" % rank
+        trip = Trip(ident, (fields, statement))
+        connection = self.engines[engine].connection_for(trip)
+        if connection is None:
+            self.counters.add("trips_not_sent")
+            trip.done.callback(Outcome(Ending.UNREACHED))
+        else:
+            connection.carry(trip)
+        return trip
+
+    def weigh(self, trip: Trip, rank: int) -> None:
+        if trip.connection is not None and not trip.parts:
+            trip.connection.write(b"weigh", trip.ident, b"%d" % rank)
+
+    def give_up(self, trip: Trip, ending: Ending) -> None:
+        if trip.connection is not None:
+            trip.connection.give_up(trip, ending)
+
+    def sweep(self) -> None:
+        for engine in self.engines.values():
+            engine.sweep(self.clock() - IDLE_PART * self.idle_after)
+
+    def close(self) -> None:
+        for engine in self.engines.values():
+            for connection in list(engine.connections):
+                if connection.up:
+                    connection.transport.loseConnection()
--- /dev/null
+++ b/spurdeal/net/link.py
@@ -0,0 +1,281 @@
+"""The rules on sockets: what is ready is gathered, handed over in one turn, and what came back is carried out."""
+
+from __future__ import annotations
+
+import heapq
+import logging
+from collections.abc import Callable, Mapping, Sequence
+from itertools import count
+from typing import Any, NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from ..interface import Deployment, Ending, Life, Listed
+from ..rules import Dispatcher
+from .counters import Counters
+from .engines import Engines, Outcome, Trip
+from .names import Seat
+
+ANSWER_WAY = 40.0  # ms kept of a client's time for the answer's way back
+OVERDUE = 20.0  # ms after a submission's time at which the rules must have answered
+LATE = 50.0  # ms; a turn later than that is counted
+
+
+class Delivered(NamedTuple):
+    pages: tuple[bytes, ...]
+
+
+class Shed(NamedTuple):
+    come_back: float
+
+
+class BrokenOff(NamedTuple):
+    pass
+
+
+Answer = Delivered | Shed | BrokenOff
+
+
+class Taken:
+    """A submission as the link carries it, until it is answered and none of its trips is out."""
+
+    __slots__ = ("answer", "answered", "expiry", "ident", "key", "made", "number", "rank", "sent", "statement", "trips",
+                 "workload")
+
+    def __init__(self, number: int, key: bytes, ident: bytes, workload: bytes, statement: bytes, expiry: float,
+                 answer: Deferred[Answer]) -> None:
+        self.number, self.key, self.ident = number, key, ident
+        self.workload, self.statement = workload, statement
+        self.expiry, self.answer, self.answered = expiry, answer, False
+        self.rank: int | None = None
+        self.made, self.trips, self.sent = 0, dict[int, Trip](), dict[int, float]()
+
+
+class SocketLink:
+    """Carries events to the rules and what they ask to the sockets. Knows nothing of either's bytes."""
+
+    def __init__(self, site: Deployment, seed: int, locations: Sequence[str], kinds: Sequence[str], engines: Engines,
+                 reactor: Any, clock: Callable[[], float], counters: Counters, log: logging.Logger) -> None:
+        self.locations, self.kinds = list(locations), list(kinds)
+        self.engines, self.reactor, self.clock = engines, reactor, clock
+        self.counters, self.logger = counters, log
+        self.priorities, self.may_call_off = site.priorities, site.may_call_off
+        self.taken: dict[int, Taken] = {}
+        self.by_ident: dict[bytes, Taken] = {}
+        self.places: dict[str, int] = {}
+        self.seats: dict[str, Seat] = {}
+        self.numbers, self.order = count(), count()
+        self.until = float("inf")
+        self.inbox: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self.asked: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self.alarms: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.in_turn = False
+        self.turning: Any = None
+        self.alarm: Any = None
+        self.rules = Dispatcher(site, seed, self, clock())
+
+    # Gathering: events wait for the next turn.
+
+    def gather(self, call: Callable[..., None], *words: Any) -> None:
+        self.inbox.append((call, words))
+        if self.turning is None and not self.in_turn:
+            self.turning = self.reactor.callLater(0, self.turn)
+
+    def at(self, when: float, call: Callable[..., None], *words: Any) -> None:
+        heapq.heappush(self.alarms, (when, next(self.order), call, words))
+
+    def take(self, key: bytes, ident: bytes, workload: bytes, kind: int, wait: float, cost: float, memory: float, group: int,
+             statement: bytes) -> Deferred[Answer] | None:
+        """A submission is taken; its Deferred brings the answer, and cancelling that withdraws it."""
+        if key in self.by_ident:
+            return None
+        now, number = self.clock(), next(self.numbers)
+        expiry = min(now + wait - ANSWER_WAY, self.until)
+        answer: Deferred[Answer] = Deferred(lambda _: self.left(number))
+        taken = Taken(number, key, ident, workload, statement, expiry, answer)
+        self.taken[number] = self.by_ident[key] = taken
+        self.counters.add("taken")
+        self.counters.most("most_open", len(self.by_ident))
+        self.gather(self.submit, number, kind, now, expiry, cost, memory, group)
+        return answer
+
+    def submit(self, now: float, number: int, kind: int, came: float, expiry: float, cost: float, memory: float,
+               group: int) -> None:
+        self.counters.most("longest_wait_for_a_turn_ms", now - came)
+        self.at(expiry, self.expire, number)
+        self.rules.submitted(now, number, kind, 0, 0, expiry, cost, memory, group)
+
+    def left(self, number: int) -> None:
+        """The client has gone, or has said that it waits no longer: no answer is owed."""
+        self.counters.add("withdrawn")
+        self.concluded(self.taken[number])
+        self.gather(self.rules.withdrawn, number)
+
+    def withdraw(self, key: bytes) -> bool:
+        taken = self.by_ident.get(key)
+        if taken is not None:
+            taken.answer.cancel()
+        return taken is not None
+
+    def listed(self, seats: Mapping[str, Seat]) -> None:
+        """The whole list. An engine that returns under its name keeps its place."""
+        lines = []
+        for ident, seat in {**{ident: old._replace(life=Life.GONE) for ident, old in self.seats.items()},
+                            **seats}.items():
+            place = self.places.setdefault(ident, len(self.places))
+            self.engines.listed(place, seat)
+            if ident in seats:
+                lines.append(Listed(place, self.number_of(self.locations, seat.location),
+                                    self.number_of(self.kinds, seat.kind), seat.cell, seat.life, seat.weight,
+                                    seat.started))
+        for ident in self.seats.keys() - seats.keys():
+            self.engines.forget(self.places[ident])
+        self.seats = dict(seats)
+        ready = sum(seat.life == Life.READY for seat in seats.values())
+        self.logger.info("listed", extra={"figures": {"engines": len(seats), "ready": ready}})
+        self.gather(self.rules.listed, lines, True)
+
+    @staticmethod
+    def number_of(names: list[str], name: str) -> int:
+        if name not in names:
+            names.append(name)
+        return names.index(name)
+
+    def stop(self, until: float) -> None:
+        """All that is taken, and what still comes, is answered by then."""
+        self.until = until
+        for taken in self.taken.values():
+            if taken.expiry > until:
+                taken.expiry = until
+                self.at(until, self.expire, taken.number)
+        self.gather(self.rules.stopping, until)
+
+    # The turn.
+
+    def turn(self) -> None:
+        began = self.clock()
+        for delayed in (self.turning, self.alarm):
+            if delayed is not None and delayed.active():
+                delayed.cancel()
+        self.turning = self.alarm = None
+        self.in_turn = True
+        while self.alarms and self.alarms[0][0] <= began:
+            due, _, call, words = heapq.heappop(self.alarms)
+            self.counters.most("latest_turn_ms", began - due)
+            self.counters.add("turns_late", began - due > LATE)
+            self.guarded(call, *words)
+        events, self.inbox = self.inbox, []
+        self.counters.add("turns")
+        self.counters.add("events", len(events))
+        for event, words in events:
+            self.guarded(event, began, *words)
+        self.guarded(self.rules.turn, began)
+        asked, self.asked = self.asked, []
+        for act, words in asked:
+            self.guarded(act, *words)
+        self.counters.most("longest_turn_ms", self.clock() - began)
+        self.in_turn = False
+        if self.inbox:
+            self.turning = self.reactor.callLater(0, self.turn)
+        elif self.alarms:
+            self.alarm = self.reactor.callLater(max(0.0, self.alarms[0][0] - self.clock()) / 1000, self.turn)
+
+    def guarded(self, call: Callable[..., None], *words: Any) -> None:
+        """A fault in one call must not take the others' answers with it; it is logged whole and counted."""
+        try:
+            call(*words)
+        except Exception:
+            self.counters.add("faults")
+            self.logger.exception("fault", extra={"figures": {"call": getattr(call, "__name__", "?")}})
+
+    def expire(self, number: int) -> None:
+        taken = self.taken.get(number)
+        if taken is not None and taken.expiry <= self.clock():
+            for trip in list(taken.trips.values()):
+                self.engines.give_up(trip, Ending.TIME_OUT)
+            if not taken.answered:
+                self.at(self.clock() + OVERDUE, self.overdue, number)
+
+    def overdue(self, number: int) -> None:
+        taken = self.taken.get(number)
+        if taken is not None and not self.counters.must(taken.answered, "answer_in_time"):
+            self.asked.append((self.conclude, (taken, BrokenOff())))
+
+    # What the rules ask for: kept until their turn is over.
+
+    def send(self, number: int, engine: int, time_limit: float) -> None:
+        taken = self.taken[number]
+        self.asked.append((self.carry, (taken, taken.made, engine, time_limit)))
+        taken.made += 1
+
+    def terms(self, number: int, memory: float, priority: int) -> None:
+        self.asked.append((self.weigh, (self.taken[number], priority)))
+
+    def shed(self, number: int, come_back: float) -> None:
+        self.asked.append((self.conclude, (self.taken[number], Shed(come_back))))
+
+    def break_off(self, number: int) -> None:
+        self.asked.append((self.conclude, (self.taken[number], BrokenOff())))
+
+    def call_off(self, number: int, trip: int) -> None:
+        self.asked.append((self.cancel, (number, trip)))
+
+    def wake(self, delay: float, token: int) -> None:
+        due = self.clock() + delay
+        self.at(due, self.gather, self.rules_woken, token)
+
+    def rules_woken(self, now: float, token: int) -> None:
+        self.rules.woken(now, token)
+
+    def watch(self) -> None:
+        """The list comes unasked here: the name service is polled."""
+
+    def log(self, line: str) -> None:
+        self.logger.info("rules", extra={"figures": {"says": line}})
+
+    # Carrying out.
+
+    def carry(self, taken: Taken, trip: int, engine: int, time_limit: float) -> None:
+        now = self.clock()
+        wait = min(time_limit, taken.expiry - now) if time_limit else taken.expiry - now
+        rank = taken.rank if self.priorities else None
+        out = self.engines.send(engine, taken.ident, taken.workload, wait, rank, taken.statement)
+        taken.trips[trip], taken.sent[trip] = out, now
+        out.done.addCallback(self.came_back, taken, trip, engine)
+
+    def weigh(self, taken: Taken, priority: int) -> None:
+        taken.rank = priority
+        for trip in taken.trips.values():
+            self.engines.weigh(trip, priority)
+
+    def cancel(self, number: int, trip: int) -> None:
+        if number in self.taken and trip in self.taken[number].trips:
+            self.engines.give_up(self.taken[number].trips[trip], Ending.CALLED_OFF)
+
+    def conclude(self, taken: Taken, answer: Answer) -> None:
+        if not taken.answered:
+            self.counters.add(type(answer).__name__.lower())
+            self.concluded(taken)
+            taken.answer.callback(answer)
+
+    def concluded(self, taken: Taken) -> None:
+        taken.answered = True
+        del self.by_ident[taken.key]
+        self.drop(taken)
+
+    def drop(self, taken: Taken) -> None:
+        if taken.answered and not taken.trips:
+            self.taken.pop(taken.number, None)
+
+    def came_back(self, outcome: Outcome, taken: Taken, trip: int, engine: int) -> None:
+        self.counters.add("trips_" + outcome.ending.name.lower())
+        self.gather(self.ended, taken, trip, engine, outcome)
+
+    def ended(self, now: float, taken: Taken, trip: int, engine: int, outcome: Outcome) -> None:
+        del taken.trips[trip]
+        delivered = outcome.ending == Ending.DELIVERED
+        if delivered and not taken.answered:
+            self.asked.append((self.conclude, (taken, Delivered(outcome.pages))))
+        self.rules.ended(now, taken.number, trip, engine, outcome.ending, now - taken.sent[trip],
+                         delivered or taken.answered, 0.0, 0.0, outcome.report)
+        self.drop(taken)
--- /dev/null
+++ b/spurdeal/net/resp.py
@@ -0,0 +1,61 @@
+"""RESP as engines speak it: arrays of bulk strings, read and written."""
+
+MOST_PARTS = 16
+LARGEST_PART = 65536
+LONGEST_LENGTH = 12
+
+
+class BadAnswer(Exception):
+    """Bytes from an engine that are no array of bulk strings."""
+
+
+class ArrayParser:
+    """Takes arrays off a connection's bytes; their parts are slices of what was read."""
+
+    def __init__(self) -> None:
+        self.buffer = b""
+        self.at = 0
+
+    def feed(self, data: bytes) -> None:
+        left = self.buffer[self.at:] if self.at < len(self.buffer) else b""
+        self.buffer, self.at = left + data if left else data, 0
+
+    def take(self) -> list[memoryview] | None:
+        head = self.length(self.at, b"*", MOST_PARTS)
+        if head is None:
+            return None
+        count, at = head
+        whole, parts = memoryview(self.buffer), []
+        for _ in range(count):
+            sized = self.length(at, b"$", LARGEST_PART)
+            if sized is None:
+                return None
+            size, at = sized
+            if len(self.buffer) < at + size + 2:
+                return None
+            if self.buffer[at + size:at + size + 2] != b"\r\n":
+                raise BadAnswer("a string does not end where it said")
+            parts.append(whole[at:at + size])
+            at += size + 2
+        self.at = at
+        return parts
+
+    def length(self, at: int, mark: bytes, most: int) -> tuple[int, int] | None:
+        """The number of a line that starts with this mark, and where the next begins."""
+        if at >= len(self.buffer):
+            return None
+        if self.buffer[at:at + 1] != mark:
+            raise BadAnswer(f"{mark.decode()} was expected")
+        end = self.buffer.find(b"\r\n", at, at + LONGEST_LENGTH)
+        if end < 0:
+            if len(self.buffer) - at >= LONGEST_LENGTH:
+                raise BadAnswer("a length does not end")
+            return None
+        digits = self.buffer[at + 1:end]
+        if not digits.isdigit() or int(digits) > most:
+            raise BadAnswer("a length is no number or too large")
+        return int(digits), end + 2
+
+
+def command(*parts: bytes) -> bytes:
+    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
--- /dev/null
+++ b/spurdeal/net/start.py
@@ -0,0 +1,171 @@
+"""Starts a dispatcher from its configuration, and stops it."""
+
+from __future__ import annotations
+
+import gc
+import json
+import logging
+import signal
+import sys
+import time
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from twisted.internet.task import LoopingCall
+
+from ..deployment import deployment
+from ..interface import Deployment
+from .clients import Clients
+from .counters import Counters
+from .engines import Engines
+from .link import SocketLink
+from .logs import logger
+from .names import NameService, Seat, known_seats
+
+BACKLOG = 1024
+CLIENTS_PART = 0.5  # of the descriptors; clients hold a third at most, and engines and the list need the rest
+AHEAD = 131_072  # bytes that a client may send ahead of its answer
+STOP_WITHIN, STOP_NOT_BEFORE = 3300.0, 900.0  # ms after SIGTERM: a kill may come at 3.7 s, clients until 0.6 s
+
+
+class Unusable(Exception):
+    """A configuration that cannot be used; the text says why in one line."""
+
+
+class Told(NamedTuple):
+    """What a dispatcher is told at its start."""
+
+    name: str
+    host: str
+    port: int
+    seed: int
+    sockets: int
+    nameserver: tuple[str, int]
+    known: tuple[int, dict[str, Seat]]
+    site: Deployment
+    workloads: dict[bytes, int]
+    locations: list[str]
+    kinds: list[str]
+    report_fields: list[str]
+    connect_within: float
+    idle_after: float
+    trips_a_connection: int
+
+
+def address(text: object) -> tuple[str, int]:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address with a port")
+    return host, int(port)
+
+
+def read_configuration(text: str | bytes) -> Told:
+    try:
+        given = json.loads(text)
+        if not isinstance(given, dict):
+            raise ValueError("it is not a JSON object")
+        settings = given["settings"]
+        site, limits, report = deployment(settings), settings.get("limits", {}), settings.get("report") or {}
+        host, port = address(given["listen"])
+        return Told(
+            name=str(given.get("name", "")), host=host, port=port, seed=int(str(given.get("seed", "0")), 16),
+            sockets=int(given.get("limits", {}).get("sockets", 1024)), nameserver=address(given["nameserver"]),
+            known=known_seats(given["known"]), site=site,
+            workloads={grade["name"].encode(): place for place, grade in enumerate(settings["grades"])},
+            locations=[str(name) for name in settings.get("zones", [])],
+            kinds=[str(name) for name in settings.get("models", [])],
+            report_fields=[str(name) for name in report.get("fields") or []] if report.get("how") == "piggyback" else [],
+            connect_within=float(limits.get("dial_timeout", 250.0)),
+            idle_after=float(limits.get("conn_idle", 30_000.0)),
+            trips_a_connection=int(limits.get("streams_per_conn", 1)))
+    except KeyError as missing:
+        raise Unusable(f"configuration: {missing} is missing or has a value that is not known") from None
+    except (ValueError, TypeError, AttributeError) as fault:
+        raise Unusable(f"configuration: {fault}") from None
+
+
+class Service:
+    """One dispatcher: its parts, started and stopped together."""
+
+    def __init__(self, told: Told, reactor: Any, clock: Callable[[], float], log: logging.Logger,
+                 done: Callable[[], None]) -> None:
+        self.told, self.reactor, self.clock, self.log, self.done = told, reactor, clock, log, done
+        self.counters = Counters()
+        self.engines = Engines(reactor, clock, told.connect_within, told.idle_after, told.trips_a_connection,
+                               told.report_fields, self.counters, log)
+        self.link = SocketLink(told.site, told.seed, told.locations, told.kinds, self.engines, reactor, clock,
+                               self.counters, log)
+        self.clients = Clients(self.link, told.workloads, max(8, int(told.sockets * CLIENTS_PART)), AHEAD, clock,
+                               self.counters, log)
+        number, seats = told.known
+        self.names = NameService(reactor, told.nameserver, number, self.link.listed, self.counters, log)
+        self.seats = seats
+        self.sweeping = LoopingCall(self.sweep)
+        self.sweeping.clock = reactor
+        self.stopped_at = 0.0
+
+    def start(self) -> None:
+        self.link.listed(self.seats)
+        self.udp = self.reactor.listenUDP(0, self.names, interface=self.told.host, maxPacketSize=65535)
+        self.clients.port = self.reactor.listenTCP(self.told.port, self.clients, backlog=BACKLOG,
+                                                   interface=self.told.host)
+        self.clients.ready = True
+        self.sweeping.start(1.0, now=False)
+        self.log.info("ready", extra={"figures": {"name": self.told.name, "listen": self.told.host,
+                                                  "port": self.told.port, "engines": len(self.seats)}})
+
+    def sweep(self) -> None:
+        self.clients.sweep()
+        self.engines.sweep()
+
+    def stop(self) -> None:
+        """Goes on accepting, answers all that it has taken, then ends."""
+        if not self.stopped_at:
+            self.stopped_at = self.clock()
+            self.log.info("stopping", extra={"figures": {"open": len(self.link.by_ident)}})
+            self.link.stop(self.stopped_at + STOP_WITHIN)
+            self.leave()
+
+    def leave(self) -> None:
+        passed = self.clock() - self.stopped_at
+        busy = self.link.by_ident or any(not client.is_idle() for client in self.clients.connections)
+        if passed < STOP_NOT_BEFORE or (busy and passed < STOP_WITHIN + OVERTIME):
+            self.reactor.callLater(0.05, self.leave)
+            return
+        self.counters.must(not self.link.by_ident, "all_answered_at_exit")
+        self.engines.close()
+        self.log.info("counters", extra={"figures": self.counters.figures()})
+        self.log.info("stopped", extra={"figures": {"after_ms": passed}})
+        self.done()
+
+
+OVERTIME = 200.0
+
+
+def unix_ms() -> float:
+    return time.time() * 1000
+
+
+def main(environment: Mapping[str, str]) -> int:
+    path = environment.get("ROUTER_CONFIG", "")
+    try:
+        if not path:
+            raise Unusable("ROUTER_CONFIG is not set")
+        with open(path, "rb") as source:
+            told = read_configuration(source.read())
+    except OSError as fault:
+        print(f"spurdeal: configuration: {fault.strerror}: {path}", file=sys.stderr)
+        return 2
+    except Unusable as fault:
+        print(f"spurdeal: {fault}", file=sys.stderr)
+        return 2
+    from twisted.internet import reactor
+    loop: Any = reactor
+    service = Service(told, loop, unix_ms, logger(told.name or "spurdeal", sys.stderr), loop.stop)
+    signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(service.stop))
+    signal.signal(signal.SIGINT, lambda *_: loop.callFromThread(service.stop))
+    service.start()
+    gc.collect()
+    gc.freeze()
+    loop.run(installSignalHandlers=False)
+    return 0
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -97,7 +97,7 @@
     """The rules of one dispatcher, from its start to its end."""
 
     def __init__(self, site: Deployment, seed: int, link: Link, now: float) -> None:
-        self.link, self.chance, self.now, self.began = link, Chance(seed), now, now
+        self.link, self.chance, self.now, self.began, self.until = link, Chance(seed), now, now, float("inf")
         self.workloads, self.cores = site.workloads, site.cores or (1,)
         self.share = 1.0 / site.dispatchers
         self.in_hand, self.priorities, self.own, self.all = site.in_hand, site.priorities, self.share, 1.0
@@ -112,15 +112,14 @@
                             * site.cold_window * self.share * COLD_MARGIN)
         self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window or 0.0
         self.further_free = site.further_free or 0.0 if site.further_window else float("inf")
-        self.further_share, self.further_credit = site.further_share or 0.0, FURTHER_MOST
+        self.further_share, self.further_won = site.further_share or 0.0, Histogram((0.5, 1.5))
         self.taken_times, self.further_times, self.held = deque[float](), deque[float](), list[Submission]()
-        self.further_won = Histogram((0.5, 1.5))
         self.engines, self.open, self.ready = dict[int, Engine](), dict[int, Submission](), list[Engine]()
         self.promised: Engine | None = None
         self.lines, self.rests = dict[int, deque[Submission]](), dict[int, float]()
         self.usual, self.best = [0.0 for _ in site.workloads], [1.0 for _ in site.workloads]
         self.paces, self.pace = [Histogram(PACE_EDGES) for _ in site.workloads], Histogram(PACE_EDGES)
-        self.middle, self.pressed_until, self.next_interval = 1.0, 0.0, now + INTERVAL
+        self.middle, self.pressed_until, self.further_credit, self.next_interval = 1.0, 0.0, FURTHER_MOST, now + INTERVAL
         self.chain = (self.duty_stage, self.share_stage, self.order_stage, self.line_stage, self.choice_stage,
                       self.trip_stage)
         link.wake(TICK, WAKE_TICK)
@@ -129,10 +128,8 @@
 
     def listed(self, now: float, lines: Sequence[Listed], whole: bool) -> None:
         self.now = now
-        named = [line.engine for line in lines]
-        for engine in self.engines.values():
-            if whole and engine.number not in named:
-                engine.line = engine.line._replace(life=Life.GONE)
+        for number in (self.engines.keys() - {line.engine for line in lines}) if whole else ():
+            self.engines[number].line = self.engines[number].line._replace(life=Life.GONE)
         for line in lines:
             cores = self.cores[line.kind % len(self.cores)]
             engine = self.engines.get(line.engine) or Engine(line, cores, now)
@@ -147,6 +144,12 @@
             self.engines[line.engine] = engine
         self.ready = [engine for engine in self.engines.values() if engine.line.life == Life.READY]
 
+    def stopping(self, now: float, until: float) -> None:
+        """A planned restart: whatever is taken, now or later, is answered by then."""
+        self.now, self.until = now, until
+        for s in self.open.values():
+            s.expiry = min(s.expiry, until)
+
     def list_failed(self, now: float) -> None:
         self.link.wake(500.0 + 1000.0 * self.chance.draw(), WAKE_WATCH)
 
@@ -161,8 +164,8 @@
         due = cost / w.threads * self.best[kind]
         cheap = w.threads == 1 and cost <= CHEAP_MARK * min(usual or cost for usual in self.usual)
         agreed = now + w.agreed + w.stretch * due
-        s = Submission(number, kind, customer, key if w.in_order else 0, expiry, cost, memory, group, now, w,
-                       due, agreed, w.utility, cheap)
+        s = Submission(number, kind, customer, key if w.in_order else 0, min(expiry, self.until), cost, memory,
+                       group, now, w, due, agreed, w.utility, cheap)
         self.open[number] = s
         self.taken_times.append(now)
         self.further_credit = min(FURTHER_MOST, self.further_credit + FURTHER_EACH
@@ -330,8 +333,8 @@
         self.now = now
         e = self.engines[engine]
         t = e.out.pop((number, trip))
-        e.stand(t, False)
         s = t.submission
+        e.stand(t, False)
         del s.out[trip]
         if ending == Ending.TIME_OUT and not self.may_call_off:
             # Its work runs on unseen; counted as gone, it lets a jam grow (slow engine, paging, lost answer).
@@ -360,15 +363,14 @@
 
     def withdrawn(self, now: float, number: int) -> None:
         self.now = now
-        if number in self.open:
-            self.call_off(list(self.open[number].out.values()))
-            self.close(self.open[number])
+        if (s := self.open.get(number)) is not None:
+            self.call_off(list(s.out.values()))
+            self.close(s)
 
     def end(self, s: Submission) -> None:
         """Shed where trying again is harmless, broken off where it may not be."""
-        w = s.workload
-        harmless = w.effect == Effect.REDOABLE or (w.effect == Effect.LABELLED and w.reach == Reach.ALL)
-        if harmless or not (s.ran or s.out):
+        effect, reach = s.workload.effect, s.workload.reach
+        if effect == Effect.REDOABLE or (effect, reach) == (Effect.LABELLED, Reach.ALL) or not (s.ran or s.out):
             self.link.shed(s.number, self.come_back)
         else:
             self.link.break_off(s.number)
@@ -382,10 +384,9 @@
             self.lines[s.key].remove(s)
 
     def call_off(self, trips: list[Trip]) -> None:
-        for trip in trips:
-            if self.may_call_off and not trip.called_off:
-                trip.called_off = True
-                self.link.call_off(trip.submission.number, trip.number)
+        for trip in [trip for trip in trips if self.may_call_off and not trip.called_off]:
+            trip.called_off = True
+            self.link.call_off(trip.submission.number, trip.number)
 
     # Time, measurements and health.
 
@@ -458,9 +459,9 @@
 
     def noted(self, now: float, number: int, trip: int, engine: int, word: Word, level: float) -> None:
         e = self.engines[engine]
-        if (number, trip) in e.out:
-            e.out[number, trip].heard = now
-            e.stand(e.out[number, trip], word == Word.WAITS and level == WAITS_FOR_LOAD)
+        if (t := e.out.get((number, trip))) is not None:
+            t.heard = now
+            e.stand(t, word == Word.WAITS and level == WAITS_FOR_LOAD)
             if word == Word.PROGRESS and level > 0:
                 e.answered = now
 
@@ -517,8 +518,8 @@
         # Luck lies even over the engines, so that in each interval as many are open as chance means.
         for place, e in enumerate(sorted(self.engines.values(), key=lambda _: self.chance.draw())):
             e.luck, moved = (first + place / count) % 1.0, START_THREADS * e.cores * share - e.start
-            least = FLOOR * (e.start + moved)
-            e.start, e.bound, e.before = (max(least, n + moved) for n in (e.start, e.bound, e.before))
+            e.start, e.bound, e.before = (max(FLOOR * (e.start + moved), n + moved)
+                                          for n in (e.start, e.bound, e.before))
             e.pace.halve()
             e.slowness = pooled(e.pace, self.middle)
             if self.now >= e.aside_until and not e.trial:
@@ -531,5 +532,5 @@
                 self.best[kind] = min(low, self.best[kind] * BEST_DRIFT) if self.best[kind] != 1.0 else low
             paces.halve()
         self.further_won.halve()
-        n, own = sum(e.bound for e in self.ready), sum(e.threads for e in self.ready)
-        self.link.log(f"n* {n:.1f} own {own} held {len(self.held)} pace {self.middle:.2f}")
+        n, own, held = sum(e.bound for e in self.ready), sum(e.threads for e in self.ready), len(self.held)
+        self.link.log(f"n* {n:.1f} own {own} held {held} pace {self.middle:.2f}")
