--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Protocol, ServerFactory
+from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
@@ -42,6 +42,8 @@
 class Client(Protocol):
     """One client's connection: one call at a time, each with one answer."""
 
+    transport: Any
+
     def __init__(self, clients: Clients) -> None:
         self.clients, self.parser = clients, RequestParser()
         self.call: Deferred[Answer] | None = None
@@ -65,7 +67,7 @@
             return
         self.advance()
 
-    def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.closing = True
         call, self.call = self.call, None
         if call is not None:
@@ -143,7 +145,8 @@
         self.advance()
 
     def withdrawn(self, failure: Failure) -> None:
-        failure.trap(CancelledError)
+        if not isinstance(failure.value, CancelledError):
+            failure.raiseException()
         self.call = None
         if not self.closing:
             self.close()
@@ -209,6 +212,13 @@
             self.full = False
             self.port.startReading()
 
+    def close_idle(self) -> bool:
+        """Closes what no call is open on; True while there are connections."""
+        for client in list(self.connections):
+            if client.is_idle():
+                client.close()
+        return bool(self.connections)
+
     def sweep(self) -> None:
         now = self.clock()
         for client in list(self.connections):
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionRefusedError
-from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from ..interface import Ending, Life
@@ -55,6 +55,8 @@
 class Connection(Protocol):
     """One connection to an engine: trips go out on it, answers come back in any order."""
 
+    transport: Any
+
     def __init__(self, engine: Engine) -> None:
         self.engine, self.parser = engine, ArrayParser()
         self.trips: dict[bytes, Trip] = {}
@@ -86,7 +88,7 @@
             self.transport.abortConnection()
             self.lost()
 
-    def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.lost()
 
     # What is written.
@@ -185,8 +187,8 @@
         if len(trip.pages) == trip.parts:
             if trip.parts > 1:
                 self.write(b"release", trip.ident)
-            self.finish(trip, Outcome(Ending.DELIVERED, tuple(trip.pages[place] for place in range(trip.parts)),
-                                      trip.report))
+            pages = tuple(trip.pages[place] for place in range(trip.parts))
+            self.finish(trip, Outcome(Ending.DELIVERED, pages, trip.report))
 
 
 class Dial(ClientFactory):
@@ -200,7 +202,7 @@
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         """Refused or never up: either way not a byte of a trip has left."""
-        refused = reason.check(ConnectionRefusedError) is not None
+        refused = isinstance(reason.value, ConnectionRefusedError)
         self.connection.engine.engines.counters.add("dials_refused" if refused else "dials_not_up")
         self.connection.lost(Ending.UNREACHED)
 
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -1,10 +1,11 @@
-"""The rules on sockets: what is ready is gathered, handed over in one turn, and what came back is carried out."""
+"""The rules on sockets: gathers what is ready, hands it over in one turn, carries out what came back."""
 
 from __future__ import annotations
 
 import heapq
 import logging
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
 from itertools import count
 from typing import Any, NamedTuple
 
@@ -36,26 +37,30 @@
 Answer = Delivered | Shed | BrokenOff
 
 
+@dataclass(slots=True, eq=False)
 class Taken:
     """A submission as the link carries it, until it is answered and none of its trips is out."""
 
-    __slots__ = ("answer", "answered", "expiry", "ident", "key", "made", "number", "rank", "sent", "statement", "trips",
-                 "workload")
-
-    def __init__(self, number: int, key: bytes, ident: bytes, workload: bytes, statement: bytes, expiry: float,
-                 answer: Deferred[Answer]) -> None:
-        self.number, self.key, self.ident = number, key, ident
-        self.workload, self.statement = workload, statement
-        self.expiry, self.answer, self.answered = expiry, answer, False
-        self.rank: int | None = None
-        self.made, self.trips, self.sent = 0, dict[int, Trip](), dict[int, float]()
+    number: int
+    key: bytes
+    ident: bytes
+    workload: bytes
+    statement: bytes
+    expiry: float
+    answer: Deferred[Answer]
+    answered: bool = False
+    rank: int | None = None
+    made: int = 0
+    trips: dict[int, Trip] = field(default_factory=dict)
+    sent: dict[int, float] = field(default_factory=dict)
 
 
 class SocketLink:
     """Carries events to the rules and what they ask to the sockets. Knows nothing of either's bytes."""
 
-    def __init__(self, site: Deployment, seed: int, locations: Sequence[str], kinds: Sequence[str], engines: Engines,
-                 reactor: Any, clock: Callable[[], float], counters: Counters, log: logging.Logger) -> None:
+    def __init__(self, site: Deployment, seed: int, locations: Sequence[str], kinds: Sequence[str],
+                 engines: Engines, reactor: Any, clock: Callable[[], float], counters: Counters,
+                 log: logging.Logger) -> None:
         self.locations, self.kinds = list(locations), list(kinds)
         self.engines, self.reactor, self.clock = engines, reactor, clock
         self.counters, self.logger = counters, log
@@ -84,8 +89,8 @@
     def at(self, when: float, call: Callable[..., None], *words: Any) -> None:
         heapq.heappush(self.alarms, (when, next(self.order), call, words))
 
-    def take(self, key: bytes, ident: bytes, workload: bytes, kind: int, wait: float, cost: float, memory: float, group: int,
-             statement: bytes) -> Deferred[Answer] | None:
+    def take(self, key: bytes, ident: bytes, workload: bytes, kind: int, wait: float, cost: float,
+             memory: float, group: int, statement: bytes) -> Deferred[Answer] | None:
         """A submission is taken; its Deferred brings the answer, and cancelling that withdraws it."""
         if key in self.by_ident:
             return None
@@ -99,8 +104,8 @@
         self.gather(self.submit, number, kind, now, expiry, cost, memory, group)
         return answer
 
-    def submit(self, now: float, number: int, kind: int, came: float, expiry: float, cost: float, memory: float,
-               group: int) -> None:
+    def submit(self, now: float, number: int, kind: int, came: float, expiry: float, cost: float,
+               memory: float, group: int) -> None:
         self.counters.most("longest_wait_for_a_turn_ms", now - came)
         self.at(expiry, self.expire, number)
         self.rules.submitted(now, number, kind, 0, 0, expiry, cost, memory, group)
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -43,9 +43,9 @@
             seats.clear()
         for entry in roster["instances"]:
             host, _, port = str(entry["hostPort"]).rpartition(":")
-            seat = Seat(str(entry["instanceId"]), host, int(port), str(entry["zone"]), str(entry["machineType"]),
-                        int(entry.get("cell", 0)), LIVES[entry["lifecycle"]], float(entry.get("weight", 1.0)),
-                        float(entry.get("startedAtMs", 0.0)))
+            seat = Seat(str(entry["instanceId"]), host, int(port), str(entry["zone"]),
+                        str(entry["machineType"]), int(entry.get("cell", 0)), LIVES[entry["lifecycle"]],
+                        float(entry.get("weight", 1.0)), float(entry.get("startedAtMs", 0.0)))
             seats[seat.ident] = seat
         last = max(last, int(item["no"]))
     return last, {ident: seat for ident, seat in seats.items() if seat.life != Life.GONE}
@@ -71,6 +71,8 @@
 class NameService(DatagramProtocol):
     """Asks for the whole list again and again, and passes on each newer one."""
 
+    transport: Any
+
     def __init__(self, reactor: Any, address: tuple[str, int], number: int,
                  listed: Callable[[dict[str, Seat]], None], counters: Counters, log: logging.Logger) -> None:
         self.reactor, self.address, self.number, self.listed = reactor, address, number, listed
@@ -108,13 +110,13 @@
                 self.counters.add("names_foreign")
                 return
             self.open.pop(ident)
-            serial, *parts = answer
+            serial, services, addresses, texts = answer
             if serial is None:
                 raise dns.BadDatagram("no serial")
             self.counters.add("names_answered")
             if serial <= self.number:  # no news, or an answer that others have overtaken
                 return
-            seats = answered_seats(*parts)
+            seats = answered_seats(services, addresses, texts)
         except dns.BadDatagram as fault:
             self.counters.add("names_bad")
             self.log.warning("bad_datagram", extra={"figures": {"why": str(fault)}})
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -9,9 +9,11 @@
 import sys
 import time
 from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, cast
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
+from twisted.logger import globalLogBeginner
 
 from ..deployment import deployment
 from ..interface import Deployment
@@ -23,9 +25,10 @@
 from .names import NameService, Seat, known_seats
 
 BACKLOG = 1024
-CLIENTS_PART = 0.5  # of the descriptors; clients hold a third at most, and engines and the list need the rest
+CLIENTS_PART = 0.5  # of the descriptors; clients need a third, engines and the list the rest
 AHEAD = 131_072  # bytes that a client may send ahead of its answer
 STOP_WITHIN, STOP_NOT_BEFORE = 3300.0, 900.0  # ms after SIGTERM: a kill may come at 3.7 s, clients until 0.6 s
+OVERTIME = 200.0  # ms in which the last answers may still be written
 
 
 class Unusable(Exception):
@@ -66,15 +69,17 @@
             raise ValueError("it is not a JSON object")
         settings = given["settings"]
         site, limits, report = deployment(settings), settings.get("limits", {}), settings.get("report") or {}
+        fields = report.get("fields") or [] if report.get("how") == "piggyback" else []
         host, port = address(given["listen"])
         return Told(
             name=str(given.get("name", "")), host=host, port=port, seed=int(str(given.get("seed", "0")), 16),
-            sockets=int(given.get("limits", {}).get("sockets", 1024)), nameserver=address(given["nameserver"]),
+            sockets=int(given.get("limits", {}).get("sockets", 1024)),
+            nameserver=address(given["nameserver"]),
             known=known_seats(given["known"]), site=site,
             workloads={grade["name"].encode(): place for place, grade in enumerate(settings["grades"])},
             locations=[str(name) for name in settings.get("zones", [])],
             kinds=[str(name) for name in settings.get("models", [])],
-            report_fields=[str(name) for name in report.get("fields") or []] if report.get("how") == "piggyback" else [],
+            report_fields=[str(name) for name in fields],
             connect_within=float(limits.get("dial_timeout", 250.0)),
             idle_after=float(limits.get("conn_idle", 30_000.0)),
             trips_a_connection=int(limits.get("streams_per_conn", 1)))
@@ -95,8 +100,8 @@
                                told.report_fields, self.counters, log)
         self.link = SocketLink(told.site, told.seed, told.locations, told.kinds, self.engines, reactor, clock,
                                self.counters, log)
-        self.clients = Clients(self.link, told.workloads, max(8, int(told.sockets * CLIENTS_PART)), AHEAD, clock,
-                               self.counters, log)
+        self.clients = Clients(self.link, told.workloads, max(8, int(told.sockets * CLIENTS_PART)), AHEAD,
+                               clock, self.counters, log)
         number, seats = told.known
         self.names = NameService(reactor, told.nameserver, number, self.link.listed, self.counters, log)
         self.seats = seats
@@ -114,6 +119,12 @@
         self.log.info("ready", extra={"figures": {"name": self.told.name, "listen": self.told.host,
                                                   "port": self.told.port, "engines": len(self.seats)}})
 
+    def unhandled(self, event: Mapping[str, Any]) -> None:
+        """A fault that a protocol let through: Twisted ends its connection, and the log tells why."""
+        if "log_failure" in event:
+            self.counters.add("unhandled")
+            self.log.error("unhandled", extra={"figures": {"trace": event["log_failure"].getTraceback()}})
+
     def sweep(self) -> None:
         self.clients.sweep()
         self.engines.sweep()
@@ -127,21 +138,20 @@
             self.leave()
 
     def leave(self) -> None:
+        """Ends once all is answered and no more can come; answers on their way out are written first."""
         passed = self.clock() - self.stopped_at
-        busy = self.link.by_ident or any(not client.is_idle() for client in self.clients.connections)
-        if passed < STOP_NOT_BEFORE or (busy and passed < STOP_WITHIN + OVERTIME):
+        over = passed >= STOP_WITHIN + OVERTIME
+        if not over and (passed < STOP_NOT_BEFORE or self.link.by_ident or self.clients.close_idle()):
             self.reactor.callLater(0.05, self.leave)
             return
         self.counters.must(not self.link.by_ident, "all_answered_at_exit")
+        self.sweeping.stop()
         self.engines.close()
         self.log.info("counters", extra={"figures": self.counters.figures()})
         self.log.info("stopped", extra={"figures": {"after_ms": passed}})
         self.done()
 
 
-OVERTIME = 200.0
-
-
 def unix_ms() -> float:
     return time.time() * 1000
 
@@ -164,7 +174,13 @@
     service = Service(told, loop, unix_ms, logger(told.name or "spurdeal", sys.stderr), loop.stop)
     signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(service.stop))
     signal.signal(signal.SIGINT, lambda *_: loop.callFromThread(service.stop))
-    service.start()
+    globalLogBeginner.beginLoggingTo([cast(Any, service.unhandled)], redirectStandardIO=False)
+    try:
+        service.start()
+    except CannotListenError as fault:
+        print(f"spurdeal: configuration: cannot listen on {told.host}:{told.port}: {fault.socketError}",
+              file=sys.stderr)
+        return 2
     gc.collect()
     gc.freeze()
     loop.run(installSignalHandlers=False)
--- a/spurdeal/net/statement.py
+++ b/spurdeal/net/statement.py
@@ -12,8 +12,8 @@
 COMMENT_MARKS = re.compile(r"/\*|\*/")
 GROUP = re.compile(r".*_(\d{1,9})", re.DOTALL)
 BEFORE_TABLE = {"from", "join", "into", "update", "table", "copy", "using", "only", "truncate", "merge"}
-ENDS_TABLES = {"where", "group", "order", "having", "limit", "union", "except", "intersect", "on", "set", "values",
-               "select", "returning", "window", "fetch", "offset", "for"}
+ENDS_TABLES = {"where", "group", "order", "having", "limit", "union", "except", "intersect", "on", "set",
+               "values", "select", "returning", "window", "fetch", "offset", "for"}
 STAGING = "staging"
 NO_GROUP = -1
 
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -105,7 +105,7 @@
         self.spare = 0.0 if site.pages else SPARE * self.widest  # what lets all in has no room for chance
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
-        self.most_trips, self.may_call_off = site.most_trips, site.may_call_off
+        self.most_trips, self.may_call_off, self.further_credit = site.most_trips, site.may_call_off, FURTHER_MOST
         self.notes, self.pages, self.grant = site.notes_every, site.pages, GRANT if site.grants else 0.0
         self.cold_for, self.cold_window, self.come_back = site.cold_for, site.cold_window, site.most_come_back
         self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
@@ -119,7 +119,7 @@
         self.lines, self.rests = dict[int, deque[Submission]](), dict[int, float]()
         self.usual, self.best = [0.0 for _ in site.workloads], [1.0 for _ in site.workloads]
         self.paces, self.pace = [Histogram(PACE_EDGES) for _ in site.workloads], Histogram(PACE_EDGES)
-        self.middle, self.pressed_until, self.further_credit, self.next_interval = 1.0, 0.0, FURTHER_MOST, now + INTERVAL
+        self.middle, self.pressed_until, self.next_interval = 1.0, 0.0, now + INTERVAL
         self.chain = (self.duty_stage, self.share_stage, self.order_stage, self.line_stage, self.choice_stage,
                       self.trip_stage)
         link.wake(TICK, WAKE_TICK)
@@ -131,8 +131,7 @@
         for number in (self.engines.keys() - {line.engine for line in lines}) if whole else ():
             self.engines[number].line = self.engines[number].line._replace(life=Life.GONE)
         for line in lines:
-            cores = self.cores[line.kind % len(self.cores)]
-            engine = self.engines.get(line.engine) or Engine(line, cores, now)
+            engine = self.engines.get(line.engine) or Engine(line, self.cores[line.kind % len(self.cores)], now)
             if line.engine not in self.engines or line.started != engine.line.started:
                 engine.start_over(START_THREADS * engine.cores * self.own / self.all)
                 engine.aside_until, engine.trial = 0.0, False
@@ -164,8 +163,8 @@
         due = cost / w.threads * self.best[kind]
         cheap = w.threads == 1 and cost <= CHEAP_MARK * min(usual or cost for usual in self.usual)
         agreed = now + w.agreed + w.stretch * due
-        s = Submission(number, kind, customer, key if w.in_order else 0, min(expiry, self.until), cost, memory,
-                       group, now, w, due, agreed, w.utility, cheap)
+        s = Submission(number, kind, customer, key if w.in_order else 0, min(expiry, self.until), cost,
+                       memory, group, now, w, due, agreed, w.utility, cheap)
         self.open[number] = s
         self.taken_times.append(now)
         self.further_credit = min(FURTHER_MOST, self.further_credit + FURTHER_EACH
@@ -369,8 +368,9 @@
 
     def end(self, s: Submission) -> None:
         """Shed where trying again is harmless, broken off where it may not be."""
-        effect, reach = s.workload.effect, s.workload.reach
-        if effect == Effect.REDOABLE or (effect, reach) == (Effect.LABELLED, Reach.ALL) or not (s.ran or s.out):
+        w = s.workload
+        harmless = w.effect == Effect.REDOABLE or (w.effect == Effect.LABELLED and w.reach == Reach.ALL)
+        if harmless or not (s.ran or s.out):
             self.link.shed(s.number, self.come_back)
         else:
             self.link.break_off(s.number)
