--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -27,7 +27,7 @@
 BACKLOG = 1024
 CLIENTS_PART = 0.5  # of the descriptors; clients need a third, engines and the list the rest
 AHEAD = 131_072  # bytes that a client may send ahead of its answer
-STOP_WITHIN, STOP_NOT_BEFORE = 3300.0, 900.0  # ms after SIGTERM: a kill may come at 3.7 s, clients until 0.6 s
+STOP_WITHIN, STOP_NOT_BEFORE = 3300.0, 900.0  # ms after SIGTERM: killed at 3.7 s, clients until 0.6 s
 OVERTIME = 200.0  # ms in which the last answers may still be written
 
 
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -47,8 +47,8 @@
 class Engine:
     """One engine as this dispatcher sees it, with its bound n*."""
 
-    def __init__(self, line: Listed, cores: int, now: float) -> None:
-        self.number, self.line, self.cores = line.engine, line, cores
+    def __init__(self, line: Listed, cores: tuple[int, ...], now: float) -> None:
+        self.number, self.line, self.cores = line.engine, line, cores[line.kind % len(cores)]
         self.out: dict[tuple[int, int], Trip] = {}
         self.threads, self.overdue, self.answered, self.luck = 0, 0, now, 1.0
         self.aside_until, self.warm_at, self.trial = 0.0, 0.0, False
@@ -99,13 +99,13 @@
     def __init__(self, site: Deployment, seed: int, link: Link, now: float) -> None:
         self.link, self.chance, self.now, self.began, self.until = link, Chance(seed), now, now, float("inf")
         self.workloads, self.cores = site.workloads, site.cores or (1,)
-        self.share = 1.0 / site.dispatchers
+        self.share, self.further_credit = 1.0 / site.dispatchers, FURTHER_MOST
         self.in_hand, self.priorities, self.own, self.all = site.in_hand, site.priorities, self.share, 1.0
         self.widest = float(max(workload.threads for workload in site.workloads))
         self.spare = 0.0 if site.pages else SPARE * self.widest  # what lets all in has no room for chance
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
-        self.most_trips, self.may_call_off, self.further_credit = site.most_trips, site.may_call_off, FURTHER_MOST
+        self.most_trips, self.may_call_off = site.most_trips, site.may_call_off
         self.notes, self.pages, self.grant = site.notes_every, site.pages, GRANT if site.grants else 0.0
         self.cold_for, self.cold_window, self.come_back = site.cold_for, site.cold_window, site.most_come_back
         self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
@@ -131,7 +131,7 @@
         for number in (self.engines.keys() - {line.engine for line in lines}) if whole else ():
             self.engines[number].line = self.engines[number].line._replace(life=Life.GONE)
         for line in lines:
-            engine = self.engines.get(line.engine) or Engine(line, self.cores[line.kind % len(self.cores)], now)
+            engine = self.engines.get(line.engine) or Engine(line, self.cores, now)
             if line.engine not in self.engines or line.started != engine.line.started:
                 engine.start_over(START_THREADS * engine.cores * self.own / self.all)
                 engine.aside_until, engine.trial = 0.0, False
