Tests of parsers and protocols in memory; engines stay known, the list is told first

Found by the new tests: a trip that an engine's leaving gave back could be sent to it again in the same turn, as the outcome was gathered before the list (SocketLink.listed), and then failed on the forgotten engine (Engines.forget). The list is now gathered first and engines stay known for the life of the process.

--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -280,10 +280,6 @@
         else:
             self.engines[engine] = Engine(self, seat)
 
-    def forget(self, engine: int) -> None:
-        """Gone from the list: its connections end with their trips."""
-        self.engines.pop(engine, None)
-
     def send(self, engine: int, ident: bytes, workload: bytes, wait: float, rank: int | None,
              statement: bytes) -> Trip:
         fields = b"class=%b,wait=%d" % (workload, max(1, int(wait)))
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -124,21 +124,20 @@
 
     def listed(self, seats: Mapping[str, Seat]) -> None:
         """The whole list. An engine that returns under its name keeps its place."""
-        lines = []
-        for ident, seat in {**{ident: old._replace(life=Life.GONE) for ident, old in self.seats.items()},
-                            **seats}.items():
-            place = self.places.setdefault(ident, len(self.places))
-            self.engines.listed(place, seat)
-            if ident in seats:
-                lines.append(Listed(place, self.number_of(self.locations, seat.location),
-                                    self.number_of(self.kinds, seat.kind), seat.cell, seat.life, seat.weight,
-                                    seat.started))
-        for ident in self.seats.keys() - seats.keys():
-            self.engines.forget(self.places[ident])
+        lines = [Listed(self.place_of(ident), self.number_of(self.locations, seat.location),
+                        self.number_of(self.kinds, seat.kind), seat.cell, seat.life, seat.weight,
+                        seat.started) for ident, seat in seats.items()]
+        # Told first: what the engines' connections then give back must not be sent there again.
+        self.gather(self.rules.listed, lines, True)
+        gone = {ident: seat._replace(life=Life.GONE) for ident, seat in self.seats.items()}
+        for ident, seat in (gone | dict(seats)).items():
+            self.engines.listed(self.place_of(ident), seat)
         self.seats = dict(seats)
         ready = sum(seat.life == Life.READY for seat in seats.values())
         self.logger.info("listed", extra={"figures": {"engines": len(seats), "ready": ready}})
-        self.gather(self.rules.listed, lines, True)
+
+    def place_of(self, ident: str) -> int:
+        return self.places.setdefault(ident, len(self.places))
 
     @staticmethod
     def number_of(names: list[str], name: str) -> int:
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -110,10 +110,10 @@
         self.stopped_at = 0.0
 
     def start(self) -> None:
-        self.link.listed(self.seats)
-        self.udp = self.reactor.listenUDP(0, self.names, interface=self.told.host, maxPacketSize=65535)
         self.clients.port = self.reactor.listenTCP(self.told.port, self.clients, backlog=BACKLOG,
                                                    interface=self.told.host)
+        self.reactor.listenUDP(0, self.names, interface=self.told.host, maxPacketSize=65535)
+        self.link.listed(self.seats)
         self.clients.ready = True
         self.sweeping.start(1.0, now=False)
         self.log.info("ready", extra={"figures": {"name": self.told.name, "listen": self.told.host,
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,239 @@
+"""A dispatcher on in-memory transports and a clock that the test moves, and the sides it talks to."""
+
+import io
+import json
+import struct
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from spurdeal.net import dns
+from spurdeal.net.logs import logger
+from spurdeal.net.resp import ArrayParser, command
+from spurdeal.net.start import Service, read_configuration
+
+BASE = 1_790_000_000_000.0
+SETTINGS: dict[str, Any] = {
+    "grades": [{"name": "lookup", "aim": 1000, "aim_stretch": 2, "deadline": 5000, "late_worth": 0.5},
+               {"name": "load", "aim": 3000, "aim_stretch": 2, "deadline": 20000, "effect": "once"}],
+    "zones": ["east"], "models": ["std"],
+    "extra": {"cpu_of_kind": [8], "priorities": True},
+    "limits": {"cancelling": True, "conn_idle": 30000, "dial_timeout": 250, "streams_per_conn": 2,
+               "send_cap": 3, "retry_after": True, "max_retry_after": 500},
+    "rules": {"drain_grace": 250, "cold": 15000, "cold_share": 0.3, "fall_multiple": 2, "tip_after": 1500}}
+
+
+def instance(number: int, **more: Any) -> dict[str, Any]:
+    return {"instanceId": f"s-{number}", "hostPort": f"127.0.9.{number}:7001", "zone": "east",
+            "machineType": "std", "cell": 0, "lifecycle": "SERVING", "weight": 1, "startedAtMs": 0} | more
+
+
+def configuration(engines: int = 1, **more: Any) -> dict[str, Any]:
+    roster = {"generation": 1, "reset": True, "instances": [instance(number) for number in range(engines)]}
+    return {"name": "n1", "listen": "127.0.8.1:7001", "seed": "00ff", "nameserver": "127.0.8.9:5300",
+            "limits": {"sockets": 64}, "known": {"no": 1, "items": [{"no": 1, "roster": roster}]},
+            "settings": SETTINGS} | more
+
+
+class Pipe(StringTransport):
+    """A transport in memory: what was written, and whether it was ended or cut."""
+
+    aborted = False
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        """Accepted as a socket would."""
+
+    def abortConnection(self) -> None:
+        self.aborted = self.disconnecting = True
+
+    def taken(self) -> bytes:
+        written: bytes = self.value()
+        self.clear()
+        return written
+
+
+class Reactor(MemoryReactorClock):
+    """With datagrams, which Twisted's own lacks: they go to whoever made it."""
+
+    def __init__(self, sink: object) -> None:
+        super().__init__()
+        self.sink = sink
+
+    def listenUDP(self, port: int, protocol: Any, interface: str, maxPacketSize: int) -> None:
+        protocol.makeConnection(self.sink)
+
+
+class Port:
+    def __init__(self) -> None:
+        self.open = True
+
+    def startReading(self) -> None:
+        self.open = True
+
+    def stopReading(self) -> None:
+        self.open = False
+
+
+class Caller:
+    """A client on one connection."""
+
+    def __init__(self, world: "World") -> None:
+        self.world, self.pipe = world, Pipe()
+        self.protocol = world.service.clients.buildProtocol(None)
+        self.protocol.makeConnection(self.pipe)
+
+    def post(self, ident: int, workload: str = "lookup", wait: object = 5000, body: bytes = b"SELECT 1",
+             **more: object) -> None:
+        fields = {"Req-Id": f"{ident:016x}", "Req-Wait-Ms": wait, "Content-Length": len(body)} | more
+        head = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in fields.items())
+        self.say(f"POST /ops/{workload} HTTP/1.1\r\nHost: origin.svc\r\n{head}\r\n".encode() + body)
+
+    def say(self, data: bytes) -> None:
+        self.protocol.dataReceived(data)
+        self.world.go()
+
+    def leave(self) -> None:
+        self.protocol.connectionLost(Failure(ConnectionDone()))
+        self.world.go()
+
+    def answers(self) -> list[tuple[int, dict[str, str], Any]]:
+        """Status, fields and value of each answer, read by their lengths."""
+        text, found = self.pipe.taken(), []
+        while text:
+            head, _, rest = text.partition(b"\r\n\r\n")
+            first, *lines = head.decode().split("\r\n")
+            fields = dict(line.split(": ", 1) for line in lines)
+            size = int(fields["Content-Length"])
+            found.append((int(first.split()[1]), fields, json.loads(rest[:size])))
+            text = rest[size:]
+        return found
+
+
+class Peer:
+    """An engine's side of one connection."""
+
+    def __init__(self, world: "World", place: int) -> None:
+        self.world, self.pipe = world, Pipe()
+        host, port, factory, timeout, _ = world.reactor.tcpClients[place]
+        self.host, self.port, self.factory, self.timeout = host, port, factory, timeout
+        self.parser = ArrayParser()
+
+    def up(self) -> "Peer":
+        self.protocol = self.factory.buildProtocol(None)
+        self.protocol.makeConnection(self.pipe)
+        self.world.go()
+        return self
+
+    def refuse(self, error: type[Exception] = ConnectionRefusedError) -> None:
+        self.factory.clientConnectionFailed(None, Failure(error()))
+        self.world.go()
+
+    def heard(self) -> list[list[str]]:
+        self.parser.feed(self.pipe.taken())
+        found = []
+        while (parts := self.parser.take()) is not None:
+            found.append([bytes(part).decode() for part in parts])
+        return found
+
+    def say(self, ident: int, word: str, fields: str = "-", body: bytes = b"") -> None:
+        self.raw(command(f"{ident:016x}".encode(), word.encode(), fields.encode(), body))
+
+    def raw(self, data: bytes) -> None:
+        self.protocol.dataReceived(data)
+        self.world.go()
+
+    def lose(self) -> None:
+        self.protocol.connectionLost(Failure(ConnectionDone()))
+        self.world.go()
+
+
+class World:
+    def __init__(self, case: unittest.TestCase, engines: int = 1, **more: Any) -> None:
+        self.case, self.done = case, list[float]()
+        self.reactor: Any = Reactor(self)
+        self.names: list[bytes] = []
+        self.log = io.StringIO()
+        told = read_configuration(json.dumps(configuration(engines, **more)))
+        self.service = Service(told, self.reactor, self.now, logger("n1", self.log),
+                               lambda: self.done.append(self.now()))
+        self.service.start()
+        self.service.clients.port = self.door = Port()
+        case.addCleanup(self.check)
+        self.go()
+
+    def now(self) -> float:
+        return BASE + float(self.reactor.seconds()) * 1000
+
+    def check(self) -> None:
+        faults = {name: count for name, count in self.service.counters.sums.items()
+                  if name in ("faults", "unhandled") or name.startswith("must_")}
+        self.case.assertEqual(faults, {}, self.log.getvalue())
+
+    def go(self, ms: float = 0.0) -> None:
+        """Moves the clock in steps, so that whatever is due on the way comes when it is due."""
+        self.reactor.pump([0.0, 0.0] + [0.005] * round(ms / 5) + [0.0, 0.0])
+
+    def peer(self, place: int = 0) -> Peer:
+        return Peer(self, place)
+
+    def count(self, name: str) -> int:
+        return self.service.counters.sums[name]
+
+    # The name service's side.
+
+    def write(self, datagram: bytes, address: object) -> None:
+        self.names.append(datagram)
+
+    def list(self, serial: int, *seats: tuple[str, str, int, str], **more: Any) -> None:
+        self.go(200)  # the next question
+        answer = name_answer(self.names[-1], serial, *seats, **more)
+        self.service.names.datagramReceived(answer, ("127.0.8.9", 5300))
+        self.go()
+
+
+def name_answer(question: bytes, serial: int, *seats: tuple[str, str, int, str], compressed: bool = True,
+                flags: int = 0x8400) -> bytes:
+    """Seats are target, address, priority and text; names are compressed or not at all."""
+    message = bytearray(struct.pack("!2s5H", question[:2], flags, 1, len(seats), 1, 2 * len(seats)))
+    known: dict[str, int] = {}
+
+    def name(text: str) -> bytes:
+        labels, out = text.split("."), b""
+        while labels:
+            rest = ".".join(labels)
+            if compressed and rest in known:
+                return out + struct.pack("!H", 0xC000 | known[rest])
+            known.setdefault(rest, len(message) + len(out))
+            out += bytes([len(labels[0])]) + labels.pop(0).encode()
+        return out + b"\0"
+
+    def record(owner: str, kind: int, data: Callable[[], bytes]) -> None:
+        message.extend(name(owner) + struct.pack("!HHI", kind, 1, 1))
+        message.extend(b"\0\0")
+        at = len(message)
+        message.extend(data())
+        message[at - 2:at] = struct.pack("!H", len(message) - at)
+
+    service = "_api._tcp.svc.local"
+    message.extend(name(service) + struct.pack("!HH", dns.SRV, 1))
+    for target, address, priority, _ in seats:
+        port = int(address.partition(":")[2])
+        message_head = struct.pack("!3H", priority, 40, port)
+
+        def service_data(head: bytes = message_head, target: str = target) -> bytes:
+            message.extend(head)  # a name's place counts from the message's start
+            text = name(target)
+            del message[-len(head):]
+            return head + text
+        record(service, dns.SRV, service_data)
+    record("svc.local", dns.SOA, lambda: b"\0\0" + struct.pack("!5I", serial, 1, 1, 1, 1))
+    for target, address, _, text in seats:
+        numbers = bytes(int(part) for part in address.partition(":")[0].split("."))
+        record(target, dns.A, lambda numbers=numbers: numbers)  # type: ignore[misc]
+        words = b"".join(bytes([len(word)]) + word.encode() for word in text.split())
+        record(target, dns.TXT, lambda words=words: words)  # type: ignore[misc]
+    return bytes(message)
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,290 @@
+"""The dispatcher on sockets, from a client's bytes to an engine's and back, on in-memory transports."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from twisted.internet.error import TimeoutError as NotUp
+
+from tests.helpers import BASE, Caller, World, configuration
+
+ROW = b"a\t1\tx\n"
+SHED, BROKEN = (503, "TryLater"), (500, "Aborted")
+
+
+class Net(unittest.TestCase):
+    def outcome(self, caller: Caller) -> tuple[int, object]:
+        (status, _, value), = caller.answers()
+        return status, value.get("fault", value.get("result"))
+
+    def test_a_result_of_three_pages_in_any_order(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.post(0xAB, wait="1500", body=b"SELECT a FROM s_3.t", Req_Cost="820.0", X_Est_Mb="96")
+        peer = world.peer().up()
+        self.assertEqual((peer.host, peer.port, peer.timeout), ("127.0.9.0", 7001, 0.25))
+        self.assertEqual(peer.heard(), [["serve", f"{0xAB:016x}", "class=lookup,wait=1460,rank=3",
+                                         "SELECT a FROM s_3.t"]])
+        peer.say(0xAB, "200", "parts=3", "a\t1\té\n".encode())
+        self.assertEqual(peer.heard(), [["read", f"{0xAB:016x}", "1"], ["read", f"{0xAB:016x}", "2"]])
+        peer.say(0xAB, "chunk", "part_no=2", b'"\t\\\t\r\n')
+        self.assertEqual(caller.answers(), [])
+        peer.say(0xAB, "chunk", "part_no=1", b"\t2\t\n")
+        self.assertEqual(peer.heard(), [["release", f"{0xAB:016x}"]])
+        self.assertEqual(self.outcome(caller), (200, [["a", "1", "é"], ["", "2", ""], ['"', "\\", "\r"]]))
+
+    def test_pipelined_calls_are_answered_one_at_a_time(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.post(1)
+        caller.post(2)
+        peer = world.peer().up()
+        self.assertEqual([said[1] for said in peer.heard()], [f"{1:016x}"])
+        peer.say(1, "200", "parts=1", ROW)
+        self.assertEqual([said[1] for said in peer.heard()], [f"{2:016x}"])
+        peer.say(2, "200")
+        self.assertEqual([value for _, _, value in caller.answers()],
+                         [{"result": [["a", "1", "x"]]}, {"result": []}])
+
+    def test_what_proves_that_nothing_ran(self) -> None:
+        """Refused, never up, full and over let an irreversible one go again; all else breaks it off."""
+        for proof in ("refused", "not up", "503", "504"):
+            with self.subTest(proof):
+                world = World(self, engines=2)
+                caller = Caller(world)
+                caller.post(1, "load")
+                peer = world.peer()
+                if proof == "refused":
+                    peer.refuse()
+                elif proof == "not up":
+                    peer.refuse(NotUp)
+                else:
+                    peer.up().say(1, proof)
+                self.assertEqual(world.peer(1).up().heard()[0][:2], ["serve", f"{1:016x}"])
+        for doubt in ("500", "reset", "page lost", "reset after page 0", "no array", "bad fields", "bad rows",
+                      "an unasked page", "a changed end"):
+            with self.subTest(doubt):
+                world = World(self, engines=2)
+                caller = Caller(world)
+                caller.post(1, "load")
+                peer = world.peer().up()
+                if doubt in ("page lost", "reset after page 0"):
+                    peer.say(1, "200", "parts=2", ROW)
+                if doubt in ("500", "page lost"):
+                    peer.say(1, "500")
+                elif doubt == "no array":
+                    peer.raw(b"HTTP/1.1 200 OK\r\n")
+                elif doubt == "bad fields":
+                    peer.say(1, "200", "parts")
+                elif doubt == "bad rows":
+                    peer.say(1, "200", "parts=1", b"a\tb\n")
+                elif doubt == "an unasked page":
+                    peer.say(1, "chunk", "part_no=1", ROW)
+                elif doubt == "a changed end":
+                    peer.say(1, "777")
+                else:
+                    peer.lose()
+                self.assertEqual(self.outcome(caller), BROKEN)
+                self.assertEqual(len(world.reactor.tcpClients), 1)
+
+    def test_a_lost_page_of_a_redoable_one_goes_again_elsewhere(self) -> None:
+        world = World(self, engines=2)
+        caller = Caller(world)
+        caller.post(1)
+        peer = world.peer().up()
+        peer.say(1, "200", "parts=2", b"old\t\t\n")
+        peer.raw(b"!")
+        world.peer(1).up().say(1, "200", "parts=1", ROW)
+        self.assertEqual(self.outcome(caller), (200, [["a", "1", "x"]]))
+
+    def test_silence_ends_before_the_clients_time(self) -> None:
+        for workload, wanted in (("lookup", SHED), ("load", BROKEN)):
+            with self.subTest(workload):
+                world = World(self)
+                caller = Caller(world)
+                caller.post(1, workload, wait=1000)
+                peer = world.peer().up()
+                world.go(940)
+                self.assertEqual(caller.answers(), [])
+                world.go(30)
+                self.assertEqual(self.outcome(caller), wanted)
+                self.assertEqual(peer.heard()[1:], [["cancel", f"{1:016x}"]])
+                peer.say(1, "200", "parts=2", ROW)  # it crossed: its pages are let go, and no answer follows
+                self.assertEqual((peer.heard(), caller.answers()), ([["release", f"{1:016x}"]], []))
+
+    def test_a_client_that_leaves_is_withdrawn(self) -> None:
+        world = World(self)
+        caller, other = Caller(world), Caller(world)
+        caller.post(1)
+        peer = world.peer().up()
+        caller.leave()
+        self.assertEqual([said[0] for said in peer.heard()], ["serve", "cancel"])
+        caller = Caller(world)
+        caller.post(2)
+        other.say(b"DELETE /ops/lookup/%016x HTTP/1.1\r\n\r\n" % 2)
+        self.assertEqual([said[0] for said in peer.heard()], ["serve", "cancel"])
+        self.assertEqual((other.answers()[0][0], caller.answers()), (200, []))
+        self.assertTrue(caller.pipe.disconnecting)
+        other.say(b"DELETE /ops/lookup/%016x HTTP/1.1\r\n\r\n" % 2)
+        self.assertEqual((other.answers()[0][0], world.count("withdrawn")), (404, 2))
+
+    def test_bad_messages_cost_their_connection_only(self) -> None:
+        world = World(self)
+        good = Caller(world)
+        good.post(1)
+        peer = world.peer().up()
+        changes = {"Req-Id": ["12", "x" * 16, f"{1:016x}"], "Req-Wait-Ms": ["soon", "0"], "Req-Cost": ["-5"],
+                   "X-Est-Mb": ["nan"], "Content-Length": ["x"], "workload": ["other"]}
+        for name, values in changes.items():
+            for text in values:
+                with self.subTest(name, text=text):
+                    bad = Caller(world)
+                    bad.post(2, **{name: text})  # type: ignore[arg-type]
+                    self.assertEqual(bad.answers()[0][0], 404 if name == "workload" else 400)
+                    self.assertTrue(bad.pipe.disconnecting)
+        self.assertEqual(len(peer.heard()), 1)
+        peer.say(1, "200", "parts=1", ROW)
+        self.assertEqual(self.outcome(good)[0], 200)
+
+    def test_other_calls(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        for text, status in ((b"GET /alive", 200), (b"GET /counters", 200), (b"GET /else", 404),
+                             (b"PUT /a", 405)):
+            caller.say(text + b" HTTP/1.1\r\n\r\n")
+            self.assertEqual(caller.answers()[0][0], status)
+        self.assertFalse(caller.pipe.disconnecting)
+
+    def test_slow_endless_and_silent_clients_are_let_go(self) -> None:
+        world = World(self)
+        slow, idle, unread, ahead = (Caller(world) for _ in range(4))
+        slow.say(b"POST /ops/lookup HTT")
+        unread.protocol.pauseProducing()
+        unread.say(b"GET /alive HTTP/1.1\r\n\r\n")
+        self.assertEqual(unread.pipe.value(), b"")
+        ahead.post(1, wait=50000)
+        ahead.say(b"x" * 200_000)
+        self.assertEqual((ahead.pipe.aborted, idle.pipe.aborted), (True, False))
+        ahead.leave()
+        world.go(12_000)
+        self.assertEqual((slow.pipe.aborted, unread.pipe.aborted), (True, False))
+        world.go(10_000)
+        self.assertTrue(unread.pipe.aborted)
+
+    def test_a_full_door_closes_and_opens(self) -> None:
+        world = World(self)
+        callers = [Caller(world) for _ in range(31)]
+        for ident, caller in enumerate(callers[1:]):
+            caller.post(ident)
+        Caller(world).post(99)
+        self.assertEqual((callers[0].pipe.disconnecting, world.door.open), (True, True))  # it makes room
+        callers[0].leave()
+        Caller(world).post(100)
+        self.assertFalse(world.door.open)
+        callers[1].leave()
+        self.assertTrue(world.door.open)
+
+    def test_connections_by_trips_and_never_twice_the_same_id(self) -> None:
+        world = World(self)
+        for ident in range(3):
+            Caller(world).post(ident)
+        self.assertEqual(len(world.reactor.tcpClients), 2)  # two trips a connection
+        peers = [world.peer(place).up() for place in range(2)]
+        self.assertEqual([len(peer.heard()) for peer in peers], [2, 1])
+        peers[1].say(2, "200")
+        world.go(21_000)
+        self.assertTrue(peers[1].pipe.disconnecting)  # idle for half of the engines' time
+
+    def test_engines_of_the_list(self) -> None:
+        world = World(self, engines=2)
+        seat = ("s-{}.east.hosts", "127.0.9.{}:7001", 0, "kind=std cell=0 started={}")
+
+        def at(number: int, priority: int = 0, started: int = 0) -> tuple[str, str, int, str]:
+            return (seat[0].format(number), seat[1].format(number), priority, seat[3].format(started))
+        world.list(0, at(0))  # overtaken by what is known
+        self.assertEqual(set(world.service.link.seats), {"s-0", "s-1"})
+        world.list(3, at(0, priority=1), at(1))
+        for ident in range(3):
+            Caller(world).post(ident)
+        peer = world.peer().up()
+        self.assertEqual({world.peer(place).host for place in range(2)}, {"127.0.9.1"})
+        world.list(4, ("s-5.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0"))
+        self.assertFalse(peer.pipe.disconnecting)  # gone, yet its trips may still end
+        peer.say(0, "200")
+        peer.say(1, "200")
+        self.assertTrue(peer.pipe.disconnecting)
+        Caller(world).post(7)
+        self.assertEqual(world.peer(2).host, "127.0.9.1")  # another engine there: a new connection
+        again = world.peer(2).up()
+        world.go(300)
+        started = int(BASE + world.reactor.seconds() * 1000)
+        world.list(5, ("s-5.east.hosts", "127.0.9.1:7001", 0, f"kind=std cell=0 started={started}"))
+        self.assertTrue(again.pipe.aborted)  # the process that it led to is no more
+        foreign = world.count("names_foreign")
+        world.service.names.datagramReceived(b"\0\0nonsense", ("127.0.8.9", 5300))
+        world.service.names.datagramReceived(world.names[-1], ("127.0.8.7", 5300))
+        self.assertEqual(world.count("names_foreign"), foreign + 2)
+        world.list(9, at(1), flags=0x8402)
+        world.list(9, ("s-1.east.hosts", "127.0.9.1:7001", 0, "cell=0"))
+        self.assertEqual((world.count("names_bad"), set(world.service.link.seats)), (2, {"s-5"}))
+
+    def test_nothing_dialled_for_is_sent_after_a_drain(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.post(1, "load")
+        world.list(2, ("s-0.east.hosts", "127.0.9.0:7001", 1, "kind=std cell=0 started=0"))
+        self.assertEqual(world.peer().up().heard(), [])
+
+    def test_a_planned_stop_answers_all_first(self) -> None:
+        world = World(self)
+        lookup, load, late = (Caller(world) for _ in range(3))
+        lookup.post(1)
+        load.post(2, "load", wait=20000)
+        world.service.stop()
+        world.go(300)
+        late.post(3, wait=4000)
+        peer = world.peer().up()
+        peer.say(1, "200", "parts=1", ROW)
+        self.assertEqual(self.outcome(lookup)[0], 200)
+        world.go(2900)
+        self.assertEqual((load.answers(), late.answers(), world.done), ([], [], []))
+        world.go(150)
+        self.assertEqual((self.outcome(load), self.outcome(late)), (BROKEN, SHED))
+        world.go(50)
+        for caller in (lookup, load, late):
+            self.assertTrue(caller.pipe.disconnecting)
+            caller.leave()
+        world.go(100)
+        self.assertTrue(BASE + 3300 <= world.done[0] <= BASE + 3600)
+
+    def test_an_idle_dispatcher_stops_once_no_client_can_come(self) -> None:
+        world = World(self)
+        world.service.stop()
+        world.go(800)
+        self.assertEqual(world.done, [])
+        world.go(200)
+        self.assertEqual(len(world.done), 1)
+        self.assertIn("event=counters", world.log.getvalue())
+
+
+class Start(unittest.TestCase):
+    def test_a_configuration_that_cannot_be_used_ends_with_one_line(self) -> None:
+        cases = [("", "ROUTER_CONFIG is not set"), ("{", "configuration: "), ("[]", "not a JSON object"),
+                 (json.dumps(configuration(listen="nowhere")), "no address"),
+                 (json.dumps(configuration(settings={})), "'grades' is missing"),
+                 (json.dumps(configuration(known={"items": [{}]})), "'no' is missing"),
+                 (json.dumps(configuration(seed="xyz")), "invalid literal"),
+                 (json.dumps(configuration(listen="192.0.2.1:7001")), "cannot listen")]
+        with tempfile.TemporaryDirectory() as folder:
+            for text, words in cases:
+                with self.subTest(words):
+                    path = Path(folder) / "config.json"
+                    path.write_text(text)
+                    done = subprocess.run([sys.executable, "-m", "spurdeal"], capture_output=True, text=True,
+                                          timeout=60, env={"ROUTER_CONFIG": str(path) if text else ""},
+                                          check=False)
+                    self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
+                    self.assertIn(words, done.stderr)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -106,6 +106,9 @@
         del self.lines[int(engine)]
         self.rules.listed(self.now, list(self.lines.values()), True)
 
+    def do_stop(self, until: str) -> None:
+        self.rules.stopping(self.now, float(until))
+
     def do_list_failed(self) -> None:
         self.rules.list_failed(self.now)
 
