Silent connections get nothing more; what was never sent is told so; bounds by descriptors

Seen in the in-memory tests: a trip whose connection was still being dialled when its time ran out was told as time-out, so an irreversible one was broken off although nothing had left (Connection.give_up). It is told as moot now. A connection on which nothing was heard since a trip given up later than the connect time-out is used no more. Also: the stop's time follows the longest expiry, addresses must be addresses, names keep their case, engine connections share one bound, parsers take messages off without copying what is left.

--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -27,7 +27,7 @@
 def number(fields: Mapping[bytes, memoryview], name: bytes, default: float | None = None) -> float:
     if name not in fields and default is not None:
         return default
-    text = bytes(fields.get(name, b""))
+    text = fields.get(name, b"")
     if not NUMBER.fullmatch(text):
         raise BadMessage(400, f"{name.decode()} is missing or no number")
     return float(text)
@@ -61,7 +61,7 @@
         if self.closing:
             return
         self.parser.feed(data)
-        if self.call is not None and len(self.parser.buffer) > self.clients.most_ahead:
+        if self.call is not None and self.parser.left() > self.clients.most_ahead:
             self.clients.counters.add("client_ran_ahead")
             self.transport.abortConnection()
             return
@@ -169,11 +169,11 @@
         if self.call is not None:
             return False
         longest = LONGEST_UNREAD if self.clogged or self.closing else \
-            LONGEST_UNFINISHED if self.parser.buffer else LONGEST_IDLE
+            LONGEST_UNFINISHED if self.parser.left() else LONGEST_IDLE
         return now - self.since > longest
 
     def is_idle(self) -> bool:
-        return self.call is None and not self.closing and not self.clogged and not self.parser.buffer
+        return self.call is None and not self.closing and not self.clogged and not self.parser.left()
 
 
 class Clients(ServerFactory):
@@ -196,15 +196,18 @@
         self.connections[client] = None
         self.counters.add("client_connections")
         self.counters.most("most_client_connections", len(self.connections))
-        if len(self.connections) >= self.most and not self.full:
-            idle = [other for other in self.connections if other.is_idle() and other is not client]
-            if idle:
-                min(idle, key=lambda other: other.since).close()
-            else:  # further ones wait at the machine's door
-                self.full = True
-                self.counters.add("door_closed")
-                self.log.warning("door_closed", extra={"figures": {"connections": len(self.connections)}})
-                self.port.stopReading()
+        if len(self.connections) >= self.most and not self.make_room(client) and not self.full:
+            self.full = True  # further ones wait at the machine's door
+            self.counters.add("door_closed")
+            self.log.warning("door_closed", extra={"figures": {"connections": len(self.connections)}})
+            self.port.stopReading()
+
+    def make_room(self, newest: Client | None = None) -> bool:
+        """Closes the connection that has been idle for longest, if any but the newest is."""
+        idle = [client for client in self.connections if client.is_idle() and client is not newest]
+        if idle:
+            min(idle, key=lambda client: client.since).close()
+        return bool(idle)
 
     def went(self, client: Client) -> None:
         self.connections.pop(client, None)
@@ -225,3 +228,5 @@
             if client.overstays(now):
                 self.counters.add("client_overstayed")
                 client.transport.abortConnection()
+        if self.full:
+            self.make_room()
--- a/spurdeal/net/dns.py
+++ b/spurdeal/net/dns.py
@@ -25,7 +25,7 @@
 
 
 def read_name(message: memoryview, at: int) -> tuple[str, int]:
-    """A name in lower case, and where what follows it begins. A jump goes backwards only, so it ends."""
+    """A name, and where what follows it begins. A jump goes backwards only, so it ends."""
     labels: list[str] = []
     after, lowest, total = -1, at, 0
     while True:
@@ -48,7 +48,7 @@
         total += size + 1
         if at + 1 + size > len(message) or total > LONGEST_NAME:
             raise BadDatagram("a name is cut short or too long")
-        labels.append(bytes(message[at + 1:at + 1 + size]).decode("ascii", "backslashreplace").lower())
+        labels.append(bytes(message[at + 1:at + 1 + size]).decode("ascii", "backslashreplace"))
         at += 1 + size
 
 
@@ -72,7 +72,7 @@
         if found != ident or not flags & ANSWER or asked != 1:
             return None
         asked_name, at = read_name(message, HEADER.size)
-        if asked_name != name.rstrip(".").lower() or struct.unpack_from("!HH", message, at) != (kind, IN):
+        if asked_name.lower() != name.lower() or struct.unpack_from("!HH", message, at) != (kind, IN):
             return None
         at += 4
         if flags & (CUT_SHORT | CODE):
@@ -83,12 +83,13 @@
         addresses, texts = dict[str, str](), dict[str, list[str]]()
         for _ in range(sum(counts)):
             owner, at = read_name(message, at)
+            owner = owner.lower()
             record, family, _, size = FIXED.unpack_from(message, at)
             at += FIXED.size
             data = message[at:at + size]
             if len(data) < size:
                 raise BadDatagram("a record is cut short")
-            if family == IN and record == SRV and owner == asked_name:
+            if family == IN and record == SRV and owner == asked_name.lower():
                 priority, weight, port = SRV_HEAD.unpack_from(data)
                 services.append((priority, weight, port, read_name(message, at + SRV_HEAD.size)[0]))
             elif family == IN and record == A and size == 4:
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -18,7 +18,6 @@
 
 ENDINGS = {b"503": Ending.FULL, b"500": Ending.ERROR, b"504": Ending.MOOT}
 MOST_PAGES, LARGEST_RESULT, COLUMNS = 256, 96_000, 3
-MOST_CONNECTIONS = 24  # to one engine
 MOST_GIVEN_UP = 256  # remembered on a connection: more than can cross
 IDLE_PART = 0.5  # of the time after which engines close: ours closes first, or a trip would cross their close
 
@@ -32,13 +31,13 @@
 class Trip:
     """One trip from its sending to its outcome, which its Deferred brings exactly once."""
 
-    __slots__ = ("connection", "done", "ident", "pages", "parts", "report", "size", "words")
+    __slots__ = ("connection", "done", "ident", "pages", "parts", "report", "sent", "size", "words")
 
     def __init__(self, ident: bytes, words: tuple[bytes, bytes]) -> None:
         self.ident, self.words = ident, words
         self.done: Deferred[Outcome] = Deferred()
         self.connection: Connection | None = None
-        self.parts, self.size, self.pages = 0, 0, dict[int, bytes]()
+        self.parts, self.size, self.sent, self.pages = 0, 0, 0.0, dict[int, bytes]()
         self.report: tuple[float, ...] = ()
 
 
@@ -59,10 +58,10 @@
 
     def __init__(self, engine: Engine) -> None:
         self.engine, self.parser = engine, ArrayParser()
-        self.trips: dict[bytes, Trip] = {}
+        self.trips: dict[bytes | memoryview, Trip] = {}
         self.given_up: dict[bytes, None] = {}
         self.up = self.closing = False
-        self.opened = self.used = engine.engines.clock()
+        self.opened = self.used = self.heard = engine.engines.clock()
 
     # Twisted's calls.
 
@@ -78,6 +77,7 @@
             self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
+        self.heard = self.engine.engines.clock()
         self.parser.feed(data)
         try:
             while (parts := self.parser.take()) is not None:
@@ -93,7 +93,7 @@
 
     # What is written.
 
-    def write(self, *parts: bytes) -> None:
+    def write(self, *parts: bytes | memoryview) -> None:
         if self.up:
             self.used = self.engine.engines.clock()
             self.transport.write(command(*parts))
@@ -105,6 +105,7 @@
 
     def write_trip(self, trip: Trip) -> None:
         self.engine.engines.counters.add("trips_written")
+        trip.sent = self.engine.engines.clock()
         self.write(b"serve", trip.ident, *trip.words)
 
     def give_up(self, trip: Trip, ending: Ending) -> None:
@@ -113,7 +114,14 @@
         self.given_up[trip.ident] = None  # its answer may cross: the same id does not go here again
         if len(self.given_up) > MOST_GIVEN_UP:
             del self.given_up[next(iter(self.given_up))]
-        self.finish(trip, Outcome(ending))
+        quiet = self.engine.engines.clock() - trip.sent > self.engine.engines.connect_within
+        if self.up and quiet and self.heard <= trip.sent and not self.closing:
+            # A machine cut off leaves its connections open, and nobody knows if what goes out on one runs. A
+            # new connection that never comes up proves that nothing ran. Also: a hang, packets lost for long.
+            self.engine.engines.counters.add("silent_connections")
+            self.engine.say("silent_connection", trips=len(self.trips))
+            self.closing = True
+        self.finish(trip, Outcome(ending if self.up else Ending.MOOT))  # not up: it was never sent
 
     def finish(self, trip: Trip, outcome: Outcome) -> None:
         del self.trips[trip.ident]
@@ -126,6 +134,7 @@
         self.up, self.closing = False, True
         if self in self.engine.connections:
             self.engine.connections.remove(self)
+            self.engine.engines.connections -= 1
         for trip in list(self.trips.values()):
             self.finish(trip, Outcome(ending))
 
@@ -134,7 +143,7 @@
     def answered(self, parts: list[memoryview]) -> None:
         if len(parts) != 4:
             raise BadAnswer(f"{len(parts)} parts where 4 were expected")
-        ident, word, fields = bytes(parts[0]), bytes(parts[1]), read_fields(parts[2])
+        ident, word, fields = parts[0], bytes(parts[1]), read_fields(parts[2])
         trip = self.trips.get(ident)
         if word == b"200":
             pages = int(fields["parts"]) if "parts" in fields else 1
@@ -168,7 +177,7 @@
         else:
             raise BadAnswer("an answer with an unknown word")
 
-    def crossed(self, ident: bytes, pages: int) -> None:
+    def crossed(self, ident: bytes | memoryview, pages: int) -> None:
         """An answer to what was given up meanwhile; its further pages are let go."""
         self.engine.engines.counters.add("answers_crossed")
         if pages > 1:
@@ -240,10 +249,11 @@
                     and trip.ident not in connection.trips \
                     and trip.ident not in connection.given_up:
                 return connection
-        if len(self.connections) >= MOST_CONNECTIONS:
+        if self.engines.connections >= self.engines.most_connections:
             return None
         connection = Connection(self)
         self.connections.append(connection)
+        self.engines.connections += 1
         self.engines.dial(self.seat.host, self.seat.port, Dial(connection))
         return connection if connection in self.connections else None
 
@@ -257,11 +267,12 @@
     """All engines by index. A trip is sent, and its Deferred tells how it ended."""
 
     def __init__(self, reactor: Any, clock: Callable[[], float], connect_within: float, idle_after: float,
-                 trips_a_connection: int, report_fields: Sequence[str], counters: Counters,
-                 log: logging.Logger) -> None:
+                 trips_a_connection: int, most_connections: int, report_fields: Sequence[str],
+                 counters: Counters, log: logging.Logger) -> None:
         self.reactor, self.clock, self.counters, self.log = reactor, clock, counters, log
         self.connect_within, self.idle_after = connect_within, idle_after
-        self.trips_a_connection, self.report_fields = max(1, trips_a_connection), tuple(report_fields)
+        self.trips_a_connection, self.most_connections = max(1, trips_a_connection), most_connections
+        self.report_fields, self.connections = tuple(report_fields), 0
         self.engines: dict[int, Engine] = {}
 
     def dial(self, host: str, port: int, factory: Dial) -> None:
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Mapping, Sequence
+from ipaddress import IPv4Address
 from typing import Any, NamedTuple
 
 from twisted.internet.protocol import DatagramProtocol
@@ -33,6 +34,13 @@
     started: float
 
 
+def read_address(text: object) -> tuple[str, int]:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address with a port")
+    return str(IPv4Address(host)), int(port)
+
+
 def known_seats(known: Mapping[str, Any]) -> tuple[int, dict[str, Seat]]:
     """The list that the numbered events of the start add up to, and the number of the last."""
     seats: dict[str, Seat] = {}
@@ -42,9 +50,9 @@
         if roster.get("reset"):
             seats.clear()
         for entry in roster["instances"]:
-            host, _, port = str(entry["hostPort"]).rpartition(":")
-            seat = Seat(str(entry["instanceId"]), host, int(port), str(entry["zone"]),
-                        str(entry["machineType"]), int(entry.get("cell", 0)), LIVES[entry["lifecycle"]],
+            host, port = read_address(entry["hostPort"])
+            seat = Seat(str(entry["instanceId"]), host, port, str(entry["zone"]), str(entry["machineType"]),
+                        int(entry.get("cell", 0)), LIVES[entry["lifecycle"]],
                         float(entry.get("weight", 1.0)), float(entry.get("startedAtMs", 0.0)))
             seats[seat.ident] = seat
         last = max(last, int(item["no"]))
@@ -56,11 +64,12 @@
     seats = {}
     for priority, weight, port, target in services:
         labels = target.split(".")
-        if len(labels) < 2 or target not in addresses:
+        owner = target.lower()
+        if len(labels) < 2 or owner not in addresses:
             raise dns.BadDatagram(f"no address for {target}")
-        told = dict(text.partition("=")[::2] for text in texts.get(target, ()))
+        told = dict(text.partition("=")[::2] for text in texts.get(owner, ()))
         try:
-            seats[labels[0]] = Seat(labels[0], addresses[target], port, labels[1], told["kind"],
+            seats[labels[0]] = Seat(labels[0], addresses[owner], port, labels[1], told["kind"],
                                     int(told.get("cell", 0)), Life.DRAINING if priority else Life.READY,
                                     weight / WEIGHT_SCALE, float(told.get("started", 0.0)))
         except (KeyError, ValueError):
--- a/spurdeal/net/resp.py
+++ b/spurdeal/net/resp.py
@@ -1,5 +1,7 @@
 """RESP as engines speak it: arrays of bulk strings, read and written."""
 
+from .unread import Unread
+
 MOST_PARTS = 16
 LARGEST_PART = 65536
 LONGEST_LENGTH = 12
@@ -9,17 +11,9 @@
     """Bytes from an engine that are no array of bulk strings."""
 
 
-class ArrayParser:
+class ArrayParser(Unread):
     """Takes arrays off a connection's bytes; their parts are slices of what was read."""
 
-    def __init__(self) -> None:
-        self.buffer = b""
-        self.at = 0
-
-    def feed(self, data: bytes) -> None:
-        left = self.buffer[self.at:] if self.at < len(self.buffer) else b""
-        self.buffer, self.at = left + data if left else data, 0
-
     def take(self) -> list[memoryview] | None:
         head = self.length(self.at, b"*", MOST_PARTS)
         if head is None:
@@ -57,5 +51,5 @@
         return int(digits), end + 2
 
 
-def command(*parts: bytes) -> bytes:
-    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+def command(*parts: bytes | memoryview) -> bytes:
+    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(part), bytes(part)) for part in parts)
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -22,12 +22,13 @@
 from .engines import Engines
 from .link import SocketLink
 from .logs import logger
-from .names import NameService, Seat, known_seats
+from .names import NameService, Seat, known_seats, read_address
 
 BACKLOG = 1024
-CLIENTS_PART = 0.5  # of the descriptors; clients need a third, engines and the list the rest
+CLIENTS_PART, ENGINES_PART = 0.5, 0.4  # of the descriptors; clients need a third at most
 AHEAD = 131_072  # bytes that a client may send ahead of its answer
-STOP_WITHIN, STOP_NOT_BEFORE = 3300.0, 900.0  # ms after SIGTERM: killed at 3.7 s, clients until 0.6 s
+KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
+STOP_NOT_BEFORE = 900.0  # ms after SIGTERM; new connections and calls on open ones come until 600
 OVERTIME = 200.0  # ms in which the last answers may still be written
 
 
@@ -55,13 +56,6 @@
     trips_a_connection: int
 
 
-def address(text: object) -> tuple[str, int]:
-    host, colon, port = str(text).rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is no address with a port")
-    return host, int(port)
-
-
 def read_configuration(text: str | bytes) -> Told:
     try:
         given = json.loads(text)
@@ -70,11 +64,11 @@
         settings = given["settings"]
         site, limits, report = deployment(settings), settings.get("limits", {}), settings.get("report") or {}
         fields = report.get("fields") or [] if report.get("how") == "piggyback" else []
-        host, port = address(given["listen"])
+        host, port = read_address(given["listen"])
         return Told(
             name=str(given.get("name", "")), host=host, port=port, seed=int(str(given.get("seed", "0")), 16),
             sockets=int(given.get("limits", {}).get("sockets", 1024)),
-            nameserver=address(given["nameserver"]),
+            nameserver=read_address(given["nameserver"]),
             known=known_seats(given["known"]), site=site,
             workloads={grade["name"].encode(): place for place, grade in enumerate(settings["grades"])},
             locations=[str(name) for name in settings.get("zones", [])],
@@ -97,7 +91,7 @@
         self.told, self.reactor, self.clock, self.log, self.done = told, reactor, clock, log, done
         self.counters = Counters()
         self.engines = Engines(reactor, clock, told.connect_within, told.idle_after, told.trips_a_connection,
-                               told.report_fields, self.counters, log)
+                               int(told.sockets * ENGINES_PART), told.report_fields, self.counters, log)
         self.link = SocketLink(told.site, told.seed, told.locations, told.kinds, self.engines, reactor, clock,
                                self.counters, log)
         self.clients = Clients(self.link, told.workloads, max(8, int(told.sockets * CLIENTS_PART)), AHEAD,
@@ -108,6 +102,8 @@
         self.sweeping = LoopingCall(self.sweep)
         self.sweeping.clock = reactor
         self.stopped_at = 0.0
+        longest = min(KILL_MOST, max(workload.expiry for workload in told.site.workloads))
+        self.stop_within = longest + KILL_AFTER - KILL_MARGIN
 
     def start(self) -> None:
         self.clients.port = self.reactor.listenTCP(self.told.port, self.clients, backlog=BACKLOG,
@@ -134,13 +130,13 @@
         if not self.stopped_at:
             self.stopped_at = self.clock()
             self.log.info("stopping", extra={"figures": {"open": len(self.link.by_ident)}})
-            self.link.stop(self.stopped_at + STOP_WITHIN)
+            self.link.stop(self.stopped_at + self.stop_within)
             self.leave()
 
     def leave(self) -> None:
         """Ends once all is answered and no more can come; answers on their way out are written first."""
         passed = self.clock() - self.stopped_at
-        over = passed >= STOP_WITHIN + OVERTIME
+        over = passed >= self.stop_within + OVERTIME
         if not over and (passed < STOP_NOT_BEFORE or self.link.by_ident or self.clients.close_idle()):
             self.reactor.callLater(0.05, self.leave)
             return
--- /dev/null
+++ b/spurdeal/net/unread.py
@@ -0,0 +1,16 @@
+"""What was read from a connection and not yet taken off it."""
+
+
+class Unread:
+    """The bytes and the place in them; messages are handed out as slices of these bytes."""
+
+    def __init__(self) -> None:
+        self.buffer = b""
+        self.at = 0
+
+    def feed(self, data: bytes) -> None:
+        left = self.buffer[self.at:]
+        self.buffer, self.at = left + data if left else data, 0
+
+    def left(self) -> int:
+        return len(self.buffer) - self.at
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -198,6 +198,21 @@
         world.go(21_000)
         self.assertTrue(peers[1].pipe.disconnecting)  # idle for half of the engines' time
 
+    def test_a_connection_gone_silent_gets_nothing_more(self) -> None:
+        """A machine cut off: the next trip dials anew, and that it never comes up proves that nothing ran."""
+        world = World(self)
+        Caller(world).post(1, wait=1000)
+        peer = world.peer().up()
+        world.go(1000)
+        self.assertEqual([said[0] for said in peer.heard()], ["serve", "cancel"])
+        load = Caller(world)
+        load.post(2, "load", wait=1000)
+        self.assertEqual((len(world.reactor.tcpClients), peer.heard()), (2, []))
+        self.assertTrue(peer.pipe.disconnecting)
+        world.peer(1).refuse(NotUp)
+        world.go(1000)
+        self.assertEqual(self.outcome(load), SHED)
+
     def test_engines_of_the_list(self) -> None:
         world = World(self, engines=2)
         seat = ("s-{}.east.hosts", "127.0.9.{}:7001", 0, "kind=std cell=0 started={}")
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -32,7 +32,7 @@
         for place in range(len(POST)):
             parser.feed(POST[place:place + 1])
             found += parser.take() is not None
-        self.assertEqual((found, parser.buffer), (1, b""))
+        self.assertEqual((found, parser.left()), (1, 0))
 
     def test_what_cannot_be_used(self) -> None:
         for text, status in (
@@ -46,7 +46,8 @@
                 (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (LARGEST_BODY + 1), 413),
                 (b"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 413),
                 (b"GET / HTTP/1.1\r\nA: " + b"a" * LARGEST_HEAD + b"\r\n\r\n", 431),
-                (b"a" * LARGEST_HEAD, 431)):
+                (b"a" * LARGEST_HEAD, 431),
+                (b"GET / HTTP/1.1\r\nA:" + b" \t" * 4000 + b"\0\r\n\r\n", 400)):
             with self.subTest(text[:40]):
                 parser = RequestParser()
                 parser.feed(text)
