--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -113,8 +113,13 @@
     def left(self, number: int) -> None:
         """The client has gone, or has said that it waits no longer: no answer is owed."""
         self.counters.add("withdrawn")
-        self.concluded(self.taken[number])
-        self.gather(self.rules.withdrawn, number)
+        taken = self.taken[number]
+        self.concluded(taken)
+        self.gather(self.withdrawn, taken)
+
+    def withdrawn(self, now: float, taken: Taken) -> None:
+        self.rules.withdrawn(now, taken.number)
+        self.drop(taken)
 
     def withdraw(self, key: bytes) -> bool:
         taken = self.by_ident.get(key)
@@ -229,6 +234,7 @@
         self.at(due, self.gather, self.rules_woken, token)
 
     def rules_woken(self, now: float, token: int) -> None:
+        """By name, as the rules ask to be woken while they are still being made."""
         self.rules.woken(now, token)
 
     def watch(self) -> None:
@@ -241,10 +247,14 @@
 
     def carry(self, taken: Taken, trip: int, engine: int, time_limit: float) -> None:
         now = self.clock()
+        taken.sent[trip] = now
+        if taken.answered:  # its client left before this turn: it is not sent at all
+            self.gather(self.ended, taken, trip, engine, Outcome(Ending.MOOT))
+            return
         wait = min(time_limit, taken.expiry - now) if time_limit else taken.expiry - now
         rank = taken.rank if self.priorities else None
         out = self.engines.send(engine, taken.ident, taken.workload, wait, rank, taken.statement)
-        taken.trips[trip], taken.sent[trip] = out, now
+        taken.trips[trip] = out
         out.done.addCallback(self.came_back, taken, trip, engine)
 
     def weigh(self, taken: Taken, priority: int) -> None:
@@ -260,12 +270,12 @@
         if not taken.answered:
             self.counters.add(type(answer).__name__.lower())
             self.concluded(taken)
+            self.drop(taken)
             taken.answer.callback(answer)
 
     def concluded(self, taken: Taken) -> None:
         taken.answered = True
         del self.by_ident[taken.key]
-        self.drop(taken)
 
     def drop(self, taken: Taken) -> None:
         if taken.answered and not taken.trips:
@@ -276,7 +286,7 @@
         self.gather(self.ended, taken, trip, engine, outcome)
 
     def ended(self, now: float, taken: Taken, trip: int, engine: int, outcome: Outcome) -> None:
-        del taken.trips[trip]
+        taken.trips.pop(trip, None)
         delivered = outcome.ending == Ending.DELIVERED
         if delivered and not taken.answered:
             self.asked.append((self.conclude, (taken, Delivered(outcome.pages))))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -131,6 +131,18 @@
         other.say(b"DELETE /ops/lookup/%016x HTTP/1.1\r\n\r\n" % 2)
         self.assertEqual((other.answers()[0][0], world.count("withdrawn")), (404, 2))
 
+    def test_a_client_that_leaves_before_its_turn_costs_nothing(self) -> None:
+        world = World(self)
+        kept, caller = Caller(world), Caller(world)
+        kept.post(1)
+        peer = world.peer().up()
+        head = b"POST /ops/lookup HTTP/1.1\r\nReq-Id: %016x\r\nReq-Wait-Ms: 900\r\n\r\n" % 2
+        caller.protocol.dataReceived(head)
+        caller.leave()
+        link = world.service.link
+        self.assertEqual(len(peer.heard()), 1)
+        self.assertEqual((list(link.taken), link.rules.engines[0].threads), ([0], 1))
+
     def test_bad_messages_cost_their_connection_only(self) -> None:
         world = World(self)
         good = Caller(world)
