--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -35,6 +35,7 @@
 
 
 Answer = Delivered | Shed | BrokenOff
+COUNTED = {Delivered: "delivered", Shed: "shed", BrokenOff: "broken_off"}
 
 
 @dataclass(slots=True, eq=False)
@@ -268,7 +269,7 @@
 
     def conclude(self, taken: Taken, answer: Answer) -> None:
         if not taken.answered:
-            self.counters.add(type(answer).__name__.lower())
+            self.counters.add(COUNTED[type(answer)])
             self.concluded(taken)
             self.drop(taken)
             taken.answer.callback(answer)
