--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -60,6 +60,8 @@
     def dataReceived(self, data: bytes) -> None:
         if self.closing:
             return
+        if not self.parser.left():
+            self.since = self.clients.clock()
         self.parser.feed(data)
         if self.call is not None and self.parser.left() > self.clients.most_ahead:
             self.clients.counters.add("client_ran_ahead")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,5 +1,6 @@
 """The dispatcher on sockets, from a client's bytes to an engine's and back, on in-memory transports."""
 
+import io
 import json
 import subprocess
 import sys
@@ -9,7 +10,8 @@
 
 from twisted.internet.error import TimeoutError as NotUp
 
-from tests.helpers import BASE, Caller, World, configuration
+from spurdeal.net.logs import logger
+from tests.helpers import BASE, SETTINGS, Caller, World, configuration
 
 ROW = b"a\t1\tx\n"
 SHED, BROKEN = (503, "TryLater"), (500, "Aborted")
@@ -225,6 +227,29 @@
         world.go(1000)
         self.assertEqual(self.outcome(load), SHED)
 
+    def test_reports_and_priorities(self) -> None:
+        report = {"report": {"how": "piggyback", "fields": ["q", "rif"]}}
+        world = World(self, settings=SETTINGS | report)
+        link = world.service.link
+        Caller(world).post(1)
+        peer = world.peer().up()
+        link.terms(0, 0.0, 2)
+        world.go(60)
+        self.assertEqual(peer.heard()[1:], [["weigh", f"{1:016x}", "2"]])
+        peer.say(1, "200", "parts=1,stats=rif:9;q:0")
+        self.assertEqual(link.rules.all, 10.0)
+        Caller(world).post(2)
+        peer.say(2, "200", "parts=1,stats=q:0")  # one is missing: no report
+        self.assertEqual(link.rules.all, 10.0)
+
+    def test_a_late_start_of_a_call_has_its_own_time(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        world.go(9_900)
+        caller.say(b"POST /ops/lookup HTT")
+        world.go(5_000)
+        self.assertFalse(caller.pipe.aborted)
+
     def test_engines_of_the_list(self) -> None:
         world = World(self, engines=2)
         seat = ("s-{}.east.hosts", "127.0.9.{}:7001", 0, "kind=std cell=0 started={}")
@@ -297,6 +322,22 @@
         self.assertIn("event=counters", world.log.getvalue())
 
 
+class Small(unittest.TestCase):
+    def test_log_lines(self) -> None:
+        out = io.StringIO()
+        log = logger("n", out)
+        log.info("ready", extra={"figures": {"a": 1.25, "b": 'x "y"\n', "c": ""}})
+        self.assertEqual(out.getvalue().split(" ", 1)[1],
+                         'level=info event=ready a=1.2 b="x \\"y\\"\\n" c=""\n')
+
+    def test_what_must_hold_is_asserted_or_counted(self) -> None:
+        text = "from spurdeal.net.counters import Counters as C; c = C(); print(c.must(0, 'it'), c.figures())"
+        said = [subprocess.run([sys.executable, *flags, "-c", text], capture_output=True, text=True,
+                               check=False) for flags in ([], ["-O"])]
+        self.assertIn("AssertionError: it", said[0].stderr)
+        self.assertEqual(said[1].stdout, "False {'must_it': 1}\n")
+
+
 class Start(unittest.TestCase):
     def test_a_configuration_that_cannot_be_used_ends_with_one_line(self) -> None:
         cases = [("", "ROUTER_CONFIG is not set"), ("{", "configuration: "), ("[]", "not a JSON object"),
