No strike for what was never sent, FROM inside calls names no table, reports must be numbers

Found by reading. A report of nan went into our share of sends (Engines.report). An overflowing number in the configuration ended in a traceback (read_configuration).

--- a/spurdeal/net/dns.py
+++ b/spurdeal/net/dns.py
@@ -7,7 +7,7 @@
 SRV_HEAD = struct.Struct("!3H")
 A, SOA, TXT, SRV, IN = 1, 6, 16, 33, 1
 ANSWER, CUT_SHORT, CODE = 0x8000, 0x0200, 0x000F
-MOST_JUMPS, LONGEST_NAME, LONGEST_LABEL = 64, 255, 63
+LONGEST_NAME, LONGEST_LABEL = 255, 63
 MOST_RECORDS = 4096
 
 
@@ -95,7 +95,7 @@
             elif family == IN and record == A and size == 4:
                 addresses[owner] = ".".join(str(byte) for byte in data)
             elif family == IN and record == TXT:
-                texts[owner] = read_strings(data)
+                texts.setdefault(owner, []).extend(read_strings(data))
             elif family == IN and record == SOA:
                 _, after = read_name(message, at)
                 _, after = read_name(message, after)
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Sequence
+from math import isfinite
 from typing import Any, NamedTuple
 
 from twisted.internet.defer import Deferred
@@ -236,7 +237,7 @@
                 self.retire(connection)
             if seat.life != Life.READY and not connection.up:
                 # Dialled for, not yet sent: what would be sent now comes too late for a drain.
-                connection.lost(Ending.UNREACHED)
+                connection.lost(Ending.MOOT)
 
     def retire(self, connection: Connection) -> None:
         connection.closing = True
@@ -283,7 +284,10 @@
         told = dict(pair.partition(":")[::2] for pair in text.split(";"))
         if not all(name in told for name in self.report_fields):
             return ()
-        return tuple(float(told[name]) for name in self.report_fields)
+        figures = tuple(float(told[name]) for name in self.report_fields)
+        if not all(isfinite(figure) for figure in figures):
+            raise BadAnswer("a report holds no number")
+        return figures
 
     def listed(self, engine: int, seat: Seat) -> None:
         if engine in self.engines:
@@ -299,8 +303,8 @@
         trip = Trip(ident, (fields, statement))
         connection = self.engines[engine].connection_for(trip)
         if connection is None:
-            self.counters.add("trips_not_sent")
-            trip.done.callback(Outcome(Ending.UNREACHED))
+            self.counters.add("trips_not_sent")  # no descriptor left for one more: no fault of the engine's
+            trip.done.callback(Outcome(Ending.MOOT))
         else:
             connection.carry(trip)
         return trip
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -79,7 +79,7 @@
             trips_a_connection=int(limits.get("streams_per_conn", 1)))
     except KeyError as missing:
         raise Unusable(f"configuration: {missing} is missing or has a value that is not known") from None
-    except (ValueError, TypeError, AttributeError) as fault:
+    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
         raise Unusable(f"configuration: {fault}") from None
 
 
--- a/spurdeal/net/statement.py
+++ b/spurdeal/net/statement.py
@@ -14,6 +14,7 @@
 BEFORE_TABLE = {"from", "join", "into", "update", "table", "copy", "using", "only", "truncate", "merge"}
 ENDS_TABLES = {"where", "group", "order", "having", "limit", "union", "except", "intersect", "on", "set",
                "values", "select", "returning", "window", "fetch", "offset", "for"}
+QUERIES = {"select", "with", "("}
 STAGING = "staging"
 NO_GROUP = -1
 
@@ -52,16 +53,20 @@
     """The number behind the underscore of the first schema that is read or written; -1 without one."""
     words = list(tokens(statement.decode("utf-8", "replace")))
     lists: list[bool] = [False]  # by depth of brackets: whether a comma leads to another table
-    table, fallback, place = False, NO_GROUP, 0
+    calls: list[bool] = [False]  # by depth: whether it is no query, so that FROM there names no table
+    table, fallback, place, before = False, NO_GROUP, 0, ""
     while place < len(words):
         word, quoted = words[place]
         lower = word if quoted else word.lower()
-        place += 1
+        place, before, last = place + 1, lower, before
         if not quoted and lower == "(":
             lists.append(table)
+            calls.append(place < len(words) and words[place][0].lower() not in QUERIES)
         elif not quoted and lower == ")":
-            lists = lists[:-1] or [False]
+            lists, calls = lists[:-1] or [False], calls[:-1] or [False]
             table = False
+        elif not quoted and lower == "from" and (calls[-1] or last == "distinct"):
+            table = False  # extract(day from a.b), a is distinct from b.c
         elif not quoted and lower == ",":
             table = lists[-1]
         elif not quoted and lower in BEFORE_TABLE:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -227,6 +227,22 @@
         world.go(1000)
         self.assertEqual(self.outcome(load), SHED)
 
+    def test_an_answer_that_the_rules_owe_is_given_for_them(self) -> None:
+        world = World(self)
+        link, faults = world.service.link, list[str]()
+
+        def must(holds: object, what: str) -> bool:
+            faults.extend([] if holds else [what])
+            return bool(holds)
+        link.counters.must = must  # type: ignore[method-assign]
+        link.rules.submitted = lambda *_: None  # type: ignore[method-assign]
+        caller = Caller(world)
+        caller.post(1, wait=1000)
+        world.go(975)
+        self.assertEqual(caller.answers(), [])
+        world.go(10)
+        self.assertEqual((self.outcome(caller), faults), (BROKEN, ["answer_in_time"]))
+
     def test_reports_and_priorities(self) -> None:
         report = {"report": {"how": "piggyback", "fields": ["q", "rif"]}}
         world = World(self, settings=SETTINGS | report)
@@ -240,7 +256,9 @@
         self.assertEqual(link.rules.all, 10.0)
         Caller(world).post(2)
         peer.say(2, "200", "parts=1,stats=q:0")  # one is missing: no report
-        self.assertEqual(link.rules.all, 10.0)
+        Caller(world).post(3)
+        peer.say(3, "200", "parts=1,stats=rif:nan;q:0")
+        self.assertEqual((link.rules.all, peer.pipe.aborted), (10.0, True))
 
     def test_a_late_start_of_a_call_has_its_own_time(self) -> None:
         world = World(self)
