--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -135,6 +135,8 @@
         call.addCallbacks(self.concluded, self.withdrawn, (keep,))
 
     def concluded(self, answer: Answer, keep: bool) -> None:
+        if not self.clients.counters.must(self.call is not None and not self.closing, "answer_to_a_call"):
+            return
         self.call = None
         match answer:
             case Delivered(pages):
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -58,18 +58,18 @@
     transport: Any
 
     def __init__(self, engine: Engine) -> None:
-        self.engine, self.parser = engine, ArrayParser()
+        self.engine, self.engines, self.parser = engine, engine.engines, ArrayParser()
         self.trips: dict[bytes | memoryview, Trip] = {}
         self.given_up: dict[bytes, None] = {}
         self.up = self.closing = False
-        self.opened = self.used = self.heard = engine.engines.clock()
+        self.opened = self.used = self.heard = self.engines.clock()
 
     # Twisted's calls.
 
     def connectionMade(self) -> None:
-        self.up, self.opened = True, self.engine.engines.clock()
+        self.up, self.opened = True, self.engines.clock()
         self.transport.setTcpNoDelay(True)
-        self.engine.engines.counters.add("engine_connections")
+        self.engines.counters.add("engine_connections")
         for trip in list(self.trips.values()):
             self.write_trip(trip)
         if not self.trips:
@@ -78,13 +78,13 @@
             self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
-        self.heard = self.engine.engines.clock()
+        self.heard = self.engines.clock()
         self.parser.feed(data)
         try:
             while (parts := self.parser.take()) is not None:
                 self.answered(parts)
         except (BadAnswer, ValueError) as fault:
-            self.engine.engines.counters.add("engine_bad_answers")
+            self.engines.counters.add("engine_bad_answers")
             self.engine.say("bad_answer", why=str(fault))
             self.transport.abortConnection()
             self.lost()
@@ -96,7 +96,7 @@
 
     def write(self, *parts: bytes | memoryview) -> None:
         if self.up:
-            self.used = self.engine.engines.clock()
+            self.used = self.engines.clock()
             self.transport.write(command(*parts))
 
     def carry(self, trip: Trip) -> None:
@@ -105,8 +105,8 @@
             self.write_trip(trip)
 
     def write_trip(self, trip: Trip) -> None:
-        self.engine.engines.counters.add("trips_written")
-        trip.sent = self.engine.engines.clock()
+        self.engines.counters.add("trips_written")
+        trip.sent = self.engines.clock()
         self.write(b"serve", trip.ident, *trip.words)
 
     def give_up(self, trip: Trip, ending: Ending) -> None:
@@ -115,17 +115,18 @@
         self.given_up[trip.ident] = None  # its answer may cross: the same id does not go here again
         if len(self.given_up) > MOST_GIVEN_UP:
             del self.given_up[next(iter(self.given_up))]
-        quiet = self.engine.engines.clock() - trip.sent > self.engine.engines.connect_within
+        quiet = self.engines.clock() - trip.sent > self.engines.connect_within
         if self.up and quiet and self.heard <= trip.sent and not self.closing:
             # A machine cut off leaves its connections open, and nobody knows if what goes out on one runs. A
             # new connection that never comes up proves that nothing ran. Also: a hang, packets lost for long.
-            self.engine.engines.counters.add("silent_connections")
+            self.engines.counters.add("silent_connections")
             self.engine.say("silent_connection", trips=len(self.trips))
             self.closing = True
         self.finish(trip, Outcome(ending if self.up else Ending.MOOT))  # not up: it was never sent
 
     def finish(self, trip: Trip, outcome: Outcome) -> None:
-        del self.trips[trip.ident]
+        if not self.engines.counters.must(self.trips.pop(trip.ident, None) is trip, "trip_ends_once"):
+            return
         trip.connection = None
         if self.closing and not self.trips and self.up:
             self.transport.loseConnection()
@@ -135,7 +136,7 @@
         self.up, self.closing = False, True
         if self in self.engine.connections:
             self.engine.connections.remove(self)
-            self.engine.engines.connections -= 1
+            self.engines.connections -= 1
         for trip in list(self.trips.values()):
             self.finish(trip, Outcome(ending))
 
@@ -153,7 +154,7 @@
             if trip is None or trip.parts:
                 self.crossed(ident, pages if trip is None else 1)
                 return
-            trip.parts, trip.report = pages, self.engine.engines.report(fields.get("stats", ""))
+            trip.parts, trip.report = pages, self.engines.report(fields.get("stats", ""))
             for page in range(1, pages):
                 self.write(b"read", ident, b"%d" % page)
             self.page(trip, 0, parts[3])
@@ -172,15 +173,15 @@
             # Once it was delivered, whatever else is said of it only tells that its pages are lost.
             ending = Ending.ERROR if trip.parts else ENDINGS[word]
             if trip.parts:
-                self.engine.engines.counters.add("pages_lost")
+                self.engines.counters.add("pages_lost")
                 self.write(b"release", ident)
-            self.finish(trip, Outcome(ending, (), self.engine.engines.report(fields.get("stats", ""))))
+            self.finish(trip, Outcome(ending, (), self.engines.report(fields.get("stats", ""))))
         else:
             raise BadAnswer("an answer with an unknown word")
 
     def crossed(self, ident: bytes | memoryview, pages: int) -> None:
         """An answer to what was given up meanwhile; its further pages are let go."""
-        self.engine.engines.counters.add("answers_crossed")
+        self.engines.counters.add("answers_crossed")
         if pages > 1:
             self.write(b"release", ident)
 
@@ -213,7 +214,7 @@
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         """Refused or never up: either way not a byte of a trip has left."""
         refused = isinstance(reason.value, ConnectionRefusedError)
-        self.connection.engine.engines.counters.add("dials_refused" if refused else "dials_not_up")
+        self.connection.engines.counters.add("dials_refused" if refused else "dials_not_up")
         self.connection.lost(Ending.UNREACHED)
 
 
