Read once more: what was derivable, dead or written twice is gone; behaviour unchanged

One look-up and one place for answers to what was given up (Connection.answered), one for the end of a retired connection (close_if_done), one for which figures reports hold (deployment.reported, for both links), one print of a configuration's fault. A trip's sending time goes with its callback, a submission's key is its id in lower case, and the bound on bytes ahead stands with its kind. Dead: status 408, SocketLink.may_call_off, a guard for a dial that fails at once, which Twisted never does. No test was changed.

--- a/spurdeal/deployment.py
+++ b/spurdeal/deployment.py
@@ -25,6 +25,13 @@
     """Settings that cannot be used; the text says why."""
 
 
+def reported(options: dict[str, Any]) -> list[str]:
+    """The names of the figures in the reports that come with answers; none where none come."""
+    report = options.get("report") or {}
+    names = [str(name) for name in report.get("fields") or []]
+    return names if report.get("how") == "piggyback" else []
+
+
 def deployment(options: object) -> Deployment:
     if not isinstance(options, dict):
         raise BadSettings("settings are not a JSON object")
@@ -42,8 +49,7 @@
     threads = extra.get("parallelism") or [1] * len(grades)
     holds = extra.get("holds_tables") or [False] * len(grades)
     waits = extra.get("class_waits") or [False] * len(grades)
-    report = options.get("report") or {}
-    fields = list(report.get("fields") or [])
+    fields = reported(options)
     workloads = tuple(
         Workload(
             agreed=float(grade["aim"]), stretch=float(grade.get("aim_stretch", 0.0)),
@@ -65,7 +71,7 @@
         over_share_utility=float(options.get("over_share_worth", 1.0)),
         cores=tuple(int(cores) for cores in extra.get("cpu_of_kind", [])),
         memory_mb=tuple(float(memory) for memory in extra.get("memory_by_kind_mb", [])),
-        in_hand=fields.index(IN_HAND) if report.get("how") == "piggyback" and IN_HAND in fields else None,
+        in_hand=fields.index(IN_HAND) if IN_HAND in fields else None,
         list_pushed=options.get("membership_mode", "pushed") == "pushed",
         may_call_off=bool(limits.get("cancelling", False)), may_probe=bool(limits.get("may_probe", False)),
         may_tell=bool(limits.get("may_tell", False)), second_copies=bool(limits.get("second_copies", False)),
--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -21,6 +21,7 @@
 
 IDENT = re.compile(rb"[0-9a-fA-F]{16}")
 NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+MOST_AHEAD = 131_072  # bytes that a client may send ahead of its answer
 LONGEST_UNFINISHED, LONGEST_IDLE, LONGEST_UNREAD = 10_000.0, 60_000.0, 20_000.0  # ms; clients close after 4 s
 
 
@@ -63,7 +64,7 @@
         if not self.parser.left():
             self.since = self.clients.clock()
         self.parser.feed(data)
-        if self.call is not None and self.parser.left() > self.clients.most_ahead:
+        if self.call is not None and self.parser.left() > MOST_AHEAD:
             self.clients.counters.add("client_ran_ahead")
             self.transport.abortConnection()
             return
@@ -109,7 +110,7 @@
         if method == b"POST":
             self.submit(last, fields, body, keep)
         elif method == b"DELETE":
-            found = self.clients.link.withdraw(bytes(last).lower())
+            found = self.clients.link.withdraw(last)
             self.answer(200 if found else 404, {}, keep)
         elif method == b"GET" and last == b"alive":
             self.answer(200 if self.clients.ready else 503, {}, keep)
@@ -127,8 +128,8 @@
         if not IDENT.fullmatch(ident) or wait <= 0:
             raise BadMessage(400, "req-id or req-wait-ms cannot be used")
         statement = bytes(body)  # outlives the buffer: further trips may need it
-        call = self.clients.link.take(ident.lower(), ident, workload, kind, wait, cost, memory,
-                                      group_of(statement), statement)
+        call = self.clients.link.take(ident, workload, kind, wait, cost, memory, group_of(statement),
+                                      statement)
         if call is None:
             raise BadMessage(400, "a submission with this id is open")
         self.call = call
@@ -185,9 +186,9 @@
 
     noisy = False
 
-    def __init__(self, link: SocketLink, workloads: Mapping[bytes, int], most: int, most_ahead: int,
+    def __init__(self, link: SocketLink, workloads: Mapping[bytes, int], most: int,
                  clock: Callable[[], float], counters: Counters, log: logging.Logger) -> None:
-        self.link, self.workloads, self.most, self.most_ahead = link, workloads, most, most_ahead
+        self.link, self.workloads, self.most = link, workloads, most
         self.clock, self.counters, self.log = clock, counters, log
         self.connections: dict[Client, None] = {}
         self.port: Any = None
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -68,14 +68,12 @@
 
     def connectionMade(self) -> None:
         self.up, self.opened = True, self.engines.clock()
+        self.used = self.opened
         self.transport.setTcpNoDelay(True)
         self.engines.counters.add("engine_connections")
         for trip in list(self.trips.values()):
             self.write_trip(trip)
-        if not self.trips:
-            self.used = self.opened
-        if self.closing and not self.trips:
-            self.transport.loseConnection()
+        self.close_if_done()
 
     def dataReceived(self, data: bytes) -> None:
         self.heard = self.engines.clock()
@@ -128,9 +126,17 @@
         if not self.engines.counters.must(self.trips.pop(trip.ident, None) is trip, "trip_ends_once"):
             return
         trip.connection = None
+        self.close_if_done()
+        trip.done.callback(outcome)
+
+    def retire(self) -> None:
+        """No further trips: it ends with those that are out."""
+        self.closing = True
+        self.close_if_done()
+
+    def close_if_done(self) -> None:
         if self.closing and not self.trips and self.up:
             self.transport.loseConnection()
-        trip.done.callback(outcome)
 
     def lost(self, ending: Ending = Ending.RESET) -> None:
         self.up, self.closing = False, True
@@ -146,44 +152,34 @@
         if len(parts) != 4:
             raise BadAnswer(f"{len(parts)} parts where 4 were expected")
         ident, word, fields = parts[0], bytes(parts[1]), read_fields(parts[2])
+        if word not in (b"200", b"chunk", *ENDINGS):
+            raise BadAnswer("an answer with an unknown word")
+        pages = int(fields.get("parts", "1")) if word == b"200" else 1
+        if not 1 <= pages <= MOST_PAGES:
+            raise BadAnswer("a result has no usable number of pages")
         trip = self.trips.get(ident)
-        if word == b"200":
-            pages = int(fields["parts"]) if "parts" in fields else 1
-            if not 1 <= pages <= MOST_PAGES:
-                raise BadAnswer("a result has no usable number of pages")
-            if trip is None or trip.parts:
-                self.crossed(ident, pages if trip is None else 1)
-                return
+        if trip is None or (word == b"200" and trip.parts):
+            # It answers what was given up meanwhile, whose further pages are let go, or says 200 twice.
+            self.engines.counters.add("answers_crossed")
+            if trip is None and pages > 1:
+                self.write(b"release", ident)
+        elif word == b"200":
             trip.parts, trip.report = pages, self.engines.report(fields.get("stats", ""))
             for page in range(1, pages):
                 self.write(b"read", ident, b"%d" % page)
             self.page(trip, 0, parts[3])
         elif word == b"chunk":
-            if trip is None:
-                self.crossed(ident, 1)
-                return
-            number = int(fields["part_no"]) if "part_no" in fields else -1
+            number = int(fields.get("part_no", "-1"))
             if not 0 < number < trip.parts or number in trip.pages:
                 raise BadAnswer("a page that was not asked for")
             self.page(trip, number, parts[3])
-        elif word in ENDINGS:
-            if trip is None:
-                self.crossed(ident, 1)
-                return
+        else:
             # Once it was delivered, whatever else is said of it only tells that its pages are lost.
             ending = Ending.ERROR if trip.parts else ENDINGS[word]
             if trip.parts:
                 self.engines.counters.add("pages_lost")
                 self.write(b"release", ident)
             self.finish(trip, Outcome(ending, (), self.engines.report(fields.get("stats", ""))))
-        else:
-            raise BadAnswer("an answer with an unknown word")
-
-    def crossed(self, ident: bytes | memoryview, pages: int) -> None:
-        """An answer to what was given up meanwhile; its further pages are let go."""
-        self.engines.counters.add("answers_crossed")
-        if pages > 1:
-            self.write(b"release", ident)
 
     def page(self, trip: Trip, number: int, text: memoryview) -> None:
         trip.size += len(text)
@@ -235,16 +231,11 @@
                 connection.transport.abortConnection()  # the process that it led to is no more
                 connection.lost()
             elif seat.life == Life.GONE or seat[1:3] != before[1:3]:
-                self.retire(connection)
+                connection.retire()
             if seat.life != Life.READY and not connection.up:
                 # Dialled for, not yet sent: what would be sent now comes too late for a drain.
                 connection.lost(Ending.MOOT)
 
-    def retire(self, connection: Connection) -> None:
-        connection.closing = True
-        if not connection.trips and connection.up:
-            connection.transport.loseConnection()
-
     def connection_for(self, trip: Trip) -> Connection | None:
         for connection in self.connections:
             if not connection.closing and len(connection.trips) < self.engines.trips_a_connection \
@@ -257,12 +248,12 @@
         self.connections.append(connection)
         self.engines.connections += 1
         self.engines.dial(self.seat.host, self.seat.port, Dial(connection))
-        return connection if connection in self.connections else None
+        return connection
 
     def sweep(self, idle_since: float) -> None:
         for connection in list(self.connections):
             if connection.up and not connection.trips and connection.used < idle_since:
-                self.retire(connection)
+                connection.retire()
 
 
 class Engines:
--- a/spurdeal/net/http.py
+++ b/spurdeal/net/http.py
@@ -6,7 +6,7 @@
 
 LARGEST_HEAD = 8192
 LARGEST_BODY = 65536
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
            413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
            503: "Service Unavailable"}
 TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -43,7 +43,6 @@
     """A submission as the link carries it, until it is answered and none of its trips is out."""
 
     number: int
-    key: bytes
     ident: bytes
     workload: bytes
     statement: bytes
@@ -53,7 +52,6 @@
     rank: int | None = None
     made: int = 0
     trips: dict[int, Trip] = field(default_factory=dict)
-    sent: dict[int, float] = field(default_factory=dict)
 
 
 class SocketLink:
@@ -65,7 +63,7 @@
         self.locations, self.kinds = list(locations), list(kinds)
         self.engines, self.reactor, self.clock = engines, reactor, clock
         self.counters, self.logger = counters, log
-        self.priorities, self.may_call_off = site.priorities, site.may_call_off
+        self.priorities = site.priorities
         self.taken: dict[int, Taken] = {}
         self.by_ident: dict[bytes, Taken] = {}
         self.places: dict[str, int] = {}
@@ -90,16 +88,16 @@
     def at(self, when: float, call: Callable[..., None], *words: Any) -> None:
         heapq.heappush(self.alarms, (when, next(self.order), call, words))
 
-    def take(self, key: bytes, ident: bytes, workload: bytes, kind: int, wait: float, cost: float,
-             memory: float, group: int, statement: bytes) -> Deferred[Answer] | None:
+    def take(self, ident: bytes, workload: bytes, kind: int, wait: float, cost: float, memory: float,
+             group: int, statement: bytes) -> Deferred[Answer] | None:
         """A submission is taken; its Deferred brings the answer, and cancelling that withdraws it."""
-        if key in self.by_ident:
+        if ident.lower() in self.by_ident:
             return None
         now, number = self.clock(), next(self.numbers)
         expiry = min(now + wait - ANSWER_WAY, self.until)
         answer: Deferred[Answer] = Deferred(lambda _: self.left(number))
-        taken = Taken(number, key, ident, workload, statement, expiry, answer)
-        self.taken[number] = self.by_ident[key] = taken
+        taken = Taken(number, ident, workload, statement, expiry, answer)
+        self.taken[number] = self.by_ident[ident.lower()] = taken
         self.counters.add("taken")
         self.counters.most("most_open", len(self.by_ident))
         self.gather(self.submit, number, kind, now, expiry, cost, memory, group)
@@ -122,8 +120,8 @@
         self.rules.withdrawn(now, taken.number)
         self.drop(taken)
 
-    def withdraw(self, key: bytes) -> bool:
-        taken = self.by_ident.get(key)
+    def withdraw(self, ident: bytes) -> bool:
+        taken = self.by_ident.get(ident.lower())
         if taken is not None:
             taken.answer.cancel()
         return taken is not None
@@ -231,8 +229,7 @@
         self.asked.append((self.cancel, (number, trip)))
 
     def wake(self, delay: float, token: int) -> None:
-        due = self.clock() + delay
-        self.at(due, self.gather, self.rules_woken, token)
+        self.at(self.clock() + delay, self.gather, self.rules_woken, token)
 
     def rules_woken(self, now: float, token: int) -> None:
         """By name, as the rules ask to be woken while they are still being made."""
@@ -248,15 +245,14 @@
 
     def carry(self, taken: Taken, trip: int, engine: int, time_limit: float) -> None:
         now = self.clock()
-        taken.sent[trip] = now
         if taken.answered:  # its client left before this turn: it is not sent at all
-            self.gather(self.ended, taken, trip, engine, Outcome(Ending.MOOT))
+            self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
             return
         wait = min(time_limit, taken.expiry - now) if time_limit else taken.expiry - now
         rank = taken.rank if self.priorities else None
         out = self.engines.send(engine, taken.ident, taken.workload, wait, rank, taken.statement)
         taken.trips[trip] = out
-        out.done.addCallback(self.came_back, taken, trip, engine)
+        out.done.addCallback(self.came_back, taken, trip, engine, now)
 
     def weigh(self, taken: Taken, priority: int) -> None:
         taken.rank = priority
@@ -276,21 +272,22 @@
 
     def concluded(self, taken: Taken) -> None:
         taken.answered = True
-        del self.by_ident[taken.key]
+        del self.by_ident[taken.ident.lower()]
 
     def drop(self, taken: Taken) -> None:
         if taken.answered and not taken.trips:
             self.taken.pop(taken.number, None)
 
-    def came_back(self, outcome: Outcome, taken: Taken, trip: int, engine: int) -> None:
+    def came_back(self, outcome: Outcome, taken: Taken, trip: int, engine: int, sent: float) -> None:
         self.counters.add("trips_" + outcome.ending.name.lower())
-        self.gather(self.ended, taken, trip, engine, outcome)
+        self.gather(self.ended, taken, trip, engine, sent, outcome)
 
-    def ended(self, now: float, taken: Taken, trip: int, engine: int, outcome: Outcome) -> None:
+    def ended(self, now: float, taken: Taken, trip: int, engine: int, sent: float,
+              outcome: Outcome) -> None:
         taken.trips.pop(trip, None)
         delivered = outcome.ending == Ending.DELIVERED
         if delivered and not taken.answered:
             self.asked.append((self.conclude, (taken, Delivered(outcome.pages))))
-        self.rules.ended(now, taken.number, trip, engine, outcome.ending, now - taken.sent[trip],
+        self.rules.ended(now, taken.number, trip, engine, outcome.ending, now - sent,
                          delivered or taken.answered, 0.0, 0.0, outcome.report)
         self.drop(taken)
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -15,7 +15,7 @@
 from twisted.internet.task import LoopingCall
 from twisted.logger import globalLogBeginner
 
-from ..deployment import deployment
+from ..deployment import deployment, reported
 from ..interface import Deployment
 from .clients import Clients
 from .counters import Counters
@@ -26,7 +26,6 @@
 
 BACKLOG = 1024
 CLIENTS_PART, ENGINES_PART = 0.5, 0.4  # of the descriptors; clients need a third at most
-AHEAD = 131_072  # bytes that a client may send ahead of its answer
 KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
 STOP_NOT_BEFORE = 900.0  # ms after SIGTERM; new connections and calls on open ones come until 600
 OVERTIME = 200.0  # ms in which the last answers may still be written
@@ -62,8 +61,7 @@
         if not isinstance(given, dict):
             raise ValueError("it is not a JSON object")
         settings = given["settings"]
-        site, limits, report = deployment(settings), settings.get("limits", {}), settings.get("report") or {}
-        fields = report.get("fields") or [] if report.get("how") == "piggyback" else []
+        site, limits = deployment(settings), settings.get("limits", {})
         host, port = read_address(given["listen"])
         return Told(
             name=str(given.get("name", "")), host=host, port=port, seed=int(str(given.get("seed", "0")), 16),
@@ -73,7 +71,7 @@
             workloads={grade["name"].encode(): place for place, grade in enumerate(settings["grades"])},
             locations=[str(name) for name in settings.get("zones", [])],
             kinds=[str(name) for name in settings.get("models", [])],
-            report_fields=[str(name) for name in fields],
+            report_fields=reported(settings),
             connect_within=float(limits.get("dial_timeout", 250.0)),
             idle_after=float(limits.get("conn_idle", 30_000.0)),
             trips_a_connection=int(limits.get("streams_per_conn", 1)))
@@ -94,7 +92,7 @@
                                int(told.sockets * ENGINES_PART), told.report_fields, self.counters, log)
         self.link = SocketLink(told.site, told.seed, told.locations, told.kinds, self.engines, reactor, clock,
                                self.counters, log)
-        self.clients = Clients(self.link, told.workloads, max(8, int(told.sockets * CLIENTS_PART)), AHEAD,
+        self.clients = Clients(self.link, told.workloads, max(8, int(told.sockets * CLIENTS_PART)),
                                clock, self.counters, log)
         number, seats = told.known
         self.names = NameService(reactor, told.nameserver, number, self.link.listed, self.counters, log)
@@ -153,18 +151,22 @@
 
 
 def main(environment: Mapping[str, str]) -> int:
-    path = environment.get("ROUTER_CONFIG", "")
     try:
-        if not path:
-            raise Unusable("ROUTER_CONFIG is not set")
-        with open(path, "rb") as source:
-            told = read_configuration(source.read())
-    except OSError as fault:
-        print(f"spurdeal: configuration: {fault.strerror}: {path}", file=sys.stderr)
-        return 2
+        serve(environment.get("ROUTER_CONFIG", ""))
     except Unusable as fault:
         print(f"spurdeal: {fault}", file=sys.stderr)
         return 2
+    return 0
+
+
+def serve(path: str) -> None:
+    if not path:
+        raise Unusable("ROUTER_CONFIG is not set")
+    try:
+        with open(path, "rb") as source:
+            told = read_configuration(source.read())
+    except OSError as fault:
+        raise Unusable(f"configuration: {fault.strerror}: {path}") from None
     from twisted.internet import reactor
     loop: Any = reactor
     service = Service(told, loop, unix_ms, logger(told.name or "spurdeal", sys.stderr), loop.stop)
@@ -174,10 +176,8 @@
     try:
         service.start()
     except CannotListenError as fault:
-        print(f"spurdeal: configuration: cannot listen on {told.host}:{told.port}: {fault.socketError}",
-              file=sys.stderr)
-        return 2
+        where = f"{told.host}:{told.port}"
+        raise Unusable(f"configuration: cannot listen on {where}: {fault.socketError}") from None
     gc.collect()
     gc.freeze()
     loop.run(installSignalHandlers=False)
-    return 0
