SIGHUP reads the configuration again: name service, newer events, limits

Checked: 129 is 128 + SIGHUP; start.py set handlers for SIGTERM and SIGINT only, so the default action ended it. Ruled out: the planned stop (no such exit before the first SIGHUP). Now Service.read_again takes what can change while running; an unusable configuration leaves the old in force.

--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -186,9 +186,9 @@
 
     noisy = False
 
-    def __init__(self, link: SocketLink, workloads: Mapping[bytes, int], most: int,
-                 clock: Callable[[], float], counters: Counters, log: logging.Logger) -> None:
-        self.link, self.workloads, self.most = link, workloads, most
+    def __init__(self, link: SocketLink, workloads: Mapping[bytes, int], clock: Callable[[], float],
+                 counters: Counters, log: logging.Logger) -> None:
+        self.link, self.workloads, self.most = link, workloads, 0
         self.clock, self.counters, self.log = clock, counters, log
         self.connections: dict[Client, None] = {}
         self.port: Any = None
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -259,15 +259,17 @@
 class Engines:
     """All engines by index. A trip is sent, and its Deferred tells how it ended."""
 
-    def __init__(self, reactor: Any, clock: Callable[[], float], connect_within: float, idle_after: float,
-                 trips_a_connection: int, most_connections: int, report_fields: Sequence[str],
+    def __init__(self, reactor: Any, clock: Callable[[], float], report_fields: Sequence[str],
                  counters: Counters, log: logging.Logger) -> None:
         self.reactor, self.clock, self.counters, self.log = reactor, clock, counters, log
-        self.connect_within, self.idle_after = connect_within, idle_after
-        self.trips_a_connection, self.most_connections = max(1, trips_a_connection), most_connections
         self.report_fields, self.connections = tuple(report_fields), 0
         self.engines: dict[int, Engine] = {}
 
+    def bound(self, connect_within: float, idle_after: float, trips_a_connection: int,
+              most_connections: int) -> None:
+        self.connect_within, self.idle_after = connect_within, idle_after
+        self.trips_a_connection, self.most_connections = max(1, trips_a_connection), most_connections
+
     def dial(self, host: str, port: int, factory: Dial) -> None:
         self.reactor.connectTCP(host, port, factory, timeout=self.connect_within / 1000)
 
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -96,6 +96,12 @@
             self.asking.cancel()
         self.asking = None
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The name service is elsewhere now; the numbers of its events go on."""
+        self.address = address
+        self.stopProtocol()
+        self.ask()
+
     def ask(self) -> None:
         self.ident = (self.ident + 1) & 0xFFFF
         self.open[self.ident] = None
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -81,6 +81,14 @@
         raise Unusable(f"configuration: {fault}") from None
 
 
+def told_by(path: str) -> Told:
+    try:
+        with open(path, "rb") as source:
+            return read_configuration(source.read())
+    except OSError as fault:
+        raise Unusable(f"configuration: {fault.strerror}: {path}") from None
+
+
 class Service:
     """One dispatcher: its parts, started and stopped together."""
 
@@ -88,12 +96,11 @@
                  done: Callable[[], None]) -> None:
         self.told, self.reactor, self.clock, self.log, self.done = told, reactor, clock, log, done
         self.counters = Counters()
-        self.engines = Engines(reactor, clock, told.connect_within, told.idle_after, told.trips_a_connection,
-                               int(told.sockets * ENGINES_PART), told.report_fields, self.counters, log)
+        self.engines = Engines(reactor, clock, told.report_fields, self.counters, log)
         self.link = SocketLink(told.site, told.seed, told.locations, told.kinds, self.engines, reactor, clock,
                                self.counters, log)
-        self.clients = Clients(self.link, told.workloads, max(8, int(told.sockets * CLIENTS_PART)),
-                               clock, self.counters, log)
+        self.clients = Clients(self.link, told.workloads, clock, self.counters, log)
+        self.bound(told)
         number, seats = told.known
         self.names = NameService(reactor, told.nameserver, number, self.link.listed, self.counters, log)
         self.seats = seats
@@ -103,6 +110,33 @@
         longest = min(KILL_MOST, max(workload.expiry for workload in told.site.workloads))
         self.stop_within = longest + KILL_AFTER - KILL_MARGIN
 
+    def bound(self, told: Told) -> None:
+        """All that follows from the limits told."""
+        self.engines.bound(told.connect_within, told.idle_after, told.trips_a_connection,
+                           int(told.sockets * ENGINES_PART))
+        self.clients.most = max(8, int(told.sockets * CLIENTS_PART))
+
+    def read_again(self, read: Callable[[], Told]) -> None:
+        """SIGHUP: another name service, newer events and limits are in force at once, the rest at a start."""
+        try:
+            told = read()
+        except Unusable as fault:
+            self.counters.add("configurations_unusable")
+            self.log.error("configuration_kept", extra={"figures": {"why": str(fault)}})
+            return
+        self.counters.add("configurations_read")
+        self.bound(told)
+        number, seats = told.known
+        if number > self.names.number:
+            self.names.number = number
+            self.link.listed(seats)
+        if told.nameserver != self.names.address:
+            self.names.move(told.nameserver)
+        host, port = told.nameserver
+        later = (told.site, told.host, told.port) != (self.told.site, self.told.host, self.told.port)
+        self.log.info("configuration_read", extra={"figures": {
+            "nameserver": f"{host}:{port}", "sockets": told.sockets, "rest_at_a_start": later}})
+
     def start(self) -> None:
         self.clients.port = self.reactor.listenTCP(self.told.port, self.clients, backlog=BACKLOG,
                                                    interface=self.told.host)
@@ -162,14 +196,11 @@
 def serve(path: str) -> None:
     if not path:
         raise Unusable("ROUTER_CONFIG is not set")
-    try:
-        with open(path, "rb") as source:
-            told = read_configuration(source.read())
-    except OSError as fault:
-        raise Unusable(f"configuration: {fault.strerror}: {path}") from None
+    told = told_by(path)
     from twisted.internet import reactor
     loop: Any = reactor
     service = Service(told, loop, unix_ms, logger(told.name or "spurdeal", sys.stderr), loop.stop)
+    signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(service.read_again, lambda: told_by(path)))
     signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(service.stop))
     signal.signal(signal.SIGINT, lambda *_: loop.callFromThread(service.stop))
     globalLogBeginner.beginLoggingTo([cast(Any, service.unhandled)], redirectStandardIO=False)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -155,7 +155,7 @@
     def __init__(self, case: unittest.TestCase, engines: int = 1, **more: Any) -> None:
         self.case, self.done = case, list[float]()
         self.reactor: Any = Reactor(self)
-        self.names: list[bytes] = []
+        self.names, self.asked = list[bytes](), list[object]()
         self.log = io.StringIO()
         told = read_configuration(json.dumps(configuration(engines, **more)))
         self.service = Service(told, self.reactor, self.now, logger("n1", self.log),
@@ -187,11 +187,13 @@
 
     def write(self, datagram: bytes, address: object) -> None:
         self.names.append(datagram)
+        self.asked.append(address)
 
-    def list(self, serial: int, *seats: tuple[str, str, int, str], **more: Any) -> None:
+    def list(self, serial: int, *seats: tuple[str, str, int, str],
+             source: tuple[str, int] = ("127.0.8.9", 5300), **more: Any) -> None:
         self.go(200)  # the next question
         answer = name_answer(self.names[-1], serial, *seats, **more)
-        self.service.names.datagramReceived(answer, ("127.0.8.9", 5300))
+        self.service.names.datagramReceived(answer, source)
         self.go()
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -7,10 +7,12 @@
 import tempfile
 import unittest
 from pathlib import Path
+from signal import SIGHUP, SIGTERM
 
 from twisted.internet.error import TimeoutError as NotUp
 
 from spurdeal.net.logs import logger
+from spurdeal.net.start import Told, read_configuration, told_by
 from tests.helpers import BASE, SETTINGS, Caller, World, configuration
 
 ROW = b"a\t1\tx\n"
@@ -340,6 +342,38 @@
         self.assertIn("event=counters", world.log.getvalue())
 
 
+    def test_a_new_configuration_moves_the_name_service_and_goes_on(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.post(1)
+        told = read_configuration(json.dumps(configuration(1, nameserver="127.0.8.10:5301")))
+        world.service.read_again(lambda: told)
+        self.assertEqual(world.asked[-1], ("127.0.8.10", 5301))
+        seat = ("s-1.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0")
+        world.list(2, seat)  # the old one answers no more
+        self.assertEqual(set(world.service.link.seats), {"s-0"})
+        world.list(2, seat, source=("127.0.8.10", 5301))
+        self.assertEqual(set(world.service.link.seats), {"s-1"})
+
+        def unusable() -> Told:
+            return told_by("/nowhere/config.json")
+        world.service.read_again(unusable)
+        self.assertIn("event=configuration_kept", world.log.getvalue())
+        self.assertEqual(world.service.names.address, ("127.0.8.10", 5301))
+        world.peer(1).up().say(1, "200", "parts=1", ROW)
+        self.assertEqual(self.outcome(caller), (200, [["a", "1", "x"]]))
+
+    def test_newer_events_and_limits_of_a_new_configuration(self) -> None:
+        world = World(self)
+        more = configuration(2, limits={"sockets": 8})
+        more["known"]["no"] = more["known"]["items"][0]["no"] = 9
+        world.service.read_again(lambda: read_configuration(json.dumps(more)))
+        self.assertEqual((set(world.service.link.seats), world.service.names.number), ({"s-0", "s-1"}, 9))
+        for ident in range(8):
+            Caller(world).post(ident)
+        self.assertEqual(len(world.reactor.tcpClients), 3)
+
+
 class Small(unittest.TestCase):
     def test_log_lines(self) -> None:
         out = io.StringIO()
@@ -374,3 +408,19 @@
                                           check=False)
                     self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
                     self.assertIn(words, done.stderr)
+
+    def test_signals_read_the_configuration_again_and_stop(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(configuration(listen="127.0.8.1:7099")))
+            with subprocess.Popen([sys.executable, "-m", "spurdeal"], stderr=subprocess.PIPE, text=True,
+                                  env={"ROUTER_CONFIG": str(path)}) as process:
+                assert process.stderr is not None
+                for text, sent, wanted in ((None, None, "event=ready"), ("{", SIGHUP, "configuration_kept"),
+                                           (json.dumps(configuration()), SIGHUP, "configuration_read"),
+                                           (None, SIGTERM, "event=stopped")):
+                    path.write_text(text or path.read_text())
+                    if sent is not None:
+                        process.send_signal(sent)
+                    self.assertTrue(any(wanted in line for line in process.stderr), wanted)
+            self.assertEqual(process.returncode, 0)
