A trip a connection while descriptors last; errors go by how others fare

Healthy engines stood aside in turn, each after one spoilt answer that took 5 to 20 trips along (bad_answer with trips=20; strikes 1.5 a trip), or after errors to submissions that no engine knows (370 of them came to engines; three errors in a row set an engine aside). Nine of 25 cuts were second copies of a page, good but too much. Checked: door and descriptors (never full), CPU (0.35 of a core at most), lateness (none): ruled out. Wrong lines: Engine.connection_for filled one connection to 32 trips; Dispatcher.judge struck once a trip and for every error; Connection.answered took a second page for spoilt; nothing noticed an answer that stops short. Also: an engine that is gone is forgotten by link, engines and rules once nothing of it is out.

--- a/spurdeal/chance.py
+++ b/spurdeal/chance.py
@@ -1,5 +1,10 @@
 """Chance for the rules, from a seed alone."""
 
+from collections.abc import Sequence
+from typing import TypeVar
+
+T = TypeVar("T")
+
 
 class Chance:
     """A linear congruential generator, of which the high bits are used."""
@@ -10,3 +15,6 @@
     def draw(self) -> float:
         self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
         return (self.state >> 40) / (1 << 24)
+
+    def pick(self, among: Sequence[T]) -> T:
+        return among[int(self.draw() * len(among))]
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -19,7 +19,8 @@
 
 ENDINGS = {b"503": Ending.FULL, b"500": Ending.ERROR, b"504": Ending.MOOT}
 MOST_PAGES, LARGEST_RESULT, COLUMNS = 256, 96_000, 3
-MOST_GIVEN_UP = 256  # remembered on a connection: more than can cross
+MOST_PAST = 64  # trips remembered on a connection: more than can cross
+STALL = 2.0  # times the time to connect: an answer that stopped short for so long is never finished
 IDLE_PART = 0.5  # of the time after which engines close: ours closes first, or a trip would cross their close
 
 
@@ -60,7 +61,7 @@
     def __init__(self, engine: Engine) -> None:
         self.engine, self.engines, self.parser = engine, engine.engines, ArrayParser()
         self.trips: dict[bytes | memoryview, Trip] = {}
-        self.given_up: dict[bytes, None] = {}
+        self.past: dict[bytes, bool] = {}  # ids that were out here, and whether they were given up
         self.up = self.closing = False
         self.opened = self.used = self.heard = self.engines.clock()
 
@@ -76,16 +77,25 @@
         self.close_if_done()
 
     def dataReceived(self, data: bytes) -> None:
-        self.heard = self.engines.clock()
+        self.heard = self.engine.heard = self.engines.clock()
         self.parser.feed(data)
         try:
             while (parts := self.parser.take()) is not None:
                 self.answered(parts)
         except (BadAnswer, ValueError) as fault:
-            self.engines.counters.add("engine_bad_answers")
-            self.engine.say("bad_answer", why=str(fault))
-            self.transport.abortConnection()
-            self.lost()
+            self.cut(str(fault))
+
+    def cut(self, why: str) -> None:
+        """Spoilt: what is out here has run or runs, and nothing more can be read of it."""
+        self.engines.counters.add("engine_bad_answers")
+        self.engine.say("bad_answer", why=why, trips=len(self.trips))
+        self.transport.abortConnection()
+        self.lost()
+
+    def stalled(self) -> bool:
+        """An answer has begun and does not go on: the rest is lost, or its length was wrong."""
+        return self.parser.left() > 0 and \
+            self.engines.clock() - self.heard > STALL * self.engines.connect_within
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.lost()
@@ -110,21 +120,22 @@
     def give_up(self, trip: Trip, ending: Ending) -> None:
         """Nothing more is wanted of it: it is cancelled while it may run, and its pages let go after that."""
         self.write(b"release" if trip.parts else b"cancel", trip.ident)
-        self.given_up[trip.ident] = None  # its answer may cross: the same id does not go here again
-        if len(self.given_up) > MOST_GIVEN_UP:
-            del self.given_up[next(iter(self.given_up))]
         quiet = self.engines.clock() - trip.sent > self.engines.connect_within
         if self.up and quiet and self.heard <= trip.sent and not self.closing:
             # A machine cut off leaves its connections open, and nobody knows if what goes out on one runs. A
             # new connection that never comes up proves that nothing ran. Also: a hang, packets lost for long.
             self.engines.counters.add("silent_connections")
-            self.engine.say("silent_connection", trips=len(self.trips))
+            if self.engine.heard <= trip.sent:
+                self.engine.say("silent_engine", trips=len(self.trips))
             self.closing = True
-        self.finish(trip, Outcome(ending if self.up else Ending.MOOT))  # not up: it was never sent
+        self.finish(trip, Outcome(ending if self.up else Ending.MOOT), given_up=True)  # not up: never sent
 
-    def finish(self, trip: Trip, outcome: Outcome) -> None:
+    def finish(self, trip: Trip, outcome: Outcome, given_up: bool = False) -> None:
         if not self.engines.counters.must(self.trips.pop(trip.ident, None) is trip, "trip_ends_once"):
             return
+        self.past[trip.ident] = given_up  # an answer may cross or come twice: the same id comes here no more
+        if len(self.past) > MOST_PAST:
+            del self.past[next(iter(self.past))]
         trip.connection = None
         self.close_if_done()
         trip.done.callback(outcome)
@@ -143,6 +154,7 @@
         if self in self.engine.connections:
             self.engine.connections.remove(self)
             self.engines.connections -= 1
+            self.engines.forget(self.engine)
         for trip in list(self.trips.values()):
             self.finish(trip, Outcome(ending))
 
@@ -159,9 +171,10 @@
             raise BadAnswer("a result has no usable number of pages")
         trip = self.trips.get(ident)
         if trip is None or (word == b"200" and trip.parts):
-            # It answers what was given up meanwhile, whose further pages are let go, or says 200 twice.
+            # It answers what was given up meanwhile, whose further pages are let go; or says 200 twice, or
+            # more than was asked: good but too much.
             self.engines.counters.add("answers_crossed")
-            if trip is None and pages > 1:
+            if trip is None and pages > 1 and self.past.get(bytes(ident)):
                 self.write(b"release", ident)
         elif word == b"200":
             trip.parts, trip.report = pages, self.engines.report(fields.get("stats", ""))
@@ -170,9 +183,12 @@
             self.page(trip, 0, parts[3])
         elif word == b"chunk":
             number = int(fields.get("part_no", "-1"))
-            if not 0 < number < trip.parts or number in trip.pages:
+            if not 0 < number < trip.parts:
                 raise BadAnswer("a page that was not asked for")
-            self.page(trip, number, parts[3])
+            if number in trip.pages:  # a second copy: good but too much
+                self.engines.counters.add("answers_crossed")
+            else:
+                self.page(trip, number, parts[3])
         else:
             # Once it was delivered, whatever else is said of it only tells that its pages are lost.
             ending = Ending.ERROR if trip.parts else ENDINGS[word]
@@ -217,9 +233,10 @@
 class Engine:
     """One engine's seat and the connections to it."""
 
-    def __init__(self, engines: Engines, seat: Seat) -> None:
-        self.engines, self.seat = engines, seat
+    def __init__(self, engines: Engines, number: int, seat: Seat) -> None:
+        self.engines, self.number, self.seat = engines, number, seat
         self.connections: list[Connection] = []
+        self.heard = 0.0
 
     def say(self, event: str, **figures: object) -> None:
         self.engines.log.warning(event, extra={"figures": {"engine": self.seat.ident} | figures})
@@ -237,12 +254,16 @@
                 connection.lost(Ending.MOOT)
 
     def connection_for(self, trip: Trip) -> Connection | None:
-        for connection in self.connections:
-            if not connection.closing and len(connection.trips) < self.engines.trips_a_connection \
-                    and trip.ident not in connection.trips \
-                    and trip.ident not in connection.given_up:
-                return connection
-        if self.engines.connections >= self.engines.most_connections:
+        """The one with fewest trips, or a new one while it has any: what spoils one takes its trips along."""
+        open_here = [connection for connection in self.connections if not connection.closing
+                     and trip.ident not in connection.trips and trip.ident not in connection.past]
+        emptiest = min(open_here, key=lambda connection: len(connection.trips), default=None)
+        engines = self.engines
+        if emptiest is not None and (not emptiest.trips or engines.connections >= engines.most_connections
+                                     or len(self.connections) >= engines.share()) \
+                and len(emptiest.trips) < engines.trips_a_connection:
+            return emptiest
+        if engines.connections >= engines.most_connections:
             return None
         connection = Connection(self)
         self.connections.append(connection)
@@ -252,7 +273,9 @@
 
     def sweep(self, idle_since: float) -> None:
         for connection in list(self.connections):
-            if connection.up and not connection.trips and connection.used < idle_since:
+            if connection.stalled():
+                connection.cut("an answer stopped short")
+            elif connection.up and not connection.trips and connection.used < idle_since:
                 connection.retire()
 
 
@@ -284,10 +307,20 @@
         return figures
 
     def listed(self, engine: int, seat: Seat) -> None:
-        if engine in self.engines:
-            self.engines[engine].reseat(seat)
-        else:
-            self.engines[engine] = Engine(self, seat)
+        if (known := self.engines.get(engine)) is not None:
+            known.reseat(seat)
+            self.forget(known)
+        elif seat.life != Life.GONE:
+            self.engines[engine] = Engine(self, engine, seat)
+
+    def forget(self, engine: Engine) -> None:
+        """Nothing is kept of an engine that is gone once its last connection has ended."""
+        if engine.seat.life == Life.GONE and not engine.connections:
+            self.engines.pop(engine.number, None)
+
+    def share(self) -> int:
+        """How many connections one engine may have, so that there are some for each."""
+        return max(1, self.most_connections // max(1, len(self.engines)))
 
     def send(self, engine: int, ident: bytes, workload: bytes, wait: float, rank: int | None,
              statement: bytes) -> Trip:
@@ -295,9 +328,9 @@
         if rank is not None:
             fields += b",rank=%d" % rank
         trip = Trip(ident, (fields, statement))
-        connection = self.engines[engine].connection_for(trip)
+        connection = self.engines[engine].connection_for(trip) if engine in self.engines else None
         if connection is None:
-            self.counters.add("trips_not_sent")  # no descriptor left for one more: no fault of the engine's
+            self.counters.add("trips_not_sent")  # gone, or no descriptor left: no fault of the engine's
             trip.done.callback(Outcome(Ending.MOOT))
         else:
             connection.carry(trip)
@@ -312,11 +345,11 @@
             trip.connection.give_up(trip, ending)
 
     def sweep(self) -> None:
-        for engine in self.engines.values():
+        for engine in list(self.engines.values()):
             engine.sweep(self.clock() - IDLE_PART * self.idle_after)
 
     def close(self) -> None:
-        for engine in self.engines.values():
+        for engine in list(self.engines.values()):
             for connection in list(engine.connections):
                 if connection.up:
                     connection.transport.loseConnection()
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -67,6 +67,7 @@
         self.taken: dict[int, Taken] = {}
         self.by_ident: dict[bytes, Taken] = {}
         self.places: dict[str, int] = {}
+        self.next_place = count()
         self.seats: dict[str, Seat] = {}
         self.numbers, self.order = count(), count()
         self.until = float("inf")
@@ -127,7 +128,7 @@
         return taken is not None
 
     def listed(self, seats: Mapping[str, Seat]) -> None:
-        """The whole list. An engine that returns under its name keeps its place."""
+        """The whole list. An engine's place goes with it: nothing outlives what is gone."""
         lines = [Listed(self.place_of(ident), self.number_of(self.locations, seat.location),
                         self.number_of(self.kinds, seat.kind), seat.cell, seat.life, seat.weight,
                         seat.started) for ident, seat in seats.items()]
@@ -136,12 +137,16 @@
         gone = {ident: seat._replace(life=Life.GONE) for ident, seat in self.seats.items()}
         for ident, seat in (gone | dict(seats)).items():
             self.engines.listed(self.place_of(ident), seat)
+            if seat.life == Life.GONE:
+                del self.places[ident]
         self.seats = dict(seats)
         ready = sum(seat.life == Life.READY for seat in seats.values())
         self.logger.info("listed", extra={"figures": {"engines": len(seats), "ready": ready}})
 
     def place_of(self, ident: str) -> int:
-        return self.places.setdefault(ident, len(self.places))
+        if ident not in self.places:
+            self.places[ident] = next(self.next_place)
+        return self.places[ident]
 
     @staticmethod
     def number_of(names: list[str], name: str) -> int:
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -25,6 +25,7 @@
 from .names import NameService, Seat, known_seats, read_address
 
 BACKLOG = 1024
+SWEEP_EVERY = 0.25  # seconds
 CLIENTS_PART, ENGINES_PART = 0.5, 0.4  # of the descriptors; clients need a third at most
 KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
 STOP_NOT_BEFORE = 900.0  # ms after SIGTERM; new connections and calls on open ones come until 600
@@ -143,7 +144,7 @@
         self.reactor.listenUDP(0, self.names, interface=self.told.host, maxPacketSize=65535)
         self.link.listed(self.seats)
         self.clients.ready = True
-        self.sweeping.start(1.0, now=False)
+        self.sweeping.start(SWEEP_EVERY, now=False)
         self.log.info("ready", extra={"figures": {"name": self.told.name, "listen": self.told.host,
                                                   "port": self.told.port, "engines": len(self.seats)}})
 
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -51,7 +51,7 @@
         self.number, self.line, self.cores = line.engine, line, cores[line.kind % len(cores)]
         self.out: dict[tuple[int, int], Trip] = {}
         self.threads, self.overdue, self.answered, self.luck = 0, 0, now, 1.0
-        self.aside_until, self.warm_at, self.trial = 0.0, 0.0, False
+        self.aside_until, self.warm_at, self.struck, self.trial, self.errors = 0.0, 0.0, 0.0, False, 0
         self.cold_sends, self.ghosts = deque[tuple[float, float]](), deque[tuple[float, int]]()
         self.start_over(0.0)
 
@@ -59,8 +59,7 @@
         """A hang or a restart swings n* and P: both begin anew."""
         self.bound = self.before = self.start = start
         self.served = self.served_before = self.work = self.work_before = self.most = 0.0
-        self.pace = Histogram(PACE_EDGES)
-        self.slowness, self.strikes, self.pressed_until = 1.0, 0.0, 0.0
+        self.pace, self.slowness, self.strikes, self.pressed_until = Histogram(PACE_EDGES), 1.0, 0.0, 0.0
 
     def stand(self, trip: Trip, stands: bool) -> None:
         """A trip that waits for a load holds no core: it leaves the own threads until it runs."""
@@ -69,10 +68,7 @@
             self.threads += -trip.submission.workload.threads if stands else trip.submission.workload.threads
 
     def room(self) -> float:
-        return self.bound - self.threads
-
-    def pressed(self, now: float) -> bool:
-        return now < self.pressed_until or self.slowness > PRESSURE
+        return self.bound - self.threads - self.errors
 
     def move_bound(self, step: float) -> None:
         """The design's hill climbing, once an interval."""
@@ -86,8 +82,7 @@
             self.before, self.bound = self.bound, max(FLOOR * self.start, self.bound - step)
         else:
             self.before, self.bound = self.bound, self.before
-        demand = max(self.start, self.most)
-        if demand < self.bound:  # demand lowers n*, not below its start, and counts as no lowering
+        if (demand := max(self.start, self.most)) < self.bound:  # lowers n*, and counts as no lowering
             self.before = self.bound = demand
         self.served_before, self.work_before = served, self.work
         self.served, self.work, self.most = 0.0, 0.0, float(self.threads)
@@ -162,9 +157,8 @@
         self.usual[kind] = usual + (cost - usual) / 30 if usual else cost
         due = cost / w.threads * self.best[kind]
         cheap = w.threads == 1 and cost <= CHEAP_MARK * min(usual or cost for usual in self.usual)
-        agreed = now + w.agreed + w.stretch * due
         s = Submission(number, kind, customer, key if w.in_order else 0, min(expiry, self.until), cost,
-                       memory, group, now, w, due, agreed, w.utility, cheap)
+                       memory, group, now, w, due, now + w.agreed + w.stretch * due, w.utility, cheap)
         self.open[number] = s
         self.taken_times.append(now)
         self.further_credit = min(FURTHER_MOST, self.further_credit + FURTHER_EACH
@@ -181,11 +175,10 @@
 
     def share_stage(self, s: Submission) -> bool:
         """A customer beyond its share is not shed for that: what it sends weighs less in the held line."""
-        if s.customer < len(self.quotas):
-            if self.credit[s.customer] < 1.0:
-                s.utility, s.cheap = s.utility * self.over_share, False
-            else:
-                self.credit[s.customer] -= 1.0
+        if s.customer < len(self.quotas) and self.credit[s.customer] < 1.0:
+            s.utility, s.cheap = s.utility * self.over_share, False
+        elif s.customer < len(self.quotas):
+            self.credit[s.customer] -= 1.0
         return True
 
     def order_stage(self, s: Submission) -> bool:
@@ -232,8 +225,7 @@
 
     def turn(self, now: float) -> None:
         """Held ones leave, lowest aged cost per utility first, each to the engine with most room."""
-        self.now, self.promised = now, None
-        kept, ripe = [], False
+        self.now, self.promised, kept, ripe = now, None, list[Submission](), False
         stuck = [False for _ in self.workloads]  # nothing frees room within a turn: one speaks for its kind
         for s in self.held:
             if s.over or (not stuck[s.kind] and self.pass_on(s, self.chain.index(self.choice_stage))):
@@ -266,13 +258,13 @@
         if w.waits_for_loads or w.holds_tables:
             engines = [e for e in engines if not self.stands(e, s.group)] or engines
         # Where n* is under one submission ties are the rule: fewer trips out, then better pace of two drawn.
-        ranks = [(-e.threads / e.cores if fewest else e.room(), -len(e.out) if e.bound < w.threads else 0)
-                 for e in engines]
+        # One that fails at once has fewest out: its errors since it last delivered count as threads.
+        ranks = [(-(e.threads + e.errors) / e.cores if fewest else e.room(),
+                  -len(e.out) if e.bound < w.threads else 0) for e in engines]
         top = max(ranks, default=None)
         best = [e for e, rank in zip(engines, ranks, strict=True) if rank == top]
         two = best[:2] if best and best[0].bound < w.threads else best[:1]
-        drawn = [best[int(self.chance.draw() * len(best))] for _ in two]
-        return min(drawn, key=lambda e: e.slowness, default=None)
+        return min((self.chance.pick(best) for _ in two), key=lambda e: e.slowness, default=None)
 
     def in_turn(self, s: Submission) -> bool:
         """Rule 5: those of one key run one at a time, in the order taken, and rest after a doubtful end."""
@@ -303,9 +295,8 @@
     def admits(self, engine: Engine, threads: int, calm: bool, even: bool) -> bool:
         """The bound binds only under pressure; below one query's threads it is a matter of chance."""
         after = engine.threads + threads
-        if after <= engine.bound:
-            return True
-        if calm and not engine.pressed(self.now) and (not engine.threads or after <= UNSEEN * engine.bound):
+        calm = calm and self.now >= engine.pressed_until and engine.slowness <= PRESSURE
+        if after <= engine.bound or (calm and (not engine.threads or after <= UNSEEN * engine.bound)):
             return True
         return even and engine.bound < threads and not engine.out and engine.luck < engine.bound / threads
 
@@ -329,8 +320,7 @@
 
     def ended(self, now: float, number: int, trip: int, engine: int, ending: Ending, took: float, final: bool,
               work: float, memory: float, report: Sequence[float]) -> None:
-        self.now = now
-        e = self.engines[engine]
+        self.now, e = now, self.engines[engine]
         t = e.out.pop((number, trip))
         s = t.submission
         e.stand(t, False)
@@ -352,7 +342,7 @@
             self.rests[s.key] = now + self.order_rest
         if final or s.over:
             self.close(s)
-        elif now >= s.expiry - 1.0 or (not s.out and (
+        elif now >= s.expiry - 1.0 or (not s.out and (len(s.erred) > 1 or  # it fails anywhere
                 now >= s.expiry - LAST_MOMENT or ending == Ending.TIME_OUT or s.made >= self.most_trips
                 or self.further_credit < 1.0 or (s.ran and s.workload.effect == Effect.IRREVERSIBLE))):
             self.end(s)
@@ -396,8 +386,7 @@
             self.link.watch()
         else:
             self.link.wake(TICK, WAKE_TICK)
-            self.credit = [min(credit + quota * TICK, quota * 1000)
-                           for credit, quota in zip(self.credit, self.quotas, strict=True)]
+            self.credit = [min(c + q * TICK, q * 1000) for c, q in zip(self.credit, self.quotas, strict=True)]
             self.watch_engines()
             self.watch_held()
             if now >= self.next_interval:
@@ -407,8 +396,7 @@
     def watch_held(self) -> None:
         """What can no longer be worth its wait is answered at once."""
         for s in [s for s in self.held if not s.over]:
-            done = max(self.now + LAST_MOMENT, self.now + s.due * self.middle)
-            late = done > s.agreed
+            late = (done := self.now + max(LAST_MOMENT, s.due * self.middle)) > s.agreed
             if done >= s.expiry or (late and s.workload.late_utility < LATE_WORTH_IT):
                 self.end(s)
             elif late and not s.late:
@@ -458,8 +446,7 @@
             self.call_off([t])
 
     def noted(self, now: float, number: int, trip: int, engine: int, word: Word, level: float) -> None:
-        e = self.engines[engine]
-        if (t := e.out.get((number, trip))) is not None:
+        if (e := self.engines.get(engine)) and (t := e.out.get((number, trip))):
             t.heard = now
             e.stand(t, word == Word.WAITS and level == WAITS_FOR_LOAD)
             if word == Word.PROGRESS and level > 0:
@@ -469,7 +456,9 @@
         s, threads = t.submission, t.submission.workload.threads
         if ending == Ending.DELIVERED:
             e.served, e.work = e.served + threads, e.work + s.cost
-            e.answered, e.strikes = self.now, 0.0
+            e.answered, e.strikes, e.errors = self.now, 0.0, 0
+            for erring in s.erred:
+                self.strike(erring, STRIKE_ERROR)
             ratio = took * threads / (work or s.cost)
             pace = ratio / self.best[s.kind]
             self.paces[s.kind].add(ratio, threads)
@@ -487,13 +476,23 @@
             # It has fewest of ours and answers at once: without a rest it would draw all that comes.
             e.answered, e.pressed_until = self.now, self.now + PRESSURE_HOLD
             e.aside_until = max(e.aside_until, self.now + FULL_REST * (0.5 + self.chance.draw()))
-        elif ending in (Ending.UNREACHED, Ending.RESET, Ending.ERROR):
-            # Covers a crash, a cut link and an engine that fails all it takes, whatever the list says.
-            e.strikes += STRIKE_ERROR if ending == Ending.ERROR else STRIKE_LOST
-            if e.strikes >= STRIKES or e.trial:
-                self.set_aside(e, f"strikes {e.strikes:.1f}")
-                if ending != Ending.ERROR:  # it comes back cold, even where the list has not told
-                    e.warm_at = max(e.warm_at, e.aside_until + self.cold_for)
+        elif ending == Ending.ERROR:
+            # Its own fault or the submission's: what is redoable tells by how it fares elsewhere.
+            e.errors += 1
+            s.erred.append(e)
+            if s.workload.effect != Effect.REDOABLE:
+                self.strike(e, STRIKE_ERROR)
+        elif ending == Ending.UNREACHED or (ending == Ending.RESET and (self.now != e.struck or not e.out)):
+            # A connection spoilt or cut is one strike while others stay up, however many trips it took along.
+            self.strike(e, STRIKE_LOST)
+
+    def strike(self, e: Engine, weight: float) -> None:
+        """Covers a crash, a cut link and an engine that fails all it takes, whatever the list says."""
+        e.strikes, e.struck = e.strikes + weight, self.now
+        if e.strikes >= STRIKES or e.trial:
+            self.set_aside(e, f"strikes {e.strikes:.1f}")
+            if weight == STRIKE_LOST:  # it comes back cold, even where the list has not told
+                e.warm_at = max(e.warm_at, e.aside_until + self.cold_for)
 
     def set_aside(self, e: Engine, why: str) -> None:
         """For a fixed time and a random part; never most of the fleet."""
@@ -509,6 +508,7 @@
         self.forget_times()
         self.lines = {key: line for key, line in self.lines.items() if line}
         self.rests = {key: rest for key, rest in self.rests.items() if rest > self.now}
+        self.engines = {n: e for n, e in self.engines.items() if e.out or e.ghosts or e.line.life > Life.GONE}
         if self.all > 1.0:
             self.own, self.all = self.own / 2, self.all / 2
         self.pace.halve()
--- a/spurdeal/state.py
+++ b/spurdeal/state.py
@@ -34,6 +34,7 @@
     out: dict[int, Trip] = field(default_factory=dict)
     ran: Trip | None = None  # the first trip that may have run
     avoid: list[Engine] = field(default_factory=list)
+    erred: list[Engine] = field(default_factory=list)  # where it ended in an error
     engine: Engine | None = None  # chosen for the next trip
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -203,16 +203,63 @@
         callers[1].leave()
         self.assertTrue(world.door.open)
 
-    def test_connections_by_trips_and_never_twice_the_same_id(self) -> None:
-        world = World(self)
-        for ident in range(3):
-            Caller(world).post(ident)
-        self.assertEqual(len(world.reactor.tcpClients), 2)  # two trips a connection
-        peers = [world.peer(place).up() for place in range(2)]
-        self.assertEqual([len(peer.heard()) for peer in peers], [2, 1])
-        peers[1].say(2, "200")
+    def test_each_trip_on_a_connection_of_its_own_while_descriptors_last(self) -> None:
+        """One that is spoilt takes down what is out on it, and costs its engine one strike."""
+        world = World(self, engines=2, limits={"sockets": 10})  # four connections, two an engine
+        callers = [Caller(world) for _ in range(6)]
+        for ident, caller in enumerate(callers):
+            caller.post(ident)
+        peers = [world.peer(place).up() for place in range(4)]
+        self.assertEqual(sorted(len(peer.heard()) for peer in peers), [1, 1, 2, 2])
+        crowded = max(peers, key=lambda peer: len(peer.protocol.trips))
+        for ident in [trip.ident for trip in crowded.protocol.trips.values()][1:]:
+            crowded.say(int(ident, 16), "200")
+        crowded.raw(b"nonsense\r\n")
+        self.assertEqual([len(caller.answers()) for caller in callers].count(1), 1)
+        self.assertEqual(max(engine.strikes for engine in world.service.link.rules.engines.values()), 1.5)
         world.go(21_000)
-        self.assertTrue(peers[1].pipe.disconnecting)  # idle for half of the engines' time
+        self.assertTrue(all(peer.pipe.disconnecting for peer in peers))  # idle for half of the engines' time
+
+    def test_what_comes_twice_or_under_another_id_is_dropped(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.post(1)
+        peer = world.peer().up()
+        peer.say(77, "200", "parts=3", ROW)
+        peer.say(1, "200", "parts=3", ROW)
+        peer.say(1, "200", "parts=3", ROW)
+        peer.say(1, "chunk", "part_no=2", b"c\t1\tx\n")
+        peer.say(1, "chunk", "part_no=2", b"c\t1\tx\n")
+        peer.heard()
+        peer.say(1, "chunk", "part_no=1", b"b\t1\tx\n")
+        self.assertEqual(self.outcome(caller), (200, [["a", "1", "x"], ["b", "1", "x"], ["c", "1", "x"]]))
+        self.assertEqual((peer.heard(), peer.pipe.aborted), ([["release", f"{1:016x}"]], False))
+
+    def test_an_answer_that_stops_short_is_not_waited_for(self) -> None:
+        world = World(self, engines=2)
+        caller = Caller(world)
+        caller.post(1)
+        peer = world.peer().up()
+        peer.raw(b"*4\r\n$16\r\n%016x\r\n$3\r\n200\r\n$7\r\nparts=1\r\n$90\r\na\t1" % 1)
+        world.go(400)
+        self.assertFalse(peer.pipe.aborted)
+        world.go(400)
+        world.peer(1).up().say(1, "200", "parts=1", ROW)
+        self.assertEqual((self.outcome(caller)[0], peer.pipe.aborted), (200, True))
+
+    def test_nothing_is_kept_of_an_engine_that_is_gone(self) -> None:
+        world = World(self, engines=2)
+        for serial in range(2, 12):
+            caller = Caller(world)
+            caller.post(serial)
+            peer = world.peer(len(world.reactor.tcpClients) - 1).up()
+            peer.say(serial, "200", "parts=1", ROW)
+            world.list(serial, (f"s-{serial}.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0"))
+            peer.lose()
+        world.go(6000)
+        link = world.service.link
+        kept = (link.places, link.rules.engines, link.engines.engines)
+        self.assertEqual([len(engines) for engines in kept], [1, 1, 1])
 
     def test_a_connection_gone_silent_gets_nothing_more(self) -> None:
         """A machine cut off: the next trip dials anew, and that it never comes up proves that nothing ran."""
@@ -281,16 +328,16 @@
         world.list(3, at(0, priority=1), at(1))
         for ident in range(3):
             Caller(world).post(ident)
-        peer = world.peer().up()
-        self.assertEqual({world.peer(place).host for place in range(2)}, {"127.0.9.1"})
+        peers = [world.peer(place).up() for place in range(3)]
+        self.assertEqual({peer.host for peer in peers}, {"127.0.9.1"})
         world.list(4, ("s-5.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0"))
-        self.assertFalse(peer.pipe.disconnecting)  # gone, yet its trips may still end
-        peer.say(0, "200")
-        peer.say(1, "200")
-        self.assertTrue(peer.pipe.disconnecting)
+        self.assertFalse(peers[0].pipe.disconnecting)  # gone, yet its trips may still end
+        for ident, peer in enumerate(peers):
+            peer.say(ident, "200")
+            self.assertTrue(peer.pipe.disconnecting)
         Caller(world).post(7)
-        self.assertEqual(world.peer(2).host, "127.0.9.1")  # another engine there: a new connection
-        again = world.peer(2).up()
+        self.assertEqual(world.peer(3).host, "127.0.9.1")  # another engine there: a new connection
+        again = world.peer(3).up()
         world.go(300)
         started = int(BASE + world.reactor.seconds() * 1000)
         world.list(5, ("s-5.east.hosts", "127.0.9.1:7001", 0, f"kind=std cell=0 started={started}"))
@@ -319,6 +366,7 @@
         world.go(300)
         late.post(3, wait=4000)
         peer = world.peer().up()
+        world.peer(1).up()
         peer.say(1, "200", "parts=1", ROW)
         self.assertEqual(self.outcome(lookup)[0], 200)
         world.go(2900)
