Silent and unfinished connections end within three seconds, idle ones after five

Wrong lines: LONGEST_UNFINISHED 10 s, LONGEST_IDLE 60 s; make_room took the longest idle, a good client's as well. What a client may send ahead now follows from the memory told.

--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -20,9 +20,11 @@
 from .statement import group_of
 
 IDENT = re.compile(rb"[0-9a-fA-F]{16}")
-NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
-MOST_AHEAD = 131_072  # bytes that a client may send ahead of its answer
-LONGEST_UNFINISHED, LONGEST_IDLE, LONGEST_UNREAD = 10_000.0, 60_000.0, 20_000.0  # ms; clients close after 4 s
+NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,12})?")
+LEAST_AHEAD, MOST_AHEAD = 16_384, 131_072  # bytes that a client may send ahead of its answer
+MEMORY_PART = 0.25  # of the memory, for what clients send ahead
+LONGEST_SILENT, LONGEST_UNFINISHED = 2000.0, 2000.0  # ms; one who never says all is owed an end within 3 s
+LONGEST_IDLE, LONGEST_UNREAD = 5000.0, 10_000.0  # ms; clients close after 4 s, but some keep theirs for good
 
 
 def number(fields: Mapping[bytes, memoryview], name: bytes, default: float | None = None) -> float:
@@ -48,7 +50,7 @@
     def __init__(self, clients: Clients) -> None:
         self.clients, self.parser = clients, RequestParser()
         self.call: Deferred[Answer] | None = None
-        self.closing = self.clogged = False
+        self.closing = self.clogged = self.served = False
         self.since = clients.clock()
 
     # Twisted's calls.
@@ -64,7 +66,7 @@
         if not self.parser.left():
             self.since = self.clients.clock()
         self.parser.feed(data)
-        if self.call is not None and self.parser.left() > MOST_AHEAD:
+        if self.call is not None and self.parser.left() > self.clients.ahead:
             self.clients.counters.add("client_ran_ahead")
             self.transport.abortConnection()
             return
@@ -132,7 +134,7 @@
                                       statement)
         if call is None:
             raise BadMessage(400, "a submission with this id is open")
-        self.call = call
+        self.call, self.served = call, True
         call.addCallbacks(self.concluded, self.withdrawn, (keep,))
 
     def concluded(self, answer: Answer, keep: bool) -> None:
@@ -170,13 +172,22 @@
         self.transport.loseConnection()
 
     def overstays(self, now: float) -> bool:
-        """Unread answers, unfinished messages and long idleness each hold a descriptor for nothing."""
+        """Unread answers, unfinished messages, silence and idleness each hold a descriptor for nothing."""
         if self.call is not None:
             return False
         longest = LONGEST_UNREAD if self.clogged or self.closing else \
-            LONGEST_UNFINISHED if self.parser.left() else LONGEST_IDLE
+            LONGEST_UNFINISHED if self.parser.left() else LONGEST_IDLE if self.served else LONGEST_SILENT
         return now - self.since > longest
 
+    def let_go(self) -> None:
+        """What waits for nothing is closed; what does not read is cut."""
+        if self.clogged or self.closing:
+            self.transport.abortConnection()
+        elif self.parser.left():
+            self.answer(408, {"fault": "Unfinished"}, False)
+        else:
+            self.close()
+
     def is_idle(self) -> bool:
         return self.call is None and not self.closing and not self.clogged and not self.parser.left()
 
@@ -188,12 +199,17 @@
 
     def __init__(self, link: SocketLink, workloads: Mapping[bytes, int], clock: Callable[[], float],
                  counters: Counters, log: logging.Logger) -> None:
-        self.link, self.workloads, self.most = link, workloads, 0
+        self.link, self.workloads, self.most, self.ahead = link, workloads, 0, MOST_AHEAD
         self.clock, self.counters, self.log = clock, counters, log
         self.connections: dict[Client, None] = {}
         self.port: Any = None
         self.ready = self.full = False
 
+    def bound(self, most: int, memory_mb: float) -> None:
+        self.most = max(8, most)
+        ahead = MEMORY_PART * memory_mb * 1_048_576 / self.most
+        self.ahead = int(min(MOST_AHEAD, max(LEAST_AHEAD, ahead)))
+
     def buildProtocol(self, addr: Any) -> Client:
         return Client(self)
 
@@ -208,10 +224,10 @@
             self.port.stopReading()
 
     def make_room(self, newest: Client | None = None) -> bool:
-        """Closes the connection that has been idle for longest, if any but the newest is."""
+        """Closes the one idle for longest, the newest excepted; first one that has brought nothing."""
         idle = [client for client in self.connections if client.is_idle() and client is not newest]
         if idle:
-            min(idle, key=lambda client: client.since).close()
+            min(idle, key=lambda client: (client.served, client.since)).close()
         return bool(idle)
 
     def went(self, client: Client) -> None:
@@ -232,6 +248,6 @@
         for client in list(self.connections):
             if client.overstays(now):
                 self.counters.add("client_overstayed")
-                client.transport.abortConnection()
+                client.let_go()
         if self.full:
             self.make_room()
--- a/spurdeal/net/http.py
+++ b/spurdeal/net/http.py
@@ -7,8 +7,8 @@
 LARGEST_HEAD = 8192
 LARGEST_BODY = 65536
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-           503: "Service Unavailable"}
+           408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+           500: "Internal Server Error", 503: "Service Unavailable"}
 TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 REQUEST_LINE = re.compile(rb"(%b) (/[\x21-\x7e]*) HTTP/1\.([01])\r\n" % TOKEN)
 FIELD = re.compile(rb"(%b):[ \t]*((?:[^\x00-\x08\x0a-\x1f\x7f \t]|[ \t]++(?!\r))*+)[ \t]*\r\n" % TOKEN)
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -44,6 +44,7 @@
     port: int
     seed: int
     sockets: int
+    memory_mb: float
     nameserver: tuple[str, int]
     known: tuple[int, dict[str, Seat]]
     site: Deployment
@@ -67,6 +68,7 @@
         return Told(
             name=str(given.get("name", "")), host=host, port=port, seed=int(str(given.get("seed", "0")), 16),
             sockets=int(given.get("limits", {}).get("sockets", 1024)),
+            memory_mb=float(given.get("limits", {}).get("memory_mb", 192.0)),
             nameserver=read_address(given["nameserver"]),
             known=known_seats(given["known"]), site=site,
             workloads={grade["name"].encode(): place for place, grade in enumerate(settings["grades"])},
@@ -115,7 +117,7 @@
         """All that follows from the limits told."""
         self.engines.bound(told.connect_within, told.idle_after, told.trips_a_connection,
                            int(told.sockets * ENGINES_PART))
-        self.clients.most = max(8, int(told.sockets * CLIENTS_PART))
+        self.clients.bound(int(told.sockets * CLIENTS_PART), told.memory_mb)
 
     def read_again(self, read: Callable[[], Told]) -> None:
         """SIGHUP: another name service, newer events and limits are in force at once, the rest at a start."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -175,30 +175,48 @@
         self.assertFalse(caller.pipe.disconnecting)
 
     def test_slow_endless_and_silent_clients_are_let_go(self) -> None:
+        """Each is owed an error or an end within three seconds; one that brought something may stay."""
         world = World(self)
-        slow, idle, unread, ahead = (Caller(world) for _ in range(4))
+        slow, silent, asked, served, unread, ahead = (Caller(world) for _ in range(6))
         slow.say(b"POST /ops/lookup HTT")
+        asked.say(b"GET /alive HTTP/1.1\r\n\r\n")
+        served.post(2)
+        world.peer().up().say(2, "200", "parts=1", ROW)
         unread.protocol.pauseProducing()
         unread.say(b"GET /alive HTTP/1.1\r\n\r\n")
         self.assertEqual(unread.pipe.value(), b"")
         ahead.post(1, wait=50000)
         ahead.say(b"x" * 200_000)
-        self.assertEqual((ahead.pipe.aborted, idle.pipe.aborted), (True, False))
+        self.assertEqual((ahead.pipe.aborted, silent.pipe.disconnecting), (True, False))
         ahead.leave()
-        world.go(12_000)
-        self.assertEqual((slow.pipe.aborted, unread.pipe.aborted), (True, False))
-        world.go(10_000)
+        world.go(1500)
+        slow.say(b"P")
+        world.go(1000)
+        self.assertEqual([status for status, _, _ in slow.answers()], [408])
+        self.assertTrue(all(caller.pipe.disconnecting for caller in (slow, silent, asked)))
+        self.assertFalse(served.pipe.disconnecting)
+        world.go(3000)
+        self.assertEqual((served.pipe.disconnecting, unread.pipe.aborted), (True, False))
+        world.go(5000)
         self.assertTrue(unread.pipe.aborted)
 
     def test_a_full_door_closes_and_opens(self) -> None:
         world = World(self)
-        callers = [Caller(world) for _ in range(31)]
+        served = Caller(world)
+        served.post(98)
+        world.peer().up().say(98, "200", "parts=1", ROW)
+        world.go(100)
+        callers = [Caller(world) for _ in range(30)]
         for ident, caller in enumerate(callers[1:]):
             caller.post(ident)
-        Caller(world).post(99)
-        self.assertEqual((callers[0].pipe.disconnecting, world.door.open), (True, True))  # it makes room
+        Caller(world).post(99)  # one that has brought nothing makes room
+        self.assertTrue(callers[0].pipe.disconnecting and world.door.open)
+        self.assertFalse(served.pipe.disconnecting)
         callers[0].leave()
         Caller(world).post(100)
+        self.assertTrue(served.pipe.disconnecting and world.door.open)
+        served.leave()
+        Caller(world).post(101)
         self.assertFalse(world.door.open)
         callers[1].leave()
         self.assertTrue(world.door.open)
@@ -312,10 +330,10 @@
     def test_a_late_start_of_a_call_has_its_own_time(self) -> None:
         world = World(self)
         caller = Caller(world)
-        world.go(9_900)
+        world.go(1_800)
         caller.say(b"POST /ops/lookup HTT")
-        world.go(5_000)
-        self.assertFalse(caller.pipe.aborted)
+        world.go(1_500)
+        self.assertFalse(caller.pipe.disconnecting)
 
     def test_engines_of_the_list(self) -> None:
         world = World(self, engines=2)
