Idle connections keep no bytes read and few past ids

Checked: number of descriptors level (150 to 170), engines that are gone forgotten. Wrong lines: Unread.buffer kept the last chunk read after all of it was taken, on every idle connection, and MOST_PAST let 64 ids gather on each; both fill up slowly over 150 connections.

--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -19,7 +19,7 @@
 
 ENDINGS = {b"503": Ending.FULL, b"500": Ending.ERROR, b"504": Ending.MOOT}
 MOST_PAGES, LARGEST_RESULT, COLUMNS = 256, 96_000, 3
-MOST_PAST = 64  # trips remembered on a connection: more than can cross
+MOST_PAST = 16  # trips remembered on a connection: more than can cross
 STALL = 2.0  # times the time to connect: an answer that stopped short for so long is never finished
 IDLE_PART = 0.5  # of the time after which engines close: ours closes first, or a trip would cross their close
 
--- a/spurdeal/net/http.py
+++ b/spurdeal/net/http.py
@@ -50,7 +50,7 @@
         start, stop = end + 4, end + 4 + int(bytes(length))
         if len(self.buffer) < stop:
             return None
-        self.at = stop
+        self.took(stop)
         keep = line[3] == b"1" and bytes(fields.get(b"connection", b"")).lower() != b"close"
         return line[1], line[2], fields, whole[start:stop], keep
 
--- a/spurdeal/net/resp.py
+++ b/spurdeal/net/resp.py
@@ -31,7 +31,7 @@
                 raise BadAnswer("a string does not end where it said")
             parts.append(whole[at:at + size])
             at += size + 2
-        self.at = at
+        self.took(at)
         return parts
 
     def length(self, at: int, mark: bytes, most: int) -> tuple[int, int] | None:
--- a/spurdeal/net/unread.py
+++ b/spurdeal/net/unread.py
@@ -12,5 +12,11 @@
         left = self.buffer[self.at:]
         self.buffer, self.at = left + data if left else data, 0
 
+    def took(self, at: int) -> None:
+        """All before this place is taken; an idle connection holds on to no bytes."""
+        self.at = at
+        if at == len(self.buffer):
+            self.buffer, self.at = b"", 0
+
     def left(self) -> int:
         return len(self.buffer) - self.at
