What has ended is held in no ring of objects

Ruled out: the alarms (280 entries), the reactor's delayed calls (2), engines that are gone. Wrong lines: Submission.ran held its trip, and that the submission; Connection.transport, Twisted's connector and the dial's factory held each other. Both wait for a full collection, which comes every some minutes.

--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -99,6 +99,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.lost()
+        self.transport = None
 
     # What is written.
 
@@ -223,6 +224,10 @@
     def buildProtocol(self, addr: Any) -> Connection:
         return self.connection
 
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        """Twisted's connector and transport hold each other; parted, they need no collector."""
+        connector.transport = None
+
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         """Refused or never up: either way not a byte of a trip has left."""
         refused = isinstance(reason.value, ConnectionRefusedError)
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -14,7 +14,7 @@
 from .chance import Chance
 from .histogram import Histogram
 from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word
-from .state import Submission, Trip
+from .state import Ran, Submission, Trip
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
 INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
@@ -331,7 +331,7 @@
         else:
             e.threads -= s.workload.threads
         if ending not in (Ending.FULL, Ending.UNREACHED, Ending.MOOT):
-            s.ran = s.ran or t
+            s.ran = s.ran or Ran(t.sent, e)
         if trip:
             self.further_won.add(1.0 if ending == Ending.DELIVERED else 0.0)
         if report and self.in_hand is not None:  # our share of what engines hold tells our share of sends
--- a/spurdeal/state.py
+++ b/spurdeal/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from .interface import Workload
 
@@ -11,6 +11,13 @@
     from .rules import Engine
 
 
+class Ran(NamedTuple):
+    """When and where a trip was sent; the trip itself would hold its submission, and that the trip."""
+
+    sent: float
+    engine: Engine
+
+
 @dataclass(slots=True, eq=False)
 class Submission:
     number: int
@@ -32,7 +39,7 @@
     made: int = 0
     rank: tuple[float, int] = (0.0, 0)
     out: dict[int, Trip] = field(default_factory=dict)
-    ran: Trip | None = None  # the first trip that may have run
+    ran: Ran | None = None  # the first trip that may have run
     avoid: list[Engine] = field(default_factory=list)
     erred: list[Engine] = field(default_factory=list)  # where it ended in an error
     engine: Engine | None = None  # chosen for the next trip
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,5 +1,6 @@
 """The dispatcher on sockets, from a client's bytes to an engine's and back, on in-memory transports."""
 
+import gc
 import io
 import json
 import subprocess
@@ -8,11 +9,14 @@
 import unittest
 from pathlib import Path
 from signal import SIGHUP, SIGTERM
+from types import SimpleNamespace
 
 from twisted.internet.error import TimeoutError as NotUp
 
+from spurdeal.net.engines import Connection
 from spurdeal.net.logs import logger
 from spurdeal.net.start import Told, read_configuration, told_by
+from spurdeal.state import Submission
 from tests.helpers import BASE, SETTINGS, Caller, World, configuration
 
 ROW = b"a\t1\tx\n"
@@ -279,6 +283,28 @@
         kept = (link.places, link.rules.engines, link.engines.engines)
         self.assertEqual([len(engines) for engines in kept], [1, 1, 1])
 
+    def test_what_has_ended_needs_no_collector(self) -> None:
+        """Rings of objects outlive their use until a collection, and look like memory that leaks."""
+        world = World(self)
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+
+        def one_round() -> None:
+            caller = Caller(world)
+            caller.post(1)
+            peer = world.peer().up()
+            peer.say(1, "200", "parts=1", ROW)
+            self.assertEqual((caller.answers()[0][0], len(peer.protocol.parser.buffer)), (200, 0))
+            connector = SimpleNamespace(transport=peer.pipe)
+            peer.lose()
+            peer.factory.clientConnectionLost(connector, None)
+            self.assertIsNone(connector.transport)
+            world.reactor.tcpClients.clear()
+        one_round()
+        left = [thing for thing in gc.get_objects() if isinstance(thing, (Submission, Connection))]
+        self.assertEqual(left, [])
+
     def test_a_connection_gone_silent_gets_nothing_more(self) -> None:
         """A machine cut off: the next trip dials anew, and that it never comes up proves that nothing ran."""
         world = World(self)
