Resets tell no crash, refused connections do and count as threads

In the first five seconds each dispatcher set one or two sound engines aside after two connections were reset with no answer in between, and took them for cold for 8 to 15 s more; the rest ran at 4 times their pace. Later two engines died: with two slow ones aside already none more may be, and one dispatcher dialled a dead one 816 times (strikes 816.0), as it had fewest own threads. Checked: memory, descriptors, lateness, CPU (0.35 of a core): ruled out; the list was right once told. Wrong lines: STRIKE_LOST for a reset as for a refusal, in judge; a refusal left no trace in the choice of engine.

--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -29,7 +29,7 @@
 BEST_SHARE, BEST_SAMPLES, BEST_DRIFT = 0.25, 15.0, 1.1  # best latency: a low quantile
 SLOW, FULL_REST = 3.0, 500.0  # in the middle pace: far slower, set aside; ms after a refusal as full
 GHOST = 0.5  # where work cannot be stopped, a timed-out trip counts on, for this part of its time
-STRIKES, STRIKE_LOST, STRIKE_ERROR, ASIDE, ASIDE_RANDOM = 3.0, 1.5, 1.0, 3000.0, 3000.0
+STRIKES, STRIKE_LOST, STRIKE_ERROR, STRIKE_RESET, ASIDE, ASIDE_RANDOM = 3.0, 1.5, 1.0, 0.5, 3000.0, 3000.0
 STANDS, LOST_DUE, LOST_LEAST, LOST_NOTES = 3.0, 10.0, 2500.0, 2.5  # in its due, ms, gaps between notes
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
@@ -51,14 +51,14 @@
         self.number, self.line, self.cores = line.engine, line, cores[line.kind % len(cores)]
         self.out: dict[tuple[int, int], Trip] = {}
         self.threads, self.overdue, self.answered, self.luck = 0, 0, now, 1.0
-        self.aside_until, self.warm_at, self.struck, self.trial, self.errors = 0.0, 0.0, 0.0, False, 0
+        self.aside_until, self.warm_at, self.struck, self.trial = 0.0, 0.0, 0.0, False
         self.cold_sends, self.ghosts = deque[tuple[float, float]](), deque[tuple[float, int]]()
         self.start_over(0.0)
 
     def start_over(self, start: float) -> None:
         """A hang or a restart swings n* and P: both begin anew."""
         self.bound = self.before = self.start = start
-        self.served = self.served_before = self.work = self.work_before = self.most = 0.0
+        self.served = self.served_before = self.work = self.work_before = self.most = self.errors = 0.0
         self.pace, self.slowness, self.strikes, self.pressed_until = Histogram(PACE_EDGES), 1.0, 0.0, 0.0
 
     def stand(self, trip: Trip, stands: bool) -> None:
@@ -454,9 +454,10 @@
 
     def judge(self, e: Engine, t: Trip, ending: Ending, took: float, work: float) -> None:
         s, threads = t.submission, t.submission.workload.threads
+        e.errors += ending in (Ending.ERROR, Ending.UNREACHED)
         if ending == Ending.DELIVERED:
             e.served, e.work = e.served + threads, e.work + s.cost
-            e.answered, e.strikes, e.errors = self.now, 0.0, 0
+            e.answered, e.strikes, e.errors = self.now, 0.0, 0.0
             for erring in s.erred:
                 self.strike(erring, STRIKE_ERROR)
             ratio = took * threads / (work or s.cost)
@@ -478,18 +479,17 @@
             e.aside_until = max(e.aside_until, self.now + FULL_REST * (0.5 + self.chance.draw()))
         elif ending == Ending.ERROR:
             # Its own fault or the submission's: what is redoable tells by how it fares elsewhere.
-            e.errors += 1
             s.erred.append(e)
             if s.workload.effect != Effect.REDOABLE:
                 self.strike(e, STRIKE_ERROR)
         elif ending == Ending.UNREACHED or (ending == Ending.RESET and (self.now != e.struck or not e.out)):
-            # A connection spoilt or cut is one strike while others stay up, however many trips it took along.
-            self.strike(e, STRIKE_LOST)
+            # A connection that ends is one strike while others stay up, and no crash: a refusal tells one.
+            self.strike(e, STRIKE_LOST if ending == Ending.UNREACHED else STRIKE_RESET)
 
     def strike(self, e: Engine, weight: float) -> None:
         """Covers a crash, a cut link and an engine that fails all it takes, whatever the list says."""
         e.strikes, e.struck = e.strikes + weight, self.now
-        if e.strikes >= STRIKES or e.trial:
+        if e.strikes >= STRIKES or (e.trial and weight > STRIKE_RESET):
             self.set_aside(e, f"strikes {e.strikes:.1f}")
             if weight == STRIKE_LOST:  # it comes back cold, even where the list has not told
                 e.warm_at = max(e.warm_at, e.aside_until + self.cold_for)
@@ -521,7 +521,7 @@
             e.start, e.bound, e.before = (max(FLOOR * (e.start + moved), n + moved)
                                           for n in (e.start, e.bound, e.before))
             e.pace.halve()
-            e.slowness = pooled(e.pace, self.middle)
+            e.slowness, e.errors = pooled(e.pace, self.middle), e.errors / 2
             if self.now >= e.aside_until and not e.trial:
                 e.move_bound(self.widest * share)
                 if self.pages and e.slowness > JAM:  # once memory has run over, a jam feeds itself
