Where clients have hardly a connection left, the end of the held line is shed

Checked: the door (never closed, 128 of 256 for clients' 85), the listen queue, CPU (0.35 of a core): ruled out. Wrong lines: watch_held kept what is late but worth something until its expiry, whatever it kept out. Beyond nine tenths of the ways in, the last by cost per utility is shed at once, with a time to come back.

--- a/spurdeal/interface.py
+++ b/spurdeal/interface.py
@@ -103,6 +103,7 @@
     cold_share: float
     cold_multiple: float
     cold_window: float
+    most_open: float = float("inf")  # submissions that clients can have open at once
     order_rest: float | None = None
     further_free: float | None = None
     further_share: float | None = None
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any, NamedTuple, cast
 
 from twisted.internet.error import CannotListenError
@@ -26,7 +27,8 @@
 
 BACKLOG = 1024
 SWEEP_EVERY = 0.25  # seconds
-CLIENTS_PART, ENGINES_PART = 0.5, 0.4  # of the descriptors; clients need a third at most
+CLIENTS_PART, ENGINES_PART = 0.5, 0.4  # of the descriptors
+CLIENTS_MOST = 1 / 3  # of the descriptors, by the protocol; one call at a time on each connection
 KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
 STOP_NOT_BEFORE = 900.0  # ms after SIGTERM; new connections and calls on open ones come until 600
 OVERTIME = 200.0  # ms in which the last answers may still be written
@@ -63,11 +65,12 @@
         if not isinstance(given, dict):
             raise ValueError("it is not a JSON object")
         settings = given["settings"]
-        site, limits = deployment(settings), settings.get("limits", {})
+        sockets, limits = int(given.get("limits", {}).get("sockets", 1024)), settings.get("limits", {})
+        site = replace(deployment(settings), most_open=sockets * CLIENTS_MOST)
         host, port = read_address(given["listen"])
         return Told(
             name=str(given.get("name", "")), host=host, port=port, seed=int(str(given.get("seed", "0")), 16),
-            sockets=int(given.get("limits", {}).get("sockets", 1024)),
+            sockets=sockets,
             memory_mb=float(given.get("limits", {}).get("memory_mb", 192.0)),
             nameserver=read_address(given["nameserver"]),
             known=known_seats(given["known"]), site=site,
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -2,8 +2,7 @@
 
 A link makes one Dispatcher per start, reports events by the calls of interface.Rules, closes each batch
 with turn(), and carries out what interface.Link asks. A submission passes the stages of Dispatcher.chain;
-each passes it on (True), keeps it or ends it (False). What comes back runs the other way, in ended().
-"""
+each passes it on (True), keeps it or ends it (False). What comes back runs the other way, in ended()."""
 
 from __future__ import annotations
 
@@ -35,7 +34,7 @@
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
 COLD_GRAIN = 0.1  # of all dispatchers' budget: work so light may go there by chance
 FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0  # credit for further trips
-LAST_MOMENT, LATE_WORTH_IT, TOO_LATE = 2 * TICK, 0.25, 1.5  # ms; late utility; in the agreed time
+LAST_MOMENT, LATE_WORTH_IT, TOO_LATE, CROWDED = 2 * TICK, 0.25, 1.5, 0.9  # ms, utility, agreed time, ways in
 CHEAP_PRIORITY, HEAVY_PRIORITY, GRANT = 3, 1, 1.35  # the grant is in the estimate of memory
 
 
@@ -100,7 +99,7 @@
         self.spare = 0.0 if site.pages else SPARE * self.widest  # what lets all in has no room for chance
         self.quotas = [quota * self.share / 1000 for quota in site.quotas]
         self.credit, self.over_share = [quota * 1000 for quota in self.quotas], site.over_share_utility
-        self.most_trips, self.may_call_off = site.most_trips, site.may_call_off
+        self.most_trips, self.may_call_off, self.ways_in = site.most_trips, site.may_call_off, site.most_open
         self.notes, self.pages, self.grant = site.notes_every, site.pages, GRANT if site.grants else 0.0
         self.cold_for, self.cold_window, self.come_back = site.cold_for, site.cold_window, site.most_come_back
         self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
@@ -129,11 +128,10 @@
             engine = self.engines.get(line.engine) or Engine(line, self.cores, now)
             if line.engine not in self.engines or line.started != engine.line.started:
                 engine.start_over(START_THREADS * engine.cores * self.own / self.all)
-                engine.aside_until, engine.trial = 0.0, False
+                engine.aside_until, engine.trial, engine.luck = 0.0, False, self.chance.draw()
                 engine.warm_at = line.started + self.cold_for if line.started else 0.0
                 # What we sent before our own restart is unknown: the budget counts as spent for one window.
                 engine.cold_sends.append((self.began, self.cold_budget * engine.cores))
-                engine.luck = self.chance.draw()
             engine.line = line
             self.engines[line.engine] = engine
         self.ready = [engine for engine in self.engines.values() if engine.line.life == Life.READY]
@@ -403,6 +401,8 @@
                 s.late = True
                 s.rank = self.rank(s)
         self.held = sorted((s for s in self.held if not s.over), key=lambda held: held.rank)
+        while self.held and len(self.open) > CROWDED * self.ways_in:  # or new ones find no way in
+            self.end(self.held.pop())
 
     def watch_engines(self) -> None:
         """Looks only where something of ours is out: idle engines cost nothing."""
