--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -441,7 +441,6 @@
         else:
             lost = quiet > LOST_LEAST and times_due > LOST_DUE and self.now >= self.pressed_until
             e.stand(t, times_due > STANDS and (w.waits_for_loads or w.holds_tables))
-            lost |= t.stands and s.cheap and s.made == 1 and quiet > 0.4 * w.agreed and self.now + s.due * self.middle < s.agreed
         if lost and w.effect == Effect.REDOABLE and s.made < self.most_trips \
                 and self.may_go_further() and self.now + s.due * self.middle < s.expiry - LAST_MOMENT:
             self.call_off([t])
