Read once more: limits and bounds looked up once, one far side in the tests, a true name

No behaviour changed: the bound on engines' connections is judged once a choice, the dispatcher's own limits are read from one place, a client's connection that has brought a submission says so (brought, not served), and the two far sides of the tests share their two calls.

--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -50,7 +50,7 @@
     def __init__(self, clients: Clients) -> None:
         self.clients, self.parser = clients, RequestParser()
         self.call: Deferred[Answer] | None = None
-        self.closing = self.clogged = self.served = False
+        self.closing = self.clogged = self.brought = False
         self.since = clients.clock()
 
     # Twisted's calls.
@@ -134,7 +134,7 @@
                                       statement)
         if call is None:
             raise BadMessage(400, "a submission with this id is open")
-        self.call, self.served = call, True
+        self.call, self.brought = call, True
         call.addCallbacks(self.concluded, self.withdrawn, (keep,))
 
     def concluded(self, answer: Answer, keep: bool) -> None:
@@ -176,7 +176,7 @@
         if self.call is not None:
             return False
         longest = LONGEST_UNREAD if self.clogged or self.closing else \
-            LONGEST_UNFINISHED if self.parser.left() else LONGEST_IDLE if self.served else LONGEST_SILENT
+            LONGEST_UNFINISHED if self.parser.left() else LONGEST_IDLE if self.brought else LONGEST_SILENT
         return now - self.since > longest
 
     def let_go(self) -> None:
@@ -227,7 +227,7 @@
         """Closes the one idle for longest, the newest excepted; first one that has brought nothing."""
         idle = [client for client in self.connections if client.is_idle() and client is not newest]
         if idle:
-            min(idle, key=lambda client: (client.served, client.since)).close()
+            min(idle, key=lambda client: (client.brought, client.since)).close()
         return bool(idle)
 
     def went(self, client: Client) -> None:
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -264,16 +264,16 @@
                      and trip.ident not in connection.trips and trip.ident not in connection.past]
         emptiest = min(open_here, key=lambda connection: len(connection.trips), default=None)
         engines = self.engines
-        if emptiest is not None and (not emptiest.trips or engines.connections >= engines.most_connections
-                                     or len(self.connections) >= engines.share()) \
-                and len(emptiest.trips) < engines.trips_a_connection:
+        full = engines.connections >= engines.most_connections
+        if emptiest is not None and len(emptiest.trips) < engines.trips_a_connection \
+                and (not emptiest.trips or full or len(self.connections) >= engines.share()):
             return emptiest
-        if engines.connections >= engines.most_connections:
+        if full:
             return None
         connection = Connection(self)
         self.connections.append(connection)
-        self.engines.connections += 1
-        self.engines.dial(self.seat.host, self.seat.port, Dial(connection))
+        engines.connections += 1
+        engines.dial(self.seat.host, self.seat.port, Dial(connection))
         return connection
 
     def sweep(self, idle_since: float) -> None:
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -65,13 +65,13 @@
         if not isinstance(given, dict):
             raise ValueError("it is not a JSON object")
         settings = given["settings"]
-        sockets, limits = int(given.get("limits", {}).get("sockets", 1024)), settings.get("limits", {})
+        own, limits = given.get("limits", {}), settings.get("limits", {})
+        sockets = int(own.get("sockets", 1024))
         site = replace(deployment(settings), most_open=sockets * CLIENTS_MOST)
         host, port = read_address(given["listen"])
         return Told(
             name=str(given.get("name", "")), host=host, port=port, seed=int(str(given.get("seed", "0")), 16),
-            sockets=sockets,
-            memory_mb=float(given.get("limits", {}).get("memory_mb", 192.0)),
+            sockets=sockets, memory_mb=float(own.get("memory_mb", 192.0)),
             nameserver=read_address(given["nameserver"]),
             known=known_seats(given["known"]), site=site,
             workloads={grade["name"].encode(): place for place, grade in enumerate(settings["grades"])},
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -78,9 +78,26 @@
         self.open = False
 
 
-class Caller:
+class Side:
+    """Whoever sits at the far end of one connection."""
+
+    world: "World"
+    protocol: Any
+
+    def raw(self, data: bytes) -> None:
+        self.protocol.dataReceived(data)
+        self.world.go()
+
+    def lose(self) -> None:
+        self.protocol.connectionLost(Failure(ConnectionDone()))
+        self.world.go()
+
+
+class Caller(Side):
     """A client on one connection."""
 
+    say, leave = Side.raw, Side.lose
+
     def __init__(self, world: "World") -> None:
         self.world, self.pipe = world, Pipe()
         self.protocol = world.service.clients.buildProtocol(None)
@@ -92,14 +109,6 @@
         head = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in fields.items())
         self.say(f"POST /ops/{workload} HTTP/1.1\r\nHost: origin.svc\r\n{head}\r\n".encode() + body)
 
-    def say(self, data: bytes) -> None:
-        self.protocol.dataReceived(data)
-        self.world.go()
-
-    def leave(self) -> None:
-        self.protocol.connectionLost(Failure(ConnectionDone()))
-        self.world.go()
-
     def answers(self) -> list[tuple[int, dict[str, str], Any]]:
         """Status, fields and value of each answer, read by their lengths."""
         text, found = self.pipe.taken(), []
@@ -113,7 +122,7 @@
         return found
 
 
-class Peer:
+class Peer(Side):
     """An engine's side of one connection."""
 
     def __init__(self, world: "World", place: int) -> None:
@@ -142,14 +151,6 @@
     def say(self, ident: int, word: str, fields: str = "-", body: bytes = b"") -> None:
         self.raw(command(f"{ident:016x}".encode(), word.encode(), fields.encode(), body))
 
-    def raw(self, data: bytes) -> None:
-        self.protocol.dataReceived(data)
-        self.world.go()
-
-    def lose(self) -> None:
-        self.protocol.connectionLost(Failure(ConnectionDone()))
-        self.world.go()
-
 
 class World:
     def __init__(self, case: unittest.TestCase, engines: int = 1, **more: Any) -> None:
