--- a/spurdeal/__main__.py
+++ b/spurdeal/__main__.py
@@ -1,9 +1,17 @@
-"""One dispatcher on sockets, as its configuration says."""
+"""One dispatcher on sockets, as its configuration says; with words behind it, a sub-command."""
 
 import os
 import sys
 
-from .net.start import main
+
+def main() -> int:
+    """Without a sub-command nothing but the dispatcher is imported."""
+    if len(sys.argv) > 1:
+        from .cli.main import spurdeal
+        spurdeal(prog_name="spurdeal")  # ends the process itself
+    from .net.start import main as dispatcher
+    return dispatcher(os.environ)
+
 
 if __name__ == "__main__":
-    sys.exit(main(os.environ))
+    sys.exit(main())
--- /dev/null
+++ b/spurdeal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line. `run` without a sub-command needs nothing of this."""
--- /dev/null
+++ b/spurdeal/cli/main.py
@@ -0,0 +1,105 @@
+"""Sub-commands. Each imports what it needs when it runs."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from typing import Any, NoReturn
+
+import click
+
+
+@click.group(help="A query gateway: what runs, on which engine, when, and with how much memory.")
+def spurdeal() -> None:
+    """The group; without a sub-command `python -m spurdeal` runs a dispatcher and never comes here."""
+
+
+def refuse(why: object) -> NoReturn:
+    """What cannot be used: its text on standard error, exit code 2."""
+    click.echo(f"spurdeal: {why}", err=True)
+    sys.exit(2)
+
+
+def installation(path: str) -> Any:
+    from ..settings.reading import Unusable, read
+    try:
+        return read(path)
+    except Unusable as fault:
+        refuse(fault)
+
+
+@spurdeal.command(help="One dispatcher from ROUTER_CONFIG, with an operator's file where one is named.")
+@click.option("--settings", type=click.Path(), help="an operator's YAML file")
+def run(settings: str | None) -> None:
+    from ..net.start import main
+    if settings is None:
+        sys.exit(main(os.environ))
+    from .running import run_with
+    sys.exit(run_with(os.environ, settings))
+
+
+@spurdeal.command(help="Checks an operator's file: file, line and key of each fault, exit code 2.")
+@click.argument("file", type=click.Path())
+def check(file: str) -> None:
+    found = installation(file)
+    click.echo(f"{file}: can be used; {found.name} with {len(found.vrrp.groups)} groups "
+               f"and {len(found.peers)} peers")
+
+
+@spurdeal.command(help="Every key of an operator's file, its default and its meaning.")
+def keys() -> None:
+    from ..settings.reading import keys as all_keys
+    for key, default, meaning in all_keys():
+        click.echo(f"{key}  ({default})\n    {meaning}" if default else f"{key}\n    {meaning}")
+
+
+@spurdeal.group(help="Advertisements: what would be sent, and what a datagram says.")
+def vrrp() -> None:
+    """The group of VRRP's commands."""
+
+
+@vrrp.command(help="The advertisement that a configured group would send now.")
+@click.argument("file", type=click.Path())
+@click.option("--group", "number", type=int, required=True, help="the VRID")
+@click.option("--hex", "as_hex", is_flag=True, help="as hex digits only")
+def advert(file: str, number: int, as_hex: bool) -> None:
+    from ..vrrp import advert as adverts
+    found = installation(file)
+    group = next((group for group in found.vrrp.groups if group.group == number), None)
+    if group is None:
+        refuse(f"{file}: no group {number}")
+    for peer in found.peers[:1] if as_hex else found.peers:
+        source, target = found.vrrp.listen[0], peer.adverts[0]
+        text = adverts.write(number, group.priority, group.interval, group.addresses, source, target).hex()
+        click.echo(text if as_hex else f"{source} to {target}: {text}")
+
+
+@vrrp.command(help="A datagram field by field.")
+@click.argument("digits")
+@click.option("--json", "as_json", is_flag=True)
+@click.option("--source", default="127.0.0.1", help="the datagram's sender, for the checksum")
+@click.option("--target", default="127.0.0.1", help="where it was sent, for the checksum")
+def dump(digits: str, as_json: bool, source: str, target: str) -> None:
+    from ipaddress import ip_address
+
+    from ..vrrp.advert import fields
+    try:
+        found = fields(bytes.fromhex(digits), ip_address(source), ip_address(target))
+    except ValueError as fault:
+        refuse(fault)
+    if as_json:
+        click.echo(json.dumps(found))
+    else:
+        for name, value in found.items():
+            click.echo(f"{name}: {value}")
+
+
+@spurdeal.command(help="A proof of the project's own, with real processes on loopback.")
+@click.argument("name", type=click.Choice(["vrrp"]))
+@click.option("--json", "as_json", is_flag=True, help="one JSON object as the last line")
+@click.option("--quick", is_flag=True, help="a part of it, under a minute")
+def lab(name: str, as_json: bool, quick: bool) -> None:
+    from ..lab.takeover import figures
+    found = figures(quick, lambda line: click.echo(line, err=True))
+    click.echo(json.dumps(found) if as_json else json.dumps(found, indent=2))
--- /dev/null
+++ b/spurdeal/settings/installation.py
@@ -0,0 +1,174 @@
+"""What an operator's file may say: every key with its type, default and meaning. `spurdeal keys` prints
+them."""
+
+from __future__ import annotations
+
+from ipaddress import IPv4Address, IPv6Address
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, model_validator
+
+from .units import Duration
+
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,32}$")]
+Address = IPv4Address | IPv6Address
+
+
+def socket_address(text: object) -> tuple[Address, int]:
+    """An IP address and a port as 127.0.0.1:7112 or [::1]:7112."""
+    from ipaddress import ip_address
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address with a port, as 127.0.0.1:7112")
+    return ip_address(host.strip("[]")), int(port)
+
+
+SocketAddress = Annotated[tuple[Address, int], BeforeValidator(socket_address)]
+
+
+class Part(BaseModel):
+    """A part of the file: keys that are not known are errors."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=False)
+
+
+class Track(Part):
+    """A condition that lowers a group's priority while it holds."""
+
+    condition: Literal["list_stale", "no_engine", "stopping"] = Field(
+        description="list_stale: no answer of the name service for stale_after; no_engine: none is ready; "
+                    "stopping: a planned stop has begun")
+    lowers: int = Field(ge=1, le=254, description="by how much the priority is lowered; it stays 1 at least")
+
+
+class Announce(Part):
+    """Tells a switch that an address is here, as a gratuitous ARP would."""
+
+    kind: Literal["announce"] = Field(description="a switch is told where the address is")
+    switch: SocketAddress = Field(description="where announcements go, by UDP")
+
+
+class Listen(Part):
+    """Listens on the group's addresses in the process itself, and leaves them."""
+
+    kind: Literal["listen"] = Field(description="this process listens on the address itself")
+    port: int = Field(ge=1, le=65535, description="the port that clients connect to")
+
+
+class Command(Part):
+    """Runs an operator's command, as a plain list of arguments: no shell reads it."""
+
+    kind: Literal["command"] = Field(description="an operator's command takes and leaves it")
+    take: list[str] = Field(min_length=1, description="run when an address is taken; {address} is replaced")
+    leave: list[str] = Field(min_length=1, description="run when it is left; {address} is replaced")
+    within: Duration = Field(2000.0, description="ended after so long, and counted")
+
+
+class Group(Part):
+    """One virtual router: addresses that one dispatcher holds at a time."""
+
+    group: int = Field(ge=1, le=255, description="the VRID")
+    priority: int = Field(ge=1, le=255, description="who is preferred; 255 owns the addresses")
+    interval: Duration = Field(1000.0, ge=10, le=40_950, description="between advertisements, in whole 10ms")
+    addresses: list[Address] = Field(min_length=1, max_length=255, description="of one kind, IPv4 or IPv6")
+    preempt: bool = Field(True, description="a higher priority takes the address back")
+    preempt_delay: Duration = Field(0.0, description="how long a lower one is heard before that")
+    accept: bool = Field(True, description="Accept_Mode: calls to the addresses are answered while held")
+    tracks: list[Track] = Field(default_factory=list, description="conditions that lower the priority")
+
+    @model_validator(mode="after")
+    def one_kind(self) -> Group:
+        if len({address.version for address in self.addresses}) != 1:
+            raise ValueError("addresses are of both kinds; one group holds one kind")
+        if self.interval % 10:
+            raise ValueError(f"interval {self.interval} ms is no whole number of 10ms")
+        return self
+
+
+class Peer(Part):
+    """Another dispatcher of the installation."""
+
+    name: Name = Field(description="its name, as its own file says")
+    adverts: SocketAddress = Field(description="where it listens for advertisements")
+    handover: SocketAddress = Field(description="where it listens for handover")
+
+
+class Vrrp(Part):
+    """Who holds which addresses."""
+
+    listen: SocketAddress = Field(description="where advertisements of the peers arrive, by UDP")
+    groups: list[Group] = Field(min_length=1, max_length=64, description="the virtual routers")
+    bundles: list[list[int]] = Field(default_factory=list, description="groups that move together")
+    holder: Annotated[Announce | Listen | Command, Field(discriminator="kind")] = Field(
+        description="how an address is held: announce, listen or command")
+    stale_after: Duration = Field(3000.0, description="the list of engines is stale after so long")
+    bar: Duration = Field(10_000.0, description="so long a returning one waits for list and handover")
+
+    @model_validator(mode="after")
+    def bundles_are_known(self) -> Vrrp:
+        numbers = [group.group for group in self.groups]
+        if len(set(numbers)) != len(numbers):
+            raise ValueError("a group is told twice")
+        bundled = [number for bundle in self.bundles for number in bundle]
+        if len(set(bundled)) != len(bundled) or not set(bundled) <= set(numbers):
+            raise ValueError("bundles name groups that are not told, or one twice")
+        return self
+
+
+class Key(Part):
+    """A key that seals datagrams between dispatchers."""
+
+    id: int = Field(ge=0, le=255, description="the same at all dispatchers")
+    hex: str | None = Field(None, pattern=r"^([0-9a-fA-F]{2}){16,64}$", description="16 to 64 bytes")
+    file: str | None = Field(None, description="a file that holds the hex digits, instead")
+
+    @model_validator(mode="after")
+    def one_source(self) -> Key:
+        if (self.hex is None) == (self.file is None):
+            raise ValueError("a key has either hex or file")
+        return self
+
+
+class HandoverPart(Part):
+    """What dispatchers tell each other."""
+
+    listen: SocketAddress = Field(description="where handover of the peers arrives, by UDP")
+    keys: list[Key] = Field(min_length=1, max_length=2,
+                            description="the first seals; both open, so that keys can change in service")
+    every: Duration = Field(100.0, ge=10, le=10_000, description="between two datagrams to each peer")
+    ahead: bool = Field(False, description="irreversible ones are told to the peers before they are sent")
+    ahead_wait: Duration = Field(50.0, ge=5, le=1000, description="the longest wait for the peers' answers")
+    alone: Literal["refuse", "send"] = Field(
+        "refuse", description="irreversible ones while a peer is away: shed, or sent after alone_after")
+    alone_after: Duration = Field(3000.0, description="with send, a peer silent for so long is away")
+    marks: int = Field(100_000, ge=100, le=5_000_000, description="most ids kept; then they are shed")
+    keep: Duration = Field(60_000.0, description="an id is kept for so long after its submission's expiry")
+
+
+class TenurePart(Part):
+    """Which part of cold engines' budgets each dispatcher uses."""
+
+    on: bool = Field(True, description="off: each uses 1/N always, as without peers; for comparison")
+    lease: Duration = Field(1000.0, ge=100, le=60_000, description="how long a lent part may be used")
+
+
+class Installation(Part):
+    """The whole file."""
+
+    name: Name = Field(description="this dispatcher's name among its peers")
+    peers: list[Peer] = Field(min_length=1, max_length=8, description="the other dispatchers")
+    vrrp: Vrrp = Field(description="who holds which addresses")
+    handover: HandoverPart | None = Field(None, description="what they tell each other; absent: nothing")
+    tenure: TenurePart = Field(TenurePart.model_construct(), description="parts of cold engines' budgets")
+
+    @model_validator(mode="after")
+    def parts_agree(self) -> Installation:
+        names = [peer.name for peer in self.peers] + [self.name]
+        if len(set(names)) != len(names):
+            raise ValueError("two dispatchers have one name")
+        if self.handover is not None and self.tenure.on and self.tenure.lease < 3 * self.handover.every:
+            raise ValueError("tenure.lease is under three times handover.every: loans would end in between")
+        if len({key.id for key in self.handover.keys} if self.handover else [0]) != \
+                (len(self.handover.keys) if self.handover else 1):
+            raise ValueError("two keys have one id")
+        return self
