--- /dev/null
+++ b/spurdeal/lab/front.py
@@ -0,0 +1,156 @@
+"""A stand-in front: open-loop load on an address that moves, each submission's answers counted."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from .cables import Place, Switch
+
+AGAIN = 20.0  # ms until a front that found nobody looks again
+MOST_WAYS = 400
+
+
+@dataclass(slots=True)
+class Asked:
+    """One submission, from its first byte to the end of its time."""
+
+    ident: str
+    irreversible: bool
+    cost: float
+    began: float
+    expiry: float
+    ways: list[Place] = field(default_factory=list)  # who had it whole, in order
+    answers: list[int] = field(default_factory=list)
+    late: int = 0
+    unanswered: list[Place] = field(default_factory=list)  # whose connection ended, or time ran out, first
+    over: bool = False
+
+
+class Front:
+    """Sends at a rate, and the same submission with the same id again where its connection was lost."""
+
+    def __init__(self, reactor: Any, clock: Callable[[], float], switch: Switch, address: str, seed: int,
+                 rate: float, wait: float, irreversible: float, cost: float) -> None:
+        self.reactor, self.clock, self.switch, self.address = reactor, clock, switch, address
+        self.chance, self.rate, self.wait = random.Random(seed), rate, wait
+        self.irreversible, self.cost, self.running = irreversible, cost, False
+        self.asked: list[Asked] = []
+        self.connections: set[Way] = set()
+
+    def start(self) -> None:
+        self.running = True
+        self.next()
+
+    def next(self) -> None:
+        if self.running:
+            self.reactor.callLater(self.chance.expovariate(self.rate), self.next)
+            heavy = self.chance.random() < self.irreversible
+            cost = self.cost * (4.0 if heavy else 1.0) * self.chance.uniform(0.5, 1.5)
+            now = self.clock()
+            asked = Asked(f"{self.chance.getrandbits(64):016x}", heavy, cost, now, now + self.wait)
+            self.asked.append(asked)
+            self.send(asked)
+
+    def send(self, asked: Asked) -> None:
+        now = self.clock()
+        if asked.over:
+            return
+        if now >= asked.expiry - 1 or len(asked.ways) >= MOST_WAYS:
+            asked.over = True
+            return
+        place = self.switch.table.get(self.address)
+        if place is None:
+            self.reactor.callLater(AGAIN / 1000, self.send, asked)
+            return
+        self.reactor.connectTCP(*place, Dial(self, asked, place), timeout=0.2)
+
+    def lost(self, asked: Asked, place: Place, sent: bool) -> None:
+        if sent:
+            asked.unanswered.append(place)
+        self.reactor.callLater(AGAIN / 1000, self.send, asked)
+
+    def counts(self, excused: Callable[[Place, Asked], bool]) -> dict[str, int]:
+        """excused: whoever had it was killed or stood still meanwhile, and its client may ask again."""
+        counts: Counter[str] = Counter({"submissions": len(self.asked)})
+        for asked in self.asked:
+            statuses = asked.answers
+            counts["answers_double"] += max(0, len(statuses) - 1)
+            for place in asked.unanswered:
+                counts["held_by_killed" if excused(place, asked) else "answers_missing"] += 1
+            counts["delivered"] += 200 in statuses
+            counts["shed"] += 503 in statuses
+            counts["broken_off"] += 500 in statuses
+            counts["irreversible_sent"] += asked.irreversible
+            counts["never_answered"] += not statuses
+        return dict(counts)
+
+
+class Dial(ClientFactory):
+    noisy = False
+
+    def __init__(self, front: Front, asked: Asked, place: Place) -> None:
+        self.front, self.asked, self.place = front, asked, place
+
+    def buildProtocol(self, addr: Any) -> Way:
+        return Way(self.front, self.asked, self.place)
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.front.lost(self.asked, self.place, sent=False)
+
+
+class Way(Protocol):
+    """One call on one connection."""
+
+    transport: Any
+
+    def __init__(self, front: Front, asked: Asked, place: Place) -> None:
+        self.front, self.asked, self.place = front, asked, place
+        self.text, self.done = b"", False
+        self.timer: Any = None
+
+    def connectionMade(self) -> None:
+        front, asked = self.front, self.asked
+        left = asked.expiry - front.clock()
+        workload = "load" if asked.irreversible else "lookup"
+        body = f"SELECT a FROM s_1.t /* cost={asked.cost:.2f} */"
+        self.transport.setTcpNoDelay(True)
+        self.transport.write(
+            f"POST /ops/{workload} HTTP/1.1\r\nHost: front\r\nReq-Id: {asked.ident}\r\n"
+            f"Req-Wait-Ms: {max(1.0, left):.0f}\r\nReq-Cost: {asked.cost:.2f}\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n{body}".encode())
+        asked.ways.append(self.place)
+        front.connections.add(self)
+        self.timer = front.reactor.callLater(max(0.0, left + 50) / 1000, self.out_of_time)
+
+    def out_of_time(self) -> None:
+        if not self.done:
+            self.done = self.asked.over = True
+            self.asked.unanswered.append(self.place)
+            self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        self.text += data
+        head, mark, body = self.text.partition(b"\r\n\r\n")
+        if not mark:
+            return
+        size = next(int(line.split(b":")[1]) for line in head.split(b"\r\n") if line.startswith(b"Content-L"))
+        if len(body) >= size and not self.done:
+            self.done = self.asked.over = True
+            self.asked.answers.append(int(head.split()[1]))
+            if len(body) > size:
+                self.asked.answers.append(0)  # bytes beyond one answer
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.front.connections.discard(self)
+        if self.timer.active():
+            self.timer.cancel()
+        if not self.done:
+            self.done = True
+            self.front.lost(self.asked, self.place, sent=True)
--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -50,7 +50,7 @@
     def __init__(self, clients: Clients) -> None:
         self.clients, self.parser = clients, RequestParser()
         self.call: Deferred[Answer] | None = None
-        self.closing = self.clogged = self.brought = False
+        self.closing = self.clogged = self.brought = self.leaving = False
         self.since = clients.clock()
 
     # Twisted's calls.
@@ -137,10 +137,16 @@
         self.call, self.brought = call, True
         call.addCallbacks(self.concluded, self.withdrawn, (keep,))
 
+    def leave(self) -> None:
+        """Its address is held elsewhere now: what is open is answered, and nothing more is taken."""
+        self.leaving = True
+        if self.is_idle():
+            self.close()
+
     def concluded(self, answer: Answer, keep: bool) -> None:
         if not self.clients.counters.must(self.call is not None and not self.closing, "answer_to_a_call"):
             return
-        self.call = None
+        self.call, keep = None, keep and not self.leaving
         match answer:
             case Delivered(pages):
                 self.answer(200, {"result": rows_of(pages)}, keep)
@@ -236,6 +242,12 @@
             self.full = False
             self.port.startReading()
 
+    def drain(self, host: str) -> None:
+        """Lets those go who came to an address that was left; what they have open is answered first."""
+        for client in list(self.connections):
+            if client.transport.getHost().host == host:
+                client.leave()
+
     def close_idle(self) -> bool:
         """Closes what no call is open on; True while there are connections."""
         for client in list(self.connections):
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -327,6 +327,9 @@
         """How many connections one engine may have, so that there are some for each."""
         return max(1, self.most_connections // max(1, len(self.engines)))
 
+    def ready(self, engine: int) -> bool:
+        return engine in self.engines and self.engines[engine].seat.life == Life.READY
+
     def send(self, engine: int, ident: bytes, workload: bytes, wait: float, rank: int | None,
              statement: bytes) -> Trip:
         fields = b"class=%b,wait=%d" % (workload, max(1, int(wait)))
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from itertools import count
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from ..interface import Deployment, Ending, Life, Listed
 from ..rules import Dispatcher
@@ -38,11 +38,39 @@
 COUNTED = {Delivered: "delivered", Shed: "shed", BrokenOff: "broken_off"}
 
 
+class Guard(Protocol):
+    """What stands beside the link where dispatchers stand in for one another; without one nothing is
+    asked."""
+
+    def turning(self, now: float) -> None:
+        """A turn begins: what has lapsed since the last, also in a pause, is said to the rules first."""
+
+    def door(self, kind: int, ident: bytes) -> Answer | None:
+        """An answer at once, where the submission may have run elsewhere or cannot be guarded."""
+
+    def before(self, taken: Taken, trip: int, go: Callable[[bool | None], None]) -> bool:
+        """A trip is about to be sent. False: go() is called with the verdict, later."""
+
+    def given_up(self, number: int, trip: int) -> None:
+        """A trip that waits for its verdict is not to be sent any more."""
+
+    def answered(self, taken: Taken, answer: Answer | None) -> None:
+        """The answer has left, or the client (None)."""
+
+    def cold(self, engine: int) -> bool:
+        """Something is about to be sent to an engine; False: not now, since it is cold and no part is
+        left."""
+
+    def seat(self, seat: Seat) -> Seat:
+        """The seat as the rules are to see it."""
+
+
 @dataclass(slots=True, eq=False)
 class Taken:
     """A submission as the link carries it, until it is answered and none of its trips is out."""
 
     number: int
+    kind: int
     ident: bytes
     workload: bytes
     statement: bytes
@@ -52,6 +80,7 @@
     rank: int | None = None
     made: int = 0
     trips: dict[int, Trip] = field(default_factory=dict)
+    waiting: dict[int, int] = field(default_factory=dict)  # trips with no verdict yet, and engines
 
 
 class SocketLink:
@@ -75,6 +104,7 @@
         self.asked: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self.alarms: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.in_turn = False
+        self.guard: Guard | None = None
         self.turning: Any = None
         self.alarm: Any = None
         self.rules = Dispatcher(site, seed, self, clock())
@@ -94,10 +124,14 @@
         """A submission is taken; its Deferred brings the answer, and cancelling that withdraws it."""
         if ident.lower() in self.by_ident:
             return None
+        if self.guard is not None and (known := self.guard.door(kind, ident)) is not None:
+            self.counters.add("taken")
+            self.counters.add(COUNTED[type(known)])
+            return succeed(known)
         now, number = self.clock(), next(self.numbers)
         expiry = min(now + wait - ANSWER_WAY, self.until)
         answer: Deferred[Answer] = Deferred(lambda _: self.left(number))
-        taken = Taken(number, ident, workload, statement, expiry, answer)
+        taken = Taken(number, kind, ident, workload, statement, expiry, answer)
         self.taken[number] = self.by_ident[ident.lower()] = taken
         self.counters.add("taken")
         self.counters.most("most_open", len(self.by_ident))
@@ -115,6 +149,8 @@
         self.counters.add("withdrawn")
         taken = self.taken[number]
         self.concluded(taken)
+        if self.guard is not None:
+            self.guard.answered(taken, None)
         self.gather(self.withdrawn, taken)
 
     def withdrawn(self, now: float, taken: Taken) -> None:
@@ -129,9 +165,11 @@
 
     def listed(self, seats: Mapping[str, Seat]) -> None:
         """The whole list. An engine's place goes with it: nothing outlives what is gone."""
+        told = seats.items() if self.guard is None else [(ident, self.guard.seat(seat))
+                                                         for ident, seat in seats.items()]
         lines = [Listed(self.place_of(ident), self.number_of(self.locations, seat.location),
                         self.number_of(self.kinds, seat.kind), seat.cell, seat.life, seat.weight,
-                        seat.started) for ident, seat in seats.items()]
+                        seat.started) for ident, seat in told]
         # Told first: what the engines' connections then give back must not be sent there again.
         self.gather(self.rules.listed, lines, True)
         gone = {ident: seat._replace(life=Life.GONE) for ident, seat in self.seats.items()}
@@ -172,6 +210,8 @@
                 delayed.cancel()
         self.turning = self.alarm = None
         self.in_turn = True
+        if self.guard is not None:
+            self.guarded(self.guard.turning, began)
         while self.alarms and self.alarms[0][0] <= began:
             due, _, call, words = heapq.heappop(self.alarms)
             self.counters.most("latest_turn_ms", began - due)
@@ -206,6 +246,8 @@
         if taken is not None and taken.expiry <= self.clock():
             for trip in list(taken.trips.values()):
                 self.engines.give_up(trip, Ending.TIME_OUT)
+            for waiting in list(taken.waiting):
+                self.never_sent(taken, waiting)
             if not taken.answered:
                 self.at(self.clock() + OVERDUE, self.overdue, number)
 
@@ -253,8 +295,33 @@
         if taken.answered:  # its client left before this turn: it is not sent at all
             self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
             return
+        if self.guard is not None:
+            def go(verdict: bool | None) -> None:
+                self.told(taken, trip, engine, time_limit, verdict)
+            taken.waiting[trip] = engine
+            if not self.guard.before(taken, trip, go):
+                return
+            del taken.waiting[trip]
+        self.depart(taken, trip, engine, time_limit, now)
+
+    def told(self, taken: Taken, trip: int, engine: int, time_limit: float, verdict: bool | None) -> None:
+        """The verdict on a trip that waited for one: sent, not sent, or (None) it may have run elsewhere."""
+        now = self.clock()
+        if taken.waiting.pop(trip, None) is None:
+            return
+        if verdict is None:
+            self.conclude(taken, BrokenOff())
+        if verdict and not taken.answered and now < taken.expiry and self.engines.ready(engine):
+            self.depart(taken, trip, engine, time_limit, now)
+        else:
+            self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
+
+    def depart(self, taken: Taken, trip: int, engine: int, time_limit: float, now: float) -> None:
         wait = min(time_limit, taken.expiry - now) if time_limit else taken.expiry - now
         rank = taken.rank if self.priorities else None
+        if self.guard is not None and not self.guard.cold(engine):
+            self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
+            return
         out = self.engines.send(engine, taken.ident, taken.workload, wait, rank, taken.statement)
         taken.trips[trip] = out
         out.done.addCallback(self.came_back, taken, trip, engine, now)
@@ -267,11 +334,22 @@
     def cancel(self, number: int, trip: int) -> None:
         if number in self.taken and trip in self.taken[number].trips:
             self.engines.give_up(self.taken[number].trips[trip], Ending.CALLED_OFF)
+        elif number in self.taken and trip in self.taken[number].waiting:
+            self.never_sent(self.taken[number], trip)
+
+    def never_sent(self, taken: Taken, trip: int) -> None:
+        """A trip that waited for its verdict is given up: nothing ran."""
+        assert self.guard is not None
+        self.guard.given_up(taken.number, trip)
+        engine = taken.waiting.pop(trip)
+        self.gather(self.ended, taken, trip, engine, self.clock(), Outcome(Ending.MOOT))
 
     def conclude(self, taken: Taken, answer: Answer) -> None:
         if not taken.answered:
             self.counters.add(COUNTED[type(answer)])
             self.concluded(taken)
+            if self.guard is not None:
+                self.guard.answered(taken, answer)
             self.drop(taken)
             taken.answer.callback(answer)
 
@@ -280,7 +358,7 @@
         del self.by_ident[taken.ident.lower()]
 
     def drop(self, taken: Taken) -> None:
-        if taken.answered and not taken.trips:
+        if taken.answered and not taken.trips and not taken.waiting:
             self.taken.pop(taken.number, None)
 
     def came_back(self, outcome: Outcome, taken: Taken, trip: int, engine: int, sent: float) -> None:
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -87,6 +87,7 @@
         self.reactor, self.address, self.number, self.listed = reactor, address, number, listed
         self.counters, self.log = counters, log
         self.ident, self.open, self.asking = 0, dict[int, None](), None
+        self.heard_at = float("-inf")  # the reactor's seconds: when an answer last told of the list
 
     def startProtocol(self) -> None:
         self.ask()
@@ -129,6 +130,7 @@
             if serial is None:
                 raise dns.BadDatagram("no serial")
             self.counters.add("names_answered")
+            self.heard_at = self.reactor.seconds()
             if serial <= self.number:  # no news, or an answer that others have overtaken
                 return
             seats = answered_seats(services, addresses, texts)
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -104,6 +104,8 @@
         self.cold_for, self.cold_window, self.come_back = site.cold_for, site.cold_window, site.most_come_back
         self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
                             * site.cold_window * self.share * COLD_MARGIN)
+        self.cold_whole = self.cold_budget / self.share
+        self.light = COLD_GRAIN * self.cold_whole
         self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window or 0.0
         self.further_free = site.further_free or 0.0 if site.further_window else float("inf")
         self.further_share, self.further_won = site.further_share or 0.0, Histogram((0.5, 1.5))
@@ -142,6 +144,21 @@
         for s in self.open.values():
             s.expiry = min(s.expiry, until)
 
+    def tenured(self, now: float, cold: float, start: float) -> None:
+        """Dispatchers that stand in for one another: our parts, of all, of cold budgets and of the start of
+        n*."""
+        self.now, self.cold_budget = now, self.cold_whole * cold
+        if start != self.share:  # the next interval moves each n* by the difference
+            self.share, self.own, self.all = start, start, 1.0
+
+    def warned(self, now: float, number: int, left: float) -> None:
+        """Who held our address before had set this engine aside: it is tried before it gets its full part."""
+        self.now, e = now, self.engines.get(number)
+        if e is not None and e.aside_until <= now and not e.trial:
+            aside = sum(other.aside_until > now or other.trial for other in self.ready)
+            if 2 * (aside + 1) < len(self.ready):
+                e.aside_until, e.trial = now + min(left, ASIDE + ASIDE_RANDOM), True
+
     def list_failed(self, now: float) -> None:
         self.link.wake(500.0 + 1000.0 * self.chance.draw(), WAKE_WATCH)
 
@@ -287,7 +304,7 @@
             engine.cold_sends.popleft()
         budget, sent = self.cold_budget * engine.cores, sum(sent for _, sent in engine.cold_sends)
         # Our share may be under one submission: light ones then go by chance, so that it holds in sum.
-        light = work <= COLD_GRAIN * budget / self.share
+        light = work <= self.light * engine.cores
         return work + sent <= budget or (light and not sent and engine.luck < budget / work)
 
     def admits(self, engine: Engine, threads: int, calm: bool, even: bool) -> bool:
--- /dev/null
+++ b/spurdeal/vrrp/groups.py
@@ -0,0 +1,93 @@
+"""Several groups in one dispatcher: tracked conditions lower priorities, and bundled groups move together."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from .advert import OWNER, Address
+from .machine import NEVER, Act, Machine, State, Terms
+
+CONDITIONS = ("list_stale", "no_engine", "stopping")  # what can be tracked
+LEAST = 1  # a priority that is lowered stays a priority; 0 is said by stopping only
+
+
+class Tracked(NamedTuple):
+    """A condition, and by how much it lowers the priority while it holds."""
+
+    condition: str
+    lowers: int
+
+
+Done = list[tuple[int, Act]]
+
+
+class Groups:
+    """All groups of one dispatcher, by VRID. What is to be done comes as pairs of group and Act."""
+
+    def __init__(self, terms: Sequence[Terms], tracked: Mapping[int, Sequence[Tracked]],
+                 bundles: Iterable[Sequence[int]] = ()) -> None:
+        self.machines = {each.group: Machine(each) for each in terms}
+        self.tracked = {group: tuple(tracked.get(group, ())) for group in self.machines}
+        self.bundles = {group: tuple(bundle) for bundle in bundles for group in bundle}
+        self.holding = frozenset[str]()
+
+    def start(self, now: float, barred: bool) -> Done:
+        return self.each(lambda machine: machine.start(now, barred))
+
+    def stop(self, now: float) -> Done:
+        return self.each(lambda machine: machine.stop(now))
+
+    def tick(self, now: float) -> Done:
+        done: Done = []
+        for group, machine in self.machines.items():
+            done += self.moved(now, group, machine.state, machine.tick(now))
+        return done
+
+    def heard(self, now: float, group: int, priority: int, interval: float, sender: Address) -> Done:
+        machine = self.machines[group]
+        return self.moved(now, group, machine.state, machine.heard(now, priority, interval, sender))
+
+    def conditions(self, now: float, holding: Iterable[str]) -> Done:
+        """The tracked conditions that hold now; an owner's priority is never lowered (section 6.1)."""
+        self.holding = frozenset(holding)
+        done: Done = []
+        for group, machine in self.machines.items():
+            lowered = sum(each.lowers for each in self.tracked[group] if each.condition in self.holding)
+            own = machine.terms.priority
+            rank = own if own == OWNER else max(LEAST, own - lowered)
+            done += [(group, act) for act in machine.ranked(now, rank)]
+        return done
+
+    def lift(self) -> None:
+        for machine in self.machines.values():
+            machine.lift()
+
+    @property
+    def due(self) -> float:
+        return min((machine.due for machine in self.machines.values()), default=NEVER)
+
+    def held(self) -> list[int]:
+        return [group for group, machine in self.machines.items() if machine.state is State.ACTIVE]
+
+    # Bundles: one that takes its address takes the others' along, and so does one that leaves.
+
+    def moved(self, now: float, group: int, before: State, acts: list[Act]) -> Done:
+        done = [(group, act) for act in acts]
+        after = self.machines[group].state
+        if after is before or after is State.INITIALIZE:
+            return done
+        for other in self.bundles.get(group, ()):
+            machine = self.machines[other]
+            if machine.state is after or machine.state is State.INITIALIZE:
+                continue
+            why = f"with group {group}"
+            if after is State.ACTIVE:
+                done += [(other, act) for act in machine.become_active(now, why)]
+            else:
+                machine.become_backup(now, why)
+                done.append((other, Act.LEAVE))
+        return done
+
+    def each(self, call: Callable[[Machine], list[Act]]) -> Done:
+        return [(group, act) for group, machine in self.machines.items() for act in call(machine)]
--- /dev/null
+++ b/spurdeal/vrrp/handover.py
@@ -0,0 +1,280 @@
+"""What dispatchers of one installation tell each other, and what follows from it. Free of I/O and clocks.
+
+Every few ms each tells each peer: the number of its list, which engines are cold since when and what it sent
+there, which it has set aside, which groups it holds, what it lends of its tenure, and its marks. Between
+these, an irreversible submission is told ahead of its sending, and answered. Times are ms of one monotonic
+clock; a datagram tells only what is left of them. A body is JSON with the keys of `compose`; one with
+anything unusable in it is refused whole and changes nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from math import isfinite
+from typing import Any, NamedTuple
+
+from .marks import Door, Marks
+from .sealed import Keys, Refused, Session
+from .tenure import Tenure
+
+PAGE, MOST_TOLD, MOST_ENGINES = 64, 48, 64  # entries in one datagram: all of them fit in sealed.LARGEST
+SAY_CLEAR = 3  # datagrams in a row in which a mark taken back is told: one or two may be lost
+MOST_PAGES = 4096
+LONGEST_LEFT = 3_600_000.0  # ms; nothing told lasts longer
+
+
+class Facts(NamedTuple):
+    """What one dispatcher sees of the fleet, for its peers. Starts are Unix ms, as the list tells them."""
+
+    list_number: int
+    held: Sequence[int]
+    cold: Sequence[tuple[str, float, float]]  # engine, start, ms of work sent there in the cold window
+    aside: Sequence[tuple[str, float]]  # engine, ms left
+
+
+class Verdict(NamedTuple):
+    """One told ahead may go (True), must not (False), or may have run at a peer (None)."""
+
+    token: object
+    go: bool | None
+
+
+class Waiting(NamedTuple):
+    ident: bytes
+    expiry: float
+    until: float
+    missing: frozenset[str]
+
+
+class Known(NamedTuple):
+    """What was last heard of a peer."""
+
+    at: float
+    list_number: int
+    held: tuple[int, ...]
+    cold: tuple[tuple[str, float, float], ...]
+    aside: tuple[tuple[str, float], ...]
+
+
+def number(value: Any, most: float = LONGEST_LEFT) -> float:
+    if not isinstance(value, (int, float)) or isinstance(value, bool) or not isfinite(value) \
+            or not 0 <= value <= most:
+        raise Refused("body")
+    return float(value)
+
+
+def ident_of(value: Any) -> bytes:
+    if not isinstance(value, str) or not 1 <= len(value) <= 64 or not value.isascii():
+        raise Refused("body")
+    return value.encode()
+
+
+def rows(body: Mapping[str, Any], name: str, width: int, most: int) -> list[list[Any]]:
+    found = body.get(name, [])
+    if not isinstance(found, list) or len(found) > most or not all(isinstance(row, list) and len(row) == width
+                                                                   for row in found):
+        raise Refused("body")
+    return found
+
+
+class Handover:
+    """One dispatcher's side towards its peers.
+
+    ahead: irreversible ones are told before they are sent, within ahead_wait ms. alone_after: None refuses
+    them while a peer is not heard; a figure lets them go once it was not heard for so many ms. without: after
+    so many ms without any peer, what peers know counts as known.
+    """
+
+    def __init__(self, own: str, peers: Sequence[str], boot: int, keys: Keys, tenure: Tenure, marks: Marks,
+                 now: float, ahead: bool, ahead_wait: float, alone_after: float | None,
+                 without: float) -> None:
+        self.sessions = {peer: Session(own, peer, boot, keys) for peer in peers}
+        self.tenure, self.marks, self.began = tenure, marks, now
+        self.ahead, self.ahead_wait, self.alone_after, self.without = ahead, ahead_wait, alone_after, without
+        self.known: dict[str, Known] = {}
+        self.left: dict[str, float] = {}
+        self.waiting: dict[object, Waiting] = {}
+        self.clearing: dict[str, list[tuple[bytes, int]]] = {peer: [] for peer in peers}
+        self.replies: dict[str, list[tuple[str, bool]]] = {peer: [] for peer in peers}
+        self.pages_of: dict[str, list[list[tuple[bytes, float]]]] = {}  # what a new peer has yet to get
+        self.pages_asked: dict[str, int] = {}
+        self.pages_got: dict[str, int] = {}
+        self.synced: set[str] = set()
+
+    # What is asked of it.
+
+    def complete(self, now: float) -> bool:
+        """All that peers know is here, or the stated time without is over."""
+        return len(self.synced) == len(self.sessions) or now >= self.began + self.without
+
+    def door(self, now: float, ident: bytes) -> Door:
+        """For one that must not run twice, on its way in."""
+        found = self.marks.door(now, ident)
+        if found is Door.OPEN and (not self.complete(now) or (self.ahead and self.away(now))):
+            return Door.AWAY
+        return found
+
+    def away(self, now: float) -> bool:
+        """A peer that should be told ahead cannot be."""
+        return any(now - self.heard(peer) > 3 * self.ahead_wait for peer in self.needed(now))
+
+    def heard(self, peer: str) -> float:
+        return self.known[peer].at if peer in self.known else self.began
+
+    def needed(self, now: float) -> list[str]:
+        if self.alone_after is None:
+            return list(self.sessions)
+        return [peer for peer in self.sessions if now - self.heard(peer) <= self.alone_after]
+
+    def before(self, now: float, ident: bytes, expiry: float, token: object) -> Verdict | None:
+        """It is about to be sent. A verdict at once, or None: one comes of `take` or `tick`."""
+        if not self.marks.mark(now, ident, expiry):
+            return Verdict(token, None if ident in self.marks.known else False)
+        missing = frozenset(self.needed(now)) if self.ahead else frozenset[str]()
+        if not missing:
+            self.marks.sent(ident)
+            return Verdict(token, True)
+        self.waiting[token] = Waiting(ident, expiry, now + self.ahead_wait, missing)
+        return None
+
+    def give_up(self, token: object) -> bool:
+        """It is not to be sent any more; True if it was still waiting, and so never went."""
+        return self.waiting.pop(token, None) is not None
+
+    def over(self, ident: bytes, never_ran: bool) -> None:
+        """It was answered. Only where each trip is known not to have run is its mark taken back."""
+        if never_ran and self.marks.never_ran(ident):
+            for clearing in self.clearing.values():
+                clearing.append((ident, SAY_CLEAR))
+                del clearing[:-MOST_TOLD * SAY_CLEAR]  # older ones end by time
+
+    def tick(self, now: float) -> list[Verdict]:
+        late = [token for token, waiting in self.waiting.items() if now >= waiting.until]
+        for token in late:
+            del self.waiting[token]
+        return [Verdict(token, False) for token in late]
+
+    # Datagrams.
+
+    def compose(self, now: float, peer: str, facts: Facts, idle: bool) -> bytes:
+        """All there is to tell this peer now."""
+        part, wait = self.tenure.lend(now, peer, idle)
+        clears, self.clearing[peer] = self.clearing[peer][:MOST_TOLD], self.clearing[peer][MOST_TOLD:]
+        self.clearing[peer] += [(ident, times - 1) for ident, times in clears if times > 1]
+        body: dict[str, Any] = {
+            "list": facts.list_number, "held": list(facts.held),
+            "cold": [list(row) for row in facts.cold[:MOST_ENGINES]],
+            "aside": [list(row) for row in facts.aside[:MOST_ENGINES]],
+            "lend": [part, wait], "left": self.tenure.left_of(now, peer),
+            "clear": [[ident.decode()] for ident, _ in clears]}
+        if peer not in self.synced:
+            body["need"] = self.pages_got.get(peer, 0)
+        if (pages := self.pages_of.get(peer)) is not None:
+            asked = min(self.pages_asked.get(peer, 0), len(pages))
+            page = pages[asked] if asked < len(pages) else []
+            body["marks"] = [[ident.decode(), left] for ident, left in page]
+            body["page"] = [asked, len(pages)]
+        return self.sessions[peer].write(now, body | self.told(now, peer))
+
+    def compose_told(self, now: float, peer: str) -> bytes | None:
+        """Only what waits for an answer, and answers: at once, between the regular ones."""
+        told = self.told(now, peer)
+        return self.sessions[peer].write(now, told) if told["tell"] or told["reply"] else None
+
+    def told(self, now: float, peer: str) -> dict[str, Any]:
+        waiting = [waiting for waiting in self.waiting.values() if peer in waiting.missing][:MOST_TOLD]
+        replies, self.replies[peer] = self.replies[peer][:MOST_TOLD], self.replies[peer][MOST_TOLD:]
+        return {"tell": [[each.ident.decode(), max(0.0, each.expiry + self.marks.keep - now)]
+                         for each in waiting],
+                "reply": [list(reply) for reply in replies]}
+
+    def take(self, now: float, peer: str, datagram: bytes) -> list[Verdict]:
+        """Refused where it cannot be used; nothing has changed then but what Session counts as seen."""
+        session = self.sessions[peer]
+        boots = session.boots
+        body, asked = session.read(now, datagram)
+        told = [(ident_of(ident), number(left)) for ident, left in rows(body, "tell", 2, MOST_TOLD)]
+        replies = [(ident_of(ident), ok) for ident, ok in rows(body, "reply", 2, MOST_TOLD)]
+        clears = [ident_of(ident) for ident, in rows(body, "clear", 1, MOST_TOLD)]
+        marks = [(ident_of(ident), number(left)) for ident, left in rows(body, "marks", 2, PAGE)]
+        known = self.read_known(now, body)
+        lend, left, need, page = self.read_rest(body)
+        # All is read: nothing above has changed anything.
+        if session.boots != boots:
+            self.restarted(peer)
+        if known is not None:
+            self.known[peer] = known
+        elif peer in self.known:
+            self.known[peer] = self.known[peer]._replace(at=now)
+        if lend is not None and asked is not None:
+            self.tenure.borrow(now, peer, lend[0], lend[1], asked)
+        if left is not None and asked is not None:
+            self.left[peer] = left
+            self.tenure.told_left(now, self.left, len(self.sessions))
+        for ident in clears:
+            self.marks.peer_clears(peer, ident)
+        for ident, ms in told:
+            self.replies[peer].append((ident.decode(), self.marks.peer_marks(now, peer, ident, ms)))
+            del self.replies[peer][:-4 * MOST_TOLD]
+        if need is not None:
+            if peer not in self.pages_of:
+                self.pages_of[peer] = list(self.marks.pages(now, PAGE))
+            self.pages_asked[peer] = int(need)
+        else:
+            self.pages_of.pop(peer, None)
+        if page is not None and peer not in self.synced and page[0] == self.pages_got.get(peer, 0):
+            self.marks.learn(now, peer, marks)
+            self.pages_got[peer] = page[0] + 1
+            if page[0] + 1 >= page[1]:
+                self.synced.add(peer)
+        return self.answered(peer, replies)
+
+    def restarted(self, peer: str) -> None:
+        """A new start of the peer: it knows nothing, and what it had told us stands as marks."""
+        self.pages_of.pop(peer, None)
+        self.left.pop(peer, None)
+
+    def answered(self, peer: str, replies: Iterable[tuple[bytes, bool]]) -> list[Verdict]:
+        verdicts = []
+        for ident, ok in replies:
+            for token, waiting in list(self.waiting.items()):
+                if waiting.ident != ident or peer not in waiting.missing:
+                    continue
+                missing = waiting.missing - {peer}
+                if not ok:
+                    del self.waiting[token]
+                    verdicts.append(Verdict(token, None))
+                elif missing:
+                    self.waiting[token] = waiting._replace(missing=missing)
+                else:
+                    del self.waiting[token]
+                    self.marks.sent(ident)
+                    verdicts.append(Verdict(token, True))
+        return verdicts
+
+    # Reading a body.
+
+    def read_known(self, now: float, body: Mapping[str, Any]) -> Known | None:
+        if "list" not in body:
+            return None
+        cold = tuple((ident_of(ident).decode(), number(started, 1e15), number(sent, 1e12))
+                     for ident, started, sent in rows(body, "cold", 3, MOST_ENGINES))
+        aside = tuple((ident_of(ident).decode(), number(left))
+                      for ident, left in rows(body, "aside", 2, MOST_ENGINES))
+        held = body.get("held", [])
+        if not isinstance(held, list) or len(held) > 255:
+            raise Refused("body")
+        return Known(now, int(number(body["list"], 1e12)), tuple(int(number(group, 255)) for group in held),
+                     cold, aside)
+
+    def read_rest(self, body: Mapping[str, Any]) \
+            -> tuple[tuple[float, float] | None, float | None, float | None, tuple[int, int] | None]:
+        lend = page = None
+        if "lend" in body:
+            (part, wait), = rows({"lend": [body["lend"]]}, "lend", 2, 1)
+            lend = number(part, 1.0), number(wait)
+        if "page" in body:
+            (at, of), = rows({"page": [body["page"]]}, "page", 2, 1)
+            page = int(number(at, MOST_PAGES)), int(number(of, MOST_PAGES))
+        left = number(body["left"]) if "left" in body else None
+        need = number(body["need"], MOST_PAGES) if "need" in body else None
+        return lend, left, need, page
--- /dev/null
+++ b/spurdeal/vrrp/machine.py
@@ -0,0 +1,168 @@
+"""The VRRP state machine (RFC 9568, section 6), free of I/O and clocks. Times are ms of one monotonic clock.
+
+Each call names the time and returns what is to be done, in order: Act.ADVERTISE, Act.RESIGN (an advertisement
+with priority 0), Act.HOLD (take the address and announce it) and Act.LEAVE. `due` is when `tick` is wanted
+next.
+Departures from the RFC, each for one failure, are marked where they stand."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+from .advert import OWNER, STOPPING, Address
+
+NEVER = float("inf")
+
+
+class State(Enum):
+    INITIALIZE = "initialize"
+    BACKUP = "backup"
+    ACTIVE = "active"
+
+
+class Act(Enum):
+    ADVERTISE = "advertise"
+    RESIGN = "resign"
+    HOLD = "hold"
+    LEAVE = "leave"
+
+
+class Terms(NamedTuple):
+    """What one group of one dispatcher is told: section 6.1. Times in ms."""
+
+    group: int
+    priority: int
+    interval: float
+    primary: Address
+    preempt: bool = True
+    preempt_delay: float = 0.0
+
+
+def skew_time(priority: int, interval: float) -> float:
+    """Section 6.1: ((256 - priority) * Active_Adver_Interval) / 256."""
+    return (256 - priority) * interval / 256
+
+
+def active_down_interval(priority: int, interval: float) -> float:
+    """Section 6.1: three intervals of the sender, and Skew_Time."""
+    return 3 * interval + skew_time(priority, interval)
+
+
+class Machine:
+    """One group's state. `why` says what the last change came from."""
+
+    def __init__(self, terms: Terms) -> None:
+        self.terms, self.state, self.why = terms, State.INITIALIZE, "made"
+        self.priority = terms.priority  # in force: tracked conditions lower it
+        self.sender_interval = terms.interval  # Active_Adver_Interval
+        self.due, self.seen = NEVER, 0.0
+        self.barred = False  # a returning one: no list and no handover yet
+        self.preempt_at = NEVER  # since when one lower is heard, and the delay
+
+    # Events.
+
+    def start(self, now: float, barred: bool = False) -> list[Act]:
+        """Startup, section 6.4.1. Barred, also an owner waits in Backup: it may know an old list only."""
+        assert self.state is State.INITIALIZE
+        self.seen, self.barred = now, barred
+        self.sender_interval = self.terms.interval
+        if self.priority == OWNER and not barred:
+            return self.become_active(now, "owner")
+        self.become_backup(now, "started")
+        return []
+
+    def stop(self, now: float) -> list[Act]:
+        """Shutdown: an Active one resigns, so that others wait for Skew_Time only."""
+        active = self.state is State.ACTIVE
+        self.state, self.due, self.why, self.seen = State.INITIALIZE, NEVER, "stopped", now
+        return [Act.RESIGN, Act.LEAVE] if active else []
+
+    def tick(self, now: float) -> list[Act]:
+        """A timer is due: Adver_Timer in Active, Active_Down_Timer in Backup. Early calls do nothing."""
+        gap, self.seen = now - self.seen, now
+        if self.state is State.ACTIVE and gap > self.own_down_interval():
+            # Departure: a process that stood still for so long was taken over meanwhile. Advertising first
+            # would draw the address back for a moment, with two holders; it listens for one interval instead.
+            self.become_backup(now, f"stood still {gap:.0f} ms")
+            return [Act.LEAVE]
+        if now < self.due:
+            return []
+        if self.state is State.ACTIVE:
+            self.due = now + self.terms.interval
+            return [Act.ADVERTISE]
+        if self.state is State.BACKUP:
+            return self.become_active(now, "active down")
+        return []
+
+    def heard(self, now: float, priority: int, interval: float, sender: Address) -> list[Act]:
+        """A checked advertisement of this group, section 6.4.2 and 6.4.3."""
+        if self.state is State.BACKUP:
+            self.seen = now
+            self.heard_in_backup(now, priority, interval)
+            return []
+        if self.state is not State.ACTIVE:
+            return []
+        acts = self.tick(now) if now - self.seen > self.own_down_interval() else []
+        if acts:  # it stood still, and this tells who holds the address now
+            return acts + self.heard(now, priority, interval, sender)
+        self.seen = now
+        if priority == STOPPING:
+            self.due = now + self.terms.interval
+            return [Act.ADVERTISE]
+        if priority > self.priority or (priority == self.priority and int(sender) > int(self.terms.primary)):
+            self.sender_interval = interval
+            self.become_backup(now, f"heard priority {priority}")
+            return [Act.LEAVE]
+        # One lower believes that it holds the address: told at once, it gives way within a datagram's time.
+        # The switch may lead to it by now, so that the address is announced again.
+        self.due = now + self.terms.interval
+        return [Act.ADVERTISE, Act.HOLD]
+
+    def heard_in_backup(self, now: float, priority: int, interval: float) -> None:
+        if priority == STOPPING:
+            self.due = min(self.due, now + skew_time(self.priority, self.sender_interval))
+            self.preempt_at = NEVER
+        elif priority >= self.priority or not self.may_preempt(now):
+            self.sender_interval = interval
+            self.due = now + active_down_interval(self.priority, interval)
+            if priority >= self.priority:
+                self.preempt_at = NEVER
+        # else: one lower is heard, and Active_Down_Timer runs on: it preempts when that ends
+
+    def may_preempt(self, now: float) -> bool:
+        """Preempt_Mode, with a delay (ours) from the first lower one that was heard."""
+        if not self.terms.preempt or self.barred:
+            return False
+        if self.preempt_at == NEVER:
+            self.preempt_at = now + self.terms.preempt_delay
+        return now >= self.preempt_at
+
+    def ranked(self, now: float, priority: int) -> list[Act]:
+        """Tracked conditions have changed the priority in force. An Active one says so at once."""
+        if priority == self.priority:
+            return []
+        self.priority = priority
+        if self.state is State.ACTIVE:
+            self.due = now + self.terms.interval
+            return [Act.ADVERTISE]
+        return []
+
+    def lift(self) -> None:
+        """A fresh list and a handover are here, or the stated time without is over."""
+        self.barred = False
+
+    # Changes of state.
+
+    def become_active(self, now: float, why: str) -> list[Act]:
+        self.state, self.why, self.preempt_at, self.seen = State.ACTIVE, why, NEVER, now
+        self.due = now + self.terms.interval
+        return [Act.ADVERTISE, Act.HOLD]
+
+    def become_backup(self, now: float, why: str) -> None:
+        self.state, self.why, self.preempt_at, self.seen = State.BACKUP, why, NEVER, now
+        self.due = now + active_down_interval(self.priority, self.sender_interval)
+
+    def own_down_interval(self) -> float:
+        """How long others wait for an advertisement of ours, at the least."""
+        return 3 * self.terms.interval
--- /dev/null
+++ b/spurdeal/vrrp/sealed.py
@@ -0,0 +1,127 @@
+"""Datagrams between dispatchers of one installation: sealed with a key, and fresh.
+
+A datagram is a head, a body and the first 16 bytes of HMAC-SHA256 (RFC 2104, RFC 4868 cuts likewise) over
+both. The head names the key, the sender's start (`boot`, random), its number, and the last that was taken of
+the receiver's: start and number. What is replayed from an earlier start of either side repeats what is no
+longer the last, so it counts for nothing, and no clock is compared."""
+
+from __future__ import annotations
+
+import hmac
+import json
+import struct
+from collections import OrderedDict
+from collections.abc import Mapping
+from typing import Any
+
+MAGIC = b"SPH1"
+HEAD = struct.Struct("!4sBBQQQQ")  # magic, key id, length of the name, boot, number, echoed boot and number
+SEAL = 16
+LARGEST = 8192
+WINDOW = 64  # numbers behind the newest that may still arrive, once each
+ECHO_WITHIN = 2000.0  # ms: a new start of the peer must repeat what we sent no longer ago
+
+
+class Refused(Exception):
+    """A datagram that changes nothing; `reason` is the counter's name."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class Keys:
+    """One or two keys by id. The first seals; all open, so that a change loses nothing."""
+
+    def __init__(self, keys: Mapping[int, bytes]) -> None:
+        if not 1 <= len(keys) <= 2 or not all(0 <= ident <= 255 and len(key) >= 16
+                                              for ident, key in keys.items()):
+            raise ValueError("one or two keys of 16 bytes or more, with ids from 0 to 255")
+        self.keys, self.sealing = dict(keys), next(iter(keys))
+
+    def seal(self, ident: int, data: bytes) -> bytes:
+        return hmac.digest(self.keys[ident], data, "sha256")[:SEAL]
+
+
+class Session:
+    """What is known of one peer's datagrams, and of ours to it."""
+
+    def __init__(self, own: str, peer: str, boot: int, keys: Keys) -> None:
+        self.own, self.peer, self.boot, self.keys = own.encode(), peer.encode(), boot, keys
+        self.number = 0
+        self.sent: OrderedDict[int, float] = OrderedDict()  # when our last ones left, to measure loans from
+        self.peer_boot, self.newest, self.behind = 0, 0, 0
+        self.proved = 0  # the number of ours by which the peer's start proved itself
+        self.boots = 0  # how often the peer's start has changed
+
+    def write(self, now: float, body: dict[str, Any], echo: tuple[int, int] | None = None) -> bytes:
+        """The next datagram; now is ms of the sender's monotonic clock. ValueError where it is too large."""
+        self.number += 1
+        self.sent[self.number] = now
+        while len(self.sent) > WINDOW * 4:
+            self.sent.popitem(last=False)
+        key = self.keys.sealing
+        data = HEAD.pack(MAGIC, key, len(self.own), self.boot, self.number,
+                         *(echo or (self.peer_boot, self.newest))) \
+            + self.own + json.dumps(body, separators=(",", ":")).encode()
+        if len(data) + SEAL > LARGEST:
+            raise ValueError(f"{len(data)} bytes are more than a datagram holds")
+        return data + self.keys.seal(key, data)
+
+    def read(self, now: float, datagram: bytes) -> tuple[dict[str, Any], float | None]:
+        """The body, and when the last of ours that the peer had taken was sent: None if it is too long ago.
+
+        Refused where anything is wrong; nothing has changed then.
+        """
+        boot, number, echo_boot, echo_number, text = self.open(datagram)
+        asked = self.sent.get(echo_number) if echo_boot == self.boot else None
+        fresh = asked is not None and now - asked <= ECHO_WITHIN
+        if boot == self.peer_boot:
+            age = self.newest - number
+            if age >= WINDOW or (age >= 0 and self.behind >> age & 1):
+                raise Refused("replayed")
+        elif not fresh or echo_number <= self.proved:
+            # An unknown start must show that it hears us now, and later than the known one did: else an
+            # old start's datagrams, replayed soon after its end, would be taken.
+            raise Refused("unproven")
+        try:
+            body = json.loads(text)
+        except (ValueError, RecursionError):
+            raise Refused("body") from None
+        if not isinstance(body, dict):
+            raise Refused("body")
+        if boot != self.peer_boot:
+            self.peer_boot, self.newest, self.behind, self.boots = boot, number, 1, self.boots + 1
+            self.proved = echo_number
+        elif number > self.newest:
+            self.behind = (self.behind << min(WINDOW, number - self.newest) | 1) & (1 << WINDOW) - 1
+            self.newest = number
+        else:
+            self.behind |= 1 << (self.newest - number)
+        return body, asked
+
+    def open(self, datagram: bytes) -> tuple[int, int, int, int, bytes]:
+        """Length, magic, key, seal and name, in this order; what is not ours is refused before it is read."""
+        if len(datagram) < HEAD.size + SEAL:
+            raise Refused("short")
+        if len(datagram) > LARGEST:
+            raise Refused("long")
+        magic, key, size, boot, number, echo_boot, echo_number = HEAD.unpack_from(datagram)
+        if magic != MAGIC:
+            raise Refused("magic")
+        if key not in self.keys.keys:
+            raise Refused("key")
+        if not hmac.compare_digest(self.keys.seal(key, datagram[:-SEAL]), datagram[-SEAL:]):
+            raise Refused("seal")
+        if datagram[HEAD.size:HEAD.size + size] != self.peer:
+            raise Refused("name")
+        return boot, number, echo_boot, echo_number, datagram[HEAD.size + size:-SEAL]
+
+    def greet(self, now: float, datagram: bytes) -> bytes:
+        """An empty answer to an unproven one whose seal is right: it echoes that start, which can then prove
+        itself.
+
+        Nothing else is taken of it. A replay gains an echo of an old number, which proves nothing.
+        """
+        boot, number, *_ = self.open(datagram)
+        return self.write(now, {}, (boot, number))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,16 +2,14 @@
 
 import io
 import json
-import struct
 import unittest
-from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
-from spurdeal.net import dns
+from spurdeal.lab import names
 from spurdeal.net.logs import logger
 from spurdeal.net.resp import ArrayParser, command
 from spurdeal.net.start import Service, read_configuration
@@ -193,50 +191,6 @@
     def list(self, serial: int, *seats: tuple[str, str, int, str],
              source: tuple[str, int] = ("127.0.8.9", 5300), **more: Any) -> None:
         self.go(200)  # the next question
-        answer = name_answer(self.names[-1], serial, *seats, **more)
+        answer = names.answer(self.names[-1], serial, *seats, **more)
         self.service.names.datagramReceived(answer, source)
         self.go()
-
-
-def name_answer(question: bytes, serial: int, *seats: tuple[str, str, int, str], compressed: bool = True,
-                flags: int = 0x8400) -> bytes:
-    """Seats are target, address, priority and text; names are compressed or not at all."""
-    message = bytearray(struct.pack("!2s5H", question[:2], flags, 1, len(seats), 1, 2 * len(seats)))
-    known: dict[str, int] = {}
-
-    def name(text: str) -> bytes:
-        labels, out = text.split("."), b""
-        while labels:
-            rest = ".".join(labels)
-            if compressed and rest in known:
-                return out + struct.pack("!H", 0xC000 | known[rest])
-            known.setdefault(rest, len(message) + len(out))
-            out += bytes([len(labels[0])]) + labels.pop(0).encode()
-        return out + b"\0"
-
-    def record(owner: str, kind: int, data: Callable[[], bytes]) -> None:
-        message.extend(name(owner) + struct.pack("!HHI", kind, 1, 1))
-        message.extend(b"\0\0")
-        at = len(message)
-        message.extend(data())
-        message[at - 2:at] = struct.pack("!H", len(message) - at)
-
-    service = "_api._tcp.svc.local"
-    message.extend(name(service) + struct.pack("!HH", dns.SRV, 1))
-    for target, address, priority, _ in seats:
-        port = int(address.partition(":")[2])
-        message_head = struct.pack("!3H", priority, 40, port)
-
-        def service_data(head: bytes = message_head, target: str = target) -> bytes:
-            message.extend(head)  # a name's place counts from the message's start
-            text = name(target)
-            del message[-len(head):]
-            return head + text
-        record(service, dns.SRV, service_data)
-    record("svc.local", dns.SOA, lambda: b"\0\0" + struct.pack("!5I", serial, 1, 1, 1, 1))
-    for target, address, _, text in seats:
-        numbers = bytes(int(part) for part in address.partition(":")[0].split("."))
-        record(target, dns.A, lambda numbers=numbers: numbers)  # type: ignore[misc]
-        words = b"".join(bytes([len(word)]) + word.encode() for word in text.split())
-        record(target, dns.TXT, lambda words=words: words)  # type: ignore[misc]
-    return bytes(message)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -3,11 +3,11 @@
 import struct
 import unittest
 
+from spurdeal.lab.names import answer as name_answer
 from spurdeal.net import dns
 from spurdeal.net.http import LARGEST_BODY, LARGEST_HEAD, BadMessage, RequestParser
 from spurdeal.net.resp import LARGEST_PART, MOST_PARTS, ArrayParser, BadAnswer, command
 from spurdeal.net.statement import NO_GROUP, group_of
-from tests.helpers import name_answer
 
 POST = b"POST /ops/report HTTP/1.1\r\nHost: o\r\nReq-Id:  9b1f \t\r\nContent-Length: 5\r\n\r\nab\r\nc"
 GET = b"GET /alive HTTP/1.1\r\n\r\n"
--- /dev/null
+++ b/tests/test_vrrp.py
@@ -0,0 +1,355 @@
+"""VRRP's datagrams and state machine, groups, tenure, marks and seals: all without I/O."""
+
+import random
+import struct
+import unittest
+from ipaddress import ip_address
+from typing import Any
+
+from spurdeal.vrrp import advert
+from spurdeal.vrrp.advert import Dropped
+from spurdeal.vrrp.groups import Groups, Tracked
+from spurdeal.vrrp.handover import Facts, Handover
+from spurdeal.vrrp.machine import NEVER, Act, Machine, State, Terms, active_down_interval, skew_time
+from spurdeal.vrrp.marks import Door, Marks
+from spurdeal.vrrp.sealed import Keys, Refused, Session
+from spurdeal.vrrp.tenure import Tenure
+
+ONE, TWO = ip_address("127.0.8.1"), ip_address("127.0.8.2")
+SIX, SEVEN = ip_address("::1"), ip_address("fe80::7")
+KEYS = Keys({1: b"k" * 16})
+
+
+def terms(priority: int, **more: Any) -> Terms:
+    return Terms(7, priority, 1000.0, ONE)._replace(**more)
+
+
+class Datagrams(unittest.TestCase):
+    def test_as_the_rfc_lays_them_out(self) -> None:
+        """Section 5.2, with the sum of its five words folded by hand."""
+        text = advert.write(7, 200, 1000, [ip_address("10.0.0.1")], ONE, TWO)
+        total = 0x3107 + 0xC801 + 0x0064 + 0x0A00 + 0x0001
+        folded = (total & 0xFFFF) + (total >> 16)
+        self.assertEqual(text.hex(), f"3107c8010064{~folded & 0xFFFF:04x}0a000001")
+        self.assertEqual(advert.read(text, ONE, TWO), (7, 200, 1000.0, (ip_address("10.0.0.1"),)))
+
+    def test_both_readings_of_the_checksum_over_ipv4_and_the_one_over_ipv6(self) -> None:
+        text = bytearray(advert.write(7, 200, 1000, [ip_address("10.0.0.1")], ONE, TWO))
+        text[6:8] = b"\0\0"
+        with_header = ~advert.ones_sum(advert.pseudo_header(ONE, TWO, len(text)) + text) & 0xFFFF
+        text[6:8] = with_header.to_bytes(2, "big")
+        self.assertEqual(advert.read(bytes(text), ONE, TWO)[0], 7)
+        six = advert.write(7, 200, 1000, [SIX, SEVEN], SIX, SEVEN)
+        self.assertEqual(advert.read(six, SIX, SEVEN)[3], (SIX, SEVEN))
+        with self.assertRaisesRegex(Dropped, "checksum"):
+            advert.read(six, SIX, SIX)
+
+    def test_each_receive_check_has_a_reason(self) -> None:
+        good = advert.write(7, 200, 1000, [ip_address("10.0.0.1")], ONE, TWO)
+
+        def spoilt(at: int, value: int) -> bytes:
+            text = bytearray(good)
+            text[at] = value
+            return bytes(text)
+        for reason, text, ttl in (
+                ("ttl", good, 254), ("short", good[:7], None), ("version", spoilt(0, 0x21), None),
+                ("type", spoilt(0, 0x32), None), ("length", good + b"\0", None),
+                ("length", spoilt(3, 2), None), ("length", spoilt(3, 0), None),
+                ("interval", good[:4] + b"\0\0" + good[6:], None), ("checksum", spoilt(2, 199), None)):
+            with self.subTest(reason), self.assertRaises(Dropped) as caught:
+                advert.read(text, ONE, TWO, ttl)
+            self.assertEqual(caught.exception.reason, reason)
+        self.assertEqual(advert.read(good, ONE, TWO, 255)[0], 7)
+
+    def test_noise_is_dropped_and_nothing_else(self) -> None:
+        chance = random.Random(5)
+        good = advert.write(7, 200, 1000, [ip_address("10.0.0.1")], ONE, TWO)
+        taken = 0
+        for _ in range(20_000):
+            text = bytearray(good if chance.random() < 0.7 else chance.randbytes(chance.randrange(40)))
+            for _ in range(chance.randrange(1, 4)):
+                if text:
+                    text[chance.randrange(len(text))] ^= 1 << chance.randrange(8)
+            try:
+                advert.read(bytes(text), ONE, TWO)
+                taken += 1
+            except Dropped:
+                pass
+        # Flips that undo each other, or make up a one's complement sum, are all that can pass.
+        self.assertLess(taken, 20_000 // 50)
+
+
+class Machines(unittest.TestCase):
+    def test_timers_are_those_of_section_6_1(self) -> None:
+        self.assertEqual(skew_time(200, 1000), 218.75)
+        self.assertEqual(active_down_interval(200, 1000), 3218.75)
+        machine = Machine(terms(200))
+        self.assertEqual(machine.start(0), [])
+        self.assertEqual(machine.due, 3218.75)
+        self.assertEqual(machine.tick(3218.7), [])
+        self.assertEqual(machine.tick(3218.75), [Act.ADVERTISE, Act.HOLD])
+        self.assertEqual((machine.state, machine.due), (State.ACTIVE, 4218.75))
+        self.assertEqual(machine.tick(4218.75), [Act.ADVERTISE])
+
+    def test_an_owner_is_active_at_once_unless_it_is_barred(self) -> None:
+        self.assertEqual(Machine(terms(255)).start(0), [Act.ADVERTISE, Act.HOLD])
+        barred = Machine(terms(255))
+        self.assertEqual((barred.start(0, barred=True), barred.state), ([], State.BACKUP))
+
+    def test_backup_takes_the_senders_interval_and_priority_0_leaves_skew_time_only(self) -> None:
+        machine = Machine(terms(100))
+        machine.start(0)
+        machine.heard(10, 200, 2000.0, TWO)
+        self.assertEqual(machine.due, 10 + active_down_interval(100, 2000.0))
+        machine.heard(20, advert.STOPPING, 2000.0, TWO)
+        self.assertEqual(machine.due, 20 + skew_time(100, 2000.0))
+
+    def test_preemption_waits_for_its_delay_and_for_the_bar(self) -> None:
+        for preempt, delay, barred, taken_at in ((True, 0, False, 3218.75), (True, 5000, False, 8418.75),
+                                                 (False, 0, False, None), (True, 0, True, None)):
+            with self.subTest(preempt=preempt, delay=delay, barred=barred):
+                machine = Machine(terms(200, preempt=preempt, preempt_delay=float(delay)))
+                machine.start(0, barred)
+                taken, now = None, 0.0
+                while now < 30_000 and taken is None:
+                    now += 100
+                    machine.heard(now, 100, 1000.0, TWO)
+                    if machine.due <= now + 100 and machine.tick(machine.due):
+                        taken = machine.due - 1000
+                self.assertEqual(taken is None, taken_at is None)
+                if taken is not None and taken_at is not None:
+                    self.assertLess(abs(taken - taken_at), 250)
+
+    def test_equal_priorities_go_by_address_and_a_lower_one_is_told_at_once(self) -> None:
+        for sender, priority, acts, state in ((TWO, 200, [Act.LEAVE], State.BACKUP),
+                                              (ip_address("127.0.0.9"), 200, [Act.ADVERTISE, Act.HOLD],
+                                               State.ACTIVE),
+                                              (TWO, 199, [Act.ADVERTISE, Act.HOLD], State.ACTIVE),
+                                              (TWO, 0, [Act.ADVERTISE], State.ACTIVE)):
+            machine = Machine(terms(200))
+            machine.start(0)
+            machine.tick(4000)
+            self.assertEqual(machine.heard(4010, priority, 1000.0, sender), acts)
+            self.assertIs(machine.state, state)
+
+    def test_one_that_stood_still_does_not_draw_the_address_back(self) -> None:
+        machine = Machine(terms(200))
+        machine.start(0)
+        machine.tick(4000)
+        self.assertEqual(machine.tick(8000), [Act.LEAVE])
+        self.assertIs(machine.state, State.BACKUP)
+        heard = Machine(terms(200))
+        heard.start(0)
+        heard.tick(4000)
+        self.assertEqual(heard.heard(8000, 100, 1000.0, TWO), [Act.LEAVE])
+
+    def test_stop_resigns_and_a_stopped_one_hears_nothing(self) -> None:
+        machine = Machine(terms(200))
+        machine.start(0)
+        machine.tick(4000)
+        self.assertEqual(machine.stop(4100), [Act.RESIGN, Act.LEAVE])
+        self.assertEqual((machine.due, machine.heard(4200, 0, 10.0, TWO)), (NEVER, []))
+
+    def test_tracked_conditions_lower_and_bundles_move_together(self) -> None:
+        both = [terms(200), Terms(8, 90, 1000.0, ONE)]
+        groups = Groups(both, {7: [Tracked("list_stale", 150), Tracked("no_engine", 150)]}, [(7, 8)])
+        groups.start(0, barred=False)
+        done = groups.tick(3500)
+        self.assertEqual([pair for pair in done if pair[1] is Act.HOLD], [(7, Act.HOLD), (8, Act.HOLD)])
+        self.assertEqual(groups.held(), [7, 8])
+        self.assertEqual(groups.conditions(3600, ["list_stale"]), [(7, Act.ADVERTISE)])
+        self.assertEqual(groups.machines[7].priority, 50)
+        groups.conditions(3700, ["list_stale", "no_engine"])
+        self.assertEqual(groups.machines[7].priority, 1)
+        self.assertEqual(groups.heard(3800, 7, 60, 1000.0, TWO), [(7, Act.LEAVE), (8, Act.LEAVE)])
+
+
+class Tenures(unittest.TestCase):
+    def test_a_part_rests_for_a_window_between_its_users(self) -> None:
+        one, two = (Tenure(2, 1500, 1000, 0.0) for _ in range(2))
+        self.assertEqual(one.part(0), 0.0)  # an earlier start may have lent it
+        self.assertEqual(one.part(2600), 0.5)
+        self.assertEqual(two.lend(3000, "one", idle=True), (0.5, 0.0))
+        one.borrow(3010, "two", 0.5, 0.0, asked=2990)
+        self.assertEqual((one.part(3010), two.part(3010)), (1.0, 0.0))
+        self.assertEqual((one.part(3989), one.part(3990)), (1.0, 0.5))  # counted from when it had asked
+        self.assertEqual((two.part(5509), two.part(5510)), (0.0, 0.5))  # longer, and a window
+
+    def test_what_was_just_used_is_lent_for_later_only(self) -> None:
+        one = Tenure(2, 1500, 1000, 0.0)
+        one.used(4000)
+        self.assertEqual(one.lend(4100, "two", idle=True), (0.5, 1400.0))
+        two = Tenure(2, 1500, 1000, 0.0)
+        two.borrow(4100, "one", 0.5, 1400.0, asked=4099)
+        self.assertEqual((two.part(5000), two.part(5600)), (0.5, 0.5))  # the loan ends before it begins
+
+    def test_nobody_lends_twice_or_while_it_holds_or_what_an_earlier_start_lent(self) -> None:
+        one = Tenure(3, 1500, 1000, 0.0)
+        self.assertEqual(one.lend(100, "two", idle=True), (0.0, 0.0))
+        self.assertEqual(one.lend(3000, "two", idle=False), (0.0, 0.0))
+        self.assertGreater(one.lend(3000, "two", idle=True)[0], 0)
+        self.assertEqual(one.lend(3100, "three", idle=True), (0.0, 0.0))
+
+    def test_a_new_start_uses_its_part_sooner_once_all_have_said_what_they_hold(self) -> None:
+        one = Tenure(3, 1500, 1000, 10_000.0)
+        one.told_left(10_050, {"two": 0.0}, 2)
+        self.assertEqual(one.part(11_600), 0.0)
+        one.told_left(10_100, {"two": 0.0, "three": 200.0}, 2)
+        self.assertEqual((one.part(11_799), one.part(11_801)), (0.0, 1 / 3))
+
+    def test_the_start_of_n_sums_to_one_and_is_never_zero(self) -> None:
+        one, two = (Tenure(2, 1500, 1000, -9999.0) for _ in range(2))
+        two.lend(0, "one", idle=True)
+        one.borrow(1, "two", 0.5, 0.0, asked=0)
+        self.assertLessEqual(one.start(1) + two.start(1), 1.0)
+        self.assertGreater(two.start(1), 0.0)
+
+
+class Seals(unittest.TestCase):
+    def pair(self) -> tuple[Session, Session]:
+        one, two = Session("one", "two", 11, KEYS), Session("two", "one", 22, KEYS)
+        greeting = two.greet(0, one.write(0, {"n": 1}))
+        self.assertEqual(one.read(1, greeting), ({}, 0))
+        self.assertEqual(two.read(2, one.write(2, {"n": 2})), ({"n": 2}, 0))
+        return one, two
+
+    def test_three_datagrams_prove_both_and_each_is_taken_once(self) -> None:
+        one, two = self.pair()
+        texts = [one.write(10 + number, {"n": number}) for number in range(5)]
+        for text in (texts[3], texts[0], texts[4]):
+            two.read(20, text)
+            with self.assertRaisesRegex(Refused, "replayed"):
+                two.read(21, text)
+
+    def test_an_earlier_start_replayed_is_not_believed(self) -> None:
+        one, two = self.pair()
+        old = [one.write(30, {"old": number}) for number in range(3)]
+        again = Session("one", "two", 33, KEYS)
+        again.read(40, two.greet(40, again.write(40, {})))
+        two.read(41, again.write(41, {"new": 1}))
+        for text in old:
+            with self.assertRaisesRegex(Refused, "unproven"):
+                two.read(42, text)
+        self.assertEqual(two.read(43, again.write(43, {"new": 2}))[0], {"new": 2})
+
+    def test_keys_change_without_a_gap(self) -> None:
+        one, two = self.pair()
+        old, new = b"k" * 16, b"n" * 16
+        two.keys = Keys({1: old, 2: new})
+        two.read(50, one.write(50, {}))
+        one.keys = Keys({2: new, 1: old})
+        two.read(51, one.write(51, {}))
+        two.keys = Keys({2: new})
+        two.read(52, one.write(52, {}))
+        with self.assertRaisesRegex(Refused, "key"):
+            two.read(53, Session("one", "two", 9, KEYS).write(53, {}))
+
+    def test_spoilt_forged_and_cut_ones_change_nothing(self) -> None:
+        one, two = self.pair()
+        good, chance = one.write(60, {"n": 1}), random.Random(6)
+        before = (two.peer_boot, two.newest, two.behind, two.number)
+        for _ in range(5000):
+            text = bytearray(good)
+            text[chance.randrange(len(text))] ^= 1 << chance.randrange(8)
+            for spoilt in (bytes(text), good[:chance.randrange(len(good))], chance.randbytes(60)):
+                with self.assertRaises(Refused):
+                    two.read(61, spoilt)
+        forged = Session("one", "two", 11, Keys({1: b"x" * 16}))
+        with self.assertRaisesRegex(Refused, "seal"):
+            two.read(62, forged.write(62, {}))
+        self.assertEqual(before, (two.peer_boot, two.newest, two.behind, two.number))
+        self.assertEqual(two.read(63, good)[0], {"n": 1})
+
+
+class Handovers(unittest.TestCase):
+    FACTS = Facts(3, (7,), (("s-1", 1000.0, 5.0),), (("s-2", 400.0),))
+
+    def make(self, name: str, peer: str, boot: int, now: float = 0.0, **more: object) -> Handover:
+        told: dict[str, Any] = {"ahead": True, "ahead_wait": 50.0, "alone_after": None, "without": 10_000.0}
+        marks = Marks(int(str(more.pop("most", 1000))), 60_000)
+        return Handover(name, [peer], boot, KEYS, Tenure(2, 1500, 1000, now), marks, now, **(told | more))
+
+    def talk(self, one: Handover, two: Handover, now: float, times: int = 4) -> list[object]:
+        """Each tells the other in turn; greetings as the station sends them. Verdicts of both."""
+        verdicts: list[object] = []
+        for _ in range(times):
+            for here, there, name, other in ((one, two, "one", "two"), (two, one, "two", "one")):
+                text = here.compose(now, other, self.FACTS, idle=False)
+                try:
+                    verdicts += there.take(now, name, text)
+                except Refused as fault:
+                    self.assertEqual(fault.reason, "unproven")
+                    here.take(now, other, there.sessions[name].greet(now, text))
+        return verdicts
+
+    def test_what_was_told_ahead_runs_nowhere_else(self) -> None:
+        one, two = self.make("one", "two", 1), self.make("two", "one", 2)
+        self.talk(one, two, 10)
+        self.assertEqual(one.door(20, b"x"), Door.OPEN)
+        self.assertIsNone(one.before(20, b"x", 5000, "token"))
+        (verdict,) = self.talk(one, two, 25)
+        self.assertEqual(verdict, ("token", True))
+        self.assertEqual(two.door(30, b"x"), Door.RAN)
+        self.assertEqual(one.door(30, b"x"), Door.RAN)
+        one.over(b"x", never_ran=True)
+        self.talk(one, two, 40)
+        self.assertEqual((one.door(50, b"x"), two.door(50, b"x")), (Door.OPEN, Door.OPEN))
+
+    def test_both_at_once_run_it_at_most_once(self) -> None:
+        one, two = self.make("one", "two", 1), self.make("two", "one", 2)
+        self.talk(one, two, 10)
+        one.before(20, b"x", 5000, "a")
+        two.before(20, b"x", 5000, "b")
+        verdicts = self.talk(one, two, 25)
+        self.assertEqual(sorted(str(each) for each in verdicts),
+                         ["Verdict(token='a', go=None)", "Verdict(token='b', go=None)"])
+
+    def test_without_the_peers_word_it_is_not_sent(self) -> None:
+        one, two = self.make("one", "two", 1), self.make("two", "one", 2)
+        self.talk(one, two, 10)
+        one.before(20, b"x", 5000, "a")
+        self.assertEqual(one.tick(69), [])
+        self.assertEqual(one.tick(70), [("a", False)])
+        self.assertEqual(one.door(500, b"y"), Door.AWAY)
+        lone = self.make("one", "two", 1, alone_after=300.0)
+        self.assertEqual(lone.door(20_000, b"y"), Door.OPEN)
+        self.assertEqual(lone.before(20_000, b"y", 25_000, "c"), ("c", True))
+
+    def test_a_new_start_learns_all_marks_before_it_lets_any_in(self) -> None:
+        one, two = self.make("one", "two", 1), self.make("two", "one", 2)
+        self.talk(one, two, 10)
+        for number in range(200):
+            one.before(20, b"%d" % number, 5000, number)
+            one.marks.sent(b"%d" % number)
+        again = self.make("two", "one", 3, now=30.0)
+        self.assertEqual(again.door(31, b"fresh"), Door.AWAY)
+        self.talk(one, again, 40, times=12)
+        self.assertTrue(again.complete(41))
+        self.assertEqual({again.door(42, b"%d" % number) for number in range(200)}, {Door.RAN})
+        self.assertEqual(one.door(43, b"5"), Door.RAN)
+
+    def test_a_full_table_sheds_and_forgets_nothing(self) -> None:
+        one, two = self.make("one", "two", 1, most=3), self.make("two", "one", 2)
+        self.talk(one, two, 10)
+        for number in range(3):
+            one.before(20, b"%d" % number, 5000, number)
+        self.assertEqual(one.door(21, b"9"), Door.FULL)
+        self.assertEqual(one.door(21, b"1"), Door.RAN)
+        self.assertEqual(one.door(5000 + 60_001 + 21, b"1"), Door.AWAY)  # over, the peer is silent
+
+    def test_bodies_that_cannot_be_used_change_nothing(self) -> None:
+        one, two = self.make("one", "two", 1), self.make("two", "one", 2)
+        self.talk(one, two, 10)
+        known = two.known["one"]
+        for body in ({"list": -1}, {"list": "3"}, {"list": 1, "held": 4},
+                     {"tell": [["x"]]}, {"reply": 3},
+                     {"tell": [[1, 2]]}, {"lend": [2.0, 0]}, {"lend": [0.5]},
+                     {"marks": [["x", float("inf")]]},
+                     {"page": [1]}, {"need": True}, {"left": None}, {"list": 1, "cold": [["s", 1, "2"]]},
+                     {"list": 1, "aside": [["s" * 65, 1]]}, {"clear": [[""]]}, {"marks": [["x", 1]] * 65}):
+            with self.subTest(body), self.assertRaisesRegex(Refused, "body"):
+                two.take(20, "one", one.sessions["two"].write(20, body))
+        self.assertEqual((two.known["one"], two.marks.known), (known, {}))
+        raw = struct.pack("!I", 7)
+        with self.assertRaises(Refused):
+            two.take(21, "one", raw)
