Model checks of address, tenure and handover; a new start rests before it borrows

Need: what must hold in each state that can be reached. The model found a fault in Tenure: a borrower that was killed and started anew used lent parts while the sends of its earlier start still counted in the window (trace of 11 steps, parts 1.5).

--- a/spurdeal/vrrp/tenure.py
+++ b/spurdeal/vrrp/tenure.py
@@ -33,6 +33,9 @@
         self.own, self.window, self.lease = 1.0 / dispatchers, window, lease
         # What an earlier start of ours has lent is not known any more: it may be used for so long yet.
         self.own_from = now + lease * (1 + DRIFT) + window
+        # What an earlier start of ours has sent counts for a window yet, lent parts and all (the model found
+        # it).
+        self.rests_until = now + window
         self.lent_until: dict[str, float] = {}
         self.loans: dict[str, Loan] = {}
         self.used_at = now  # when a cold engine was last sent something; at a start, perhaps just before it
@@ -85,7 +88,7 @@
         before = self.loans.get(peer)
         if part <= 0.0 or until <= now:
             return
-        since = now + wait
+        since = max(now + wait, self.rests_until)
         if before is not None and before.until > now:  # it goes on: what was usable stays so
             since, until = min(since, before.since), max(until, before.until)
         self.loans[peer] = Loan(part, since, until)
--- /dev/null
+++ b/tests/test_station.py
@@ -0,0 +1,349 @@
+"""Two dispatchers that stand in for one another: takeover, return, handover and tenure, in memory."""
+
+import random
+import unittest
+from ipaddress import ip_address
+from typing import Any
+
+from spurdeal.lab.model import figures
+from spurdeal.lab.names import Seat
+from spurdeal.net.link import BrokenOff, Delivered, Shed
+from spurdeal.settings.reading import read_text
+from spurdeal.vrrp import advert
+from spurdeal.vrrp.machine import State
+from spurdeal.vrrp.sealed import Keys, Session
+from tests.stations import HOSTS, KEY, PLAN, Pair
+
+X = b"00000000000000aa"
+
+
+class Takeover(unittest.TestCase):
+    def settled(self, **more: Any) -> Pair:
+        pair = Pair(self, **more)
+        pair.go(3500)
+        self.assertEqual([side.holds() for side in pair.sides.values()], [True, False])
+        return pair
+
+    def test_killed_it_is_replaced_within_active_down_interval(self) -> None:
+        pair = self.settled()
+        pair.sides["n1"].kill()
+        began = pair.mono()
+        while not pair.sides["n2"].holds():
+            pair.go(5)
+        self.assertLess(pair.mono() - began, advert_down(100) + 10)
+        pair.go(10)
+        self.assertEqual(pair.ether.announced[-1]["at"], [HOSTS["n2"], 7001])
+
+    def test_told_to_stop_it_is_replaced_within_skew_time(self) -> None:
+        pair = self.settled()
+        pair.sides["n1"].station.stop()
+        began = pair.mono()
+        while not pair.sides["n2"].holds():
+            pair.go(5)
+        self.assertLess(pair.mono() - began, 156 / 256 * 100 + 15)
+
+    def test_one_way_cut_makes_two_holders_and_the_higher_one_prevails_after(self) -> None:
+        pair = self.settled()
+        pair.ether.drops = lambda source, target: source[0] == HOSTS["n1"]
+        pair.go(600)
+        self.assertEqual([side.holds() for side in pair.sides.values()], [True, True])
+        parts = [side.station.tenure.part(pair.mono()) for side in pair.sides.values()]
+        self.assertLessEqual(sum(parts), 1.0)
+        pair.ether.drops = lambda source, target: False
+        pair.go(300)
+        self.assertEqual([side.holds() for side in pair.sides.values()], [True, False])
+        self.assertEqual(pair.ether.announced[-1]["at"], [HOSTS["n1"], 7001])
+
+    def test_an_interval_changed_on_one_side_is_learnt(self) -> None:
+        pair = self.settled(intervals={"n1": "400ms"})
+        pair.go(3000)
+        self.assertEqual([side.holds() for side in pair.sides.values()], [True, False])
+        self.assertEqual(pair.sides["n2"].station.groups.machines[1].sender_interval, 400)
+
+    def test_a_stale_list_gives_the_address_away_and_a_fresh_one_takes_it_back(self) -> None:
+        pair = self.settled()
+        names = ("127.0.8.9", 5300)
+        pair.ether.drops = lambda source, target: target == names and source[0] == HOSTS["n1"]
+        pair.go(4000)
+        self.assertEqual([side.holds() for side in pair.sides.values()], [False, True])
+        pair.ether.drops = lambda source, target: False
+        pair.go(1000)
+        self.assertEqual([side.holds() for side in pair.sides.values()], [True, False])
+
+    def test_stopped_in_the_middle_of_a_takeover(self) -> None:
+        """SIGTERM to the Backup while the address is unheld: it says nothing, and the one that returns takes
+        it."""
+        pair = self.settled()
+        pair.sides["n1"].kill()
+        pair.go(200)
+        pair.sides["n2"].station.stop()
+        pair.go(600)
+        self.assertIs(pair.sides["n2"].station.groups.machines[1].state, State.INITIALIZE)
+        one = pair.again("n1")
+        pair.go(500)
+        self.assertTrue(one.holds())
+
+
+def advert_down(priority: int) -> float:
+    return 3 * 100 + (256 - priority) * 100 / 256
+
+
+class Returns(unittest.TestCase):
+    def test_a_returning_holder_with_an_old_list_waits_and_treats_each_engine_as_cold(self) -> None:
+        pair = Pair(self)
+        pair.go(3500)
+        pair.sides["n1"].kill()
+        pair.go(600)
+        started = int(pair.unix())
+        pair.names.change([Seat("s-1", "127.0.9.1", 7001), Seat("s-9", "127.0.9.9", 7001, started=started)])
+        pair.names.silent = True
+        one = pair.again("n1")
+        pair.go(2500)
+        rules = one.service.link.rules
+        self.assertEqual([one.holds(), pair.sides["n2"].holds()], [False, True])
+        self.assertEqual({engine.warm_at > pair.unix() for engine in rules.engines.values()}, {True})
+        pair.names.silent = False
+        pair.go(1000)
+        self.assertEqual([one.holds(), pair.sides["n2"].holds()], [True, False])
+        cold = {ident: rules.engines[place].warm_at > pair.unix()
+                for ident, place in one.service.link.places.items()}
+        self.assertEqual(cold, {"s-1": False, "s-9": True})
+
+    def test_without_list_and_peer_it_takes_its_address_back_after_the_stated_time(self) -> None:
+        pair = Pair(self)
+        pair.go(3500)
+        pair.sides["n1"].kill()
+        pair.go(600)
+        names = ("127.0.8.9", 5300)
+        handover = (HOSTS["n2"], 7113)
+        pair.ether.drops = lambda source, target: (target == names and source[0] == HOSTS["n1"]) \
+            or source == handover
+        one = pair.again("n1")
+        pair.go(2900)
+        self.assertFalse(one.holds())
+        one.plan.vrrp.groups[0].tracks.clear()
+        pair.go(900)
+        self.assertFalse(one.station.barred)
+
+
+class Tenures(unittest.TestCase):
+    def test_the_holder_borrows_and_parts_change_without_ever_being_more_than_one(self) -> None:
+        pair = Pair(self)
+        window = pair.settings["rules"]["tip_after"]
+        seen: list[list[float]] = []
+        chance, most = random.Random(4), 0.0
+        for step in range(1600):
+            if step == 900:
+                pair.sides["n1"].kill()
+            pair.go(5)
+            parts = []
+            for name, side in pair.sides.items():
+                tenure, now = side.station.tenure, pair.mono()
+                uses = chance.random() < 0.05 and HOSTS[name] not in pair.dead and tenure.part(now) > 0
+                parts.append(tenure.part(now) if uses else 0.0)
+                if uses:
+                    tenure.used(now)
+            seen.append(parts)
+            seen = seen[-window // 5:]
+            together = sum(max(column) for column in zip(*seen, strict=True))
+            most = max(most, together)
+            pair.ether.drops = lambda source, target: source[0] in pair.dead or chance.random() < 0.2
+        self.assertLessEqual(most, 1.0)
+        self.assertGreater(most, 0.9)
+        self.assertEqual(pair.sides["n2"].station.tenure.part(pair.mono()), 0.5)
+        self.assertGreater(pair.sides["n1"].count("tenure_changes"), 1)
+
+    def test_a_node_started_at_the_moment_of_takeover_gets_nothing_until_the_part_is_ours(self) -> None:
+        pair = Pair(self)
+        pair.go(3500)
+        pair.sides["n1"].kill()
+        pair.names.change([Seat("s-9", "127.0.9.9", 7001, started=int(pair.unix()))])
+        dialled = len(pair.ether.tcpClients)
+        while not pair.sides["n2"].holds():
+            pair.go(5)
+        answers = pair.sides["n2"].submit(X, kind=0)
+        pair.go(100)
+        self.assertEqual(pair.sides["n2"].station.tenure.part(pair.mono()), 0.0)
+        self.assertEqual(len(pair.ether.tcpClients), dialled)
+        pair.go(2200)
+        self.assertEqual(pair.sides["n2"].station.tenure.part(pair.mono()), 0.5)
+        self.assertEqual((len(pair.ether.tcpClients), answers), (dialled + 1, []))
+
+
+class Ahead(unittest.TestCase):
+    """An irreversible submission at each point of its life, and the same id at the other dispatcher."""
+
+    def pair(self) -> Pair:
+        pair = Pair(self)
+        pair.go(3500)
+        return pair
+
+    def test_sent_and_not_answered(self) -> None:
+        pair = self.pair()
+        one, two = pair.sides.values()
+        answers = one.submit(X)
+        pair.go(20)
+        sent = pair.peers()[-1].up()
+        self.assertEqual(sent.heard()[0][1], X.decode())
+        one.kill()
+        pair.go(500)
+        self.assertEqual((answers, two.submit(X)), ([], [BrokenOff()]))
+        self.assertEqual(two.count("door_ran"), 1)
+
+    def test_told_but_the_answer_is_lost(self) -> None:
+        """It was not sent, and the one that was told cannot know: broken off there, never run."""
+        pair = self.pair()
+        one, two = pair.sides.values()
+        pair.ether.drops = lambda source, target: source == (HOSTS["n2"], 7113)
+        dialled = len(pair.ether.tcpClients)
+        answers = one.submit(X)
+        pair.go(300)
+        self.assertEqual((answers, len(pair.ether.tcpClients)), ([Shed(500.0)], dialled))
+        pair.ether.drops = lambda source, target: False
+        pair.go(200)
+        self.assertEqual(two.submit(X), [])  # the shed one was taken back
+        pair.go(50)
+        self.assertEqual(len(pair.ether.tcpClients), dialled + 1)
+
+    def test_before_it_is_told(self) -> None:
+        pair = self.pair()
+        one, two = pair.sides.values()
+        pair.ether.drops = lambda source, target: source[0] == HOSTS["n1"]
+        one.submit(X)
+        pair.go(10)
+        one.kill()
+        pair.ether.drops = lambda source, target: False
+        answers = two.submit(X)
+        pair.go(30)
+        self.assertEqual((one.count("ahead_sent"), answers), (0, []))
+
+    def test_answered_and_sent_again_by_a_front_that_did_not_see_the_answer(self) -> None:
+        pair = self.pair()
+        one, two = pair.sides.values()
+        answers = one.submit(X)
+        pair.go(20)
+        pair.peers()[-1].up().say(0xAA, "200", "parts=1", b"a\t1\tx\n")
+        self.assertEqual(answers, [Delivered((b"a\t1\tx\n",))])
+        for side in (one, two):
+            self.assertEqual(side.submit(X), [BrokenOff()])
+
+    def test_proven_not_to_have_run_it_may_go_again(self) -> None:
+        pair = self.pair()
+        one, two = pair.sides.values()
+        answers, place = one.submit(X), len(pair.ether.tcpClients)
+        for _ in range(8):  # each engine refuses the connection
+            pair.go(40)
+            peers = pair.peers()
+            while place < len(peers):
+                peers[place].refuse()
+                place += 1
+        self.assertIsInstance(answers[0], Shed)
+        pair.go(200)
+        self.assertEqual(two.submit(X), [])
+
+    def test_both_take_it_at_once(self) -> None:
+        pair = self.pair()
+        answers = [side.submit(X) for side in pair.sides.values()]
+        pair.go(400)
+        ran = [side.count("ahead_sent") for side in pair.sides.values()]
+        self.assertLessEqual(sum(ran), 1)
+        self.assertIn([BrokenOff()], answers)
+
+    def test_the_peer_is_away(self) -> None:
+        pair = self.pair()
+        pair.sides["n2"].kill()
+        pair.go(500)
+        self.assertEqual(pair.sides["n1"].submit(X), [Shed(500.0)])
+        self.assertEqual(pair.sides["n1"].count("door_away"), 1)
+        lookups = pair.sides["n1"].submit(b"00000000000000bb", kind=0)
+        pair.go(20)
+        self.assertEqual(lookups, [])  # what may run again goes on
+
+    def test_withdrawn_and_expired_while_it_waits_for_the_peer(self) -> None:
+        pair = self.pair()
+        one = pair.sides["n1"]
+        pair.ether.drops = lambda source, target: source == (HOSTS["n2"], 7113)
+        one.submit(X)
+        pair.go(10)
+        self.assertTrue(one.service.link.withdraw(X))
+        pair.go(200)
+        self.assertEqual((one.service.link.taken, one.station.going), ({}, {}))
+
+
+class BadInput(unittest.TestCase):
+    def test_a_hundred_thousand_malformed_of_either_kind_change_nothing_and_are_counted(self) -> None:
+        pair = Pair(self)
+        pair.go(3500)
+        two, chance = pair.sides["n2"], random.Random(8)
+        good = advert.write(1, 200, 100, [ip_address("127.0.7.1")], *map(ip_address,
+                                                                                HOSTS.values()))
+        handover = [text for source, target, text in pair.ether.carried if target == (HOSTS["n2"], 7113)]
+        forged = Session("n1", "n2", 1, Keys({1: b"x" * 16}))
+        station = two.station
+        assert station.handover is not None
+        session = station.handover.sessions["n1"]
+        machine = station.groups.machines[1]
+        before = (dict(vars(machine)), session.peer_boot, session.newest, dict(station.handover.marks.known),
+                  dict(station.tenure.loans), two.holds())
+        drops = self.dropped(two)
+        for number in range(100_000):
+            text = bytearray(good)
+            text[chance.choice((0, 3, 6, 7))] ^= 1 << chance.randrange(8)
+            station.advert_came(bytes(text), HOSTS["n1"])
+            sort = number % 4
+            if sort == 0:
+                spoilt = bytearray(handover[-1 - number % 50])
+                spoilt[chance.randrange(len(spoilt))] ^= 1 << chance.randrange(8)
+                text = spoilt
+            elif sort == 1:
+                text = bytearray(handover[-1 - number % 50])[:chance.randrange(90)]
+            elif sort == 2:
+                text = bytearray(handover[-1 - number % 50])  # whole and replayed
+            else:
+                text = bytearray(forged.write(0.0, {"list": 9}))
+            station.handover_came(bytes(text), (HOSTS["n1"], 7113))
+        after = (dict(vars(machine)), session.peer_boot, session.newest, dict(station.handover.marks.known),
+                 dict(station.tenure.loans), two.holds())
+        self.assertEqual(before, after)
+        self.assertEqual(self.dropped(two) - drops, 200_000)
+
+    @staticmethod
+    def dropped(side: Any) -> int:
+        return sum(count for name, count in side.service.counters.sums.items() if "_drop_" in name)
+
+    def test_strangers_and_unknown_groups_are_counted(self) -> None:
+        pair = Pair(self)
+        station = pair.sides["n2"].station
+        good = advert.write(9, 200, 100, [ip_address("127.0.7.1")], *map(ip_address,
+                                                                                HOSTS.values()))
+        for sender in (HOSTS["n1"], "127.9.9.9"):
+            station.advert_came(good, sender)
+        station.handover_came(b"x", ("127.9.9.9", 7113))
+        self.assertEqual([pair.sides["n2"].count(name) for name in
+                          ("vrrp_drop_group", "vrrp_drop_sender", "handover_drop_sender")], [1, 1, 1])
+
+    def test_keys_change_in_service_and_a_bad_file_keeps_the_old(self) -> None:
+        pair = Pair(self)
+        pair.go(3500)
+        new = "6e" * 16
+        for keys in ([(1, KEY), (2, new)], [(2, new), (1, KEY)], [(2, new)]):
+            for name, side in pair.sides.items():
+                other = "n2" if name == "n1" else "n1"
+                text = PLAN.format(name=name, other=other, host=HOSTS[name], far=HOSTS[other], key=KEY,
+                                   priority=pair.priorities[name], interval="100ms")
+                told = ", ".join(f"{{id: {ident}, hex: {key}}}" for ident, key in keys)
+                text = text.replace(f"[{{id: 1, hex: {KEY}}}]", f"[{told}]")
+                side.station.read_again(read_text("plan", text.encode()))
+                pair.go(120)
+        taken = [side.count("handover_taken") for side in pair.sides.values()]
+        pair.go(500)
+        for side, before in zip(pair.sides.values(), taken, strict=True):
+            self.assertGreaterEqual(side.count("handover_taken") - before, 9)
+            self.assertEqual(side.count("handover_drop_key"), 0)
+
+
+class Models(unittest.TestCase):
+    def test_nothing_is_violated_and_each_planted_fault_is_found(self) -> None:
+        found = figures(quick=True)
+        self.assertEqual((found["violations"], found["planted_found"]), (0, found["planted"]), found)
+        self.assertGreater(found["states"], 100_000)
