--- a/spurdeal/lab/cables.py
+++ b/spurdeal/lab/cables.py
@@ -25,6 +25,7 @@
         """From the far side, for who is behind this end."""
         cable = self.cable
         cable.seen += 1
+        cable.last = datagram
         if self.cut or cable.chance.random() < cable.loss:
             cable.lost += 1
             return
@@ -41,11 +42,16 @@
         self.reactor, self.chance = reactor, random.Random(seed)
         self.loss, self.repeat, self.delay = 0.0, 0.0, 0.0  # shares, and ms at the most
         self.seen = self.lost = 0
+        self.last = b""
         self.one, self.two = End(self, one), End(self, two)
         self.one.other, self.two.other = self.two, self.one
         reactor.listenUDP(one[1] + shift, self.one, interface=one[0], maxPacketSize=65535)
         reactor.listenUDP(two[1] + shift, self.two, interface=two[0], maxPacketSize=65535)
 
+    def inject(self, datagram: bytes) -> None:
+        """To the second place, as if the first had said it."""
+        self.one.transport.write(datagram, self.two.beyond)
+
     def cut(self, towards_one: bool, towards_two: bool) -> None:
         self.one.cut, self.two.cut = towards_one, towards_two
 
--- a/spurdeal/lab/front.py
+++ b/spurdeal/lab/front.py
@@ -15,6 +15,8 @@
 
 AGAIN = 20.0  # ms until a front that found nobody looks again
 MOST_WAYS = 400
+COUNTS = ("submissions", "answers_missing", "answers_double", "held_by_killed", "delivered", "shed",
+          "broken_off", "irreversible_sent", "never_answered")
 
 
 @dataclass(slots=True)
@@ -78,7 +80,7 @@
 
     def counts(self, excused: Callable[[Place, Asked], bool]) -> dict[str, int]:
         """excused: whoever had it was killed or stood still meanwhile, and its client may ask again."""
-        counts: Counter[str] = Counter({"submissions": len(self.asked)})
+        counts: Counter[str] = Counter(dict.fromkeys(COUNTS, 0) | {"submissions": len(self.asked)})
         for asked in self.asked:
             statuses = asked.answers
             counts["answers_double"] += max(0, len(statuses) - 1)
--- a/spurdeal/lab/takeover.py
+++ b/spurdeal/lab/takeover.py
@@ -17,22 +17,27 @@
 import sys
 import tempfile
 import time
+import zlib
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
+from urllib.request import urlopen
 
 from hdrh.histogram import HdrHistogram
 from twisted.internet.task import LoopingCall
 
+from ..vrrp import advert
+from ..vrrp.machine import active_down_interval, skew_time
+from ..vrrp.sealed import Keys, Session
 from .cables import Cable, Switch
 from .engines import Fleet
 from .front import Asked, Front
+from .model import figures as models
 from .names import Names, Seat
 
-ADDRESS = "127.0.7.1"
 PORT, ADVERTS, HANDOVER, SHIFT = 7001, 7112, 7113, 100
-HOSTS = {"n1": "127.0.8.1", "n2": "127.0.8.2"}
-NAMES, SWITCH = ("127.0.8.9", 5300), ("127.0.8.9", 5400)
 PRIORITIES = {"n1": 200, "n2": 100}
 INTERVAL = 100.0  # ms
 ENGINES, CORES, COLD_FOR, COLD_SHARE, MULTIPLE, WINDOW = 4, 4, 8000, 0.3, 2.0, 1500
@@ -41,10 +46,23 @@
 LINE = re.compile(r"t=([0-9.]+) .*event=(address_taken|address_left|ready|stopped)\b")
 
 
-def installation(name: str, guarded: bool) -> str:
+class Net:
+    """Loopback addresses of one run, so that two can go on side by side."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.hosts = {"n1": f"127.0.{number}.1", "n2": f"127.0.{number}.2"}
+        self.names, self.switch = (f"127.0.{number}.9", 5300), (f"127.0.{number}.9", 5400)
+        self.address = f"127.0.{number}.100"
+
+    def engine(self, number: int) -> str:
+        return f"127.0.{self.number + 1}.{number % 250 + 1}"
+
+
+def installation(net: Net, name: str, guarded: bool) -> str:
     """The operator's file, with the cables' ends in place of the peer's own ports."""
     other = "n2" if name == "n1" else "n1"
-    host, far = HOSTS[name], HOSTS[other]
+    host, far = net.hosts[name], net.hosts[other]
     handover = f"""
 handover:
   listen: {host}:{HANDOVER}
@@ -67,19 +85,19 @@
     - group: 1
       priority: {PRIORITIES[name]}
       interval: {INTERVAL:.0f}ms
-      addresses: [{ADDRESS}]
+      addresses: [{net.address}]
       preempt_delay: 500ms
       tracks: [{{condition: list_stale, lowers: 150}}, {{condition: no_engine, lowers: 150}}]
-  holder: {{kind: announce, switch: "{SWITCH[0]}:{SWITCH[1]}"}}
+  holder: {{kind: announce, switch: "{net.switch[0]}:{net.switch[1]}"}}
   bar: 3s
 {handover}
 tenure: {{on: {"true" if guarded else "false"}, lease: 500ms}}
 """
 
 
-def configuration(name: str, known: dict[str, Any]) -> dict[str, Any]:
-    return {"name": name, "listen": f"{HOSTS[name]}:{PORT}", "seed": f"{hash(name) & 0xFFFF:04x}",
-            "limits": {"sockets": 1024, "memory_mb": 192}, "nameserver": f"{NAMES[0]}:{NAMES[1]}",
+def configuration(net: Net, name: str, known: dict[str, Any]) -> dict[str, Any]:
+    return {"name": name, "listen": f"{net.hosts[name]}:{PORT}", "seed": f"{zlib.crc32(name.encode()):08x}",
+            "limits": {"sockets": 1024, "memory_mb": 192}, "nameserver": f"{net.names[0]}:{net.names[1]}",
             "known": known, "settings": {
                 "balancers": 2, "index": int(name[1:]) - 1, "zones": ["east"], "models": ["std"],
                 "grades": [{"name": "lookup", "aim": 800, "deadline": WAIT, "late_worth": 0.5},
@@ -95,9 +113,9 @@
 class Process:
     """One real dispatcher, its starts and its ends."""
 
-    def __init__(self, name: str, folder: Path, known: dict[str, Any], guarded: bool) -> None:
-        self.name, self.folder, self.known, self.guarded = name, folder, known, guarded
-        self.place = (HOSTS[name], PORT)
+    def __init__(self, net: Net, name: str, folder: Path, known: dict[str, Any], guarded: bool) -> None:
+        self.net, self.name, self.folder, self.known, self.guarded = net, name, folder, known, guarded
+        self.place = (net.hosts[name], PORT)
         self.child: subprocess.Popen[bytes] | None = None
         self.log = folder / f"{name}.log"
         self.away: list[tuple[float, float]] = []  # Unix s: killed, or standing still, from and until
@@ -105,8 +123,8 @@
 
     def start(self) -> None:
         told, file = self.folder / f"{self.name}.json", self.folder / f"{self.name}.yaml"
-        told.write_text(json.dumps(configuration(self.name, self.known)))
-        file.write_text(installation(self.name, self.guarded))
+        told.write_text(json.dumps(configuration(self.net, self.name, self.known)))
+        file.write_text(installation(self.net, self.name, self.guarded))
         with open(self.log, "ab") as log:
             self.child = subprocess.Popen(
                 [sys.executable, "-O", "-m", "spurdeal", "run", "--settings", str(file)], stderr=log,
@@ -159,27 +177,28 @@
 class Proof:
     """One run of the whole set-up; `faults` are carried out one after the other."""
 
-    def __init__(self, reactor: Any, folder: Path, guarded: bool, seed: int,
+    def __init__(self, reactor: Any, net: Net, folder: Path, guarded: bool, seed: int,
                  say: Callable[[str], None]) -> None:
-        self.reactor, self.say, self.chance = reactor, say, random.Random(seed)
+        self.reactor, self.net, self.say, self.chance = reactor, net, say, random.Random(seed)
         self.fleet = Fleet(reactor, CORES, COLD_FOR, COLD_SHARE, MULTIPLE, WINDOW)
         self.next_engine = 0
         self.names = Names([self.new_engine(cold=False) for _ in range(ENGINES)])
         known = self.names.known()
-        reactor.listenUDP(NAMES[1], self.names, interface=NAMES[0], maxPacketSize=65535)
+        reactor.listenUDP(net.names[1], self.names, interface=net.names[0], maxPacketSize=65535)
         self.switch = Switch(time.time)
-        reactor.listenUDP(SWITCH[1], self.switch, interface=SWITCH[0])
-        self.cables = [Cable(reactor, (HOSTS["n1"], port), (HOSTS["n2"], port), SHIFT, seed + port)
+        reactor.listenUDP(net.switch[1], self.switch, interface=net.switch[0])
+        self.cables = [Cable(reactor, (net.hosts["n1"], port), (net.hosts["n2"], port), SHIFT, seed + port)
                        for port in (ADVERTS, HANDOVER)]
-        self.processes = {name: Process(name, folder, known, guarded) for name in HOSTS}
-        self.front = Front(reactor, lambda: time.time() * 1000, self.switch, ADDRESS, seed, RATE, WAIT, HEAVY,
-                           COST)
+        self.processes = {name: Process(net, name, folder, known, guarded) for name in net.hosts}
+        self.front = Front(reactor, lambda: time.time() * 1000, self.switch, net.address, seed, RATE, WAIT,
+                           HEAVY, COST)
         self.takeovers: list[tuple[str, float, float]] = []  # kind, loss, ms
         self.missed: list[str] = []
+        self.bad, self.tried, self.refused = 1000 if guarded else 0, 0, 0
 
     def new_engine(self, cold: bool) -> Seat:
         number, self.next_engine = self.next_engine, self.next_engine + 1
-        host = f"127.0.9.{number % 250 + 1}"
+        host = self.net.engine(number)
         self.fleet.start(f"s-{number}", host, PORT, cold)
         return Seat(f"s-{number}", host, PORT, started=int(time.time() * 1000) if cold else 0)
 
@@ -200,7 +219,7 @@
             cable.cut(towards_one=cut and name == "n2", towards_two=cut and name == "n1")
 
     def holder(self) -> str:
-        place = self.switch.table.get(ADDRESS)
+        place = self.switch.table.get(self.net.address)
         return next((name for name, each in self.processes.items() if each.place == place), "")
 
     # The run, a generator: each yield is how many seconds to wait.
@@ -211,6 +230,7 @@
         while not self.holder():
             yield 0.05
         yield 2.5
+        yield from self.malformed()
         self.front.start()
         yield 1.0
         for place, (kind, loss) in enumerate(faults):
@@ -219,6 +239,32 @@
         self.loss(0.0)
         yield WAIT / 1000 + 0.5
 
+    def malformed(self) -> Iterator[float]:
+        """Datagrams that nobody should take, of either kind, in the peer's name; what is counted as
+        dropped."""
+        before = self.dropped()
+        good = advert.write(1, 200, INTERVAL, [ip_address(self.net.address)],
+                            *map(ip_address, self.net.hosts.values()))
+        forged = Session("n1", "n2", 1, Keys({1: b"x" * 32}))
+        adverts, handover = self.cables
+        for number in range(self.bad):
+            spoilt = bytearray(good)
+            spoilt[number % 8] ^= 1 << self.chance.randrange(8)
+            adverts.inject(bytes(spoilt) if number % 4 else self.chance.randbytes(number % 40))
+            sealed = bytearray(forged.write(0.0, {"list": number}) if number % 2 or not handover.last
+                               else handover.last)
+            sealed[self.chance.randrange(len(sealed))] ^= 1 << self.chance.randrange(8)
+            handover.inject(bytes(sealed) if number % 8 else bytes(sealed)[:number % 70])
+            if number % 10 == 9:
+                yield 0.005
+        yield 0.2
+        self.tried, self.refused = 2 * self.bad, self.dropped() - before
+
+    def dropped(self) -> int:
+        with urlopen(f"http://{self.net.hosts['n2']}:{PORT}/counters", timeout=5) as answer:
+            counters: dict[str, int] = json.load(answer)
+        return sum(count for name, count in counters.items() if "_drop_" in name)
+
     def fault(self, place: int, kind: str, loss: float) -> Iterator[float]:
         self.loss(loss)
         name = self.holder()
@@ -265,7 +311,7 @@
         counts = self.front.counts(excused)
         twice = sum(self.fleet.runs[asked.ident.encode()] > 1
                     for asked in self.front.asked if asked.irreversible)
-        one, two = (list(self.processes[name].held()) for name in HOSTS)
+        one, two = (list(self.processes[name].held()) for name in self.net.hosts)
         both = [min(a[1], b[1]) - max(a[0], b[0]) for a in one for b in two]
         planned = [ms for kind, loss, ms in self.takeovers if kind == "stop" and loss == 0]
         crash = [ms for kind, loss, ms in self.takeovers if kind != "stop" and loss == 0]
@@ -281,6 +327,7 @@
             "cold_budget_used_max": round(self.fleet.budget_used_most(), 3),
             "cold_nodes": sum(engine.warm_at > 0 for engine in self.fleet.engines),
             "cold_nodes_fallen": self.fleet.fallen(),
+            "malformed_tried": self.tried, "malformed_accepted": max(0, self.tried - self.refused),
             "datagrams": sum(cable.seen for cable in self.cables),
             "datagrams_lost": sum(cable.lost for cable in self.cables)}
 
@@ -302,7 +349,7 @@
     from twisted.internet import reactor
     loop: Any = reactor
     folder = Path(tempfile.mkdtemp(prefix="spurdeal-lab-"))
-    proof = Proof(loop, folder, guarded, seed, say)
+    proof = Proof(loop, Net(8 if guarded else 18), folder, guarded, seed, say)
     script = proof.script(faults)
     found: dict[str, Any] = {}
 
@@ -361,13 +408,15 @@
 
 def figures(quick: bool, say: Callable[[str], None]) -> dict[str, Any]:
     """All that `spurdeal lab vrrp --json` prints."""
-    from ..vrrp.machine import active_down_interval, skew_time
-    found = run_apart(True, quick, say)
-    bare = run_apart(False, quick, say)
+    with ThreadPoolExecutor(2) as pool:
+        runs = [pool.submit(run_apart, guarded, quick, say) for guarded in (True, False)]
+        found, bare = (run.result() for run in runs)
     ranks = PRIORITIES.items()
     told = {"active_down_ms": {name: active_down_interval(rank, INTERVAL) for name, rank in ranks},
             "skew_ms": {name: skew_time(rank, INTERVAL) for name, rank in ranks}}
-    return told | found | {"baseline": bare}
+    checked = models(quick)
+    model = {key: checked[key] for key in ("states", "violations", "planted", "planted_found", "checks")}
+    return told | found | {"model": model, "baseline": bare}
 
 
 if __name__ == "__main__":
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -9,11 +9,12 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Sequence
+from typing import TypeAlias
 
+from . import state
 from .chance import Chance
 from .histogram import Histogram
 from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word
-from .state import Ran, Submission, Trip
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
 INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
@@ -38,6 +39,10 @@
 CHEAP_PRIORITY, HEAVY_PRIORITY, GRANT = 3, 1, 1.35  # the grant is in the estimate of memory
 
 
+Submission: TypeAlias = "state.Submission[Engine]"
+Trip: TypeAlias = "state.Trip[Engine]"
+
+
 def pooled(pace: Histogram, middle: float) -> float:
     """The median pace, beside POOL threads' worth of the middle: what there is counts as far as it goes."""
     return (pace.total * pace.quantile(0.5) + POOL * middle) / (pace.total + POOL)
@@ -172,8 +177,9 @@
         self.usual[kind] = usual + (cost - usual) / 30 if usual else cost
         due = cost / w.threads * self.best[kind]
         cheap = w.threads == 1 and cost <= CHEAP_MARK * min(usual or cost for usual in self.usual)
-        s = Submission(number, kind, customer, key if w.in_order else 0, min(expiry, self.until), cost,
-                       memory, group, now, w, due, now + w.agreed + w.stretch * due, w.utility, cheap)
+        s: Submission = state.Submission(
+            number, kind, customer, key if w.in_order else 0, min(expiry, self.until), cost, memory, group,
+            now, w, due, now + w.agreed + w.stretch * due, w.utility, cheap)
         self.open[number] = s
         self.taken_times.append(now)
         self.further_credit = min(FURTHER_MOST, self.further_credit + FURTHER_EACH
@@ -222,7 +228,7 @@
     def trip_stage(self, s: Submission) -> bool:
         engine = s.engine
         assert engine is not None
-        trip = Trip(s, s.made, engine, self.now, self.now)
+        trip = state.Trip(s, s.made, engine, self.now, self.now)
         s.out[s.made] = engine.out[s.number, s.made] = trip
         s.made, s.engine = s.made + 1, None
         engine.threads += s.workload.threads
@@ -346,7 +352,7 @@
         else:
             e.threads -= s.workload.threads
         if ending not in (Ending.FULL, Ending.UNREACHED, Ending.MOOT):
-            s.ran = s.ran or Ran(t.sent, e)
+            s.ran = s.ran or state.Ran(t.sent, e)
         if trip:
             self.further_won.add(1.0 if ending == Ending.DELIVERED else 0.0)
         if report and self.in_hand is not None:  # our share of what engines hold tells our share of sends
--- a/spurdeal/state.py
+++ b/spurdeal/state.py
@@ -3,23 +3,22 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import Generic, NamedTuple, TypeVar
 
 from .interface import Workload
 
-if TYPE_CHECKING:
-    from .rules import Engine
+E = TypeVar("E")  # an engine as the rules see it, which know this module, and not the other way round
 
 
-class Ran(NamedTuple):
+class Ran(NamedTuple, Generic[E]):
     """When and where a trip was sent; the trip itself would hold its submission, and that the trip."""
 
     sent: float
-    engine: Engine
+    engine: E
 
 
 @dataclass(slots=True, eq=False)
-class Submission:
+class Submission(Generic[E]):
     number: int
     kind: int
     customer: int
@@ -38,18 +37,18 @@
     over: bool = False
     made: int = 0
     rank: tuple[float, int] = (0.0, 0)
-    out: dict[int, Trip] = field(default_factory=dict)
-    ran: Ran | None = None  # the first trip that may have run
-    avoid: list[Engine] = field(default_factory=list)
-    erred: list[Engine] = field(default_factory=list)  # where it ended in an error
-    engine: Engine | None = None  # chosen for the next trip
+    out: dict[int, Trip[E]] = field(default_factory=dict)
+    ran: Ran[E] | None = None  # the first trip that may have run
+    avoid: list[E] = field(default_factory=list)
+    erred: list[E] = field(default_factory=list)  # where it ended in an error
+    engine: E | None = None  # chosen for the next trip
 
 
 @dataclass(slots=True, eq=False)
-class Trip:
-    submission: Submission
+class Trip(Generic[E]):
+    submission: Submission[E]
     number: int
-    engine: Engine
+    engine: E
     sent: float
     heard: float
     called_off: bool = False
--- /dev/null
+++ b/tests/test_holding.py
@@ -0,0 +1,177 @@
+"""Holding an address: by a command, by listening, and two real processes that pass one between them."""
+
+import io
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from ipaddress import ip_address
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+from urllib.request import urlopen
+
+from twisted.internet.error import CannotListenError, ProcessDone, ProcessTerminated
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from spurdeal.net.counters import Counters
+from spurdeal.net.logs import logger
+from spurdeal.vrrp.address import MOST_COMMANDS, Commands, Listener
+from tests.helpers import Caller, World, configuration
+
+ADDRESS = ip_address("127.0.7.1")
+SILENT: Any = logger("x", io.StringIO())
+
+
+class Spawner(Clock):
+    """Keeps what it is asked to run, and the ports it is asked to open."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ran: list[tuple[Any, list[str]]] = []
+        self.busy, self.closed = 0, 0
+
+    def spawnProcess(self, run: Any, name: str, words: list[str], env: object) -> None:
+        killed = ProcessTerminated(signal=9)
+        run.transport = SimpleNamespace(signalProcess=lambda word: self.ended(run, killed))
+        self.ran.append((run, words))
+
+    def ended(self, run: Any, how: Exception) -> None:
+        run.processEnded(Failure(how))
+
+    def listenTCP(self, port: int, factory: object, interface: str) -> Any:
+        if self.busy:
+            self.busy -= 1
+            raise CannotListenError(interface, port, OSError("in use"))
+
+        def stop() -> None:
+            self.closed += 1
+        return SimpleNamespace(stopListening=stop)
+
+
+class Holders(unittest.TestCase):
+    def test_commands_run_one_after_the_other_as_plain_words_and_end_in_time(self) -> None:
+        reactor, counters = Spawner(), Counters()
+        commands = Commands(reactor, ["/bin/take", "{address}; rm"], ["/bin/leave", "{address}"], 500.0,
+                            counters, SILENT)
+        commands.take(1, [ADDRESS])
+        commands.leave(1, [ADDRESS])
+        self.assertEqual([words for _, words in reactor.ran], [["/bin/take", "127.0.7.1; rm"]])
+        reactor.ended(reactor.ran[0][0], ProcessDone(0))
+        self.assertEqual(reactor.ran[1][1], ["/bin/leave", "127.0.7.1"])
+        reactor.advance(0.6)
+        self.assertEqual((counters.sums["commands_run"], counters.sums["commands_failed"]), (1, 1))
+        for _ in range(3 * MOST_COMMANDS):
+            commands.take(1, [ADDRESS])
+        self.assertEqual((len(commands.queue), counters.sums["commands_dropped"]),
+                         (MOST_COMMANDS, 2 * MOST_COMMANDS - 1))
+
+    def test_a_port_in_use_is_tried_again_while_the_address_is_held(self) -> None:
+        reactor, counters, drained = Spawner(), Counters(), list[str]()
+        listener = Listener(reactor, None, 7001, drained.append, counters, SILENT)
+        reactor.busy = 2
+        listener.take(1, [ADDRESS])
+        reactor.pump([0.05, 0.05])
+        self.assertEqual((list(listener.ports), counters.sums["address_not_listened"]), ([ADDRESS], 2))
+        listener.leave(1, [ADDRESS])
+        self.assertEqual((reactor.closed, drained), (1, ["127.0.7.1"]))
+        reactor.busy = 1
+        listener.take(1, [ADDRESS])
+        listener.leave(1, [ADDRESS])
+        reactor.advance(1)
+        self.assertEqual(listener.ports, {})
+
+    def test_what_was_taken_at_an_address_that_is_left_is_answered_and_then_closed(self) -> None:
+        world = World(self)
+        busy, idle, elsewhere = Caller(world), Caller(world), Caller(world)
+        for caller, host in ((busy, "127.0.7.1"), (idle, "127.0.7.1"), (elsewhere, "127.0.8.1")):
+            caller.pipe.hostAddr = SimpleNamespace(host=host)
+            caller.pipe.getHost = lambda caller=caller: caller.pipe.hostAddr  # type: ignore[misc,method-assign]
+        busy.post(1)
+        peer = world.peer().up()
+        world.service.clients.drain("127.0.7.1")
+        self.assertEqual([busy.pipe.disconnecting, idle.pipe.disconnecting, elsewhere.pipe.disconnecting],
+                         [False, True, False])
+        peer.say(1, "200", "parts=1", b"a\t1\tx\n")
+        (status, fields, _), = busy.answers()
+        self.assertEqual((status, fields["Connection"], busy.pipe.disconnecting), (200, "close", True))
+
+
+PLAN = """
+name: {name}
+peers: [{{name: {other}, adverts: "{far}:7312", handover: "{far}:7313"}}]
+vrrp:
+  listen: {host}:7312
+  groups: [{{group: 1, priority: {priority}, interval: 50ms, addresses: [127.0.61.1]}}]
+  holder: {{kind: listen, port: 7301}}
+  bar: 500ms
+handover: {{listen: "{host}:7313", keys: [{{id: 1, hex: {key}}}], every: 20ms, ahead: true}}
+tenure: {{lease: 200ms}}
+"""
+HOSTS = {"n1": "127.0.61.11", "n2": "127.0.61.12"}
+
+
+class Processes(unittest.TestCase):
+    def start(self, name: str, text: str | None = None) -> subprocess.Popen[str]:
+        other = "n2" if name == "n1" else "n1"
+        plan = PLAN.format(name=name, other=other, host=HOSTS[name], far=HOSTS[other], key="ab" * 16,
+                           priority={"n1": 200, "n2": 100}[name])
+        told = configuration(0, name=name, listen=f"{HOSTS[name]}:7302", nameserver="127.0.61.9:5300")
+        (self.folder / f"{name}.yaml").write_text(plan if text is None else text)
+        (self.folder / f"{name}.json").write_text(json.dumps(told))
+        child = subprocess.Popen(
+            [sys.executable, "-O", "-m", "spurdeal", "run", "--settings", str(self.folder / f"{name}.yaml")],
+            stderr=subprocess.PIPE, text=True,
+            env=os.environ | {"ROUTER_CONFIG": str(self.folder / f"{name}.json")})
+        self.addCleanup(child.kill)
+        return child
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def who(self, within: float, host: str = "127.0.61.1", port: int = 7301) -> dict[str, int]:
+        """The counters of whoever answers there, once somebody does."""
+        until = time.monotonic() + within
+        while True:
+            try:
+                with urlopen(f"http://{host}:{port}/counters", timeout=1) as answer:
+                    found: dict[str, int] = json.load(answer)
+                    return found
+            except OSError:
+                if time.monotonic() > until:
+                    raise
+                time.sleep(0.02)
+
+    def test_a_bad_file_ends_the_start_with_a_line_and_code_2(self) -> None:
+        child = self.start("n1", "name: n1\nvrrp: 3\n")
+        said = child.communicate(timeout=30)[1]
+        self.assertEqual(child.returncode, 2)
+        self.assertIn("n1.yaml:2: vrrp:", said)
+        self.assertNotIn("Traceback", said)
+
+    def test_two_processes_pass_an_address_and_keep_running_on_a_bad_file(self) -> None:
+        one, two = self.start("n1"), self.start("n2")
+        for host in HOSTS.values():
+            self.who(15, host, 7302)
+        self.who(15)
+        (self.folder / "n1.yaml").write_text("nothing: here\n")
+        for child in (one, two):  # a reload while either may be taking the address
+            child.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
+        self.assertEqual([one.poll(), two.poll()], [None, None])
+        one.send_signal(signal.SIGTERM)
+        self.assertEqual(self.who(5).get("installations_unusable"), None)
+        said = one.communicate(timeout=15)[1]
+        self.assertEqual(one.returncode, 0, said)
+        self.assertIn("event=installation_kept", said)
+        two.send_signal(signal.SIGTERM)
+        said = two.communicate(timeout=15)[1]
+        self.assertEqual(two.returncode, 0, said)
+        self.assertIn("event=address_taken group=1", said)
