--- a/spurdeal/vrrp/handover.py
+++ b/spurdeal/vrrp/handover.py
@@ -39,6 +39,7 @@
 
 
 class Waiting(NamedTuple):
+    turn: int  # of this telling: an answer to an earlier one is none to this (found by the walks)
     ident: bytes
     expiry: float
     until: float
@@ -93,8 +94,9 @@
         self.known: dict[str, Known] = {}
         self.left: dict[str, float] = {}
         self.waiting: dict[object, Waiting] = {}
-        self.clearing: dict[str, list[tuple[bytes, int]]] = {peer: [] for peer in peers}
-        self.replies: dict[str, list[tuple[str, bool]]] = {peer: [] for peer in peers}
+        self.turn = 0
+        self.clearing: dict[str, list[tuple[bytes, float, int]]] = {peer: [] for peer in peers}
+        self.replies: dict[str, list[tuple[float, bool]]] = {peer: [] for peer in peers}
         self.pages_of: dict[str, list[list[tuple[bytes, float]]]] = {}  # what a new peer has yet to get
         self.pages_asked: dict[str, int] = {}
         self.pages_got: dict[str, int] = {}
@@ -127,13 +129,14 @@
 
     def before(self, now: float, ident: bytes, expiry: float, token: object) -> Verdict | None:
         """It is about to be sent. A verdict at once, or None: one comes of `take` or `tick`."""
-        if not self.marks.mark(now, ident, expiry):
+        self.turn += 1
+        if not self.marks.mark(now, ident, expiry, self.turn):
             return Verdict(token, None if ident in self.marks.known else False)
         missing = frozenset(self.needed(now)) if self.ahead else frozenset[str]()
         if not missing:
             self.marks.sent(ident)
             return Verdict(token, True)
-        self.waiting[token] = Waiting(ident, expiry, now + self.ahead_wait, missing)
+        self.waiting[token] = Waiting(self.turn, ident, expiry, now + self.ahead_wait, missing)
         return None
 
     def give_up(self, token: object) -> bool:
@@ -142,9 +145,9 @@
 
     def over(self, ident: bytes, never_ran: bool) -> None:
         """It was answered. Only where each trip is known not to have run is its mark taken back."""
-        if never_ran and self.marks.never_ran(ident):
+        if never_ran and (turn := self.marks.never_ran(ident)) is not None:
             for clearing in self.clearing.values():
-                clearing.append((ident, SAY_CLEAR))
+                clearing.append((ident, turn, SAY_CLEAR))
                 del clearing[:-MOST_TOLD * SAY_CLEAR]  # older ones end by time
 
     def tick(self, now: float) -> list[Verdict]:
@@ -159,13 +162,13 @@
         """All there is to tell this peer now."""
         part, wait = self.tenure.lend(now, peer, idle)
         clears, self.clearing[peer] = self.clearing[peer][:MOST_TOLD], self.clearing[peer][MOST_TOLD:]
-        self.clearing[peer] += [(ident, times - 1) for ident, times in clears if times > 1]
+        self.clearing[peer] += [(ident, turn, times - 1) for ident, turn, times in clears if times > 1]
         body: dict[str, Any] = {
             "list": facts.list_number, "held": list(facts.held),
             "cold": [list(row) for row in facts.cold[:MOST_ENGINES]],
             "aside": [list(row) for row in facts.aside[:MOST_ENGINES]],
             "lend": [part, wait], "left": self.tenure.left_of(now, peer),
-            "clear": [[ident.decode()] for ident, _ in clears]}
+            "clear": [[ident.decode(), turn] for ident, turn, _ in clears]}
         if peer not in self.synced:
             body["need"] = self.pages_got.get(peer, 0)
         if (pages := self.pages_of.get(peer)) is not None:
@@ -183,7 +186,7 @@
     def told(self, now: float, peer: str) -> dict[str, Any]:
         waiting = [waiting for waiting in self.waiting.values() if peer in waiting.missing][:MOST_TOLD]
         replies, self.replies[peer] = self.replies[peer][:MOST_TOLD], self.replies[peer][MOST_TOLD:]
-        return {"tell": [[each.ident.decode(), max(0.0, each.expiry + self.marks.keep - now)]
+        return {"tell": [[each.ident.decode(), max(0.0, each.expiry + self.marks.keep - now), each.turn]
                          for each in waiting],
                 "reply": [list(reply) for reply in replies]}
 
@@ -192,9 +195,10 @@
         session = self.sessions[peer]
         boots = session.boots
         body, asked = session.read(now, datagram)
-        told = [(ident_of(ident), number(left)) for ident, left in rows(body, "tell", 2, MOST_TOLD)]
-        replies = [(ident_of(ident), ok) for ident, ok in rows(body, "reply", 2, MOST_TOLD)]
-        clears = [ident_of(ident) for ident, in rows(body, "clear", 1, MOST_TOLD)]
+        told = [(ident_of(ident), number(left), number(turn, 1e15))
+                for ident, left, turn in rows(body, "tell", 3, MOST_TOLD)]
+        replies = [(number(turn, 1e15), ok is True) for turn, ok in rows(body, "reply", 2, MOST_TOLD)]
+        clears = [(ident_of(ident), number(turn, 1e15)) for ident, turn in rows(body, "clear", 2, MOST_TOLD)]
         marks = [(ident_of(ident), number(left)) for ident, left in rows(body, "marks", 2, PAGE)]
         known = self.read_known(now, body)
         lend, left, need, page = self.read_rest(body)
@@ -210,10 +214,10 @@
         if left is not None and asked is not None:
             self.left[peer] = left
             self.tenure.told_left(now, self.left, len(self.sessions))
-        for ident in clears:
-            self.marks.peer_clears(peer, ident)
-        for ident, ms in told:
-            self.replies[peer].append((ident.decode(), self.marks.peer_marks(now, peer, ident, ms)))
+        for ident, turn in clears:
+            self.marks.peer_clears(peer, ident, turn)
+        for ident, ms, turn in told:
+            self.replies[peer].append((turn, self.marks.peer_marks(now, peer, ident, ms, turn)))
             del self.replies[peer][:-4 * MOST_TOLD]
         if need is not None:
             if peer not in self.pages_of:
@@ -233,11 +237,11 @@
         self.pages_of.pop(peer, None)
         self.left.pop(peer, None)
 
-    def answered(self, peer: str, replies: Iterable[tuple[bytes, bool]]) -> list[Verdict]:
+    def answered(self, peer: str, replies: Iterable[tuple[float, bool]]) -> list[Verdict]:
         verdicts = []
-        for ident, ok in replies:
+        for turn, ok in replies:
             for token, waiting in list(self.waiting.items()):
-                if waiting.ident != ident or peer not in waiting.missing:
+                if waiting.turn != turn or peer not in waiting.missing:
                     continue
                 missing = waiting.missing - {peer}
                 if not ok:
@@ -247,7 +251,7 @@
                     self.waiting[token] = waiting._replace(missing=missing)
                 else:
                     del self.waiting[token]
-                    self.marks.sent(ident)
+                    self.marks.sent(waiting.ident)
                     verdicts.append(Verdict(token, True))
         return verdicts
 
--- a/spurdeal/vrrp/marks.py
+++ b/spurdeal/vrrp/marks.py
@@ -24,6 +24,7 @@
     until: float
     peer: str  # who told; "" for our own
     sent: bool  # it has left, or may have
+    turn: float  # the telling that it is from; what is said of an earlier one changes nothing
 
 
 class Marks:
@@ -46,32 +47,32 @@
             return Door.FULL
         return Door.OPEN
 
-    def mark(self, now: float, ident: bytes, expiry: float) -> bool:
+    def mark(self, now: float, ident: bytes, expiry: float, turn: int) -> bool:
         """Ours is about to be told and sent; kept for a time after its expiry. False: there is no room."""
         found = self.known.get(ident)
         if found is not None and found.peer:
             return False  # a peer was first, since the door
         if found is None and len(self.known) >= self.most:
             return False
-        self.keep_mark(ident, Mark(expiry + self.keep, "", found.sent if found else False))
+        self.keep_mark(ident, Mark(expiry + self.keep, "", found.sent if found else False, turn))
         return True
 
     def sent(self, ident: bytes) -> None:
         if ident in self.known:
             self.known[ident] = self.known[ident]._replace(sent=True)
 
-    def never_ran(self, ident: bytes) -> bool:
-        """Each trip is known not to have run: it may go again, from here or elsewhere. True if it was
-        marked."""
+    def never_ran(self, ident: bytes) -> float | None:
+        """Each trip is known not to have run, so it may go again. Its last telling; None if it was not
+        ours."""
         found = self.known.get(ident)
         if found is None or found.peer:
-            return False
+            return None
         del self.known[ident]
-        return True
+        return found.turn
 
     # What peers tell.
 
-    def peer_marks(self, now: float, peer: str, ident: bytes, left: float) -> bool:
+    def peer_marks(self, now: float, peer: str, ident: bytes, left: float, turn: float) -> bool:
         """A peer will send it. False where it is ours, or another's, or there is no room: it must not
         send."""
         self.forget(now)
@@ -79,18 +80,20 @@
         if (found is not None and found.peer != peer) or (found is None and len(self.known) >= self.most):
             return False
         until = max(now + left, found.until if found else 0.0)
-        self.keep_mark(ident, Mark(until, peer, True))
+        self.keep_mark(ident, Mark(until, peer, True, max(turn, found.turn if found else turn)))
         return True
 
-    def peer_clears(self, peer: str, ident: bytes) -> None:
+    def peer_clears(self, peer: str, ident: bytes, turn: float) -> None:
+        """It is said several times, and overtaken by a newer telling it must not take that one's mark
+        away."""
         found = self.known.get(ident)
-        if found is not None and found.peer == peer:
+        if found is not None and found.peer == peer and found.turn <= turn:
             del self.known[ident]
 
     def learn(self, now: float, peer: str, marks: Iterable[tuple[bytes, float]]) -> None:
         """A page of what a peer knows. Ours and nearer ones stay; what has no room is counted."""
         for ident, left in marks:
-            if ident not in self.known and not self.peer_marks(now, peer, ident, left):
+            if ident not in self.known and not self.peer_marks(now, peer, ident, left, float("inf")):
                 self.refused += 1
 
     def pages(self, now: float, size: int) -> Iterator[list[tuple[bytes, float]]]:
