--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -45,8 +45,8 @@
 @click.argument("file", type=click.Path())
 def check(file: str) -> None:
     found = installation(file)
-    click.echo(f"{file}: can be used; {found.name} with {len(found.vrrp.groups)} groups "
-               f"and {len(found.peers)} peers")
+    parts = [part for part in ("vrrp", "handover", "extproc", "ledger") if getattr(found, part) is not None]
+    click.echo(f"{file}: can be used; {found.name} with {len(found.peers)} peers and {', '.join(parts)}")
 
 
 @spurdeal.command(help="Every key of an operator's file, its default and its meaning.")
@@ -68,7 +68,8 @@
 def advert(file: str, number: int, as_hex: bool) -> None:
     from ..vrrp import advert as adverts
     found = installation(file)
-    group = next((group for group in found.vrrp.groups if group.group == number), None)
+    groups = found.vrrp.groups if found.vrrp is not None else []
+    group = next((group for group in groups if group.group == number), None)
     if group is None:
         refuse(f"{file}: no group {number}")
     for peer in found.peers[:1] if as_hex else found.peers:
@@ -97,11 +98,36 @@
             click.echo(f"{name}: {value}")
 
 
+@spurdeal.group(help="The external processor.")
+def extproc() -> None:
+    """The group of the external processor's commands."""
+
+
+@extproc.command(help="A dispatcher that other proxies ask, as the file's `extproc` says.")
+@click.option("--settings", type=click.Path(), required=True, help="an operator's YAML file")
+def serve(settings: str) -> None:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    if installation(settings).extproc is None:
+        refuse(f"{settings}: extproc: this key is missing")
+    from .running import run_with
+    sys.exit(run_with(os.environ, settings))
+
+
+def proofs(name: str) -> Any:
+    if name == "model":
+        from ..lab.model import figures as models
+        return models
+    if name == "extproc":
+        from ..lab.asking import figures as askings
+        return askings
+    from ..lab.takeover import figures
+    return figures
+
+
 @spurdeal.command(help="A proof of the project's own, with real processes on loopback.")
-@click.argument("name", type=click.Choice(["vrrp"]))
+@click.argument("name", type=click.Choice(["vrrp", "model", "extproc"]))
 @click.option("--json", "as_json", is_flag=True, help="one JSON object as the last line")
 @click.option("--quick", is_flag=True, help="a part of it, under a minute")
 def lab(name: str, as_json: bool, quick: bool) -> None:
-    from ..lab.takeover import figures
-    found = figures(quick, lambda line: click.echo(line, err=True))
+    found = proofs(name)(quick, lambda line: click.echo(line, err=True))
     click.echo(json.dumps(found) if as_json else json.dumps(found, indent=2))
--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -9,7 +9,8 @@
 import sys
 import time
 from collections.abc import Mapping
-from typing import Any, TextIO, cast
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, TextIO, cast
 
 import structlog
 from twisted.internet.error import CannotListenError
@@ -19,7 +20,11 @@
 from ..net.logs import pair
 from ..settings.reading import Unusable, read
 from ..steady import Steady
-from ..vrrp.station import Station, keys_of
+
+if TYPE_CHECKING:
+    from ..settings.installation import ExtprocPart, Installation, LedgerPart
+    from ..store.ledger import Ledger
+    from ..vrrp.station import Station
 
 
 def key_value(_: object, __: str, event: Any) -> str:
@@ -80,9 +85,114 @@
     return 0
 
 
+class Installed:
+    """A dispatcher with all that an operator's file adds, started and stopped together."""
+
+    def __init__(self, service: start.Service, plan: Installation, loop: Any, path: str) -> None:
+        self.service, self.plan, self.loop, self.path = service, plan, loop, path
+        self.link, self.log, self.counters = service.link, service.log, service.counters
+        self.station: Station | None = None
+        self.ledger: Ledger | None = None
+        self.server: Any = None
+        self.context: Any = None
+        if plan.vrrp is not None:
+            from ..vrrp.station import Station
+            self.station = Station(service, plan, loop, monotonic_ms, secrets.randbits(63) | 1, self.log)
+        if plan.ledger is not None:
+            self.ledger = self.open_ledger(plan.ledger)
+        if plan.extproc is not None:
+            self.server = self.make_server(plan.extproc)
+
+    def open_ledger(self, part: LedgerPart) -> Ledger:
+        from ..store.ledger import Ledger
+        try:
+            return Ledger(Path(part.path), start.unix_ms, part.flush, part.ids, part.bytes)
+        except OSError as fault:
+            raise Unusable(f"{self.path}: ledger.path: {fault.strerror}: {part.path}") from None
+
+    def make_server(self, part: ExtprocPart) -> Any:
+        from ..extproc.bounds import Bounds
+        from ..extproc.calls import Terms
+        from ..extproc.server import Server
+        site, told = self.service.told.site, self.service.told
+        if site.drain_grace and part.use_within >= site.drain_grace:
+            raise Unusable(f"{self.path}: extproc.use_within: {part.use_within:.0f} ms is not under the "
+                           f"drain "
+                           f"rule's grace of {site.drain_grace:.0f} ms")
+        if part.tls is not None:
+            from ..extproc.tls import Context
+            try:
+                self.context = Context(part.tls.certificate, part.tls.key)
+            except (OSError, ValueError) as fault:
+                raise Unusable(f"{self.path}: extproc.tls: {fault}") from None
+        terms = Terms(part.message_timeout, part.most_timeout, part.margin, part.use_within,
+                      part.id_header.encode(), part.proof_header.encode())
+        bounds = Bounds(connections=part.connections, calls=part.calls, calls_each=part.calls_each,
+                        message=part.message, idle=part.idle)
+        longest = max(workload.expiry for workload in site.workloads)
+        return Server(self.link, self.service.engines, told.workloads, terms, bounds, longest,
+                      site.most_come_back, self.loop, self.service.clock, self.counters, self.log)
+
+    def start(self) -> None:
+        """Before the service: its first list and its first submission are seen through all of this."""
+        if self.station is not None:
+            self.station.start()
+        if self.ledger is not None and self.plan.ledger is not None:
+            from ..net.link import must_not_repeat
+            from ..store.guard import LedgerGuard
+            site = self.service.told.site
+            self.link.guard = LedgerGuard(self.ledger, must_not_repeat(site), self.plan.ledger.keep,
+                                          site.most_come_back, self.loop, self.counters, self.log,
+                                          self.link.guard)
+            self.log.info("ledger", extra={"figures": {
+                "recovered": self.ledger.recovered, "torn_tails": self.ledger.torn,
+                "bytes": self.ledger.bytes}})
+        if self.server is not None and self.plan.extproc is not None:
+            host, port = self.plan.extproc.listen
+            if self.context is not None:
+                self.loop.listenSSL(port, self.server, self.context, interface=str(host))
+            else:
+                self.loop.listenTCP(port, self.server, interface=str(host))
+            self.sweep()
+
+    def sweep(self) -> None:
+        self.loop.callLater(start.SWEEP_EVERY, self.sweep)
+        self.server.sweep()
+        if self.ledger is not None:
+            for name in ("appended", "torn", "recovered", "failures", "rewritten", "bytes_most"):
+                self.counters.sums["ledger_" + name] = getattr(self.ledger, name)
+
+    def read_again(self) -> None:
+        """SIGHUP: keys and certificates are in force at once, the rest at a start."""
+        try:
+            plan = read(self.path)
+            if self.context is not None:
+                self.context.load()
+        except (Unusable, OSError, ValueError) as fault:
+            self.counters.add("installations_unusable")
+            self.log.error("installation_kept", extra={"figures": {"why": str(fault)}})
+            return
+        if self.station is not None:
+            self.station.read_again(plan)
+        self.counters.add("installations_read")
+
+    def stop(self) -> None:
+        if self.station is not None:
+            self.station.stop()
+        if self.server is not None:
+            self.server.stop()
+        self.service.stop()
+
+    def done(self) -> None:
+        if self.ledger is not None:
+            self.ledger.close()
+        self.loop.stop()
+
+
 def serve(configuration: str, path: str) -> None:
     plan = read(path)
     if plan.handover is not None:
+        from ..vrrp.station import keys_of
         try:
             keys_of(plan.handover)
         except (OSError, ValueError) as fault:
@@ -93,25 +203,18 @@
     loop = steady_reactor()
     clock = Steady(start.unix_ms, monotonic_ms)
     log = logger(told.name or "spurdeal", sys.stderr)
-    service = start.Service(told, loop, clock.now, log, loop.stop)
-    station = Station(service, plan, loop, monotonic_ms, secrets.randbits(63) | 1, log)
+    service = start.Service(told, loop, clock.now, log, lambda: installed.done())
+    installed = Installed(service, plan, loop, path)
 
     def again() -> None:
         service.read_again(lambda: start.told_by(configuration))
-        try:
-            station.read_again(read(path))
-        except Unusable as fault:
-            station.kept(str(fault))
-
-    def stop() -> None:
-        station.stop()
-        service.stop()
+        installed.read_again()
     signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(again))
-    signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(stop))
-    signal.signal(signal.SIGINT, lambda *_: loop.callFromThread(stop))
+    signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(installed.stop))
+    signal.signal(signal.SIGINT, lambda *_: loop.callFromThread(installed.stop))
     globalLogBeginner.beginLoggingTo([cast(Any, service.unhandled)], redirectStandardIO=False)
     try:
-        station.start()
+        installed.start()
         service.start()
     except CannotListenError as fault:
         where = f"{fault.interface}:{fault.port}"
--- /dev/null
+++ b/spurdeal/lab/asking.py
@@ -0,0 +1,334 @@
+"""The proof of the external processor: a real dispatcher asked by two stand-in proxies, and what goes wrong.
+
+First the same load through the processor and through the HTTP front, with nothing wrong, for what each costs;
+then calls with injected timeouts, cancels, outcomes that are never told and retries of the same id by another
+proxy or by the HTTP front, while the dispatcher is killed twice and its ledger gets a torn tail."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from urllib.request import urlopen
+
+from .engines import Fleet
+from .names import Names, Seat
+from .proxy import Asked, Proxy
+from .takeover import spread
+
+NET = 28
+HOST, PORT, ASK, NAMES = f"127.0.{NET}.1", 7001, 7443, (f"127.0.{NET}.9", 5300)
+ENGINES, CORES, WAIT, COST, HEAVY = 4, 8, 2500.0, 6.0, 0.3
+MESSAGE_TIMEOUT, MOST_TIMEOUT = 200.0, 1000.0
+RETRIES, PAUSE, RATE = 4, 0.05, 250.0
+SIZES = {"tiny": (100, 700, 1), "quick": (800, 2400, 2), "full": (3000, 9000, 2)}  # clean, chaotic, kills
+
+
+def settings(folder: Path) -> str:
+    return f"""
+name: n1
+ledger: {{path: {folder}/ledger, flush: turn, keep: 60s}}
+extproc:
+  listen: {HOST}:{ASK}
+  message_timeout: {MESSAGE_TIMEOUT:.0f}ms
+  most_timeout: {MOST_TIMEOUT:.0f}ms
+"""
+
+
+def configuration(known: dict[str, Any]) -> dict[str, Any]:
+    return {"name": "n1", "listen": f"{HOST}:{PORT}", "seed": "8c1f", "nameserver": f"{NAMES[0]}:{NAMES[1]}",
+            "limits": {"sockets": 4096, "memory_mb": 192}, "known": known, "settings": {
+                "balancers": 1, "zones": ["east"], "models": ["std"],
+                "grades": [{"name": "lookup", "aim": 800, "deadline": WAIT, "late_worth": 0.5},
+                           {"name": "load", "aim": 1500, "deadline": WAIT, "effect": "once",
+                            "late_worth": 0.5}],
+                "extra": {"cpu_of_kind": [CORES], "priorities": True},
+                "limits": {"cancelling": True, "dial_timeout": 250, "send_cap": 3, "retry_after": True,
+                           "max_retry_after": 500, "streams_per_conn": 4},
+                "rules": {"drain_grace": 250, "cold": 8000, "cold_share": 0.3, "fall_multiple": 2,
+                          "tip_after": 1500}}}
+
+
+class Dispatcher:
+    """The real process, its CPU and its counters."""
+
+    def __init__(self, folder: Path, known: dict[str, Any]) -> None:
+        self.folder = folder
+        (folder / "n1.json").write_text(json.dumps(configuration(known)))
+        (folder / "n1.yaml").write_text(settings(folder))
+        self.child: subprocess.Popen[bytes] | None = None
+        self.away: list[tuple[float, float]] = []
+        self.ledger: Counter[str] = Counter()
+
+    def start(self) -> None:
+        with open(self.folder / "n1.log", "ab") as log:
+            self.child = subprocess.Popen(
+                [sys.executable, "-O", "-m", "spurdeal", "extproc", "serve", "--settings",
+                 str(self.folder / "n1.yaml")], stderr=log, stdin=subprocess.DEVNULL,
+                env=os.environ | {"ROUTER_CONFIG": str(self.folder / "n1.json")})
+
+    def counters(self) -> dict[str, int]:
+        with urlopen(f"http://{HOST}:{PORT}/counters", timeout=5) as answer:
+            found: dict[str, int] = json.load(answer)
+            return found
+
+    async def ready(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                await loop.run_in_executor(None, self.counters)
+                return
+            except OSError:
+                await asyncio.sleep(0.02)
+
+    async def note(self) -> dict[str, int]:
+        """What this start's ledger did, kept before it may be killed."""
+        found = await asyncio.get_running_loop().run_in_executor(None, self.counters)
+        for name in ("appended", "torn", "recovered"):
+            self.ledger[name] += found.get("ledger_" + name, 0)
+        self.ledger["bytes"] = max(self.ledger["bytes"], found.get("ledger_bytes_most", 0))
+        return found
+
+    async def kill(self, torn: bool) -> None:
+        await self.note()
+        assert self.child is not None
+        began = time.time()
+        self.child.send_signal(signal.SIGKILL)
+        self.child.wait()
+        if torn:  # as a write that the machine's end cut short
+            with open(self.folder / "ledger" / "ledger.log", "ab") as log:
+                log.write(b"\x00\x1a\x12\x34")
+        self.start()
+        await self.ready()
+        self.away.append((began - 0.3, time.time() + 0.3))
+
+    def was_away(self, began: float, ended: float) -> bool:
+        return any(start < ended and began < end for start, end in self.away)
+
+    def cpu(self) -> float:
+        """User and system seconds so far."""
+        assert self.child is not None
+        fields = Path(f"/proc/{self.child.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def seats() -> list[Seat]:
+    return [Seat(f"s-{number}", f"127.0.{NET + 1}.{number + 1}", PORT) for number in range(ENGINES)]
+
+
+def run_engines() -> None:
+    """Engines and name service, until SIGTERM; then prints how often each id ran."""
+    from twisted.internet import reactor
+    loop: Any = reactor
+    fleet, names = Fleet(loop, CORES, 8000, 0.3, 2.0, 1500), Names(seats())
+    for seat in seats():
+        fleet.start(seat.ident, seat.host, seat.port, cold=False)
+    loop.listenUDP(NAMES[1], names, interface=NAMES[0])
+    loop.callWhenRunning(lambda: print("ready", flush=True))
+    loop.run()
+    print(json.dumps({ident.decode(): count for ident, count in fleet.runs.items()}), flush=True)
+
+
+async def by_http(asked: Asked, wait: float) -> int:
+    """The HTTP front, on a connection of its own; as Proxy.go."""
+    asked.ways.append("http")
+    workload, body = "load" if asked.irreversible else "lookup", f"SELECT 1 /* cost={asked.cost:.2f} */"
+    try:
+        reader, writer = await asyncio.open_connection(HOST, PORT)
+    except OSError:
+        return -1
+    try:
+        writer.write(f"POST /ops/{workload} HTTP/1.1\r\nHost: x\r\nReq-Id: {asked.ident}\r\nReq-Wait-Ms: "
+                     f"{wait:.0f}\r\nReq-Cost: {asked.cost:.2f}\r\nContent-Length: {len(body)}\r\n"
+                     f"Connection: close\r\n\r\n{body}".encode())
+        text = await asyncio.wait_for(reader.read(), wait / 1000 + 0.3)
+        return int(text.split(b" ", 2)[1]) if text else 0
+    except (OSError, TimeoutError):
+        return 0
+    finally:
+        writer.close()
+
+
+class Run:
+    """One run against one dispatcher."""
+
+    def __init__(self, folder: Path, size: str, say: Callable[[str], None]) -> None:
+        self.size, self.say, self.chance = size, say, random.Random(11)
+        self.engines = subprocess.Popen([sys.executable, "-m", "spurdeal.lab.asking", "engines"],
+                                        stdout=subprocess.PIPE)
+        assert self.engines.stdout is not None
+        self.engines.stdout.readline()  # they listen
+        self.dispatcher = Dispatcher(folder, Names(seats()).known())
+        self.runs: Counter[str] = Counter()
+        self.proxies: list[Proxy] = []
+        self.asked: list[Asked] = []
+        self.missing = self.shed_though_run = self.second_paths = 0
+
+    def new(self) -> Asked:
+        heavy = self.chance.random() < HEAVY
+        asked = Asked(f"{self.chance.getrandbits(64):016x}", heavy, COST * self.chance.uniform(0.5, 1.5))
+        self.asked.append(asked)
+        return asked
+
+    async def paced(self, count: int, rate: float, one: Callable[[Asked], Any]) -> None:
+        """Open loop: calls are due at fixed times, whatever became of the others."""
+        loop = asyncio.get_running_loop()
+        began, tasks = loop.time(), []
+        for place in range(count):
+            await asyncio.sleep(max(0.0, began + place / rate - loop.time()))
+            tasks.append(loop.create_task(one(self.new())))
+        await asyncio.gather(*tasks)
+
+    async def clean(self, count: int, rate: float, one: Callable[[Asked], Any]) -> float:
+        """Calls per CPU second of the dispatcher."""
+        before = self.dispatcher.cpu()
+        await self.paced(count, rate, one)
+        return count / max(0.01, self.dispatcher.cpu() - before)
+
+    async def chaos(self, asked: Asked) -> None:
+        """A client behind two proxies: it tries the same id by another way while nobody has told it an
+        end."""
+        loop = asyncio.get_running_loop()
+        until, status = loop.time() + WAIT / 1000, -1
+        proxy = self.chance.choice(self.proxies)
+        attempt = 0
+        while attempt < RETRIES:
+            left = (until - loop.time()) * 1000
+            if left < 50:
+                break
+            began = time.time()
+            if attempt and self.chance.random() < 0.4:
+                status = await by_http(asked, left)
+            else:
+                before = proxy.counts["caller_timeouts"], proxy.counts["timeouts_injected"]
+                status = await proxy.go(asked, left)
+                timed_out = proxy.counts["caller_timeouts"] - before[0]
+                if status == 504 and timed_out and before[1] == proxy.counts["timeouts_injected"] \
+                        and not self.dispatcher.was_away(began, time.time()):
+                    self.missing += 1
+            if status in (200, 500, 502, 503, 409, 400):
+                break
+            asked.unsure = True
+            proxy = self.proxies[1 - self.proxies.index(proxy)]
+            if status == -1:
+                await asyncio.sleep(PAUSE)  # nobody was there; it has taken no way
+            else:
+                attempt += 1
+                self.second_paths += attempt < RETRIES
+        asked.answers.append(status if status > 0 else 504)
+        if self.chance.random() < 0.002:
+            await proxy.cut()
+
+    async def go(self) -> dict[str, Any]:
+        count, chaotic, kills_due = SIZES[self.size]
+        rate = RATE
+        self.dispatcher.start()
+        await self.dispatcher.ready()
+        target = f"{HOST}:{ASK}"
+        plain = [Proxy(f"p{place}", target, place, MESSAGE_TIMEOUT, 0.0) for place in (1, 2)]
+        for proxy in plain:
+            proxy.dial()
+
+        async def ask(asked: Asked) -> None:
+            asked.answers.append(await plain[len(self.asked) % 2].go(asked, WAIT))
+
+        async def forward(asked: Asked) -> None:
+            asked.answers.append(await by_http(asked, WAIT))
+        await self.paced(200, rate, ask)  # warm: imports, connections
+        await self.paced(200, rate, forward)
+        for proxy in plain:
+            proxy.decided.clear()
+        decisions = await self.clean(count, rate, ask)
+        forwarded = await self.clean(count, rate, forward)
+        self.say(f"a CPU second decides {decisions:.0f}, forwards {forwarded:.0f}")
+        self.proxies = [Proxy(f"q{place}", target, 100 + place, MESSAGE_TIMEOUT, 0.1) for place in (1, 2)]
+        for proxy in self.proxies:
+            proxy.dial()
+        kills = 0
+        going = asyncio.ensure_future(self.paced(chaotic, rate, self.chaos))
+        for part in range(kills_due):
+            await asyncio.sleep(chaotic / rate / (kills_due + 1))
+            await self.dispatcher.kill(torn=part == 0)
+            kills += 1
+        await going
+        counters = await self.dispatcher.note()
+        await asyncio.sleep(0.5)
+        self.engines.terminate()
+        self.runs.update(json.loads(self.engines.communicate(timeout=10)[0]))
+        return self.figures(plain, decisions, forwarded, kills, counters)
+
+    def figures(self, plain: list[Proxy], decisions: float, forwarded: float, kills: int,
+                counters: dict[str, int]) -> dict[str, Any]:
+        runs = self.runs
+        counts: Counter[str] = Counter()
+        for proxy in plain + self.proxies:
+            counts.update(proxy.counts)
+        loads = [asked for asked in self.asked if asked.irreversible]
+        statuses = Counter(answer for asked in self.asked for answer in asked.answers)
+        decided = sorted(ms for proxy in plain for ms in proxy.decided)
+        return {
+            "calls": counts["calls"], "submissions": len(self.asked),
+            "timeouts_injected": counts["timeouts_injected"], "second_paths": self.second_paths,
+            "kills": kills,
+            "answers_missing": self.missing + sum(not asked.answers for asked in self.asked),
+            "answers_double": counts["answers_double"] + sum(len(asked.answers) > 1 for asked in self.asked),
+            "irreversible_sent": len(loads),
+            "irreversible_run": sum(runs[asked.ident] > 0 for asked in loads),
+            "irreversible_run_twice": sum(runs[asked.ident] > 1 for asked in loads),
+            "refused_unproven": sum(runs[asked.ident] > 0 for asked in loads
+                                    if asked.answers == [503]),
+            "decide_ms": spread(decided), "decisions_per_cpu_second": round(decisions),
+            "forwarded_per_cpu_second": round(forwarded), "ratio": round(decisions / forwarded, 2),
+            "ledger": {"appended": self.dispatcher.ledger["appended"],
+                       "torn_tails": self.dispatcher.ledger["torn"],
+                       "recovered": self.dispatcher.ledger["recovered"],
+                       "bytes_max": self.dispatcher.ledger["bytes"]},
+            "statuses": {str(status): count for status, count in sorted(statuses.items())},
+            "proxies": dict(counts),
+            "dispatcher": {name: count for name, count in counters.items()
+                           if name.startswith(("extproc_", "grants", "faults", "must_", "unhandled"))}}
+
+
+def one_run(size: str, say: Callable[[str], None]) -> dict[str, Any]:
+    """In a process of its own, as is the dispatcher, and as are the engines."""
+    folder = Path(tempfile.mkdtemp(prefix="spurdeal-lab-"))
+    run = Run(folder, size, say)
+    try:
+        found = asyncio.run(run.go())
+    finally:
+        run.engines.kill()
+        child = run.dispatcher.child
+        if child is not None and child.poll() is None:
+            child.kill()
+            child.wait()
+    found["logs"] = str(folder)
+    return found
+
+
+def figures(quick: bool, say: Callable[[str], None]) -> dict[str, Any]:
+    """All that `spurdeal lab extproc --json` prints."""
+    done = subprocess.run([sys.executable, "-m", "spurdeal.lab.asking", "quick" if quick else "full"],
+                          stdout=subprocess.PIPE, timeout=600, check=True)
+    *lines, last = done.stdout.decode().strip().splitlines()
+    for line in lines:
+        say(line)
+    found: dict[str, Any] = json.loads(last)
+    return found
+
+
+if __name__ == "__main__":
+    if sys.argv[1] == "engines":
+        run_engines()
+    else:
+        os.environ["GRPC_ENABLE_FORK_SUPPORT"] = "0"  # or its channels stand still after we start a process
+        print(json.dumps(one_run(sys.argv[1], lambda line: print(line, flush=True))))
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -11,10 +11,10 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from ..interface import Deployment, Ending, Life, Listed
+from ..interface import Deployment, Effect, Ending, Life, Listed, Reach
 from ..rules import Dispatcher
 from .counters import Counters
-from .engines import Engines, Outcome, Trip
+from .engines import Engines, Outcome
 from .names import Seat
 
 ANSWER_WAY = 40.0  # ms kept of a client's time for the answer's way back
@@ -34,8 +34,35 @@
     pass
 
 
-Answer = Delivered | Shed | BrokenOff
-COUNTED = {Delivered: "delivered", Shed: "shed", BrokenOff: "broken_off"}
+class Granted(NamedTuple):
+    """A caller carries it from here on; its trip's outcome comes later, or never."""
+
+
+Answer = Delivered | Shed | BrokenOff | Granted
+COUNTED = {Delivered: "delivered", Shed: "shed", BrokenOff: "broken_off", Granted: "granted"}
+PROVE = (Ending.FULL, Ending.UNREACHED, Ending.MOOT)  # that nothing ran
+
+
+class Carried(Protocol):
+    """One trip in a carrier's hands; its Deferred brings the outcome exactly once."""
+
+    done: Deferred[Outcome]
+
+
+class Carrier(Protocol):
+    """Who carries trips: our own connections to the engines, or callers that are told where to send."""
+
+    def ready(self, engine: int) -> bool: ...
+    def send(self, engine: int, ident: bytes, workload: bytes, wait: float, rank: int | None,
+             statement: bytes) -> Carried: ...
+    def weigh(self, trip: Any, rank: int) -> None: ...
+    def give_up(self, trip: Any, ending: Ending) -> None: ...
+
+
+def must_not_repeat(site: Deployment) -> tuple[bool, ...]:
+    """By workload: whether it must not run twice, also where it comes again by another way."""
+    return tuple(w.effect == Effect.IRREVERSIBLE or (w.effect == Effect.LABELLED and w.reach != Reach.ALL)
+                 for w in site.workloads)
 
 
 class Guard(Protocol):
@@ -51,6 +78,9 @@
     def before(self, taken: Taken, trip: int, go: Callable[[bool | None], None]) -> bool:
         """A trip is about to be sent. False: go() is called with the verdict, later."""
 
+    def never_ran(self, taken: Taken) -> None:
+        """It was granted, and the caller has shown that nothing ran."""
+
     def given_up(self, number: int, trip: int) -> None:
         """A trip that waits for its verdict is not to be sent any more."""
 
@@ -76,10 +106,11 @@
     statement: bytes
     expiry: float
     answer: Deferred[Answer]
+    carrier: Carrier
     answered: bool = False
     rank: int | None = None
     made: int = 0
-    trips: dict[int, Trip] = field(default_factory=dict)
+    trips: dict[int, Carried] = field(default_factory=dict)
     waiting: dict[int, int] = field(default_factory=dict)  # trips with no verdict yet, and engines
 
 
@@ -120,7 +151,7 @@
         heapq.heappush(self.alarms, (when, next(self.order), call, words))
 
     def take(self, ident: bytes, workload: bytes, kind: int, wait: float, cost: float, memory: float,
-             group: int, statement: bytes) -> Deferred[Answer] | None:
+             group: int, statement: bytes, carrier: Carrier | None = None) -> Deferred[Answer] | None:
         """A submission is taken; its Deferred brings the answer, and cancelling that withdraws it."""
         if ident.lower() in self.by_ident:
             return None
@@ -131,7 +162,7 @@
         now, number = self.clock(), next(self.numbers)
         expiry = min(now + wait - ANSWER_WAY, self.until)
         answer: Deferred[Answer] = Deferred(lambda _: self.left(number))
-        taken = Taken(number, kind, ident, workload, statement, expiry, answer)
+        taken = Taken(number, kind, ident, workload, statement, expiry, answer, carrier or self.engines)
         self.taken[number] = self.by_ident[ident.lower()] = taken
         self.counters.add("taken")
         self.counters.most("most_open", len(self.by_ident))
@@ -245,7 +276,7 @@
         taken = self.taken.get(number)
         if taken is not None and taken.expiry <= self.clock():
             for trip in list(taken.trips.values()):
-                self.engines.give_up(trip, Ending.TIME_OUT)
+                taken.carrier.give_up(trip, Ending.TIME_OUT)
             for waiting in list(taken.waiting):
                 self.never_sent(taken, waiting)
             if not taken.answered:
@@ -311,7 +342,7 @@
             return
         if verdict is None:
             self.conclude(taken, BrokenOff())
-        if verdict and not taken.answered and now < taken.expiry and self.engines.ready(engine):
+        if verdict and not taken.answered and now < taken.expiry and taken.carrier.ready(engine):
             self.depart(taken, trip, engine, time_limit, now)
         else:
             self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
@@ -322,18 +353,20 @@
         if self.guard is not None and not self.guard.cold(engine):
             self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
             return
-        out = self.engines.send(engine, taken.ident, taken.workload, wait, rank, taken.statement)
+        out = taken.carrier.send(engine, taken.ident, taken.workload, wait, rank, taken.statement)
         taken.trips[trip] = out
+        if taken.carrier is not self.engines and not out.done.called:
+            self.conclude(taken, Granted())
         out.done.addCallback(self.came_back, taken, trip, engine, now)
 
     def weigh(self, taken: Taken, priority: int) -> None:
         taken.rank = priority
         for trip in taken.trips.values():
-            self.engines.weigh(trip, priority)
+            taken.carrier.weigh(trip, priority)
 
     def cancel(self, number: int, trip: int) -> None:
         if number in self.taken and trip in self.taken[number].trips:
-            self.engines.give_up(self.taken[number].trips[trip], Ending.CALLED_OFF)
+            self.taken[number].carrier.give_up(self.taken[number].trips[trip], Ending.CALLED_OFF)
         elif number in self.taken and trip in self.taken[number].waiting:
             self.never_sent(self.taken[number], trip)
 
@@ -369,6 +402,9 @@
               outcome: Outcome) -> None:
         taken.trips.pop(trip, None)
         delivered = outcome.ending == Ending.DELIVERED
+        if self.guard is not None and taken.answered and taken.carrier is not self.engines \
+                and outcome.ending in PROVE and not taken.trips:
+            self.guard.never_ran(taken)
         if delivered and not taken.answered:
             self.asked.append((self.conclude, (taken, Delivered(outcome.pages))))
         self.rules.ended(now, taken.number, trip, engine, outcome.ending, now - sent,
--- a/spurdeal/settings/installation.py
+++ b/spurdeal/settings/installation.py
@@ -152,12 +152,57 @@
     lease: Duration = Field(1000.0, ge=100, le=60_000, description="how long a lent part may be used")
 
 
+class LedgerPart(Part):
+    """The durable ledger of submissions that must not run twice."""
+
+    path: str = Field(min_length=1, description="a folder of its own, on a disk that outlives the process")
+    flush: Literal["always", "turn", "never"] = Field(
+        "turn", description="always: on the disk before it is sent; turn: within 10ms; never: when it likes")
+    keep: Duration = Field(60_000.0, description="an id is kept for so long after its submission's expiry")
+    ids: int = Field(1_000_000, ge=100, le=20_000_000, description="most ids kept; then they are shed")
+    bytes: int = Field(268_435_456, ge=65_536, description="most bytes of the log; then they are shed")
+
+
+class TlsPart(Part):
+    """Certificate and key, read again at SIGHUP."""
+
+    certificate: str = Field(description="a PEM file with the chain")
+    key: str = Field(description="a PEM file with the private key")
+
+
+class ExtprocPart(Part):
+    """The external processor: other proxies ask per request."""
+
+    listen: SocketAddress = Field(description="where callers connect, by gRPC over HTTP/2")
+    tls: TlsPart | None = Field(None, description="certificate and key; absent: plain text")
+    message_timeout: Duration = Field(200.0, ge=5, description="that of the callers")
+    most_timeout: Duration = Field(0.0, description="their max_message_timeout; without: none")
+    margin: Duration = Field(20.0, ge=1, description="an answer leaves so long before their time is up")
+    use_within: Duration = Field(150.0, ge=10, description="an answer leaves so long before that")
+    id_header: str = Field("req-id", pattern=r"^[a-z0-9-]{1,64}$", description="the header that holds the id")
+    proof_header: str = Field("x-never-ran", pattern=r"^[a-z0-9-]{1,64}$",
+                              description="on a response: whoever wrote it knows that nothing ran")
+    connections: int = Field(64, ge=1, le=4096, description="most connections of callers")
+    calls: int = Field(2048, ge=1, le=100_000, description="most calls in hand")
+    calls_each: int = Field(512, ge=1, le=100_000, description="most calls in hand on one connection")
+    message: int = Field(65_536, ge=1024, le=4_194_304, description="bytes of the largest message")
+    idle: Duration = Field(60_000.0, description="a connection without a call is closed after so long")
+
+    @model_validator(mode="after")
+    def times_agree(self) -> ExtprocPart:
+        if self.margin >= self.message_timeout:
+            raise ValueError("margin is not under message_timeout: no answer would be in time")
+        return self
+
+
 class Installation(Part):
     """The whole file."""
 
     name: Name = Field(description="this dispatcher's name among its peers")
-    peers: list[Peer] = Field(min_length=1, max_length=8, description="the other dispatchers")
-    vrrp: Vrrp = Field(description="who holds which addresses")
+    peers: list[Peer] = Field(default_factory=list, max_length=8, description="the other dispatchers")
+    vrrp: Vrrp | None = Field(None, description="who holds which addresses; absent: nobody")
+    ledger: LedgerPart | None = Field(None, description="a durable ledger; absent: none")
+    extproc: ExtprocPart | None = Field(None, description="the external processor; absent: none")
     handover: HandoverPart | None = Field(None, description="what they tell each other; absent: nothing")
     tenure: TenurePart = Field(TenurePart.model_construct(), description="parts of cold engines' budgets")
 
@@ -166,6 +211,8 @@
         names = [peer.name for peer in self.peers] + [self.name]
         if len(set(names)) != len(names):
             raise ValueError("two dispatchers have one name")
+        if (self.vrrp is None) != (not self.peers) or (self.handover is not None and self.vrrp is None):
+            raise ValueError("vrrp and peers are told together, and handover with them")
         if self.handover is not None and self.tenure.on and self.tenure.lease < 3 * self.handover.every:
             raise ValueError("tenure.lease is under three times handover.every: loans would end in between")
         if len({key.id for key in self.handover.keys} if self.handover else [0]) != \
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -13,8 +13,7 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
-from ..interface import Effect, Reach
-from ..net.link import Answer, BrokenOff, Shed, Taken
+from ..net.link import Answer, BrokenOff, Shed, Taken, must_not_repeat
 from ..net.names import Seat
 from ..net.start import Service
 from . import advert
@@ -72,17 +71,19 @@
                  boot: int, log: logging.Logger) -> None:
         self.service, self.plan, self.reactor, self.monotonic = service, plan, reactor, monotonic
         self.link, self.counters, self.log = service.link, service.counters, log
-        self.own: Address = plan.vrrp.listen[0]
+        assert plan.vrrp is not None
+        self.vrrp = plan.vrrp
+        self.own: Address = self.vrrp.listen[0]
         now, site = monotonic(), service.told.site
         self.by_sender = {peer.adverts[0]: peer.name for peer in plan.peers}
         self.by_address = {(str(peer.handover[0]), peer.handover[1]): peer.name for peer in plan.peers}
         terms = [Terms(each.group, each.priority, each.interval, self.own, each.preempt,
-                       each.preempt_delay) for each in plan.vrrp.groups]
+                       each.preempt_delay) for each in self.vrrp.groups]
         self.groups = Groups(terms, {each.group: [Tracked(track.condition, track.lowers)
-                                                  for track in each.tracks] for each in plan.vrrp.groups},
-                             plan.vrrp.bundles)
-        self.addresses = {each.group: tuple(each.addresses) for each in plan.vrrp.groups}
-        self.accepting = {each.group: each.accept for each in plan.vrrp.groups}
+                                                  for track in each.tracks] for each in self.vrrp.groups},
+                             self.vrrp.bundles)
+        self.addresses = {each.group: tuple(each.addresses) for each in self.vrrp.groups}
+        self.accepting = {each.group: each.accept for each in self.vrrp.groups}
         self.tenure = Tenure(site.dispatchers, site.cold_window, plan.tenure.lease, now)
         self.parts = (1.0 / site.dispatchers, 1.0 / site.dispatchers)
         self.handover: Handover | None = None
@@ -91,9 +92,8 @@
             self.handover = Handover(
                 plan.name, [peer.name for peer in plan.peers], boot, keys_of(part), self.tenure,
                 Marks(part.marks, part.keep), now, part.ahead, part.ahead_wait,
-                part.alone_after if part.alone == "send" else None, plan.vrrp.bar)
-        self.guarded = tuple(w.effect == Effect.IRREVERSIBLE or (
-            w.effect == Effect.LABELLED and w.reach != Reach.ALL) for w in site.workloads)
+                part.alone_after if part.alone == "send" else None, self.vrrp.bar)
+        self.guarded = must_not_repeat(site)
         self.come_back = site.most_come_back
         self.holder = self.make_holder()
         self.adverts, self.telling = Adverts(self), Telling(self)
@@ -106,7 +106,7 @@
         self.ports: list[Any] = []
 
     def make_holder(self) -> Announcer | Listener | Commands:
-        told = self.plan.vrrp.holder
+        told = self.vrrp.holder
         if told.kind == "announce":
             return Announcer(self.reactor, (str(told.switch[0]), told.switch[1]),
                              (self.service.told.host, self.service.told.port), self.counters)
@@ -120,7 +120,7 @@
     def start(self) -> None:
         """Before the service takes anything: its list is seen through this from the first."""
         self.link.guard = self
-        host, port = self.plan.vrrp.listen
+        host, port = self.vrrp.listen
         self.ports.append(self.reactor.listenUDP(port, self.adverts, interface=str(host),
                                                  maxPacketSize=LARGEST_ADVERT + 1))
         sock = getattr(self.adverts.transport, "socket", None)
@@ -157,7 +157,6 @@
         later = plan.model_dump(exclude={"handover": {"keys"}}) != \
             self.plan.model_dump(exclude={"handover": {"keys"}})
         self.log.info("installation_read", extra={"figures": {"rest_at_a_start": later}})
-        self.counters.add("installations_read")
 
     def kept(self, why: str) -> None:
         """A file that cannot be used leaves the old in force."""
@@ -182,7 +181,7 @@
         self.rearm()
 
     def may_lift(self, now: float) -> bool:
-        waited = now - self.began >= self.plan.vrrp.bar
+        waited = now - self.began >= self.vrrp.bar
         return waited or (self.fresh and (self.handover is None or self.handover.complete(now)))
 
     def look_at_list(self, now: float) -> None:
@@ -193,8 +192,8 @@
 
     def holding(self, now: float) -> list[str]:
         unix = self.link.clock()
-        stale = (self.reactor.seconds() - self.service.names.heard_at) * 1000 > self.plan.vrrp.stale_after
-        conditions = ["list_stale"] if stale and now - self.began > self.plan.vrrp.stale_after else []
+        stale = (self.reactor.seconds() - self.service.names.heard_at) * 1000 > self.vrrp.stale_after
+        conditions = ["list_stale"] if stale and now - self.began > self.vrrp.stale_after else []
         if not any(engine.aside_until <= unix for engine in self.link.rules.ready):
             conditions.append("no_engine")
         return conditions
@@ -399,6 +398,10 @@
         if self.handover is not None and self.guarded[taken.kind]:
             self.handover.over(taken.ident.lower(), isinstance(answer, Shed))
 
+    def never_ran(self, taken: Taken) -> None:
+        if self.handover is not None and self.guarded[taken.kind]:
+            self.handover.over(taken.ident.lower(), never_ran=True)
+
     def cold(self, engine: int) -> bool:
         """May something go there now? A cold engine's budget may have been lent since the rules chose."""
         found = self.link.rules.engines.get(engine)
@@ -417,7 +420,7 @@
 
     def seat(self, seat: Seat) -> Seat:
         """Until the list is known to be fresh, each engine may have been started anew, and counts as cold."""
-        if not self.fresh and self.plan.tenure.on and self.monotonic() < self.began + self.plan.vrrp.bar:
+        if not self.fresh and self.plan.tenure.on and self.monotonic() < self.began + self.vrrp.bar:
             return seat._replace(started=self.link.clock())
         told = [started for known in (self.handover.known.values() if self.handover else ())
                 for ident, started, _ in known.cold if ident == seat.ident]
--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,111 @@
+"""The external processor as a real process: a small run of its proof, and TLS with a certificate that
+changes."""
+
+import datetime
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import grpc
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from envoy.service.ext_proc.v3 import external_processor_pb2_grpc as service
+
+from spurdeal.lab.proxy import Asked, request
+from tests.helpers import configuration
+
+HOST = "127.0.63.1"
+PLAN = """
+name: n1
+extproc:
+  listen: {host}:7443
+  tls: {{certificate: {folder}/cert.pem, key: {folder}/key.pem}}
+"""
+
+
+def certificate(folder: Path, name: str) -> bytes:
+    """A self-signed one, written with its key."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, name)])
+    now = datetime.datetime.now(datetime.UTC)
+    made = x509.CertificateBuilder().subject_name(subject).issuer_name(subject).public_key(key.public_key()) \
+        .serial_number(x509.random_serial_number()).not_valid_before(now - datetime.timedelta(days=1)) \
+        .not_valid_after(now + datetime.timedelta(days=1)) \
+        .add_extension(x509.SubjectAlternativeName([x509.DNSName("spurdeal")]), critical=False) \
+        .sign(key, hashes.SHA256())
+    pem: bytes = made.public_bytes(serialization.Encoding.PEM)
+    (folder / "cert.pem").write_bytes(pem)
+    (folder / "key.pem").write_bytes(key.private_bytes(
+        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()))
+    return pem
+
+
+class Processes(unittest.TestCase):
+    def test_a_small_run_of_the_proof(self) -> None:
+        done = subprocess.run([sys.executable, "-m", "spurdeal.lab.asking", "tiny"], capture_output=True,
+                              text=True, timeout=120)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        found = json.loads(done.stdout.splitlines()[-1])
+        for key in ("answers_missing", "answers_double", "irreversible_run_twice", "refused_unproven"):
+            self.assertEqual(found[key], 0, found)
+        self.assertEqual((found["kills"], found["ledger"]["torn_tails"]), (1, 1))
+        self.assertGreater(found["irreversible_run"], 50)
+        self.assertGreater(found["second_paths"], 5)
+        self.assertGreater(found["ledger"]["recovered"], 10)
+
+    def test_tls_with_a_certificate_that_changes_in_service(self) -> None:
+        folder_made = tempfile.TemporaryDirectory()
+        self.addCleanup(folder_made.cleanup)
+        folder = Path(folder_made.name)
+        first = certificate(folder, "first")
+        (folder / "n1.yaml").write_text(PLAN.format(host=HOST, folder=folder))
+        (folder / "n1.json").write_text(json.dumps(configuration(
+            0, listen=f"{HOST}:7302", nameserver="127.0.63.9:5300")))
+        child = subprocess.Popen(
+            [sys.executable, "-O", "-m", "spurdeal", "extproc", "serve", "--settings",
+             str(folder / "n1.yaml")],
+            stderr=subprocess.PIPE, text=True, env=os.environ | {"ROUTER_CONFIG": str(folder / "n1.json")})
+        self.addCleanup(child.kill)
+        self.assertEqual(self.ask(first, 1, 15), 503)  # no engine: refused in time
+        second = certificate(folder, "second")
+        child.send_signal(signal.SIGHUP)
+        self.assertEqual(self.ask(second, 2, 10), 503)
+        (folder / "key.pem").write_text("no key")
+        child.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        self.assertEqual(self.ask(second, 3, 5), 503)
+        child.send_signal(signal.SIGTERM)
+        said = child.communicate(timeout=15)[1]
+        self.assertEqual(child.returncode, 0, said)
+        self.assertIn("event=installation_kept", said)
+
+    def ask(self, roots: bytes, number: int, within: float) -> Any:
+        """The immediate answer's status, once somebody answers with this certificate."""
+        until = time.monotonic() + within
+        while True:
+            options = [("grpc.ssl_target_name_override", "spurdeal"), ("grpc.use_local_subchannel_pool", 1)]
+            with grpc.secure_channel(f"{HOST}:7443", grpc.ssl_channel_credentials(roots), options) as channel:
+                try:
+                    answered = threading.Event()
+
+                    def messages(answered: threading.Event = answered) -> Iterator[Any]:
+                        yield request(Asked(f"{number:016x}", False, 10.0), 1000)
+                        answered.wait(5)  # the stream stays open while it is held
+                    answers = service.ExternalProcessorStub(channel).Process(messages(), timeout=2)
+                    status = next(iter(answers)).immediate_response.status.code
+                    answered.set()
+                    return status
+                except (grpc.RpcError, StopIteration):
+                    if time.monotonic() > until:
+                        raise
+                    time.sleep(0.05)
--- /dev/null
+++ b/tests/test_extproc.py
@@ -0,0 +1,445 @@
+"""The external processor: what calls mean, what ends of grants prove, and the service on HTTP/2 in memory."""
+
+import random
+import struct
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import h2.events
+from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from h2.errors import ErrorCodes
+
+from spurdeal.extproc.answers import wait_longer
+from spurdeal.extproc.bounds import Bounds, Door, Meter
+from spurdeal.extproc.calls import BadCall, Terms, header_map, outcome, patience, read_ask, times
+from spurdeal.extproc.grants import ENDS, PROVES, Grants, Seen, Stage
+from spurdeal.extproc.server import METHOD, Server
+from spurdeal.interface import Ending, Life
+from spurdeal.lab.proxy import Asked, request, response
+from spurdeal.net.link import must_not_repeat
+from spurdeal.store.guard import LedgerGuard
+from spurdeal.store.ledger import Ledger
+from tests.helpers import Caller, Pipe, World
+
+HEAD = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", METHOD), (b":authority", b"x"),
+        (b"content-type", b"application/grpc"), (b"te", b"trailers")]
+
+
+class Meanings(unittest.TestCase):
+    GOOD = {b":method": b"POST", b":path": b"/ops/lookup?a=b", b"req-id": b"00000000000000aa",
+            b"req-wait-ms": b"1500", b"req-cost": b"20.5"}
+
+    def test_a_call_is_read_or_refused_with_a_status(self) -> None:
+        ask = read_ask(self.GOOD, Terms(), 1000.0)
+        self.assertEqual((ask.workload, ask.wait, ask.cost, ask.group), (b"lookup", 1000.0, 20.5, -1))
+        for name, value in ((b":method", b"GET"), (b"req-id", b"xyz"), (b"req-wait-ms", b"-1"),
+                            (b"req-wait-ms", b"1e3"), (b"req-cost", b"nan"), (b":path", b"ops"),
+                            (b"req-wait-ms", b"0")):
+            with self.subTest(name=name, value=value), self.assertRaises(BadCall):
+                read_ask(self.GOOD | {name: value}, Terms(), 1000.0)
+        with self.assertRaises(BadCall):
+            header_map((f"h{number}", "x", b"") for number in range(500))
+        self.assertEqual(header_map([("A", "", b"1"), ("a", "2", b"")]), {b"a": b"1, 2"})
+
+    def test_times_are_the_shortest_that_bind(self) -> None:
+        terms = Terms(message_timeout=200, most_timeout=0, margin=20)
+        self.assertEqual(times(terms, 1500, None), (180, 0))
+        self.assertEqual(times(terms, 100, None), (80, 0))
+        self.assertEqual(times(terms, 1500, 50), (30, 0))
+        self.assertEqual(times(terms._replace(most_timeout=1000), 1500, None), (980, 1000))
+        self.assertEqual(times(terms._replace(most_timeout=1000), 1500, 150), (130, 0))
+        self.assertEqual(patience({b"grpc-timeout": b"2S", b"x-envoy-expected-rq-timeout-ms": b"900"}), 900)
+        self.assertEqual([patience({b"grpc-timeout": text}) for text in (b"100m", b"1u", b"x", b"")],
+                         [100, 0.001, None, None])
+
+    def test_only_the_proof_header_makes_a_refusal_prove(self) -> None:
+        for status, proof, ending in ((b"200", False, Ending.DELIVERED), (b"503", False, Ending.ERROR),
+                                      (b"503", True, Ending.FULL), (b"504", True, Ending.MOOT),
+                                      (b"504", False, Ending.TIME_OUT), (b"502", True, Ending.UNREACHED),
+                                      (b"500", False, Ending.ERROR), (b"x", True, Ending.RESET)):
+            headers = {b":status": status} | ({b"x-never-ran": b"1"} if proof else {})
+            self.assertEqual(outcome(headers, Terms()), ending)
+
+    def test_what_is_held_proves_that_nothing_ran_and_what_is_said_does_not(self) -> None:
+        for seen in Seen:
+            self.assertIn(ENDS[Stage.HELD, seen], PROVES)
+            self.assertEqual(ENDS[Stage.SAID, seen] in PROVES, seen is Seen.UNUSED)
+
+    def test_a_grant_ends_once(self) -> None:
+        grants = Grants(2)
+        grants.hold(1, b"a")
+        grants.hold(2, b"b")
+        self.assertFalse(grants.room())
+        self.assertIsNone(grants.heard(1, Ending.DELIVERED))  # nobody was told where to send it
+        self.assertTrue(grants.say(10, 1, 7, 500))
+        self.assertFalse(grants.say(10, 1, 7, 500))
+        self.assertEqual((grants.overdue(499), grants.overdue(500)), ([], [1]))
+        self.assertEqual(grants.heard(1, Ending.DELIVERED), Ending.DELIVERED)
+        self.assertEqual((grants.heard(1, Ending.ERROR), grants.happens(1, Seen.CUT)), (None, None))
+        self.assertEqual(grants.happens(2, Seen.CUT), Ending.MOOT)
+        self.assertFalse(grants.say(20, 2, 7, 500))
+        self.assertEqual((grants.open, grants.late, grants.crossed), ({}, 1, 1))
+
+    def test_bounds_are_kept_by_number_and_by_rate(self) -> None:
+        door = Door(Bounds(connections=1, calls=3, calls_each=2, resets=5))
+        self.assertEqual([door.connect(), door.connect()], [True, False])
+        meter, other = Meter(door.bounds), Meter(door.bounds)
+        self.assertEqual([door.call(meter), door.call(meter), door.call(meter)], [True, True, False])
+        self.assertEqual([door.call(other), door.call(other)], [True, False])
+        self.assertEqual([meter.reset(float(ms)) for ms in range(7)], [False] * 5 + [True] * 2)
+        self.assertFalse(meter.reset(5000.0))
+        door.left(meter)
+        self.assertEqual((door.connections, door.calls), (0, 1))
+
+
+class Proxy:
+    """A caller's side of one connection, by h2 and published messages."""
+
+    def __init__(self, case: "Service") -> None:
+        self.case, self.pipe = case, Pipe()
+        self.h2 = H2Connection(H2Configuration(client_side=True, header_encoding=None))
+        self.protocol: Any = case.server.buildProtocol(None)
+        self.protocol.makeConnection(self.pipe)
+        self.h2.initiate_connection()
+        self.got: dict[int, list[Any]] = {}
+        self.status: dict[int, str] = {}
+        self.text: dict[int, bytes] = {}
+        self.push()
+
+    def push(self) -> None:
+        self.protocol.dataReceived(self.h2.data_to_send())
+        self.case.world.go()
+        self.read()
+
+    def read(self) -> None:
+        for event in self.h2.receive_data(self.pipe.taken()):
+            stream = getattr(event, "stream_id", 0)
+            if isinstance(event, (h2.events.ResponseReceived, h2.events.TrailersReceived)):
+                told = dict(event.headers)
+                if b"grpc-status" in told:
+                    self.status[stream] = told[b"grpc-status"].decode()
+            elif isinstance(event, h2.events.DataReceived):
+                text = self.text.get(stream, b"") + event.data
+                while len(text) >= 5 and len(text) >= 5 + struct.unpack("!I", text[1:5])[0]:
+                    size = struct.unpack("!I", text[1:5])[0]
+                    self.got.setdefault(stream, []).append(pb.ProcessingResponse.FromString(text[5:5 + size]))
+                    text = text[5 + size:]
+                self.text[stream] = text
+
+    def open(self, more: tuple[tuple[bytes, bytes], ...] = ()) -> int:
+        stream = self.h2.get_next_available_stream_id()
+        self.h2.send_headers(stream, [*HEAD, *more])
+        return stream
+
+    def say(self, stream: int, message: bytes, end: bool = False, prefix: bytes | None = None) -> None:
+        self.h2.send_data(stream, (prefix or struct.pack("!BI", 0, len(message))) + message, end_stream=end)
+
+    def ask(self, number: int, workload: str = "lookup", wait: float = 2000,
+            more: tuple[tuple[bytes, bytes], ...] = ()) -> int:
+        stream = self.open(more)
+        self.say(stream, request(Asked(f"{number:016x}", workload == "load", 20.0), wait).SerializeToString())
+        self.push()
+        return stream
+
+    def answer(self, stream: int) -> Any:
+        """The status of an immediate answer, or where the grant leads; None while it is held."""
+        for message in self.got.get(stream, []):
+            if message.HasField("immediate_response"):
+                return message.immediate_response.status.code
+            if message.HasField("request_headers"):
+                told = {option.header.key: option.header.raw_value for option in
+                        message.request_headers.response.header_mutation.set_headers}
+                return told["x-spurdeal-to"].decode()
+        return None
+
+    def outcome(self, stream: int, status: int, proof: bool = False) -> None:
+        self.say(stream, response(status, proof).SerializeToString())
+        self.push()
+
+    def reset(self, stream: int) -> None:
+        self.h2.reset_stream(stream, ErrorCodes.CANCEL)
+        self.push()
+
+
+class Service(unittest.TestCase):
+    """One process with both fronts, a ledger, and callers in memory."""
+
+    def setUp(self) -> None:
+        self.world = World(self, engines=2)
+        self.bounds = Bounds(silent=2000, resets=20, controls=40, calls_each=50)
+        self.make(Terms(message_timeout=200, most_timeout=0, use_within=150))
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name)
+        self.ledger()
+
+    def make(self, terms: Terms) -> None:
+        service = self.world.service
+        self.server = Server(service.link, service.engines, service.told.workloads, terms, self.bounds,
+                             20_000, 500.0, self.world.reactor, self.world.now, service.counters, service.log)
+
+    def ledger(self) -> None:
+        service = self.world.service
+        made = Ledger(self.path, self.world.now, "never")
+        self.addCleanup(made.close)
+        service.link.guard = LedgerGuard(made, must_not_repeat(service.told.site), 60_000, 500.0,
+                                         self.world.reactor, service.counters, service.log)
+
+    def engines(self) -> Any:
+        return self.world.service.link.rules.engines
+
+    def out(self) -> int:
+        return sum(len(engine.out) for engine in self.engines().values())
+
+    def hold(self) -> None:
+        """All engines rest, so that what comes is held."""
+        for engine in self.engines().values():
+            engine.aside_until = self.world.now() + 60_000
+
+    def test_a_call_is_granted_and_its_outcome_told(self) -> None:
+        proxy = Proxy(self)
+        stream = proxy.ask(1)
+        self.assertTrue(str(proxy.answer(stream)).startswith("127.0.9."))
+        self.assertEqual((self.out(), len(self.world.reactor.tcpClients)), (1, 0))
+        proxy.outcome(stream, 200)
+        self.assertEqual((self.out(), self.world.count("trips_delivered")), (0, 1))
+        self.assertTrue(proxy.got[stream][-1].HasField("response_headers"))
+        proxy.h2.end_stream(stream)
+        proxy.push()
+        self.assertEqual(proxy.status[stream], "0")
+        self.assertEqual((self.server.granter.calls, self.server.granter.leases, self.server.door.calls,
+                          self.world.service.link.taken), ({}, {}, 0, {}))
+
+    def test_both_fronts_share_n_star(self) -> None:
+        proxy, caller = Proxy(self), Caller(self.world)
+        proxy.ask(1)
+        proxy.ask(2)
+        caller.post(3)
+        self.assertEqual(sum(engine.threads for engine in self.engines().values()), 3)
+
+    def test_cancelled_while_it_is_held_nothing_ran(self) -> None:
+        proxy = Proxy(self)
+        self.hold()
+        stream = proxy.ask(1, "load")
+        self.assertIsNone(proxy.answer(stream))
+        proxy.reset(stream)
+        for engine in self.engines().values():
+            engine.aside_until = 0.0
+        again = proxy.ask(1, "load")
+        self.assertIsInstance(proxy.answer(again), str)
+
+    def test_each_end_of_an_irreversible_grant_and_the_same_id_by_another_path(self) -> None:
+        for how, second in (("reset", 500), ("cut", 500), ("end", 500), ("silent", 500), ("200", 500),
+                            ("500", 500), ("503", 500), ("503 with proof", "granted"), ("running", 500)):
+            for path in ("proxy", "http"):
+                with self.subTest(how=how, path=path):
+                    self.setUp()
+                    proxy, other = Proxy(self), Proxy(self)
+                    stream = proxy.ask(1, "load")
+                    if how == "reset":
+                        proxy.reset(stream)
+                    elif how == "cut":
+                        proxy.protocol.connectionLost()
+                    elif how == "end":
+                        proxy.h2.end_stream(stream)
+                        proxy.push()
+                    elif how == "silent":
+                        self.world.go(2200)
+                    elif how != "running":
+                        proxy.outcome(stream, int(how[:3]), "proof" in how)
+                    self.world.go()
+                    if path == "proxy":
+                        found = other.answer(other.ask(1, "load"))
+                        found = "granted" if isinstance(found, str) else found
+                    else:
+                        caller = Caller(self.world)
+                        caller.post(1, "load")
+                        answers = caller.answers()
+                        found = answers[0][0] if answers else "granted"
+                    self.assertEqual(found, second)
+
+    def test_two_streams_with_one_id_in_one_turn(self) -> None:
+        proxy = Proxy(self)
+        streams = [proxy.open(), proxy.open()]
+        for stream in streams:
+            proxy.say(stream, request(Asked("00000000000000aa", True, 20.0), 2000).SerializeToString())
+        proxy.push()
+        answers = [proxy.answer(stream) for stream in streams]
+        self.assertEqual(sum(isinstance(answer, str) for answer in answers), 1)
+        self.assertIn(answers[1], (409, 500))
+
+    def test_known_after_a_kill_by_the_ledger(self) -> None:
+        proxy = Proxy(self)
+        proxy.ask(1, "load")
+        self.world = World(self, engines=2)
+        self.make(Terms())
+        self.ledger()
+        again = Proxy(self)
+        self.assertEqual(again.answer(again.ask(1, "load")), 500)
+        self.assertIsInstance(again.answer(again.ask(1, "lookup")), str)
+
+    def test_a_full_disk_sheds_what_must_not_repeat_and_reads_go_on(self) -> None:
+        guard: Any = self.world.service.link.guard
+        guard.ledger.most_bytes = guard.ledger.bytes + 3
+        proxy = Proxy(self)
+        stream, read = proxy.ask(1, "load"), proxy.ask(2, "lookup")
+        self.world.go(100)
+        proxy.read()
+        self.assertEqual(proxy.answer(stream), 503)
+        self.assertIsInstance(proxy.answer(read), str)
+
+    def test_held_past_the_callers_time_it_is_refused_in_time_or_asked_for_more(self) -> None:
+        proxy = Proxy(self)
+        self.hold()
+        stream = proxy.ask(1)
+        self.world.go(170)
+        self.assertIsNone(proxy.answer(stream))
+        self.world.go(20)
+        proxy.read()
+        self.assertEqual(proxy.answer(stream), 503)
+        headers = {option.header.key: option.header.raw_value for option in
+                   proxy.got[stream][0].immediate_response.headers.set_headers}
+        self.assertEqual(headers["srv-wait-ms"], b"500")
+        self.make(Terms(message_timeout=200, most_timeout=1000))
+        patient = Proxy(self)
+        stream = patient.ask(2)
+        self.world.go(500)
+        patient.read()
+        self.assertEqual(patient.got[stream][0].override_message_timeout.seconds, 1)
+        self.assertIsNone(patient.answer(stream))
+        self.world.go(500)
+        patient.read()
+        self.assertEqual(patient.answer(stream), 503)
+        self.assertEqual(pb.ProcessingResponse.FromString(wait_longer(250)).override_message_timeout.nanos,
+                         250_000_000)
+
+    def test_the_streams_own_timeout_binds(self) -> None:
+        proxy = Proxy(self)
+        self.hold()
+        stream = proxy.ask(1, more=((b"grpc-timeout", b"60m"),))
+        self.world.go(45)
+        proxy.read()
+        self.assertEqual(proxy.answer(stream), 503)
+
+    def test_an_engine_that_drains_before_the_grant_leaves_gets_nothing(self) -> None:
+        proxy = Proxy(self)
+        engines = self.world.service.engines.engines
+        for engine in engines.values():
+            engine.seat = engine.seat._replace(life=Life.DRAINING)
+        stream = proxy.ask(1)
+        self.assertNotIsInstance(proxy.answer(stream), str)
+        self.assertGreater(self.world.count("grants_not_said"), 0)
+
+    def test_an_outcome_that_comes_late_changes_nothing(self) -> None:
+        proxy = Proxy(self)
+        stream = proxy.ask(1)
+        self.world.go(2200)
+        self.assertEqual((self.out(), self.world.count("trips_time_out")), (0, 1))
+        proxy.outcome(stream, 200)
+        self.assertEqual(proxy.status[stream], "0")  # nothing more is wanted of it
+        self.assertEqual(self.world.count("extproc_outcomes_late"), 1)
+        self.assertEqual(self.world.count("trips_delivered"), 0)
+
+    def test_bad_messages_end_their_call_only(self) -> None:
+        proxy = Proxy(self)
+        good = proxy.ask(1)
+        for prefix, message, status in (
+                (None, b"\xff\xff\xff", None), (struct.pack("!BI", 1, 2), b"xx", "12"),
+                (struct.pack("!BI", 0, 10_485_760), b"x", "8"), (None, b"", None)):
+            stream = proxy.open()
+            proxy.say(stream, message, prefix=prefix)
+            proxy.push()
+            found = proxy.answer(stream) if status is None else proxy.status.get(stream)
+            self.assertEqual(found, status or 400)
+        early = proxy.open()
+        proxy.say(early, response(200, False).SerializeToString())
+        proxy.push()
+        self.assertEqual(proxy.status[early], "9")
+        torn = proxy.open()
+        proxy.say(torn, b"ab", end=True, prefix=struct.pack("!BI", 0, 9))
+        proxy.push()
+        self.assertEqual(proxy.status[torn], "3")
+        unknown = proxy.open()
+        extra = request(Asked(f"{9:016x}", False, 20.0), 2000).SerializeToString() + b"\xa2\x06\x03abc"
+        proxy.say(unknown, extra)
+        proxy.push()
+        self.assertIsInstance(proxy.answer(unknown), str)
+        proxy.outcome(good, 200)
+        self.assertEqual(self.world.count("trips_delivered"), 1)
+
+    def test_other_methods_and_too_many_calls_are_refused(self) -> None:
+        proxy = Proxy(self)
+        stream = proxy.h2.get_next_available_stream_id()
+        proxy.h2.send_headers(stream, [(name, b"/x" if name == b":path" else value) for name, value in HEAD])
+        proxy.push()
+        self.assertEqual(proxy.status[stream], "12")
+        self.server.door.calls = self.bounds.calls
+        late = proxy.open()
+        proxy.push()
+        self.assertEqual(proxy.status[late], "8")
+
+    def test_silent_streams_reset_floods_and_control_floods_end(self) -> None:
+        proxy = Proxy(self)
+        stream = proxy.open()
+        proxy.push()
+        self.world.go(2100)
+        self.server.sweep()
+        proxy.read()
+        self.assertEqual(proxy.status[stream], "4")
+        for _ in range(30):
+            if not proxy.pipe.disconnecting:
+                proxy.reset(proxy.open())
+        self.assertTrue(proxy.pipe.disconnecting)
+        pinger = Proxy(self)
+        for number in range(60):
+            if not pinger.pipe.disconnecting:
+                pinger.h2.ping(struct.pack("!Q", number))
+                pinger.push()
+        self.assertTrue(pinger.pipe.disconnecting)
+        self.assertEqual(self.out(), 0)
+
+    def test_a_tiny_window_gets_its_answer_piece_by_piece(self) -> None:
+        proxy = Proxy(self)
+        proxy.h2.update_settings({4: 20})
+        proxy.push()
+        stream = proxy.ask(1)
+        self.assertIsNone(proxy.answer(stream))
+        for _ in range(60):
+            proxy.h2.increment_flow_control_window(20, stream)
+            proxy.push()
+        self.assertIsInstance(proxy.answer(stream), str)
+
+    def test_garbage_and_noise_end_their_connection_only(self) -> None:
+        chance = random.Random(3)
+        kept = Proxy(self)
+        for _ in range(150):
+            proxy = Proxy(self)
+            proxy.open()
+            text = bytearray(proxy.h2.data_to_send() + chance.randbytes(30))
+            text[chance.randrange(len(text))] ^= 0xFF
+            proxy.protocol.dataReceived(bytes(text))
+            proxy.protocol.connectionLost()
+        self.assertIsInstance(kept.answer(kept.ask(5)), str)
+        self.assertEqual(self.server.door.connections, 1)
+
+    def test_a_planned_stop_refuses_new_calls_and_ends_those_in_hand(self) -> None:
+        proxy = Proxy(self)
+        stream = proxy.ask(1)
+        self.server.stop()
+        proxy.read()
+        late = proxy.h2.get_next_available_stream_id()
+        proxy.protocol.dataReceived(b"")
+        self.assertGreater(late, stream)
+        proxy.protocol.request(late, HEAD)
+        proxy.protocol.dataReceived(self.frame(stream, response(200, False).SerializeToString()))
+        self.world.go()
+        self.assertEqual(self.world.count("trips_delivered"), 1)
+
+    @staticmethod
+    def frame(stream: int, message: bytes) -> bytes:
+        text = struct.pack("!BI", 0, len(message)) + message
+        return struct.pack("!I", len(text))[1:] + b"\0\0" + struct.pack("!I", stream) + text
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -24,6 +24,7 @@
 class Files(unittest.TestCase):
     def test_the_example_can_be_used(self) -> None:
         found = read(str(EXAMPLE))
+        assert found.vrrp is not None
         self.assertEqual((found.vrrp.groups[0].interval, found.vrrp.groups[0].preempt_delay), (100.0, 1000.0))
         self.assertEqual(found.tenure.lease, 1000.0)
 
