--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -64,8 +64,7 @@
     from twisted.internet.main import installReactor
 
     class SteadyReactor(EPollReactor):
-        def seconds(self) -> float:
-            return time.monotonic()
+        seconds = staticmethod(time.monotonic)
     reactor = cast(Any, SteadyReactor)()
     cast(Any, installReactor)(reactor)
     return reactor
@@ -144,6 +143,8 @@
             self.link.guard = LedgerGuard(self.ledger, must_not_repeat(site), self.plan.ledger.keep,
                                           site.most_come_back, self.loop, self.counters, self.log,
                                           self.link.guard)
+            if self.station is not None:
+                self.station.recall(self.ledger.ends)
             self.log.info("ledger", extra={"figures": {
                 "recovered": self.ledger.recovered, "torn_tails": self.ledger.torn,
                 "bytes": self.ledger.bytes}})
--- a/spurdeal/lab/asking.py
+++ b/spurdeal/lab/asking.py
@@ -34,10 +34,11 @@
 SIZES = {"tiny": (100, 700, 1), "quick": (800, 2400, 2), "full": (3000, 9000, 2)}  # clean, chaotic, kills
 
 
-def settings(folder: Path) -> str:
+def settings(folder: Path, ledger: bool) -> str:
+    kept = f"ledger: {{path: {folder}/ledger, flush: turn, keep: 60s}}" if ledger else ""
     return f"""
 name: n1
-ledger: {{path: {folder}/ledger, flush: turn, keep: 60s}}
+{kept}
 extproc:
   listen: {HOST}:{ASK}
   message_timeout: {MESSAGE_TIMEOUT:.0f}ms
@@ -65,12 +66,12 @@
     def __init__(self, folder: Path, known: dict[str, Any]) -> None:
         self.folder = folder
         (folder / "n1.json").write_text(json.dumps(configuration(known)))
-        (folder / "n1.yaml").write_text(settings(folder))
         self.child: subprocess.Popen[bytes] | None = None
         self.away: list[tuple[float, float]] = []
         self.ledger: Counter[str] = Counter()
 
-    def start(self) -> None:
+    def start(self, ledger: bool = True) -> None:
+        (self.folder / "n1.yaml").write_text(settings(self.folder, ledger))
         with open(self.folder / "n1.log", "ab") as log:
             self.child = subprocess.Popen(
                 [sys.executable, "-O", "-m", "spurdeal", "extproc", "serve", "--settings",
@@ -99,6 +100,11 @@
         self.ledger["bytes"] = max(self.ledger["bytes"], found.get("ledger_bytes_most", 0))
         return found
 
+    async def stop(self) -> None:
+        assert self.child is not None
+        self.child.terminate()
+        await asyncio.get_running_loop().run_in_executor(None, self.child.wait)
+
     async def kill(self, torn: bool) -> None:
         await self.note()
         assert self.child is not None
@@ -232,7 +238,7 @@
     async def go(self) -> dict[str, Any]:
         count, chaotic, kills_due = SIZES[self.size]
         rate = RATE
-        self.dispatcher.start()
+        self.dispatcher.start(ledger=False)
         await self.dispatcher.ready()
         target = f"{HOST}:{ASK}"
         plain = [Proxy(f"p{place}", target, place, MESSAGE_TIMEOUT, 0.0) for place in (1, 2)]
@@ -245,6 +251,13 @@
         async def forward(asked: Asked) -> None:
             asked.answers.append(await by_http(asked, WAIT))
         await self.paced(200, rate, ask)  # warm: imports, connections
+        unledgered = await self.clean(count, rate, ask)
+        await self.dispatcher.stop()
+        self.dispatcher.start()
+        await self.dispatcher.ready()
+        for proxy in plain:
+            await proxy.cut()
+        await self.paced(200, rate, ask)
         await self.paced(200, rate, forward)
         for proxy in plain:
             proxy.decided.clear()
@@ -265,9 +278,9 @@
         await asyncio.sleep(0.5)
         self.engines.terminate()
         self.runs.update(json.loads(self.engines.communicate(timeout=10)[0]))
-        return self.figures(plain, decisions, forwarded, kills, counters)
+        return self.figures(plain, decisions, unledgered, forwarded, kills, counters)
 
-    def figures(self, plain: list[Proxy], decisions: float, forwarded: float, kills: int,
+    def figures(self, plain: list[Proxy], decisions: float, unledgered: float, forwarded: float, kills: int,
                 counters: dict[str, int]) -> dict[str, Any]:
         runs = self.runs
         counts: Counter[str] = Counter()
@@ -288,6 +301,7 @@
             "refused_unproven": sum(runs[asked.ident] > 0 for asked in loads
                                     if asked.answers == [503]),
             "decide_ms": spread(decided), "decisions_per_cpu_second": round(decisions),
+            "ledger_cpu_share": round(1 - decisions / unledgered, 3),
             "forwarded_per_cpu_second": round(forwarded), "ratio": round(decisions / forwarded, 2),
             "ledger": {"appended": self.dispatcher.ledger["appended"],
                        "torn_tails": self.dispatcher.ledger["torn"],
--- a/spurdeal/settings/installation.py
+++ b/spurdeal/settings/installation.py
@@ -157,7 +157,7 @@
 
     path: str = Field(min_length=1, description="a folder of its own, on a disk that outlives the process")
     flush: Literal["always", "turn", "never"] = Field(
-        "turn", description="always: on the disk before it is sent; turn: within 10ms; never: when it likes")
+        "turn", description="always: on the disk before it is sent; turn: within 50ms; never: when it likes")
     keep: Duration = Field(60_000.0, description="an id is kept for so long after its submission's expiry")
     ids: int = Field(1_000_000, ge=100, le=20_000_000, description="most ids kept; then they are shed")
     bytes: int = Field(268_435_456, ge=65_536, description="most bytes of the log; then they are shed")
--- a/spurdeal/store/ledger.py
+++ b/spurdeal/store/ledger.py
@@ -6,7 +6,7 @@
 and what a failure means.
 
 flush: `always` (each write is on the disk before a submission is sent: outlives the machine), `turn` (left to
-a timer of 10 ms: outlives the process, and the machine but for the last 10 ms), `never` (outlives the
+a timer of 50 ms: outlives the process, and the machine but for the last 50 ms), `never` (outlives the
 process)."""
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 from .records import MAGIC, Kind, Record, read, write
 
 FLUSHES = ("always", "turn", "never")
-TURN = 0.01  # seconds between two flushes with `turn`
+TURN = 0.05  # seconds between two flushes with `turn`
 GROWN = 2.0  # a log so many times its snapshot's size is written anew
 LEAST = 65_536  # bytes below which it is not
 TRY_EVERY = 1000.0  # ms between two tries to write anew after a failure
--- a/spurdeal/vrrp/marks.py
+++ b/spurdeal/vrrp/marks.py
@@ -70,6 +70,11 @@
         del self.known[ident]
         return found.turn
 
+    def recall(self, ident: bytes, until: float) -> None:
+        """An earlier start of ours may have sent it, as its ledger tells; new peers are told."""
+        if ident not in self.known and len(self.known) < self.most:
+            self.keep_mark(ident, Mark(until, "", True, 0))
+
     # What peers tell.
 
     def peer_marks(self, now: float, peer: str, ident: bytes, left: float, turn: float) -> bool:
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from ipaddress import ip_address
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -163,6 +163,13 @@
         self.counters.add("installations_unusable")
         self.log.error("installation_kept", extra={"figures": {"why": why}})
 
+    def recall(self, ends: Mapping[bytes, float]) -> None:
+        """The ledger's ids with their ends in Unix ms: peers that have lost theirs get them from us."""
+        if self.handover is not None:
+            apart = self.monotonic() - self.link.clock()
+            for ident, until in ends.items():
+                self.handover.marks.recall(ident, until + apart)
+
     # Time.
 
     def every(self) -> None:
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -24,6 +24,18 @@
         self.assertEqual([side.holds() for side in pair.sides.values()], [True, False])
         return pair
 
+    def test_two_groups_with_opposite_priorities_let_both_work(self) -> None:
+        group = "{{group: 2, priority: OTHER, interval: {interval}, addresses: [127.0.7.2]}}, {{group: 1,"
+        plan = PLAN.replace("{{group: 1,", group)
+        pair = Pair(self, plan=plan.replace("OTHER", "100"), priorities={"n1": 150, "n2": 50})
+        pair.go(3500)
+        held = [side.station.groups.held() for side in pair.sides.values()]
+        self.assertEqual(held, [[1], [2]])
+        self.assertEqual([side.station.tenure.part(pair.mono()) for side in pair.sides.values()], [0.5, 0.5])
+        pair.sides["n1"].kill()
+        pair.go(500)
+        self.assertEqual(sorted(pair.sides["n2"].station.groups.held()), [1, 2])
+
     def test_killed_it_is_replaced_within_active_down_interval(self) -> None:
         pair = self.settled()
         pair.sides["n1"].kill()
@@ -248,6 +260,19 @@
         self.assertLessEqual(sum(ran), 1)
         self.assertIn([BrokenOff()], answers)
 
+    def test_both_killed_each_recalls_by_its_ledger_and_tells_the_other(self) -> None:
+        pair = self.pair()
+        one, two = pair.sides.values()
+        one.submit(X)
+        pair.go(20)
+        for side in (one, two):
+            side.kill()
+        one, two = pair.again("n1"), pair.again("n2")
+        one.station.recall({X: pair.unix() + 60_000})  # what its ledger holds
+        self.assertEqual(two.submit(X), [Shed(500.0)])  # it does not know yet what its peer knows
+        pair.go(1000)
+        self.assertEqual([two.submit(X), one.submit(X)], [[BrokenOff()], [BrokenOff()]])
+
     def test_the_peer_is_away(self) -> None:
         pair = self.pair()
         pair.sides["n2"].kill()
