Each field of our messages is held against the published number and kind

Need: our .proto is a part of the published one, and a wrong number would be read as an unknown field.

--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -8,11 +8,15 @@
 from typing import Any
 
 import h2.events
+from envoy.config.core.v3 import base_pb2
 from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
+from envoy.type.v3 import http_status_pb2
+from google.protobuf import duration_pb2
 from h2.config import H2Configuration
 from h2.connection import H2Connection
 from h2.errors import ErrorCodes
 
+from spurdeal.extproc import processor_pb2
 from spurdeal.extproc.answers import wait_longer
 from spurdeal.extproc.bounds import Bounds, Door, Meter
 from spurdeal.extproc.calls import BadCall, Terms, header_map, outcome, patience, read_ask, times
@@ -96,6 +100,22 @@
         self.assertEqual((door.connections, door.calls), (0, 1))
 
 
+class Numbers(unittest.TestCase):
+    def test_every_field_of_ours_has_the_published_number_and_kind(self) -> None:
+        published = {message.name: message for module in (pb, base_pb2, http_status_pb2, duration_pb2)
+                     for message in module.DESCRIPTOR.message_types_by_name.values()}
+        checked = 0
+        for name, message in processor_pb2.DESCRIPTOR.message_types_by_name.items():
+            for field in message.fields:
+                theirs = published[name].fields_by_name[field.name]
+                wire = {field.type, theirs.type}
+                with self.subTest(field.full_name):
+                    self.assertEqual((field.number, field.is_repeated), (theirs.number, theirs.is_repeated))
+                    self.assertTrue(len(wire) == 1 or wire == {field.TYPE_INT32, field.TYPE_ENUM})
+                checked += 1
+        self.assertGreater(checked, 40)
+
+
 class Proxy:
     """A caller's side of one connection, by h2 and published messages."""
 
