--- a/spurdeal/extproc/grants.py
+++ b/spurdeal/extproc/grants.py
@@ -92,7 +92,3 @@
         """How the grant ends by this; None where it is over already."""
         grant = self.open.pop(number, None)
         return None if grant is None else ENDS[grant.stage, seen]
-
-    def overdue(self, now: float) -> list[int]:
-        return [grant.number for grant in self.open.values()
-                if grant.stage is Stage.SAID and now >= grant.until]
--- a/spurdeal/extproc/server.py
+++ b/spurdeal/extproc/server.py
@@ -31,8 +31,7 @@
 from .grants import Grants, Seen
 
 METHOD = b"/envoy.service.ext_proc.v3.ExternalProcessor/Process"
-OK, CANCELLED, BAD_ARGUMENT, TOO_LATE, TOO_MUCH, OUT_OF_ORDER, UNKNOWN_METHOD, INTERNAL, AWAY = \
-    0, 1, 3, 4, 8, 9, 12, 13, 14  # gRPC's status codes
+OK, BAD_ARGUMENT, TOO_LATE, TOO_MUCH, OUT_OF_ORDER, UNKNOWN_METHOD = 0, 3, 4, 8, 9, 12  # gRPC status
 PREFIX = struct.Struct("!BI")
 FRAMED = {phase: PREFIX.pack(0, len(message)) + message for phase, message in answers.GO_ON.items()}
 END = ((b"grpc-status", b"0"),)
--- a/spurdeal/lab/asking.py
+++ b/spurdeal/lab/asking.py
@@ -224,7 +224,6 @@
                     self.missing += 1
             if status in (200, 500, 502, 503, 409, 400):
                 break
-            asked.unsure = True
             proxy = self.proxies[1 - self.proxies.index(proxy)]
             if status == -1:
                 await asyncio.sleep(PAUSE)  # nobody was there; it has taken no way
--- a/spurdeal/lab/front.py
+++ b/spurdeal/lab/front.py
@@ -30,7 +30,6 @@
     expiry: float
     ways: list[Place] = field(default_factory=list)  # who had it whole, in order
     answers: list[int] = field(default_factory=list)
-    late: int = 0
     unanswered: list[Place] = field(default_factory=list)  # whose connection ended, or time ran out, first
     over: bool = False
 
--- a/spurdeal/lab/proxy.py
+++ b/spurdeal/lab/proxy.py
@@ -28,7 +28,6 @@
     cost: float
     ways: list[str] = field(default_factory=list)
     answers: list[int] = field(default_factory=list)
-    unsure: bool = False  # on some way nobody knows what became of it
 
 
 def request(asked: Asked, wait: float) -> Any:
--- a/spurdeal/vrrp/tenure.py
+++ b/spurdeal/vrrp/tenure.py
@@ -60,13 +60,6 @@
         """Something goes to a cold engine."""
         self.used_at = now
 
-    def changes_at(self, now: float) -> float:
-        """When `part` or `start` next changes by itself."""
-        moments = [self.own_from]
-        moments += [moment for until in self.lent_until.values() for moment in (until, until + self.window)]
-        moments += [moment for loan in self.loans.values() for moment in (loan.since, loan.until)]
-        return min((moment for moment in moments if moment > now), default=float("inf"))
-
     # Lending: said in the datagrams to one peer.
 
     def lend(self, now: float, peer: str, idle: bool) -> tuple[float, float]:
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -81,7 +81,6 @@
         self.assertIsNone(grants.heard(1, Ending.DELIVERED))  # nobody was told where to send it
         self.assertTrue(grants.say(10, 1, 7, 500))
         self.assertFalse(grants.say(10, 1, 7, 500))
-        self.assertEqual((grants.overdue(499), grants.overdue(500)), ([], [1]))
         self.assertEqual(grants.heard(1, Ending.DELIVERED), Ending.DELIVERED)
         self.assertEqual((grants.heard(1, Ending.ERROR), grants.happens(1, Seen.CUT)), (None, None))
         self.assertEqual(grants.happens(2, Seen.CUT), Ending.MOOT)
