--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -19,7 +19,7 @@
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
 INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
 START_THREADS, FLOOR = 2.0, 0.125  # n* starts at so many threads a core, over all dispatchers; its least part
-PRESSURE, PRESSURE_HOLD = 1.5, 1000.0  # this many times its best latency is pressure, for this long
+PRESSURE, PRESSURE_HOLD = 1.5, 1000.0  # this many times its best, and the calmest middle, is pressure; ms
 JAM = 2.5  # where engines page, one this far over its best latency gives up a step of n*
 UNSEEN, SPARE = 1.25, 2.0  # in n*, in widest submissions: own threads out that count as pressure unheard
 POOL = 6.0  # threads' worth of evidence that all engines together lend to each, where its own is thin
@@ -55,9 +55,14 @@
         self.number, self.line, self.cores = line.engine, line, cores[line.kind % len(cores)]
         self.out: dict[tuple[int, int], Trip] = {}
         self.threads, self.overdue, self.answered, self.luck = 0, 0, now, 1.0
-        self.aside_until, self.warm_at, self.struck, self.trial = 0.0, 0.0, 0.0, False
+        self.aside_until, self.struck, self.trial = 0.0, 0.0, False
         self.cold_sends, self.ghosts = deque[tuple[float, float]](), deque[tuple[float, int]]()
         self.start_over(0.0)
+        self.be_cold(0.0, now, 0.0)
+
+    def be_cold(self, until: float, since: float, part: float) -> None:
+        """What may go there begins from a part, drawn by chance, of the next light submission."""
+        self.warm_at, self.cold_from, self.cold_part, self.cold_spent = until, since, part, 0.0
 
     def start_over(self, start: float) -> None:
         """A hang or a restart swings n* and P: both begin anew."""
@@ -121,6 +126,8 @@
         self.usual, self.best = [0.0 for _ in site.workloads], [1.0 for _ in site.workloads]
         self.paces, self.pace = [Histogram(PACE_EDGES) for _ in site.workloads], Histogram(PACE_EDGES)
         self.middle, self.pressed_until, self.next_interval = 1.0, 0.0, now + INTERVAL
+        # How far a calm pace spreads is not known yet: as far as is believed.
+        self.calmest, self.pressing, self.demand = 0.0, PRESSURE * PRESSURE, 0.0
         self.chain = (self.duty_stage, self.share_stage, self.order_stage, self.line_stage, self.choice_stage,
                       self.trip_stage)
         link.wake(TICK, WAKE_TICK)
@@ -136,7 +143,8 @@
             if line.engine not in self.engines or line.started != engine.line.started:
                 engine.start_over(START_THREADS * engine.cores * self.own / self.all)
                 engine.aside_until, engine.trial, engine.luck = 0.0, False, self.chance.draw()
-                engine.warm_at = line.started + self.cold_for if line.started else 0.0
+                engine.be_cold(line.started + self.cold_for if line.started else 0.0, now,
+                               self.chance.draw() if line.started else 0.0)
                 # What we sent before our own restart is unknown: the budget counts as spent for one window.
                 engine.cold_sends.append((self.began, self.cold_budget * engine.cores))
             engine.line = line
@@ -240,6 +248,7 @@
             self.link.terms(s.number, self.grant * s.memory, CHEAP_PRIORITY if s.cheap else HEAVY_PRIORITY)
         if engine.warm_at > self.now:
             engine.cold_sends.append((self.now, self.usual[s.kind]))
+            engine.cold_spent += self.usual[s.kind]
         engine.answered = engine.answered if len(engine.out) > 1 else self.now
         self.link.send(s.number, engine.number, 0.0)
         return True
@@ -280,7 +289,9 @@
             engines = [e for e in engines if not self.stands(e, s.group)] or engines
         # Where n* is under one submission ties are the rule: fewer trips out, then better pace of two drawn.
         # One that fails at once has fewest out: its errors since it last delivered count as threads.
+        # A cold one whose part has come together first: left to chance, most of it would go unused.
         ranks = [(-(e.threads + e.errors) / e.cores if fewest else e.room(),
+                  e.warm_at > self.now and self.cold_budget * e.cores < self.usual[s.kind],
                   -len(e.out) if e.bound < w.threads else 0) for e in engines]
         top = max(ranks, default=None)
         best = [e for e, rank in zip(engines, ranks, strict=True) if rank == top]
@@ -309,14 +320,17 @@
         while engine.cold_sends and engine.cold_sends[0][0] <= self.now - self.cold_window:
             engine.cold_sends.popleft()
         budget, sent = self.cold_budget * engine.cores, sum(sent for _, sent in engine.cold_sends)
-        # Our share may be under one submission: light ones then go by chance, so that it holds in sum.
-        light = work <= self.light * engine.cores
-        return work + sent <= budget or (light and not sent and engine.luck < budget / work)
+        # Our share may be under one submission: a light one then goes once it has come together, from a part
+        # drawn at the start, so that in sum over all dispatchers the shares are sent and no more.
+        part = (engine.cold_part * work + budget * (self.now - engine.cold_from) / self.cold_window
+                - engine.cold_spent)
+        engine.cold_spent += max(0.0, part - work)  # no more than one comes together: a burst would send all
+        return work + sent <= budget or (work <= self.light * engine.cores and not sent and part >= work)
 
     def admits(self, engine: Engine, threads: int, calm: bool, even: bool) -> bool:
         """The bound binds only under pressure; below one query's threads it is a matter of chance."""
         after = engine.threads + threads
-        calm = calm and self.now >= engine.pressed_until and engine.slowness <= PRESSURE
+        calm = calm and self.now >= engine.pressed_until and engine.slowness <= self.pressing
         if after <= engine.bound or (calm and (not engine.threads or after <= UNSEEN * engine.bound)):
             return True
         return even and engine.bound < threads and not engine.out and engine.luck < engine.bound / threads
@@ -423,6 +437,8 @@
             elif late and not s.late:
                 s.late = True
                 s.rank = self.rank(s)
+        self.demand += sum(s.workload.threads for s in self.held if not s.over) \
+            + sum(e.threads for e in self.ready)
         self.held = sorted((s for s in self.held if not s.over), key=lambda held: held.rank)
         while self.held and len(self.open) > CROWDED * self.ways_in:  # or new ones find no way in
             self.end(self.held.pop())
@@ -437,9 +453,9 @@
             for t in e.out.values():
                 age = (self.now - t.sent) / t.submission.due
                 self.mind(e, t, age / max(1.0, e.slowness))
-                e.overdue += t.submission.workload.threads if age > PRESSURE and not t.stands else 0
+                e.overdue += t.submission.workload.threads if age > self.pressing and not t.stands else 0
         late = sum(e.overdue for e in busy) / (sum(e.threads for e in busy) + POOL)
-        if 2 * late > 1 or self.middle > PRESSURE:
+        if 2 * late > 1 or self.middle > self.pressing:
             self.pressed_until = self.now + PRESSURE_HOLD
         for e in busy:
             if 2 * (e.overdue + POOL * late) > e.threads + POOL:
@@ -515,7 +531,8 @@
         if e.strikes >= STRIKES or (e.trial and weight > STRIKE_RESET):
             self.set_aside(e, f"strikes {e.strikes:.1f}")
             if weight == STRIKE_LOST:  # it comes back cold, even where the list has not told
-                e.warm_at = max(e.warm_at, e.aside_until + self.cold_for)
+                since = max(self.now, e.aside_until)
+                e.be_cold(max(e.warm_at, e.aside_until + self.cold_for), since, self.chance.draw())
 
     def set_aside(self, e: Engine, why: str) -> None:
         """For a fixed time and a random part; never most of the fleet."""
@@ -527,8 +544,19 @@
         self.link.log(f"engine {e.number} aside: {why}, {len(e.out)} out, {len(aside)} others aside")
         self.call_off([t for t in e.out.values() if t.submission.workload.effect == Effect.REDOABLE])
 
+    def see_calm(self) -> None:
+        """Rough estimates alone spread paces: the calmest middle tells by how much. An interval in which more
+        was asked for than lets all in is no calm one."""
+        if self.pace.total >= BEST_SAMPLES:
+            bounds = sum(e.bound for e in self.ready)
+            if self.demand * TICK / INTERVAL <= UNSEEN * bounds + self.spare:
+                self.calmest = min(self.middle, self.calmest * BEST_DRIFT) if self.calmest else self.middle
+            self.pressing = PRESSURE * min(PRESSURE, self.calmest or 1.0)
+        self.demand = 0.0
+
     def close_interval(self) -> None:
         self.forget_times()
+        self.see_calm()
         self.lines = {key: line for key, line in self.lines.items() if line}
         self.rests = {key: rest for key, rest in self.rests.items() if rest > self.now}
         self.engines = {n: e for n, e in self.engines.items() if e.out or e.ghosts or e.line.life > Life.GONE}
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -160,6 +160,9 @@
     def do_bound(self, engine: str, wanted: str) -> None:
         self.case.assertAlmostEqual(self.rules.engines[int(engine)].bound, float(wanted))
 
+    def do_pressing(self, wanted: str) -> None:
+        self.case.assertAlmostEqual(self.rules.pressing, float(wanted), 2)
+
     def do_cold(self, engine: str) -> None:
         self.case.assertGreater(self.rules.engines[int(engine)].warm_at, self.now)
 
