--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -440,9 +440,8 @@
             elif late and not s.late:
                 s.late = True
                 s.rank = self.rank(s)
-        self.demand += sum(s.workload.threads for s in self.held if not s.over) \
-            + sum(e.threads for e in self.ready)
         self.held = sorted((s for s in self.held if not s.over), key=lambda held: held.rank)
+        self.demand += sum(s.workload.threads for s in self.held) + sum(e.threads for e in self.ready)
         while self.held and len(self.open) > CROWDED * self.ways_in:  # or new ones find no way in
             self.end(self.held.pop())
 
--- a/tests/test_confined.py
+++ b/tests/test_confined.py
@@ -113,6 +113,12 @@
         said = child.communicate(timeout=30)[1]
         self.assertEqual(child.returncode, 0, said)
 
+    def test_a_configuration_that_cannot_be_used_ends_it_the_same_way(self) -> None:
+        self.told.write_text("{")
+        child = self.start(sys.executable, "-O", "tests/confined.py", "spurdeal")
+        said = child.communicate(timeout=30)[1]
+        self.assertEqual((child.returncode, said.count("\n")), (2, 1), said)
+
     def test_each_planted_call_ends_the_process(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             for name, text in [*PLANTED.items(), ("what is allowed", ALLOWED)]:
