Fleet: membership, versions, lease, standing and bring-up, free of I/O, in virtual time

Handover is a full mesh of pairs and tells nothing of versions.

Nothing of it is in `run`.

Found by the worlds and mended: a newcomer's session was swept before its first word was taken; two processes under one name both got a lease (a warden now waits until the start before it counts no more).

--- /dev/null
+++ b/spurdeal/fleet/lease.py
@@ -0,0 +1,195 @@
+"""The lease on being current: who may act, by its own clock, and when others know that it cannot. Free of
+I/O.
+
+A dispatcher holds its lease while a stated part of its wardens has answered what it asked no longer than
+`lease` ago. Its wardens are a few members, the same for all who know the same (`members.rendezvous`), so that
+the cost stays level in large fleets; in small ones they are all the others. It counts from when it asked, a
+warden from when it answered, which is later: no clocks are compared, and a warden knows by its own clock a
+moment after which its answer counts no more (Gray and Cheriton, "Leases", 1989). Of k wardens w must answer;
+one whom k - w + 1 refuse has stopped (quorums that meet: Gifford, "Weighted voting", 1979).
+
+A warden that holds one for gone refuses it. Whoever wants to rely on the stop asks the wardens (`Inquiry`);
+one that gives its word is barred from answering the subject for a lease, and its word counts so long. So a
+conclusion holds as long as it is renewed, and its subject comes back only after it was given up.
+
+Wardens change with the fleet. A term has one set of them. A new term counts only once w of the old one have
+heard of it: k - w + 1 of the old ones then include one that knows, and who asks them is led on to the new. A
+start whose wardens are lost for good cannot go on: it comes back as a new start, which knows nothing and
+waits as one.
+
+Times are ms of one monotonic clock that runs on while the process stands still."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from typing import NamedTuple
+
+DRIFT = 0.01  # two clocks' rates differ by less
+WARDENS = 7
+NEVER = -math.inf
+
+
+class Term(NamedTuple):
+    """One set of wardens; the number only grows within a start."""
+
+    number: int
+    wardens: tuple[str, ...]
+
+    def needed(self, part: float) -> int:
+        """How many must answer: a part of them, one at least where there are any."""
+        return min(len(self.wardens), max(1, math.ceil(part * len(self.wardens) - 1e-9)))
+
+
+NO_TERM = Term(0, ())
+
+
+class Lease:
+    """Our own lease. `asked` are the moments of our questions that were answered, by warden."""
+
+    def __init__(self, lease: float, part: float) -> None:
+        self.lease, self.part = lease, part
+        self.term, self.asked = NO_TERM, dict[str, float]()
+        self.next: Term | None = None
+        self.next_asked: dict[str, float] = {}
+        self.next_told: set[str] = set()  # wardens of the term in force who have heard of the next
+        self.refused: set[str] = set()
+        self.alone = True  # nobody else was ever known: nobody needs to answer
+
+    def until(self) -> float:
+        """When it ends, if nobody answers from here on."""
+        if not self.term.wardens:
+            return math.inf if self.alone else NEVER
+        times = sorted((self.asked.get(name, NEVER) for name in self.term.wardens), reverse=True)
+        return times[self.term.needed(self.part) - 1] + self.lease
+
+    def holds(self, now: float) -> bool:
+        return now < self.until()
+
+    def propose(self, wardens: Sequence[str]) -> None:
+        """Whom the fleet as known now gives as wardens; also again, where some have refused this term."""
+        wanted = tuple(sorted(wardens))
+        if not wanted:
+            return
+        self.alone = False
+        newest = self.next or self.term
+        if wanted == newest.wardens and not self.refused:
+            return
+        self.next = Term(newest.number + 1, wanted)
+        self.next_asked, self.next_told, self.refused = {}, set(), set()
+
+    def whom(self) -> list[str]:
+        """All who are to be asked."""
+        return sorted({*self.term.wardens, *(self.next.wardens if self.next is not None else ())})
+
+    def answered(self, name: str, asked: float, heard_of: int, granted: bool) -> None:
+        """A warden's answer to what we asked at `asked`: the highest term of ours that it has heard of."""
+        newest = self.next or self.term
+        if not granted:
+            if heard_of == newest.number and name in newest.wardens:
+                self.refused.add(name)
+        elif name in self.term.wardens:
+            self.asked[name] = max(asked, self.asked.get(name, NEVER))
+        if self.next is None or heard_of < self.next.number:
+            return
+        if name in self.term.wardens:
+            self.next_told.add(name)
+        if granted and name in self.next.wardens:
+            self.next_asked[name] = max(asked, self.next_asked.get(name, NEVER))
+        enough = self.term.needed(self.part) if self.term.wardens else 0
+        if len(self.next_told) >= enough and len(self.next_asked) >= self.next.needed(self.part):
+            self.term, self.asked, self.next = self.next, self.next_asked, None
+            self.next_asked, self.next_told = {}, set()
+
+
+class Ward(NamedTuple):
+    """What a warden knows of one whom it watches."""
+
+    boot: int
+    term: Term
+    until: float  # by our clock: our answers count no longer
+    refused: int  # up to that term we answer no more
+    barred: float  # until then we answer nothing, since others rely on its stop
+
+
+class Wards:
+    """A warden's side: whom we have answered, until when that may count. Bounded by the members."""
+
+    def __init__(self, lease: float, now: float) -> None:
+        self.lease = lease * (1 + DRIFT)
+        self.wards: dict[str, Ward] = {}
+        # What an earlier start of ours has answered, or has barred, is not known any more.
+        self.rests_until = now + self.lease
+
+    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
+        """One asks us: the highest term of it that we have heard of, and whether we answer."""
+        newest = following or term
+        known = self.wards.get(name)
+        if known is not None and known.boot == boot and now < known.barred:
+            return known.term.number, False
+        if known is not None and known.boot != boot and now < max(known.until, known.barred):
+            return 0, False  # another start under this name may still act: two processes, or a quick restart
+        if known is None or known.boot != boot:
+            known = Ward(boot, newest, NEVER, -1, NEVER)
+        elif newest.number > known.term.number:
+            known = known._replace(term=newest)
+        granted = newest.number > known.refused and newest.number >= known.term.number \
+            and now >= self.rests_until
+        if granted:
+            known = known._replace(until=now + self.lease)
+        self.wards[name] = known
+        return known.term.number, granted
+
+    def refuse(self, name: str, boot: int) -> None:
+        """That start of it counts as gone here: on the terms that we know we answer it no more."""
+        known = self.wards.get(name)
+        if known is not None and known.boot == boot:
+            self.wards[name] = known._replace(refused=max(known.refused, known.term.number))
+
+    def word(self, now: float, name: str, boot: int) -> tuple[Term, bool, float] | None:
+        """For one who wants to rely on its stop: the newest term that we know, whether we refuse that, and
+        for how many ms yet our answers may count. We are barred from then on. None: we know nothing of that
+        start."""
+        known = self.wards.get(name)
+        if known is None or known.boot != boot:
+            return None
+        refused = known.refused >= known.term.number
+        if refused:
+            self.wards[name] = known._replace(barred=now + self.lease)
+        return known.term, refused, max(0.0, max(known.until, self.rests_until) - now)
+
+    def drop(self, name: str) -> None:
+        self.wards.pop(name, None)
+
+
+class Inquiry:
+    """Has one start of one member stopped? Its wardens are asked, and it is concluded by our clock alone."""
+
+    def __init__(self, name: str, boot: int, part: float, lease: float) -> None:
+        self.name, self.boot, self.part, self.lease = name, boot, part, lease
+        self.term = NO_TERM
+        # By warden: when its answers end, and until when its word counts.
+        self.words: dict[str, tuple[float, float]] = {}
+
+    def begin(self, term: Term) -> None:
+        """The newest term of it that we have heard of; a newer one begins the count anew."""
+        if term.number > self.term.number:
+            self.term, self.words = term, {}
+
+    def word(self, now: float, asked: float, name: str, term: Term, refused: bool, left: float) -> None:
+        """A warden's word, to what we asked at `asked`."""
+        self.begin(term)
+        if term.number != self.term.number or name not in self.term.wardens:
+            return
+        if refused:
+            ends = min(now + left, self.words[name][0]) if name in self.words else now + left
+            self.words[name] = (ends, asked + self.lease)
+        else:
+            self.words.pop(name, None)
+
+    def stopped(self, now: float) -> bool:
+        """It holds no lease, whatever its own clock says."""
+        if not self.term.wardens:
+            return False
+        count = sum(ends <= now < until for ends, until in self.words.values())
+        return count >= len(self.term.wardens) - self.term.needed(self.part) + 1
--- /dev/null
+++ b/spurdeal/fleet/members.py
@@ -0,0 +1,346 @@
+"""Who is in the fleet: alive, suspected, gone or left. Free of I/O and clocks.
+
+SWIM (Das, Gupta and Motivala, 2002): each period one member is probed, round a shuffled ring; one that does
+not answer is probed through others, then suspected; a suspicion that its subject does not refute ends it.
+News rides on the probes, each piece so many times as the logarithm of the fleet asks. Of Lifeguard (Dadgar,
+Phillips and Currey, 2018): who is slow itself probes slower and trusts itself less (local health), a
+suspicion runs shorter the more confirm it, and a suspected one is told so at the next probe.
+
+A record is ordered by its `turn`, which only its subject raises: by a new start, by a refutation, after a
+split. At one turn the graver word wins. Two starts with one turn are two processes under one name, or a new
+one that does not know the old one yet: see `contested`. Times are ms of one monotonic clock."""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+import math
+import random
+import zlib
+from collections.abc import Iterable
+from enum import IntEnum
+from typing import NamedTuple
+
+Address = tuple[str, int]
+MOST_MEMBERS = 1024
+SPREAD = 3  # times log2 of the fleet: how often each piece of news is told
+THROUGH = 3  # members asked to probe for us
+HEALTH_MOST = 8  # local health: probes are at most so many times slower
+SUSPECT_LEAST, SUSPECT_MOST = 4.0, 6.0  # periods times log10 of the fleet; the most, times the least
+CONFIRMED = 3  # so many confirm it: the least time holds
+RAISED_MOST = 1 << 40
+
+
+class Life(IntEnum):
+    """The graver word is the greater."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    GONE = 2
+    LEFT = 3
+
+
+class Record(NamedTuple):
+    """What is known of one member. boot tells its starts apart."""
+
+    name: str
+    host: str
+    port: int
+    boot: int
+    turn: int
+    life: Life
+    by: str = ""  # of a suspicion: who says so
+
+    @property
+    def address(self) -> Address:
+        return self.host, self.port
+
+
+class Change(NamedTuple):
+    """A member's life has changed in our view; why, in words for people."""
+
+    name: str
+    life: Life
+    boot: int
+    why: str
+
+
+class Probe(NamedTuple):
+    """One that waits for its answer."""
+
+    name: str
+    sent: float
+    due: float  # no answer by then: others are asked
+    end: float  # no answer by then: it failed
+    nacks: int  # others that were asked and owe a word
+
+
+class Suspicion(NamedTuple):
+    since: float
+    end: float
+    least: float
+    most: float
+    by: frozenset[str]
+
+
+class Members:
+    """One dispatcher's view of the fleet. `own` is its own record."""
+
+    def __init__(self, own: Record, period: float, forget: float, chance: random.Random, now: float) -> None:
+        self.own, self.period, self.forget_after, self.chance = own, period, forget, chance
+        self.others: dict[str, Record] = {}
+        self.living: set[str] = set()  # of the others, those who are not over
+        self.sum = 0
+        self.since: dict[str, float] = {}
+        self.suspicions: dict[str, Suspicion] = {}
+        self.ring: list[str] = []
+        self.probe: Probe | None = None
+        self.next_probe, self.ticked, self.next_forget = now, now, now
+        self.health = 0
+        self.news: dict[str, int] = {own.name: 0}  # how often told
+        self.changes: list[Change] = []
+        self.contested: Record | None = None  # another start under our name, until it is settled
+        self.refuted = 0
+        self.turns_seen = own.turn
+
+    # What is known.
+
+    def alive(self) -> list[str]:
+        """Others that are not known to be gone, suspected ones among them."""
+        return sorted(self.living)
+
+    def known(self) -> list[str]:
+        """Others that did not leave by themselves: whom a cut hides is still of the fleet."""
+        return [name for name, record in self.others.items() if record.life != Life.LEFT]
+
+    def size(self) -> int:
+        """Of the fleet, ourselves with it."""
+        return len(self.known()) + 1
+
+    def scale(self) -> float:
+        return max(1.0, math.log10(max(2, len(self.living) + 1)))
+
+    def table(self) -> list[Record]:
+        return [self.own, *self.others.values()]
+
+    def print(self) -> int:
+        """A sum over those who are not over, that two equal tables share, whatever their order."""
+        return self.sum ^ zlib.crc32(self.line(self.own))
+
+    @staticmethod
+    def line(record: Record) -> bytes:
+        return f"{record.name} {record.boot} {record.turn} {record.life:d}".encode()
+
+    def keep(self, name: str, record: Record | None) -> None:
+        """The table, who is living, and the sum go together."""
+        before = self.others.get(name)
+        if before is not None and before.life <= Life.SUSPECT:
+            self.sum ^= zlib.crc32(self.line(before))
+            self.living.discard(name)
+        if record is None:
+            self.others.pop(name, None)
+            return
+        self.others[name] = record
+        if record.life <= Life.SUSPECT:
+            self.sum ^= zlib.crc32(self.line(record))
+            self.living.add(name)
+
+    # News in.
+
+    def hear(self, now: float, record: Record, by: str) -> None:
+        """A piece of news, from whoever `by` is; older than what we know, it changes nothing."""
+        if record.name == self.own.name:
+            self.hear_of_self(record)
+            return
+        known = self.others.get(record.name)
+        if known is None and (len(self.others) >= MOST_MEMBERS or record.life >= Life.GONE):
+            return  # nobody is kept who is only known to be over
+        if known is not None:
+            if record.life is Life.SUSPECT and record[3:6] == known[3:6]:
+                self.confirm(now, record.name, record.by)
+            if (record.turn, record.life, record.boot) <= (known.turn, known.life, known.boot):
+                return
+        self.put(now, record, by)
+
+    def put(self, now: float, record: Record, by: str) -> None:
+        known = self.others.get(record.name)
+        self.keep(record.name, record)
+        self.news[record.name] = 0
+        if known is None:
+            self.ring.insert(self.chance.randrange(len(self.ring) + 1), record.name)
+        if record.life is not Life.SUSPECT:
+            self.suspicions.pop(record.name, None)
+        elif record.name not in self.suspicions or (known is not None and known[3:5] != record[3:5]):
+            self.suspicions[record.name] = self.suspicion(now, record.by)
+        if known is None or (known.life, known.boot) != (record.life, record.boot):
+            self.since[record.name] = now
+            new = known is not None and known.boot != record.boot
+            self.changes.append(Change(record.name, record.life, record.boot,
+                                       f"a new start, told by {by}" if new else f"told by {by}"))
+
+    def suspicion(self, now: float, by: str) -> Suspicion:
+        least = SUSPECT_LEAST * self.scale() * self.period
+        others = len(self.living)
+        most = least * (SUSPECT_MOST if others > 2 else 1.0)  # with nobody to confirm it, why wait?
+        return Suspicion(now, now + most, least, most, frozenset((by,)))
+
+    def confirm(self, now: float, name: str, by: str) -> None:
+        """Another says so: the time falls with the logarithm of how many (Lifeguard, section IV B)."""
+        found = self.suspicions.get(name)
+        if found is None or by in found.by or len(found.by) > CONFIRMED:
+            return
+        names = found.by | {by}
+        part = math.log(len(names)) / math.log(CONFIRMED + 1)
+        left = max(found.least, found.most - (found.most - found.least) * part)
+        self.suspicions[name] = found._replace(by=names, end=found.since + left)
+        self.news[name] = 0
+
+    def hear_of_self(self, record: Record) -> None:
+        """Others say of us what is not so: a later turn refutes it. Another start is left to who decides."""
+        self.turns_seen = max(self.turns_seen, record.turn)
+        if record.boot != self.own.boot:
+            if record.turn >= self.own.turn and record.life is not Life.LEFT:
+                self.contested = record
+            if record.life < Life.GONE:
+                return
+        if record.life is not Life.ALIVE and record.turn >= self.own.turn and self.own.life is not Life.LEFT:
+            self.refuted += 1
+            self.worse()
+            self.raise_turn(record.turn)
+
+    def raise_turn(self, beyond: int) -> None:
+        """We are here, whatever was told up to that turn."""
+        self.own = self.own._replace(turn=min(RAISED_MOST, max(beyond, self.own.turn) + 1))
+        self.news[self.own.name] = 0
+
+    def leave(self) -> None:
+        """A planned end: nobody needs to suspect us."""
+        self.own = self.own._replace(life=Life.LEFT, turn=self.own.turn + 1)
+        self.news[self.own.name] = 0
+
+    # News out.
+
+    def tell(self, most: int, to: str = "", boot: int = 0) -> list[Record]:
+        """Up to so many records, least told first. One of whom something else is known than that its start
+        `boot` is alive hears that first."""
+        limit = math.ceil(SPREAD * math.log2(len(self.living) + 2))
+        ranked = heapq.nsmallest(most, self.news,
+                                 key=lambda name: (self.news[name], name != self.own.name, name))
+        named = self.others.get(to)
+        first = [to] if named is not None and (named.life is not Life.ALIVE or named.boot != boot) else []
+        told = (first + [name for name in ranked if name != to])[:most]
+        for name in told:
+            if name in self.news:
+                self.news[name] += 1
+                if self.news[name] >= limit:
+                    del self.news[name]
+        return [self.own if name == self.own.name else self.as_told(self.others[name]) for name in told
+                if name == self.own.name or name in self.others]
+
+    def as_told(self, record: Record) -> Record:
+        """A suspicion is passed on in the name of one who says so: only different ones confirm one
+        another."""
+        found = self.suspicions.get(record.name)
+        return record._replace(by=self.chance.choice(sorted(found.by))) if found is not None else record
+
+    # Probes.
+
+    def tick(self, now: float) -> tuple[str | None, list[str]]:
+        """Whom to probe now, and whom to ask to probe for us. Call it often; it keeps its own periods."""
+        still = now - self.ticked
+        if still > 2 * self.period:
+            # We stood still, not they: what was due meanwhile proves nothing.
+            self.probe, self.health = None, HEALTH_MOST
+            self.suspicions = {name: each._replace(end=each.end + still, since=each.since + still)
+                               for name, each in self.suspicions.items()}
+            self.next_probe = now
+        self.ticked = now
+        for name in [name for name, each in self.suspicions.items() if now >= each.end]:
+            by = len(self.suspicions.pop(name).by)
+            record = self.others[name]._replace(life=Life.GONE, by="")
+            self.put(now, record, self.own.name)
+            self.changes[-1] = Change(name, Life.GONE, record.boot, f"did not refute {by} who suspected it")
+        if now >= self.next_forget:
+            self.next_forget = now + self.period * 5
+            self.forget(now)
+        asked = self.watch_probe(now)
+        if self.probe is None and now >= self.next_probe:
+            return self.next_one(now), asked
+        return None, asked
+
+    def watch_probe(self, now: float) -> list[str]:
+        probe = self.probe
+        if probe is None:
+            return []
+        if now >= probe.end:
+            self.probe = None
+            for _ in range(1 + (1 if probe.nacks else 0)):  # owed words that did not come: it may be us
+                self.worse()
+            self.failed(now, probe.name)
+        elif now >= probe.due:
+            others = [name for name in self.alive() if name != probe.name]
+            asked = self.chance.sample(others, min(THROUGH, len(others)))
+            self.probe = probe._replace(due=math.inf, nacks=len(asked))
+            return asked
+        return []
+
+    def failed(self, now: float, name: str) -> None:
+        record = self.others.get(name)
+        if record is None or record.life >= Life.GONE:
+            return
+        if record.life is Life.SUSPECT:
+            self.confirm(now, name, self.own.name)
+        else:
+            self.put(now, record._replace(life=Life.SUSPECT, by=self.own.name), self.own.name)
+
+    def next_one(self, now: float) -> str | None:
+        self.next_probe = now + self.period * (1 + self.health)
+        while self.ring:
+            name = self.ring.pop()
+            record = self.others.get(name)
+            # One that is gone is looked for now and then: a cut that has healed is found so.
+            if record is not None and (record.life <= Life.SUSPECT or (record.life is Life.GONE
+                                                                      and self.chance.random() < 0.3)):
+                return self.probing(now, name)
+        self.ring = [name for name, record in self.others.items() if record.life is not Life.LEFT]
+        self.chance.shuffle(self.ring)
+        return None if not self.ring else self.probing(now, self.ring.pop())
+
+    def probing(self, now: float, name: str) -> str:
+        scale = 1 + self.health
+        self.probe = Probe(name, now, now + 0.4 * self.period * scale, now + self.period * scale, 0)
+        return name
+
+    def answered(self, now: float, name: str) -> None:
+        """A word from that member itself, at whatever question."""
+        if self.probe is not None and self.probe.name == name:
+            self.probe = None
+            self.health = max(0, self.health - 1)
+
+    def nacked(self) -> None:
+        """One that was asked says that it got no answer either: it is not us who hears nothing."""
+        if self.probe is not None:
+            self.probe = self.probe._replace(nacks=max(0, self.probe.nacks - 1))
+
+    def worse(self) -> None:
+        self.health = min(HEALTH_MOST, self.health + 1)
+
+    def forget(self, now: float) -> None:
+        """Who is over for long is no more of the fleet."""
+        for name in [name for name, record in self.others.items()
+                     if record.life >= Life.GONE and now - self.since[name] > self.forget_after]:
+            self.drop(name)
+
+    def drop(self, name: str) -> None:
+        self.keep(name, None)
+        del self.since[name]
+        self.news.pop(name, None)
+        self.suspicions.pop(name, None)
+
+
+def rendezvous(name: str, others: Iterable[str], count: int) -> list[str]:
+    """The `count` of others with the highest weight for a name (Thaler and Ravishankar, 1998): the same for
+    all who know the same, and one that comes or goes moves only its own part."""
+    def weight(other: str) -> bytes:
+        return hashlib.blake2b(f"{name}\0{other}".encode(), digest_size=8).digest()
+    return sorted(others, key=weight, reverse=True)[:count]
--- /dev/null
+++ b/spurdeal/fleet/versions.py
@@ -0,0 +1,172 @@
+"""What a dispatcher acts on, each in a line of its own, and what others claim of it. Free of I/O and clocks.
+
+Each line has a single writer: the name service writes the list, operators write configuration and program,
+whoever changes keys writes those. So a version is ordered by what its writer tells, generation and number,
+and nothing is ever merged. Two contents under one version are a clash: it is seen, told, and each stays on
+what it has.
+
+A claim is what one dispatcher says it acts on. One witness is one witness: only what two claim, or what our
+own name service told, counts as existing, so that one that makes versions up makes nobody a straggler. And a
+claim far ahead of all that was seen is no version at all."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from enum import IntEnum
+from typing import Any, NamedTuple
+
+WITNESSES = 2
+MOST_STEP = 10_000  # numbers ahead of our own that a claim may lie
+MOST_CLASHES = 64
+DIGEST = 8  # bytes
+
+
+class Line(IntEnum):
+    LIST = 0
+    CONFIGURATION = 1
+    PROGRAM = 2
+    KEYS = 3
+
+
+class Version(NamedTuple):
+    """One state of a line. Ordered by generation and number; the digest names the content."""
+
+    generation: int
+    number: int
+    digest: str
+
+    @property
+    def order(self) -> tuple[int, int]:
+        return self.generation, self.number
+
+    def __str__(self) -> str:
+        return f"{self.generation}.{self.number}/{self.digest}"
+
+
+class Clash(NamedTuple):
+    """One version of a line with two contents, and who claims which."""
+
+    line: Line
+    generation: int
+    number: int
+    digests: tuple[str, str]
+    names: tuple[str, str]
+
+    def __str__(self) -> str:
+        one, two = self.digests
+        return (f"{self.line.name.lower()} {self.generation}.{self.number} is {one} at {self.names[0]} and "
+                f"{two} at {self.names[1]}")
+
+
+def digest_of(*parts: bytes) -> str:
+    """Of contents, in hex; parts are told apart by their lengths."""
+    found = hashlib.blake2b(digest_size=DIGEST)
+    for part in parts:
+        found.update(len(part).to_bytes(8, "big") + part)
+    return found.hexdigest()
+
+
+ROW = 9
+Row = tuple[Any, ...]
+
+
+def rows_of(seats: Iterable[Any]) -> dict[str, Row]:
+    """Seats, as net.names has them, in one form whoever told them; by id."""
+    return {seat.ident: (seat.ident, seat.host, seat.port, seat.location, seat.kind, seat.cell,
+                         int(seat.life), round(float(seat.weight), 3), int(seat.started)) for seat in seats}
+
+
+def list_digest(rows: Mapping[str, Row]) -> str:
+    return digest_of(repr(sorted(rows.values())).encode())
+
+
+class Book:
+    """Our versions in force, and what the others claim. Bounded by lines, members and MOST_CLASHES."""
+
+    def __init__(self, own: str) -> None:
+        self.own = own
+        self.force: dict[Line, Version] = {}
+        self.claims: dict[str, dict[Line, Version]] = {}
+        self.clashes: dict[tuple[Line, int, int], Clash] = {}
+        self.told: dict[Line, Version] = {}  # by our own source, whether or not it is in force
+        self.implausible: dict[str, int] = {}
+        self.found: dict[Line, Version | None] = {}  # what `newest` has found since anything changed
+
+    def take(self, line: Line, version: Version, by_source: bool = True) -> bool:
+        """Puts a version in force. False, and nothing changes, for one that is not newer: versions never go
+        back unasked, and other content under the version in force is a clash."""
+        before = self.force.get(line)
+        self.found.clear()
+        if by_source and (line not in self.told or version.order >= self.told[line].order):
+            self.told[line] = version
+        if before is not None and version.order <= before.order:
+            if version.order == before.order and version.digest != before.digest:
+                self.clash(line, version, f"{self.own}'s source")
+            return False
+        self.force[line] = version
+        return True
+
+    def claim(self, name: str, claims: Mapping[Line, Version]) -> list[Clash]:
+        """What a member says that it acts on; new clashes. What cannot be is counted and not kept."""
+        kept, found = dict[Line, Version](), list[Clash]()
+        for line, version in claims.items():
+            own = self.force.get(line)
+            if own is not None and (version.generation > own.generation + 1
+                                    or version.number > own.number + MOST_STEP):
+                self.implausible[name] = self.implausible.get(name, 0) + 1
+                continue
+            kept[line] = version
+            if own is not None and version.order == own.order and version.digest != own.digest:
+                found += self.clash(line, version, name)
+        if self.claims.get(name) != kept:
+            self.claims[name] = kept
+            self.found.clear()
+        return found
+
+    def clash(self, line: Line, version: Version, name: str) -> list[Clash]:
+        key = (line, *version.order)
+        if line is Line.PROGRAM or key in self.clashes or len(self.clashes) >= MOST_CLASHES:
+            return []
+        clash = Clash(line, *version.order, (self.force[line].digest, version.digest), (self.own, name))
+        self.clashes[key] = clash
+        return [clash]
+
+    def forget(self, name: str) -> None:
+        self.claims.pop(name, None)
+        self.found.clear()
+        self.implausible.pop(name, None)
+
+    def newest(self, line: Line) -> Version | None:
+        """The newest that counts as existing: ours, our source's, or what enough members claim."""
+        if line not in self.found:
+            self.found[line] = self.find(line)
+        return self.found[line]
+
+    def find(self, line: Line) -> Version | None:
+        counted: dict[Version, int] = {}
+        for claims in self.claims.values():
+            if line in claims:
+                counted[claims[line]] = counted.get(claims[line], 0) + 1
+        found = [version for version, count in counted.items() if count >= WITNESSES]
+        found += [versions[line] for versions in (self.force, self.told) if line in versions]
+        return max(found, key=lambda version: version.order, default=None)
+
+    def behind(self, line: Line = Line.LIST) -> int:
+        """How many numbers ours lies behind the newest; a newer generation counts as one at least."""
+        own, newest = self.force.get(line), self.newest(line)
+        if newest is None or (own is not None and own.order >= newest.order):
+            return 0
+        return max(1, newest.number - (own.number if own is not None else 0))
+
+    def holders(self, line: Line, version: Version) -> list[str]:
+        return sorted(name for name, claims in self.claims.items() if claims.get(line) == version)
+
+    def offers(self, line: Line = Line.LIST) -> list[tuple[Version, list[str]]]:
+        """What members claim beyond ours, newest first, also with one witness: it may be asked for, since
+        what comes is checked against its digest and against what is in force."""
+        own = self.force.get(line)
+        ahead = {claims[line] for claims in self.claims.values()
+                 if line in claims and (own is None or claims[line].order > own.order)}
+        return [(version, self.holders(line, version))
+                for version in sorted(ahead, key=lambda each: (*each.order, each.digest), reverse=True)]
--- /dev/null
+++ b/spurdeal/fleet/wire.py
@@ -0,0 +1,137 @@
+"""What fleet datagrams say: bodies of JSON in the sealed datagrams that handover uses. Free of I/O and
+clocks.
+
+Every body is read whole, and refused whole, before anything of it counts. A datagram stays in one packet:
+LARGEST is under the least that a path must carry with room for headers (RFC 8200, section 5: 1,280 bytes)."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from ipaddress import ip_address
+from math import isfinite
+from typing import Any
+
+from ..vrrp.sealed import HEAD, SEAL, Refused
+from .hybrid import Stamp
+from .lease import WARDENS, Term
+from .members import RAISED_MOST, Life, Record
+from .standing import Standing
+from .versions import Line, Version
+
+LARGEST = 1200  # bytes of a datagram
+LONGEST_NAME = 32
+MOST_RECORDS = 12
+MOST_LEFT = 3_600_000.0  # ms
+
+
+def name_of(datagram: bytes) -> str:
+    """The sender's name as the head tells it; the seal is yet to be checked."""
+    if len(datagram) < HEAD.size + SEAL:
+        raise Refused("short")
+    if len(datagram) > LARGEST:
+        raise Refused("long")
+    size = datagram[5]
+    text = datagram[HEAD.size:HEAD.size + size]
+    if not 1 <= size <= LONGEST_NAME or len(text) != size or not text.isascii():
+        raise Refused("name")
+    return text.decode("ascii")
+
+
+def room(name: str, body: Mapping[str, Any]) -> int:
+    """Bytes left for more in a datagram that is to carry this body."""
+    return LARGEST - HEAD.size - SEAL - len(name) - len(json.dumps(body, separators=(",", ":")))
+
+
+# Reading: each raises Refused("body") for what has not its form.
+
+def whole(value: Any, most: float = 1 << 63) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= most:
+        raise Refused("body")
+    return value
+
+
+def figure(value: Any, most: float = MOST_LEFT) -> float:
+    if not isinstance(value, (int, float)) or isinstance(value, bool) or not isfinite(value) \
+            or not 0 <= value <= most:
+        raise Refused("body")
+    return float(value)
+
+
+def text(value: Any, most: int = LONGEST_NAME) -> str:
+    if not isinstance(value, str) or not 1 <= len(value) <= most or not value.isascii() \
+            or not value.isprintable():
+        raise Refused("body")
+    return value
+
+
+def items(value: Any, least: int, most: int) -> list[Any]:
+    if not isinstance(value, list) or not least <= len(value) <= most:
+        raise Refused("body")
+    return value
+
+
+def host(value: Any) -> str:
+    try:
+        return str(ip_address(text(value, 45)))
+    except ValueError:
+        raise Refused("body") from None
+
+
+def record(value: Any) -> Record:
+    row = items(value, 7, 7)
+    try:
+        life = Life(whole(row[5], 3))
+    except ValueError:
+        raise Refused("body") from None
+    by = text(row[6]) if row[6] != "" else ""
+    return Record(text(row[0]), host(row[1]), whole(row[2], 65535), whole(row[3]), whole(row[4], RAISED_MOST),
+                  life, by)
+
+
+def written(found: Record) -> list[Any]:
+    return [found.name, found.host, found.port, found.boot, found.turn, int(found.life), found.by]
+
+
+def records(body: Mapping[str, Any], key: str = "n") -> list[Record]:
+    return [record(row) for row in items(body.get(key, []), 0, MOST_RECORDS)]
+
+
+def version(value: Any) -> Version:
+    row = items(value, 3, 3)
+    return Version(whole(row[0], 1 << 48), whole(row[1], 1 << 48), text(row[2], 16))
+
+
+def versions(body: Mapping[str, Any]) -> dict[Line, Version]:
+    rows = items(body.get("v", []), 0, len(Line))
+    return {Line(place): version(row) for place, row in enumerate(rows) if row is not None}
+
+
+def versions_written(force: Mapping[Line, Version]) -> list[Any]:
+    return [list(force[line]) if line in force else None for line in Line]
+
+
+def stamp(body: Mapping[str, Any]) -> Stamp:
+    row = items(body.get("h"), 2, 2)
+    return Stamp(whole(row[0], 1 << 48), whole(row[1], 0xFFFF))
+
+
+def term(value: Any) -> Term:
+    row = items(value, 2, 2)
+    return Term(whole(row[0], 1 << 48), tuple(sorted(text(name) for name in items(row[1], 0, WARDENS))))
+
+
+def term_written(found: Term) -> list[Any]:
+    return [found.number, list(found.wardens)]
+
+
+def standing(body: Mapping[str, Any]) -> Standing:
+    return Standing(whole(body.get("s"), len(Standing) - 1))
+
+
+def page(body: Mapping[str, Any]) -> tuple[int, str, int] | None:
+    """The newest sealed page of the sender's audit log: its number, digest, and how many records up to it."""
+    if "d" not in body:
+        return None
+    row = items(body["d"], 3, 3)
+    return whole(row[0], 1 << 48), text(row[1], 32), whole(row[2], 1 << 48)
