--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -45,7 +45,8 @@
 @click.argument("file", type=click.Path())
 def check(file: str) -> None:
     found = installation(file)
-    parts = [part for part in ("vrrp", "handover", "extproc", "ledger") if getattr(found, part) is not None]
+    parts = [part for part in ("vrrp", "handover", "fleet", "extproc", "ledger")
+             if getattr(found, part) is not None]
     click.echo(f"{file}: can be used; {found.name} with {len(found.peers)} peers and {', '.join(parts)}")
 
 
@@ -113,7 +114,81 @@
     sys.exit(run_with(os.environ, settings))
 
 
+@spurdeal.group(help="The fleet: who is in it, and what its logs say.")
+def fleet() -> None:
+    """The group of the fleet's commands."""
+
+
+@fleet.command(help="Who is in the fleet, on which versions, who is out and why, as one dispatcher sees it.")
+@click.option("--at", required=True, help="a dispatcher's address for clients, as 127.0.0.1:7001")
+@click.option("--json", "as_json", is_flag=True)
+def status(at: str, as_json: bool) -> None:
+    from urllib.error import URLError
+    from urllib.request import urlopen
+    try:
+        with urlopen(f"http://{at}/fleet", timeout=5) as answer:
+            found = json.load(answer)
+    except (URLError, OSError, ValueError) as fault:
+        refuse(f"{at}: {fault}")
+    if as_json:
+        click.echo(json.dumps(found))
+        return
+    from ..fleet.words import status_words
+    click.echo("\n".join(status_words(found)))
+
+
+def logs_of(folders: tuple[str, ...], strict: bool) -> list[Any]:
+    from pathlib import Path
+
+    from ..fleet.asking import Unreadable, read_log
+    try:
+        return [read_log(Path(folder), strict) for folder in folders]
+    except (Unreadable, OSError) as fault:
+        refuse(fault)
+
+
+@fleet.command(help="What the audit logs of these folders hold, in one true order.")
+@click.argument("folders", nargs=-1, required=True, type=click.Path())
+@click.option("--submission", default="", help="only what was done with this id")
+@click.option("--engine", default="", help="only what was sent to this engine, or says its name")
+@click.option("--dispatcher", default="", help="only what this one did, or was told of it")
+@click.option("--version", default="", help="only what was done under this version, as 0.57")
+@click.option("--between", nargs=2, type=float, default=None, help="Unix ms, from and until")
+@click.option("--json", "as_json", is_flag=True, help="a JSON object a line")
+def audit(folders: tuple[str, ...], submission: str, engine: str, dispatcher: str, version: str,
+          between: tuple[float, float] | None, as_json: bool) -> None:
+    from ..fleet.asking import Asked, chosen, merged
+    since, until = between or (0.0, float("inf"))
+    asked = Asked(submission, engine, dispatcher, version, since, until)
+    for entry in chosen(merged(logs_of(folders, True)), asked):
+        click.echo(json.dumps(entry.told()) if as_json else entry.words())
+
+
+@fleet.command("check", help="What went against the versions, in words; exit code 1 where anything did.")
+@click.argument("folders", nargs=-1, required=True, type=click.Path())
+@click.option("--grace", default="250ms", help="after a version is told, until it must be kept")
+@click.option("--json", "as_json", is_flag=True, help="a JSON object a line")
+def check_logs(folders: tuple[str, ...], grace: str, as_json: bool) -> None:
+    from ..fleet.asking import check as check_all
+    from ..settings.units import milliseconds
+    try:
+        allowed = milliseconds(grace)
+    except ValueError as fault:
+        refuse(f"--grace: {fault}")
+    findings = check_all(logs_of(folders, False), allowed)
+    for found in findings:
+        at = str(found.entry.record.stamp) if found.entry is not None else None
+        click.echo(json.dumps({"kind": found.kind, "says": found.words, "at": at}) if as_json
+                   else f"{found.kind}: {found.words}")
+    if not as_json:
+        click.echo(f"{len(findings)} findings in {len(folders)} logs")
+    sys.exit(1 if findings else 0)
+
+
 def proofs(name: str) -> Any:
+    if name == "audit":
+        from ..lab.audited import figures as audited
+        return audited
     if name == "model":
         from ..lab.model import figures as models
         return models
@@ -128,7 +203,7 @@
 
 
 @spurdeal.command(help="A proof of the project's own, with real processes on loopback.")
-@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate"]))
+@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate", "audit"]))
 @click.option("--json", "as_json", is_flag=True, help="one JSON object as the last line")
 @click.option("--quick", is_flag=True, help="a part of it, under a minute")
 def lab(name: str, as_json: bool, quick: bool) -> None:
--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, TextIO, cast
 
@@ -22,8 +22,10 @@
 from ..steady import Steady
 
 if TYPE_CHECKING:
-    from ..settings.installation import ExtprocPart, Installation, LedgerPart
+    from ..fleet.station import FleetStation
+    from ..settings.installation import ExtprocPart, Installation, Key, LedgerPart
     from ..store.ledger import Ledger
+    from ..vrrp.sealed import Keys
     from ..vrrp.station import Station
 
 
@@ -74,6 +76,32 @@
     return time.monotonic() * 1000
 
 
+def shifted(path: str) -> Callable[[], float]:
+    """For tests: Unix time with the ms added that a file holds; it is looked at every 50 ms."""
+    looked, shift = float("-inf"), 0.0
+
+    def unix() -> float:
+        nonlocal looked, shift
+        if monotonic_ms() - looked >= 50.0:
+            looked = monotonic_ms()
+            try:
+                shift = float(Path(path).read_text("ascii"))
+            except (OSError, ValueError):
+                shift = 0.0
+        return start.unix_ms() + shift
+    return unix
+
+
+def read_keys(path: str, part: str, keys: Sequence[Key]) -> Keys:
+    """Keys from the file or the files that it names; Unusable where there are none."""
+    from ..vrrp.sealed import Keys
+    try:
+        return Keys({key.id: bytes.fromhex(key.hex if key.hex is not None else
+                                           Path(key.file or "").read_text("ascii").strip()) for key in keys})
+    except (OSError, ValueError) as fault:
+        raise Unusable(f"{path}: {part}.keys: {fault}") from None
+
+
 def run_with(environment: Mapping[str, str], path: str) -> int:
     """Runs until it is stopped; 2 where configuration or file cannot be used."""
     try:
@@ -87,11 +115,14 @@
 class Installed:
     """A dispatcher with all that an operator's file adds, started and stopped together."""
 
-    def __init__(self, service: start.Service, plan: Installation, loop: Any, path: str) -> None:
+    def __init__(self, service: start.Service, plan: Installation, loop: Any, path: str,
+                 configuration: str, unix: Callable[[], float]) -> None:
         self.service, self.plan, self.loop, self.path = service, plan, loop, path
+        self.configuration, self.unix = configuration, unix
         self.link, self.log, self.counters = service.link, service.log, service.counters
         self.station: Station | None = None
         self.ledger: Ledger | None = None
+        self.fleet: FleetStation | None = None
         self.server: Any = None
         self.context: Any = None
         if plan.vrrp is not None:
@@ -99,9 +130,24 @@
             self.station = Station(service, plan, loop, monotonic_ms, secrets.randbits(63) | 1, self.log)
         if plan.ledger is not None:
             self.ledger = self.open_ledger(plan.ledger)
+        if plan.fleet is not None:
+            self.fleet = self.make_fleet()
         if plan.extproc is not None:
             self.server = self.make_server(plan.extproc)
 
+    def make_fleet(self) -> FleetStation:
+        from ..fleet.station import FleetStation
+        assert self.plan.fleet is not None
+        keys = read_keys(self.path, "fleet", self.plan.fleet.keys)
+        audit = self.plan.fleet.audit
+        try:
+            configuration = Path(self.configuration).read_bytes()
+            return FleetStation(self.service, self.plan, keys, configuration, self.loop, monotonic_ms,
+                                self.service.clock, self.unix, self.log)
+        except OSError as fault:
+            where = audit.path if audit is not None else self.configuration
+            raise Unusable(f"{self.path}: fleet.audit.path: {fault.strerror}: {where}") from None
+
     def open_ledger(self, part: LedgerPart) -> Ledger:
         from ..store.ledger import Ledger
         try:
@@ -148,6 +194,10 @@
             self.log.info("ledger", extra={"figures": {
                 "recovered": self.ledger.recovered, "torn_tails": self.ledger.torn,
                 "bytes": self.ledger.bytes}})
+        if self.fleet is not None:
+            self.fleet.start()
+            if self.station is not None:
+                self.station.shut_out = self.fleet.lowers
         if self.server is not None and self.plan.extproc is not None:
             host, port = self.plan.extproc.listen
             if self.context is not None:
@@ -169,6 +219,9 @@
             plan = read(self.path)
             if self.context is not None:
                 self.context.load()
+            if self.fleet is not None and plan.fleet is not None:
+                self.fleet.read_again(Path(self.configuration).read_bytes(), plan,
+                                      read_keys(self.path, "fleet", plan.fleet.keys))
         except (Unusable, OSError, ValueError) as fault:
             self.counters.add("installations_unusable")
             self.log.error("installation_kept", extra={"figures": {"why": str(fault)}})
@@ -178,6 +231,8 @@
         self.counters.add("installations_read")
 
     def stop(self) -> None:
+        if self.fleet is not None:
+            self.fleet.stop()
         if self.station is not None:
             self.station.stop()
         if self.server is not None:
@@ -185,6 +240,8 @@
         self.service.stop()
 
     def done(self) -> None:
+        if self.fleet is not None:
+            self.fleet.close()
         if self.ledger is not None:
             self.ledger.close()
         self.loop.stop()
@@ -193,19 +250,17 @@
 def serve(configuration: str, path: str) -> None:
     plan = read(path)
     if plan.handover is not None:
-        from ..vrrp.station import keys_of
-        try:
-            keys_of(plan.handover)
-        except (OSError, ValueError) as fault:
-            raise Unusable(f"{path}: handover.keys: {fault}") from None
+        read_keys(path, "handover", plan.handover.keys)
     if not configuration:
         raise start.Unusable("ROUTER_CONFIG is not set")
     told = start.told_by(configuration)
     loop = steady_reactor()
-    clock = Steady(start.unix_ms, monotonic_ms)
+    file = plan.fleet.clock_file if plan.fleet is not None else None
+    unix = shifted(file) if file is not None else start.unix_ms
+    clock = Steady(unix, monotonic_ms)
     log = logger(told.name or "spurdeal", sys.stderr)
     service = start.Service(told, loop, clock.now, log, lambda: installed.done())
-    installed = Installed(service, plan, loop, path)
+    installed = Installed(service, plan, loop, path, configuration, unix)
 
     def again() -> None:
         service.read_again(lambda: start.told_by(configuration))
--- /dev/null
+++ b/spurdeal/fleet/asking.py
@@ -0,0 +1,255 @@
+"""What the logs of many dispatchers say: who did what under which version, and what went against it. Free of
+I/O but for reading the files."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from .audit import COLD, DOUBTFUL, Broken, Kind, Record, head_of, read
+from .hybrid import Stamp
+from .versions import Line
+
+READY = 2
+LINES = tuple(line.name.lower() for line in Line)
+
+
+class Unreadable(Exception):
+    """A log that cannot be used: file, offset and reason."""
+
+
+class Entry(NamedTuple):
+    """One record with whose it is, and the versions it was made under."""
+
+    name: str
+    boot: str
+    record: Record
+    versions: Mapping[str, Any]
+
+    @property
+    def order(self) -> tuple[Stamp, str]:
+        return self.record.stamp, self.name
+
+    def told(self) -> dict[str, Any]:
+        record = self.record
+        found: dict[str, Any] = {"at": str(record.stamp), "dispatcher": self.name, "boot": self.boot,
+                                 "what": record.kind.name.lower()}
+        if record.ident:
+            found["submission"] = record.ident
+        if record.engine:
+            found |= {"engine": record.engine, "trip": record.trip, "cold": bool(record.flags & COLD),
+                      "doubtful": bool(record.flags & DOUBTFUL)}
+        if record.kind is Kind.CALLED_OFF:
+            found["trip"] = record.trip
+        found |= {key: value for key, value in record.told.items() if key != "engines"}
+        return found | {"versions": {line: self.versions[line] for line in LINES if line in self.versions}}
+
+    def words(self) -> str:
+        found = self.told()
+        versions = found.pop("versions")
+        text = " ".join(f"{key}={value}" for key, value in found.items() if key not in ("at", "boot"))
+        return f"{found['at']} {text} list={versions.get('list', '?')}"
+
+
+@dataclass
+class Log:
+    """One dispatcher's folder, all its starts."""
+
+    folder: str
+    name: str = ""
+    entries: list[Entry] = field(default_factory=list)
+    seals: dict[tuple[str, int], str] = field(default_factory=dict)  # by start and page
+    last_page: dict[str, int] = field(default_factory=dict)
+    problems: list[str] = field(default_factory=list)
+    torn: int = 0
+    lost: int = 0
+
+
+def read_log(folder: Path, strict: bool = True) -> Log:
+    """All files of a folder, in order. Unreadable for what is broken or foreign; not strict: told as a
+    problem, and the rest read."""
+    log = Log(str(folder))
+    files = sorted(folder.glob("audit-*.log"))
+    if not files:
+        raise Unreadable(f"{folder}: no audit log there")
+    before: str | None = None
+    for file in files:
+        data = file.read_bytes()
+        try:
+            found = read(data)
+        except Broken as fault:
+            if strict:
+                raise Unreadable(f"{file}: at byte {fault.offset}: {fault.why}") from None
+            log.problems.append(f"{file.name}: at byte {fault.offset}: {fault.why}")
+            log.name = log.name or str(head_of(data).get("name", folder.name))
+            before = None
+            continue
+        if not found.head:
+            log.torn += 1
+            continue
+        log.torn += found.end < len(data)
+        told = found.head
+        if log.name and told["name"] != log.name:
+            raise Unreadable(f"{file}: at byte 0: it is {told['name']}'s, the files before are {log.name}'s")
+        log.name = str(told["name"])
+        if before is not None and told["before"] != before:
+            log.problems.append(f"{file.name}: a page before it was altered or cut")
+        before = found.digest.hex()
+        boot = str(told["boot"])
+        versions: dict[int, Mapping[str, Any]] = {}
+        for record in found.records:
+            if record.kind is Kind.VERSIONS:
+                versions[int(record.told["index"])] = record.told
+            if record.kind is Kind.LOST:
+                log.lost += int(record.told["records"])
+            log.entries.append(Entry(log.name, boot, record, versions.get(record.under, {})))
+        for page, (digest, _, _) in found.seals.items():
+            log.seals[boot, page] = digest
+            log.last_page[boot] = max(page, log.last_page.get(boot, -1))
+        if found.unsealed:  # the next start goes on behind this page, which nobody sealed
+            log.last_page.setdefault(boot, found.page - 2)
+    return log
+
+
+def merged(logs: Iterable[Log]) -> list[Entry]:
+    """All entries in an order that is true to cause: the hybrid stamps'."""
+    return sorted((entry for log in logs for entry in log.entries), key=lambda entry: entry.order)
+
+
+class Asked(NamedTuple):
+    """What entries to give; what is None or empty asks for nothing."""
+
+    submission: str = ""
+    engine: str = ""
+    dispatcher: str = ""
+    version: str = ""
+    since: float = 0.0  # Unix ms
+    until: float = float("inf")
+
+
+def chosen(entries: Iterable[Entry], asked: Asked) -> Iterator[Entry]:
+    for entry in entries:
+        record = entry.record
+        if record.kind in (Kind.HEAD, Kind.ENGINE, Kind.SEAL):
+            continue
+        if not asked.since <= record.stamp.ms <= asked.until:
+            continue
+        if asked.submission and record.ident.lower() != asked.submission.lower():
+            continue
+        if asked.engine and asked.engine != record.engine and asked.engine not in record.told.get("says", ""):
+            continue
+        if asked.dispatcher and asked.dispatcher not in (entry.name, record.told.get("name")):
+            continue
+        under = [str(entry.versions.get(line, "")) for line in LINES]
+        if asked.version and not any(each.startswith(asked.version) for each in under):
+            continue
+        yield entry
+
+
+class Finding(NamedTuple):
+    """Something that went against the versions, or a log that is not whole."""
+
+    kind: str  # own_version, newer_version, clash, chain, lost, witness
+    words: str
+    entry: Entry | None = None
+
+
+def check(logs: Sequence[Log], grace: float) -> list[Finding]:
+    """grace: ms that a dispatcher has, after a version is told, until nothing may go to what it has
+    draining."""
+    entries = merged(logs)
+    findings = [*against_own(entries), *against_newer(entries, grace), *clashes(entries)]
+    for log in logs:
+        findings += [Finding("chain", f"{log.name}: {problem}") for problem in log.problems]
+        if log.lost:
+            findings.append(Finding("lost", f"{log.name}: {log.lost} records could not be written"))
+    return findings + list(witnessed(logs, entries))
+
+
+def life_of(versions: Mapping[str, Any], engine: str) -> int | None:
+    """Of an engine in a list: 2 ready, 1 draining, 0 gone; None where the log does not hold the list."""
+    engines = versions.get("engines")
+    return None if engines is None else int(engines.get(engine, 0))
+
+
+def against_own(entries: Iterable[Entry]) -> Iterator[Finding]:
+    for entry in entries:
+        if entry.record.kind is Kind.SENT:
+            life = life_of(entry.versions, entry.record.engine)
+            if life is not None and life != READY:
+                yield Finding("own_version", f"{entry.name} sent {entry.record.ident} to "
+                              f"{entry.record.engine}, which its own list {entry.versions['list']} has "
+                              f"{'draining' if life else 'gone'}", entry)
+
+
+def against_newer(entries: Iterable[Entry], grace: float) -> Iterator[Finding]:
+    """Entries in order: a newer list that someone acted on more than the grace ago, and that forbade it."""
+    first: list[tuple[int, int, Mapping[str, Any]]] = []  # number, first acted on at, versions; numbers grow
+    for entry in entries:
+        if entry.record.kind is Kind.VERSIONS and "list" in entry.record.told:
+            number = number_of(entry.record.told["list"])
+            if not first or number > first[-1][0]:
+                first.append((number, entry.record.stamp.ms, entry.record.told))
+        if entry.record.kind is not Kind.SENT or "list" not in entry.versions:
+            continue
+        own = number_of(entry.versions["list"])
+        for number, at, versions in reversed(first):
+            if number <= own:
+                break
+            if entry.record.stamp.ms - at > grace:
+                life = life_of(versions, entry.record.engine)
+                if life is not None and life != READY:
+                    yield Finding("newer_version", f"{entry.name} sent {entry.record.ident} to "
+                                  f"{entry.record.engine} on list {entry.versions['list']}; list "
+                                  f"{versions['list']}, acted on {entry.record.stamp.ms - at} ms before, "
+                                  f"has it {'draining' if life else 'gone'}", entry)
+                break
+
+
+def number_of(version: str) -> int:
+    return int(version.partition("/")[0].partition(".")[2])
+
+
+def clashes(entries: Iterable[Entry]) -> Iterator[Finding]:
+    """Two that acted on different contents of one version. The program has no numbers: others are no
+    clash."""
+    seen: dict[tuple[str, str], dict[str, str]] = {}
+    for entry in entries:
+        if entry.record.kind is Kind.VERSIONS:
+            for line in LINES:
+                if line in entry.record.told and line != "program":
+                    number, _, digest = str(entry.record.told[line]).partition("/")
+                    seen.setdefault((line, number), {}).setdefault(digest, entry.name)
+    for (line, number), names in sorted(seen.items()):
+        if len(names) > 1:
+            told = " and ".join(f"{digest} at {name}" for digest, name in sorted(names.items()))
+            yield Finding("clash", f"{line} {number} had {len(names)} contents: {told}")
+
+
+def witnessed(logs: Sequence[Log], entries: Iterable[Entry]) -> Iterator[Finding]:
+    """Pages as others were told of them, against the logs: one that differs, and a log that ends before."""
+    by_name: dict[str, list[Log]] = {}  # several folders may hold parts of one dispatcher's
+    for log in logs:
+        by_name.setdefault(log.name, []).append(log)
+    told_of: set[tuple[str, str]] = set()
+    for entry in entries:
+        if entry.record.kind is not Kind.WITNESS:
+            continue
+        told = entry.record.told
+        name, boot, page = str(told["name"]), str(told["boot"]), int(told["page"])
+        parts = by_name.get(name)
+        if parts is None or (name, boot) in told_of:
+            continue
+        digest = next((log.seals[boot, page] for log in parts if (boot, page) in log.seals), None)
+        last = max(log.last_page.get(boot, -1) for log in parts)
+        broken = any(log.problems for log in parts)
+        if digest is not None and digest != told["digest"]:
+            told_of.add((name, boot))
+            yield Finding("witness", f"{name}: page {page} of start {boot} is not the one that {entry.name} "
+                          f"was told of: the log was rewritten", entry)
+        elif digest is None and page > last and not broken:
+            told_of.add((name, boot))
+            yield Finding("witness", f"{name}: {entry.name} was told of page {page} of start {boot}, and the "
+                          f"log ends before it: its tail was cut, or its disk put back", entry)
--- /dev/null
+++ b/spurdeal/fleet/audit.py
@@ -0,0 +1,271 @@
+"""The audit's bytes: what each dispatcher decided, under which versions, in pages that are chained. Free of
+I/O.
+
+A file begins with MAGIC. Then frames: length (4 bytes), CRC-32 of the body (4), body. A body is a stamp (6
+bytes of Unix ms, 2 of the tally), the index of the versions in force (4), and the records of one turn, which
+are one moment to the rules. A record is its kind and its fields; texts are led by their length. Numbers are
+big-endian.
+
+A page ends with a frame that holds its seal: its number, how many records there are up to it, and a digest
+over the digest before and the page's bytes. So a byte that is altered, or a page that is cut out, shows in
+every later digest; and a tail that is cut off shows in the digests that others were told. Weighed: SQLite
+(locks, a flush each commit), one CRC a record (three times the work a turn), a Merkle tree (proofs of single
+records, which nobody asks for)."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import struct
+import zlib
+from collections.abc import Iterator
+from enum import IntEnum
+from typing import Any, NamedTuple
+
+from .hybrid import Stamp
+
+MAGIC = b"SPA1\n"
+FRAME = struct.Struct("!II")
+TIME = struct.Struct("!HIHI")  # ms in 2 and 4 bytes, tally, index of versions
+SENT = struct.Struct("!BBBB")  # kind, trip, flags, length of the id; then the id, and the engine's place
+TEXT = struct.Struct("!BH")
+SEAL = struct.Struct("!BQQ")
+DIGEST = 16
+LARGEST = 1 << 24  # bytes of a frame
+LONGEST_ID = 64
+NO_DIGEST = b"\0" * DIGEST
+
+
+class Kind(IntEnum):
+    HEAD = 0  # of a file: whose, which start, what came before
+    VERSIONS = 1  # an index from here on means these; with the list's engines
+    SENT = 2
+    SHED = 3
+    BROKEN_OFF = 4
+    WITHDRAWN = 5
+    GRANTED = 6
+    CALLED_OFF = 7
+    MODE = 8  # a line of the rules: an engine set aside, and others
+    STANDING = 9
+    MEMBER = 10
+    WITNESS = 11  # another's page, as it told
+    CLASH = 12
+    LOST = 13  # so many records could not be written
+    STOPPED = 14
+    OTHER = 15
+    SEAL = 16
+    ENGINE = 17  # a place in this file's table of engines means this one
+
+
+SHORT = (Kind.SHED, Kind.BROKEN_OFF, Kind.WITHDRAWN, Kind.GRANTED, Kind.CALLED_OFF)
+COLD, DOUBTFUL = 1, 2  # flags of one that was sent
+
+
+class Record(NamedTuple):
+    """One decision or fact, as read."""
+
+    stamp: Stamp
+    under: int  # the index of the versions in force
+    kind: Kind
+    ident: str = ""
+    engine: str = ""
+    trip: int = 0
+    flags: int = 0
+    told: dict[str, Any] = {}
+
+
+class Broken(Exception):
+    """A log that cannot be used from some place on; the text says why."""
+
+    def __init__(self, offset: int, why: str) -> None:
+        super().__init__(why)
+        self.offset, self.why = offset, why
+
+
+def digest_after(before: bytes, data: bytes) -> bytes:
+    return hashlib.blake2b(before + data, digest_size=DIGEST).digest()
+
+
+class Pages:
+    """What is to be written, in order. `frame` gives the bytes of a turn, `seal` those that end a page."""
+
+    def __init__(self, page: int = 0, count: int = 0, digest: bytes = NO_DIGEST) -> None:
+        self.page, self.count, self.digest = page, count, digest
+        self.records: list[bytes] = []
+        self.unsealed = hashlib.blake2b(digest, digest_size=DIGEST)
+        self.in_page = 0
+        self.engines: dict[str, int] = {}
+
+    # Records, kept until the turn's frame is asked for.
+
+    def sent(self, ident: bytes, trip: int, engine: str, flags: int) -> None:
+        place = self.engines.get(engine)
+        if place is None:
+            place = self.engines[engine] = len(self.engines)
+            self.tell(Kind.ENGINE, {"place": place, "engine": engine})
+        self.records.append(SENT.pack(Kind.SENT, min(trip, 255), flags, len(ident)) + ident
+                            + place.to_bytes(4, "big"))
+
+    def short(self, kind: Kind, ident: bytes, trip: int = 0) -> None:
+        self.records.append(SENT.pack(kind, min(trip, 255), 0, len(ident)) + ident)
+
+    def tell(self, kind: Kind, told: dict[str, Any]) -> None:
+        text = zlib.compress(json.dumps(told, separators=(",", ":")).encode(), 6)
+        if len(text) < 1 << 16:
+            self.records.append(TEXT.pack(kind, len(text)) + text)
+
+    # Bytes.
+
+    def frame(self, stamp: Stamp, index: int) -> bytes:
+        """All that was told since the last, as one moment; b"" without any."""
+        if not self.records:
+            return b""
+        body = TIME.pack(stamp.ms >> 32, stamp.ms & 0xFFFFFFFF, stamp.tally, index) + b"".join(self.records)
+        return FRAME.pack(len(body), zlib.crc32(body)) + body
+
+    def wrote(self, data: bytes, written: bool) -> int:
+        """The frame's bytes are in the file, or not: then its records are lost, and how many is given."""
+        count, self.records = len(self.records), []
+        if not written:
+            self.engines.clear()  # what told their places may be among them
+            return count
+        self.count += count
+        self.in_page += count
+        self.unsealed.update(data)
+        return 0
+
+    def seal(self, stamp: Stamp, index: int) -> bytes:
+        """Ends the page: its seal's frame. Nothing where nothing was written since the last."""
+        if not self.in_page:
+            return b""
+        digest = self.unsealed.digest()
+        body = TIME.pack(stamp.ms >> 32, stamp.ms & 0xFFFFFFFF, stamp.tally, index) \
+            + SEAL.pack(Kind.SEAL, self.page, self.count) + digest
+        return FRAME.pack(len(body), zlib.crc32(body)) + body
+
+    def sealed(self) -> tuple[int, str, int]:
+        """The seal is written: the page's number, digest and count of records, as others are told."""
+        told = self.page, self.unsealed.hexdigest(), self.count
+        self.close()
+        return told
+
+    def close(self) -> None:
+        """The page ends, also where its file ends before a seal."""
+        if self.in_page:
+            self.digest = self.unsealed.digest()
+            self.page, self.in_page = self.page + 1, 0
+            self.unsealed = hashlib.blake2b(self.digest, digest_size=DIGEST)
+
+
+class Read(NamedTuple):
+    """One file's contents: records, seals by page, and the state at its end."""
+
+    records: list[Record]
+    seals: dict[int, tuple[str, int, Stamp]]  # page: digest, count, when
+    page: int
+    total: int
+    digest: bytes  # after all that stands in the file, sealed or not
+    end: int  # bytes that are whole
+    head: dict[str, Any]
+    unsealed: int  # records behind the last seal
+
+
+def read(data: bytes) -> Read:
+    """A file, checked from its head on; Broken tells from where it cannot be used. A torn tail is no fault:
+    `end` lies before it."""
+    if data[:len(MAGIC)] != MAGIC:
+        raise Broken(0, "no audit log: it does not begin as one")
+    at, records, seals = len(MAGIC), list[Record](), dict[int, tuple[str, int, Stamp]]()
+    head: dict[str, Any] = {}
+    page, count, digest, pending = 0, 0, NO_DIGEST, b""
+    in_page = 0
+    engines: dict[int, str] = {}
+    while True:
+        whole = frame_at(data, at)
+        if whole is None:
+            break
+        body, after = whole
+        found = list(records_of(body, at, engines))
+        if found and found[0].kind is Kind.HEAD and not head:
+            head = found[0].told
+            page, count, digest = int(head["page"]), int(head["records"]), bytes.fromhex(head["before"])
+        elif not head:
+            raise Broken(at, "no head")
+        if found and found[0].kind is Kind.SEAL:
+            told = found[0].told
+            digest = digest_after(digest, pending)
+            if told["page"] != page or told["digest"] != digest.hex() or told["records"] != count + in_page:
+                raise Broken(at, f"page {page} is not what its seal says: altered, or a part is cut out")
+            count, in_page, pending = count + in_page, 0, b""
+            seals[page] = digest.hex(), count, found[0].stamp
+            page += 1
+        else:
+            in_page += len(found)
+            pending += data[at:after]
+            records += found
+        at = after
+    if at < len(data) and later_frame(data, at):
+        raise Broken(at, "a frame is spoilt, and whole ones follow it")
+    closing = digest_after(digest, pending) if pending else digest
+    return Read(records, seals, page + bool(pending), count + in_page, closing, at, head, in_page)
+
+
+def head_of(data: bytes) -> dict[str, Any]:
+    """A file's head, also where the rest is broken; {} where it has none."""
+    whole = frame_at(data, len(MAGIC))
+    try:
+        found = list(records_of(whole[0], len(MAGIC), {})) if whole is not None else []
+    except Broken:
+        return {}
+    return found[0].told if found and found[0].kind is Kind.HEAD else {}
+
+
+def frame_at(data: bytes, at: int) -> tuple[bytes, int] | None:
+    """The body of the frame that begins there, and where it ends; None where no whole one does."""
+    if at + FRAME.size > len(data):
+        return None
+    size, told = FRAME.unpack_from(data, at)
+    body = data[at + FRAME.size:at + FRAME.size + size]
+    if not TIME.size < size <= LARGEST or len(body) < size or zlib.crc32(body) != told:
+        return None
+    return body, at + FRAME.size + size
+
+
+def later_frame(data: bytes, at: int) -> bool:
+    """A spoilt frame in the middle, or a torn tail? Whole frames behind it tell; a spoilt length is got
+    over."""
+    return any(frame_at(data, place) is not None for place in range(at + 1, min(len(data), at + 65_536)))
+
+
+def records_of(body: bytes, offset: int, engines: dict[int, str]) -> Iterator[Record]:
+    high, low, tally, index = TIME.unpack_from(body)
+    stamp, at = Stamp(high << 32 | low, tally), TIME.size
+    try:
+        while at < len(body):
+            kind = Kind(body[at])
+            if kind is Kind.SENT or kind in SHORT:
+                _, trip, flags, size = SENT.unpack_from(body, at)
+                at += SENT.size
+                ident = body[at:at + size].decode("ascii")
+                at += size
+                engine = ""
+                if kind is Kind.SENT:
+                    engine = engines[int.from_bytes(body[at:at + 4], "big")]
+                    at += 4
+                yield Record(stamp, index, kind, ident, engine, trip, flags)
+            elif kind is Kind.SEAL:
+                _, page, count = SEAL.unpack_from(body, at)
+                at += SEAL.size
+                digest = body[at:at + DIGEST].hex()
+                at += DIGEST
+                yield Record(stamp, index, kind, told={"page": page, "records": count, "digest": digest})
+            else:
+                _, size = TEXT.unpack_from(body, at)
+                at += TEXT.size
+                told = json.loads(zlib.decompress(body[at:at + size]))
+                at += size
+                if kind is Kind.ENGINE:
+                    engines[int(told["place"])] = str(told["engine"])
+                yield Record(stamp, index, kind, told=told)
+    except (ValueError, KeyError, IndexError, struct.error, zlib.error) as fault:
+        raise Broken(offset, f"a record cannot be read: {fault!r}") from None
--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -19,8 +19,7 @@
 from ..interface import Life as EngineLife
 from ..vrrp.sealed import Keys, Refused, Session
 from . import wire
-from .bringing import ONE_WITNESS_DROPS as ONE_DROPS
-from .bringing import Ask, Fetch, Rows, Shelf, Spoilt, applied, drops, unpack
+from .bringing import ONE_WITNESS_DROPS, Ask, Fetch, Rows, Shelf, Spoilt, applied, drops, unpack
 from .hybrid import Hybrid
 from .lease import WARDENS, Inquiry, Lease, Term, Wards
 from .members import Address, Life, Members, Record, rendezvous
@@ -36,6 +35,7 @@
 REJOINS_AFTER = 6  # leases without one, though the fleet is heard: it comes back as a new start
 GREETINGS = 2000  # a second at most: an unproven datagram draws one answer, and a flood must not draw a flood
 CLOCKS = 3  # so many others must tell theirs, before ours can be found off
+SOURCE_FIRST = 450.0  # ms that our own name service has, where it answers, before a peer is asked
 OFFERS_EVERY = 60.0  # ms between two looks at who has a newer list
 SHIFT_EVERY = 250.0  # ms
 CLOCK_AGE = 10_000.0  # ms that one's word on its clock counts
@@ -115,7 +115,10 @@
         self.rows: Rows = {}
         self.page: tuple[int, str, int] | None = None
         self.source_at, self.clock_shift, self.next_shift = now, 0.0, now
+        self.skew = 0.0  # of the system's Unix time before that which we are given, which does not step
         self.leaving, self.next_offers = False, now
+        self.one_drops = ONE_WITNESS_DROPS
+        self.offered: dict[Version, float] = {}  # since when a version beyond ours is claimed
         self.own_boots: set[int] = set()
         self.once: set[str] = set()
         self.begin(now)
@@ -134,6 +137,7 @@
         self.heard: dict[str, Heard] = {}
         self.inquiries: dict[str, Inquiry] = {}
         self.asked_words: dict[str, float] = {}
+        self.relied: set[tuple[str, int]] = set()
         self.seq, self.next_renewal, self.next_pull = 0, now, now
         self.pulled_from, self.pull_place, self.pull_due = "", 0, 0.0
         self.synced = not self.seeds
@@ -161,6 +165,13 @@
             self.tell_once(f"clash {clash}", "clash", {"says": str(clash)})
         return taken
 
+    def source_says(self, version: Version) -> None:
+        """What our source says that the version in force holds: other content than ours is a clash."""
+        own = self.book.force.get(Line.LIST)
+        if own is not None and own.order == version.order and own.digest != version.digest:
+            for clash in self.book.clash(Line.LIST, version, f"{self.name}'s source"):
+                self.tell_once(f"clash {clash}", "clash", {"says": str(clash)})
+
     def source_answered(self, now: float) -> None:
         """The name service has answered, whether or not with news."""
         self.source_at = now
@@ -212,6 +223,9 @@
 
     def tick(self, now: float, unix: float) -> None:
         still = now - self.ticked > 2 * self.terms.period
+        if still:
+            self.source_at += now - self.ticked
+            self.ladder.stood_still(now - self.ticked)
         self.ticked = now
         probe, through = self.members.tick(now)
         if probe is not None:
@@ -222,6 +236,8 @@
         self.pull(now, unix)
         self.bring_up(now, unix)
         self.watch_gone(now, unix)
+        if self.inquiries or self.relied:
+            self.tell_stopped(now)
         self.changes()
         self.settle_names(now)
         self.stand(now, unix)
@@ -308,8 +324,14 @@
         if have is None or (self.fetch.want is None and now < self.next_offers):
             return
         self.next_offers = now + OFFERS_EVERY
-        ask = self.fetch.tick(now, have, [(version, [name for name in holders if name in self.heard])
-                                          for version, holders in self.book.offers()])
+        offers = self.book.offers() if self.fetch.want is None else []
+        self.offered = {version: self.offered.get(version, now) for version, _ in offers}
+        # Our own source comes first, where it answers: one that is told what others are not must not lead
+        # them all.
+        patience = SOURCE_FIRST if now - self.source_at < SOURCE_FIRST else 0.0
+        ask = self.fetch.tick(now, have, [
+            (version, [name for name in holders if name in self.heard]) for version, holders in offers
+            if now - self.offered[version] >= patience])
         if ask is not None:
             self.send_fetch(now, unix, ask)
 
@@ -317,6 +339,14 @@
         self.ask(now, unix, ask.to, "fetch", {"k": "f", "have": list(ask.have), "want": list(ask.want),
                                               "i": ask.place})
 
+    def tell_stopped(self, now: float) -> None:
+        """Whom we rely on as stopped, and from when we do so no more."""
+        stopped = {(name, each.boot) for name, each in self.inquiries.items() if each.stopped(now)}
+        for what, names in (("stopped", stopped - self.relied), ("stopped_over", self.relied - stopped)):
+            for name, boot in sorted(names):
+                self.told.append(Told(what, {"name": name, "boot": f"{boot:016x}"}))
+        self.relied = stopped
+
     def watch_gone(self, now: float, unix: float) -> None:
         """Whoever is gone is asked after, at its wardens, until it is known to have stopped; and on, so that
         the wardens' words go on to count."""
@@ -329,12 +359,11 @@
             if now - self.asked_words.get(name, -math.inf) < ASK_STOPPED:
                 continue
             self.asked_words[name] = now
-            if self.name in inquiry.term.wardens or not inquiry.term.wardens:
-                word = self.wards.word(now, name, inquiry.boot)
-                if word is not None:
-                    inquiry.word(now, now, self.name, *word)
-            for warden in (inquiry.term.wardens or tuple(rendezvous(
-                    name, (other for other in self.members.known() if other != name), WARDENS))):
+            word = self.wards.word(now, name, inquiry.boot)
+            if word is not None:
+                inquiry.word(now, now, self.name, *word)
+            known = (other for other in self.members.known() if other != name)
+            for warden in inquiry.whom() or rendezvous(name, known, WARDENS):
                 if warden != self.name:
                     self.ask(now, unix, warden, "word", {"k": "w", "who": name, "boot": inquiry.boot})
 
@@ -386,8 +415,8 @@
     # Datagrams out.
 
     def body(self, unix: float, more: Mapping[str, Any]) -> dict[str, Any]:
-        return {"h": list(self.hybrid.stamp(unix)), "v": wire.versions_written(self.book.force),
-                "s": int(self.ladder.standing)} | dict(more)
+        return {"h": list(self.hybrid.stamp(unix)), "u": int(unix + self.skew),
+                "v": wire.versions_written(self.book.force), "s": int(self.ladder.standing)} | dict(more)
 
     def send(self, now: float, unix: float, name: str, more: Mapping[str, Any],
              address: Address | None = None, news: bool = True) -> None:
@@ -475,6 +504,7 @@
         # All is read before anything counts.
         stamp, claims, standing = wire.stamp(body), wire.versions(body), wire.standing(body)
         news, page, kind = wire.records(body), wire.page(body), wire.text(body.get("k"), 2)
+        apart = wire.whole(body.get("u"), 1 << 48) - unix - self.skew
         handler = self.HANDLERS.get(kind)
         if handler is None:
             raise Refused("kind")
@@ -486,7 +516,7 @@
             self.told.append(Told("page", {"name": name, "boot": f"{session.peer_boot:016x}", "page": page[0],
                                            "digest": page[1], "records": page[2]}))
         before = self.heard[name].page if name in self.heard else None
-        self.heard[name] = Heard(now, standing, page or before, stamp.ms - unix)
+        self.heard[name] = Heard(now, standing, page or before, apart)
         for clash in self.book.claim(name, claims):
             self.tell_once(f"clash {clash}", "clash", {"says": str(clash)})
         self.members.answered(now, name)
@@ -650,9 +680,11 @@
         def act() -> None:
             word = self.wards.word(now, who, boot)
             if word is not None:
-                term, refused, left = word
-                self.send(now, unix, name, {"k": "W", "q": seq, "who": who, "boot": boot, "r": int(refused),
-                                            "left": left, "t": wire.term_written(term)}, source, news=False)
+                term, following, refused, left = word
+                proposed = wire.term_written(following) if following is not None else None
+                more = {"k": "W", "q": seq, "who": who, "boot": boot, "r": int(refused), "left": left,
+                        "t": wire.term_written(term), "f": proposed}
+                self.send(now, unix, name, more, source, news=False)
         return act
 
     def on_worded(self, came: Came) -> Act:
@@ -660,16 +692,14 @@
         who, boot = wire.text(body.get("who")), wire.whole(body.get("boot"))
         refused, left = wire.whole(body.get("r"), 1), wire.figure(body.get("left"))
         term = wire.term(body.get("t"))
+        following = wire.term(body["f"]) if body.get("f") is not None else None
         found = self.answer_to(body, name, "word")
 
         def act() -> None:
             inquiry = self.inquiries.get(who)
             if found is None or inquiry is None or inquiry.boot != boot:
                 return
-            before = inquiry.stopped(now)
-            inquiry.word(now, found.sent, name, term, bool(refused), left)
-            if not before and inquiry.stopped(now):
-                self.told.append(Told("stopped", {"name": who, "boot": f"{boot:016x}"}))
+            inquiry.word(now, found.sent, name, term, following, bool(refused), left)
         return act
 
     def on_fetch(self, came: Came) -> Act:
@@ -712,7 +742,7 @@
             self.told.append(Told("bring_up_failed", {"from": name, "why": str(fault)}))
             return
         dropped = drops(self.rows, rows, READY)
-        if dropped > ONE_DROPS and len(self.book.holders(Line.LIST, want)) < WITNESSES:
+        if dropped > self.one_drops and len(self.book.holders(Line.LIST, want)) < WITNESSES:
             self.fetch.refuse(now)
             self.told.append(Told("list_refused", {
                 "from": name, "drops": round(dropped, 2), "list": str(want)}))
--- a/spurdeal/fleet/lease.py
+++ b/spurdeal/fleet/lease.py
@@ -106,11 +106,16 @@
     """What a warden knows of one whom it watches."""
 
     boot: int
-    term: Term
+    term: Term  # in force, as it said
+    following: Term | None  # proposed
     until: float  # by our clock: our answers count no longer
     refused: int  # up to that term we answer no more
     barred: float  # until then we answer nothing, since others rely on its stop
 
+    @property
+    def newest(self) -> int:
+        return (self.following or self.term).number
+
 
 class Wards:
     """A warden's side: whom we have answered, until when that may count. Bounded by the members."""
@@ -123,40 +128,40 @@
 
     def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
         """One asks us: the highest term of it that we have heard of, and whether we answer."""
-        newest = following or term
+        if now < self.rests_until:
+            return 0, False  # nor noted: an earlier start of ours may have given its word (the model)
+        newest = (following or term).number
         known = self.wards.get(name)
-        if known is not None and known.boot == boot and now < known.barred:
-            return known.term.number, False
-        if known is not None and known.boot != boot and now < max(known.until, known.barred):
+        if known is not None and now < known.barred:
+            return known.newest if known.boot == boot else 0, False
+        if known is not None and known.boot != boot and now < known.until:
             return 0, False  # another start under this name may still act: two processes, or a quick restart
         if known is None or known.boot != boot:
-            known = Ward(boot, newest, NEVER, -1, NEVER)
-        elif newest.number > known.term.number:
-            known = known._replace(term=newest)
-        granted = newest.number > known.refused and newest.number >= known.term.number \
-            and now >= self.rests_until
+            known = Ward(boot, term, following, NEVER, -1, NEVER)
+        elif newest > known.newest or (newest == known.newest and term.number > known.term.number):
+            known = known._replace(term=term, following=following)
+        granted = newest > known.refused and newest >= known.newest
         if granted:
             known = known._replace(until=now + self.lease)
         self.wards[name] = known
-        return known.term.number, granted
+        return known.newest, granted
 
     def refuse(self, name: str, boot: int) -> None:
         """That start of it counts as gone here: on the terms that we know we answer it no more."""
         known = self.wards.get(name)
         if known is not None and known.boot == boot:
-            self.wards[name] = known._replace(refused=max(known.refused, known.term.number))
+            self.wards[name] = known._replace(refused=max(known.refused, known.newest))
 
-    def word(self, now: float, name: str, boot: int) -> tuple[Term, bool, float] | None:
-        """For one who wants to rely on its stop: the newest term that we know, whether we refuse that, and
-        for how many ms yet our answers may count. We are barred from then on. None: we know nothing of that
-        start."""
+    def word(self, now: float, name: str, boot: int) -> tuple[Term, Term | None, bool, float] | None:
+        """For one who wants to rely on its stop: the terms that we know, whether we refuse those, and for how
+        many ms yet our answers may count. We are barred from then on. None: we know nothing of that start."""
         known = self.wards.get(name)
         if known is None or known.boot != boot:
             return None
-        refused = known.refused >= known.term.number
+        refused = known.refused >= known.newest
         if refused:
             self.wards[name] = known._replace(barred=now + self.lease)
-        return known.term, refused, max(0.0, max(known.until, self.rests_until) - now)
+        return known.term, known.following, refused, max(0.0, known.until - now)
 
     def drop(self, name: str) -> None:
         self.wards.pop(name, None)
@@ -167,20 +172,27 @@
 
     def __init__(self, name: str, boot: int, part: float, lease: float) -> None:
         self.name, self.boot, self.part, self.lease = name, boot, part, lease
-        self.term = NO_TERM
+        self.terms: dict[int, Term] = {}  # those that may be in force
+        self.in_force = 0
         # By warden: when its answers end, and until when its word counts.
         self.words: dict[str, tuple[float, float]] = {}
 
-    def begin(self, term: Term) -> None:
-        """The newest term of it that we have heard of; a newer one begins the count anew."""
-        if term.number > self.term.number:
-            self.term, self.words = term, {}
+    def begin(self, term: Term, following: Term | None = None) -> None:
+        """That term was in force, and one is proposed: what came before counts no more."""
+        self.terms[term.number] = term
+        if following is not None:
+            self.terms[following.number] = following
+        self.in_force = max(term.number, self.in_force)
+        self.terms = {number: each for number, each in self.terms.items() if number >= self.in_force}
+
+    def whom(self) -> list[str]:
+        """All who are to be asked."""
+        return sorted({name for term in self.terms.values() for name in term.wardens})
 
-    def word(self, now: float, asked: float, name: str, term: Term, refused: bool, left: float) -> None:
+    def word(self, now: float, asked: float, name: str, term: Term, following: Term | None, refused: bool,
+             left: float) -> None:
         """A warden's word, to what we asked at `asked`."""
-        self.begin(term)
-        if term.number != self.term.number or name not in self.term.wardens:
-            return
+        self.begin(term, following)
         if refused:
             ends = min(now + left, self.words[name][0]) if name in self.words else now + left
             self.words[name] = (ends, asked + self.lease)
@@ -189,7 +201,7 @@
 
     def stopped(self, now: float) -> bool:
         """It holds no lease, whatever its own clock says."""
-        if not self.term.wardens:
-            return False
-        count = sum(ends <= now < until for ends, until in self.words.values())
-        return count >= len(self.term.wardens) - self.term.needed(self.part) + 1
+        ended = {name for name, (ends, until) in self.words.items() if ends <= now < until}
+        terms = [term for term in self.terms.values() if term.wardens]  # without wardens none is held
+        return bool(terms) and all(len(ended.intersection(term.wardens)) > len(term.wardens)
+                                   - term.needed(self.part) for term in terms)
--- a/spurdeal/fleet/standing.py
+++ b/spurdeal/fleet/standing.py
@@ -84,6 +84,12 @@
     def allowed(self) -> Allowed:
         return ALLOWED[self.standing]
 
+    def stood_still(self, gap: float) -> None:
+        """The process stood still for so long: what did not come meanwhile proves nothing."""
+        self.since += gap
+        self.lapsed_since += gap
+        self.behind_since = self.behind_since + gap if self.behind_since is not None else None
+
     def step(self, now: float, seen: Seen) -> bool:
         """True where the standing has changed."""
         if not seen.behind:
--- /dev/null
+++ b/spurdeal/fleet/station.py
@@ -0,0 +1,316 @@
+"""The fleet beside one dispatcher: datagrams and timers in, and the link's Guard.
+
+It decides nothing: `fleet` does. What was decided in a turn is in the audit before it leaves: the frame is
+written at the turn's end, and what the turn has sent leaves with the reactor's next round."""
+
+from __future__ import annotations
+
+import json
+import logging
+import random
+import secrets
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+from ..interface import Life
+from ..net.link import Answer, BrokenOff, Delivered, Granted, Guard, Shed, Taken, must_not_repeat
+from ..net.names import Seat
+from ..net.start import Service
+from ..vrrp.sealed import Keys
+from .audit import COLD, DOUBTFUL, Kind
+from .fleet import TICK, Fleet, Terms, Told
+from .journal import Journal
+from .versions import Line, Row, Version, digest_of, list_digest, rows_of
+
+if TYPE_CHECKING:
+    from ..settings.installation import Installation
+
+LARGEST = 65_535
+KINDS = {"standing": Kind.STANDING, "member": Kind.MEMBER, "page": Kind.WITNESS, "clash": Kind.CLASH}
+ANSWERS = {Shed: Kind.SHED, BrokenOff: Kind.BROKEN_OFF, Granted: Kind.GRANTED}
+QUIET = ("page",)  # told too often for the log lines
+
+
+def program() -> Version:
+    """The program as it stands on the disk: the digest of its sources."""
+    root = Path(__file__).parent.parent
+    parts = [part for file in sorted(root.rglob("*.py"))
+             for part in (str(file.relative_to(root)).encode(), file.read_bytes())]
+    return Version(0, 0, digest_of(*parts))
+
+
+def configured(configuration: bytes, plan: Installation) -> Version:
+    """What all dispatchers of a fleet share of configuration and file; their own names and places are left
+    out."""
+    assert plan.fleet is not None
+    settings = dict(json.loads(configuration).get("settings", {}))
+    settings.pop("index", None)
+    own = {"listen", "advertise", "keys", "seeds", "audit", "clock_file"}
+    shared = plan.fleet.model_dump(mode="json", exclude=own)
+    return Version(0, plan.fleet.revision, digest_of(json.dumps([settings, shared], sort_keys=True).encode()))
+
+
+def keyed(keys: Keys) -> Version:
+    """Which keys are in use; nothing can be learnt of them from it."""
+    return Version(0, keys.sealing, digest_of(*[bytes([ident]) + keys.seal(ident, b"fleet")
+                                                for ident in sorted(keys.keys)]))
+
+
+class Datagrams(DatagramProtocol):
+    """What the others send."""
+
+    transport: Any
+
+    def __init__(self, station: FleetStation) -> None:
+        self.station = station
+
+    def datagramReceived(self, datagram: bytes, address: tuple[Any, ...]) -> None:
+        self.station.came(datagram, (str(address[0]), int(address[1])))
+
+
+class FleetStation:
+    """One dispatcher among its fleet. monotonic gives ms that run on while the process stands still, unix
+    Unix ms that do not step, raw those of the system."""
+
+    def __init__(self, service: Service, plan: Installation, keys: Keys, configuration: bytes, reactor: Any,
+                 monotonic: Callable[[], float], unix: Callable[[], float], raw: Callable[[], float],
+                 log: logging.Logger) -> None:
+        assert plan.fleet is not None
+        self.service, self.plan, self.reactor = service, plan, reactor
+        self.monotonic, self.unix, self.raw, self.log = monotonic, unix, raw, log
+        self.link, self.counters = service.link, service.counters
+        part, site = plan.fleet, service.told.site
+        self.guarded = must_not_repeat(site)
+        self.come_back, self.share = site.most_come_back, 1.0 / site.dispatchers
+        self.inner: Guard | None = None
+        at = part.advertise or part.listen
+        terms = Terms(part.period, part.lease, part.part, part.forget, part.behind_for, part.shut_after,
+                      part.most_shut, part.clock_off)
+        seeds = {seed.name: (str(seed.at[0]), seed.at[1]) for seed in part.seeds if seed.name != plan.name}
+        self.fleet = Fleet(plan.name, (str(at[0]), at[1]), seeds, terms, keys,
+                           random.Random(secrets.randbits(64)), self.bring, monotonic(), unix())
+        self.datagrams = Datagrams(self)
+        self.journal: Journal | None = None
+        if part.audit is not None:
+            self.journal = Journal(Path(part.audit.path), plan.name, self.fleet.boot,
+                                   lambda: self.fleet.hybrid.stamp(self.unix()), monotonic, part.audit.bytes)
+        self.next_seal, self.heard_at = monotonic(), float("-inf")
+        self.told_by, self.parts = "start", True
+        self.idents: dict[int, str] = {}  # engines by place, as the audit names them
+        self.fleet.in_force(Line.CONFIGURATION, configured(configuration, plan))
+        self.fleet.in_force(Line.PROGRAM, program())
+        self.fleet.in_force(Line.KEYS, keyed(keys))
+
+    # Start and stop.
+
+    def start(self) -> None:
+        """Before the service takes anything: its list is seen through this from the first."""
+        assert self.plan.fleet is not None
+        self.inner, self.link.guard = self.link.guard, self
+        self.service.names.listed = self.listed
+        self.service.names.same = self.same
+        self.service.clients.fleet = lambda: self.fleet.status(self.monotonic())
+        self.act_on(self.service.names.number, self.service.seats, "start")
+        host, port = self.plan.fleet.listen
+        self.reactor.listenUDP(port, self.datagrams, interface=str(host), maxPacketSize=LARGEST)
+        if not self.fleet.allowed(self.monotonic()).doubtful:
+            self.tell_parts(False)
+        self.tick()
+
+    def stop(self) -> None:
+        """A planned end: the others are told."""
+        self.fleet.leave(self.monotonic(), self.unix())
+        self.send()
+
+    def close(self) -> None:
+        if self.journal is not None:
+            self.journal.close()
+
+    def read_again(self, configuration: bytes, plan: Installation, keys: Keys) -> None:
+        """SIGHUP: keys are in force at once; which configuration is, the others are told."""
+        self.fleet.keys = keys
+        for session in self.fleet.sessions.values():
+            session.keys = keys
+        self.fleet.in_force(Line.KEYS, keyed(keys))
+        self.fleet.in_force(Line.CONFIGURATION, configured(configuration, plan))
+        self.acted_on("reload")
+
+    def lowers(self) -> bool:
+        """Of VRRP: the priority is lowered while the lease is not held."""
+        return self.fleet.ladder.allowed.lowers
+
+    # Versions.
+
+    def listed(self, seats: dict[str, Seat]) -> None:
+        """The name service has told a newer list."""
+        self.act_on(self.service.names.number, seats, "names")
+        self.link.listed(seats)
+
+    def same(self, seats: dict[str, Seat]) -> None:
+        """The name service has told the number that is in force."""
+        rows = rows_of(seats.values())
+        if rows != self.fleet.rows:
+            self.fleet.source_says(Version(0, self.service.names.number, list_digest(rows)))
+
+    def act_on(self, number: int, seats: Mapping[str, Seat], by: str) -> None:
+        rows = rows_of(seats.values())
+        self.fleet.in_force(Line.LIST, Version(0, number, list_digest(rows)), rows)
+        self.acted_on(by)
+
+    def bring(self, version: Version, rows: Mapping[str, Row]) -> None:
+        """A peer has handed over a newer list; it was checked."""
+        seats = {ident: Seat(ident, str(row[1]), int(row[2]), str(row[3]), str(row[4]), int(row[5]),
+                             Life(row[6]), float(row[7]), float(row[8])) for ident, row in rows.items()}
+        self.service.names.number = max(self.service.names.number, version.number)
+        self.counters.add("lists_from_peers")
+        self.acted_on("peer")
+        self.link.listed(seats)
+
+    def acted_on(self, by: str) -> None:
+        if self.journal is not None:
+            force = {line.name.lower(): str(version) for line, version in self.fleet.book.force.items()}
+            engines = {ident: row[6] for ident, row in self.fleet.rows.items()}
+            self.journal.act_on(force | {"by": by, "engines": engines})
+
+    # Time and datagrams.
+
+    def tick(self) -> None:
+        self.reactor.callLater(TICK / 1000, self.tick)
+        now = self.monotonic()
+        if self.service.names.heard_at != self.heard_at:
+            self.heard_at = self.service.names.heard_at
+            self.fleet.source_answered(now)
+        self.fleet.skew = self.raw() - self.unix()
+        self.fleet.tick(now, self.unix())
+        if self.journal is not None and self.plan.fleet is not None and self.plan.fleet.audit is not None \
+                and now >= self.next_seal:
+            self.next_seal = now + self.plan.fleet.audit.page
+            self.fleet.page = self.journal.seal() or self.fleet.page
+            for name in ("torn", "lost", "failures", "dropped", "broken", "written"):
+                self.counters.sums["audit_" + name] = getattr(self.journal, name)
+        self.after()
+
+    def came(self, datagram: bytes, source: tuple[str, int]) -> None:
+        self.fleet.take(self.monotonic(), self.unix(), source, datagram)
+        self.after()
+
+    def after(self) -> None:
+        """What the fleet has to send and to tell."""
+        self.send()
+        told, self.fleet.told = self.fleet.told, []
+        for each in told:
+            self.tell(each)
+        doubtful = self.fleet.ladder.allowed.doubtful
+        if doubtful != self.parts:
+            self.tell_parts(doubtful)
+        for name, count in self.fleet.counts.items():
+            self.counters.sums["fleet_" + name] = count
+
+    def send(self) -> None:
+        out, self.fleet.out = self.fleet.out, []
+        for address, datagram in out:
+            try:
+                self.datagrams.transport.write(datagram, address)
+            except OSError:
+                self.counters.add("fleet_not_sent")
+
+    def tell(self, told: Told) -> None:
+        if told.what not in QUIET:
+            self.log.info("fleet_" + told.what, extra={"figures": told.figures})
+        if self.journal is not None:
+            kind = KINDS.get(told.what, Kind.OTHER)
+            figures = told.figures if kind is not Kind.OTHER else {"event": told.what} | told.figures
+            self.journal.pages.tell(kind, figures)
+            if not self.link.in_turn:
+                self.journal.flush()
+
+    def tell_parts(self, doubtful: bool) -> None:
+        """Without a lease our part of cold budgets is nothing, so that the rules choose no cold engine. Where
+        VRRP's tenure says the parts, it goes on to, and `departs` withholds."""
+        self.parts = doubtful
+        if self.inner is None or self.plan.vrrp is None:
+            self.link.gather(self.link.rules.tenured, self.share if doubtful else 0.0, self.share)
+
+    # The link's Guard.
+
+    def turning(self, now: float) -> None:
+        if self.inner is not None:
+            self.inner.turning(now)
+
+    def door(self, kind: int, ident: bytes) -> Answer | None:
+        allowed = self.fleet.allowed(self.monotonic())
+        if not allowed.redoable or (self.guarded[kind] and not allowed.doubtful):
+            self.counters.add("fleet_shed")
+            self.short(Kind.SHED, ident)
+            return Shed(self.come_back)
+        return self.inner.door(kind, ident) if self.inner is not None else None
+
+    def before(self, taken: Taken, trip: int, go: Callable[[bool | None], None]) -> bool:
+        return self.inner.before(taken, trip, go) if self.inner is not None else True
+
+    def given_up(self, number: int, trip: int) -> None:
+        if self.inner is not None:
+            self.inner.given_up(number, trip)
+
+    def answered(self, taken: Taken, answer: Answer | None) -> None:
+        if not isinstance(answer, Delivered):
+            self.short(ANSWERS[type(answer)] if answer is not None else Kind.WITHDRAWN, taken.ident)
+        if self.inner is not None:
+            self.inner.answered(taken, answer)
+
+    def never_ran(self, taken: Taken) -> None:
+        if self.inner is not None:
+            self.inner.never_ran(taken)
+
+    def departs(self, taken: Taken, trip: int, engine: int) -> bool:
+        """The last look before a send: the lease may have run out since the rules chose, also in a pause."""
+        found = self.link.rules.engines.get(engine)
+        cold = found is not None and found.warm_at > self.link.clock()
+        doubtful = cold or self.guarded[taken.kind]
+        if self.inner is not None and not self.inner.departs(taken, trip, engine):
+            return False
+        allowed = self.fleet.allowed(self.monotonic())
+        if not allowed.redoable or (doubtful and not allowed.doubtful):
+            self.counters.add("fleet_withheld")
+            return False
+        if self.journal is not None:
+            ident = self.ident_of(engine)
+            flags = COLD * cold | DOUBTFUL * self.guarded[taken.kind]
+            self.journal.pages.sent(taken.ident, trip, ident, flags)
+            if not self.link.in_turn:
+                self.journal.flush()
+        return True
+
+    def ident_of(self, engine: int) -> str:
+        if engine not in self.idents:
+            self.idents = {place: ident for ident, place in self.link.places.items()}
+        return self.idents.get(engine, str(engine))
+
+    def called_off(self, taken: Taken, trip: int) -> None:
+        self.short(Kind.CALLED_OFF, taken.ident, trip)
+        if self.inner is not None:
+            self.inner.called_off(taken, trip)
+
+    def said(self, line: str) -> None:
+        if self.journal is not None:
+            self.journal.pages.tell(Kind.MODE, {"says": line})
+        if self.inner is not None:
+            self.inner.said(line)
+
+    def turned(self) -> None:
+        if self.journal is not None:
+            self.journal.flush()
+        if self.inner is not None:
+            self.inner.turned()
+
+    def seat(self, seat: Seat) -> Seat:
+        return self.inner.seat(seat) if self.inner is not None else seat
+
+    def short(self, kind: Kind, ident: bytes, trip: int = 0) -> None:
+        if self.journal is not None:
+            self.journal.pages.short(kind, ident, trip)
+            if not self.link.in_turn:
+                self.journal.flush()
--- /dev/null
+++ b/spurdeal/fleet/words.py
@@ -0,0 +1,36 @@
+"""What `spurdeal fleet status` prints: a dispatcher's view of its fleet, in lines for people."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+
+def ago(ms: float) -> str:
+    return f"{ms:.0f}ms" if ms < 1000 else f"{ms / 1000:.1f}s" if ms < 120_000 else f"{ms / 60_000:.0f}min"
+
+
+def status_words(found: Mapping[str, Any]) -> Iterator[str]:
+    """Itself, its versions, then a line for each member."""
+    yield (f"{found['name']} start {found['boot'][:8]}: {found['standing']} for {ago(found['for_ms'])} "
+           f"({found['why']}); lease {'held' if found['lease'] else 'not held'}, term {found['term']}, "
+           f"wardens {' '.join(found['wardens']) or 'none'}")
+    for line, version in found["versions"].items():
+        yield f"  {line}: {version}"
+    if found["behind"]:
+        yield f"  behind by {found['behind']}: the newest list is {found['newest_list']}"
+    if abs(found["clock_shift_ms"]) > 100:
+        yield f"  its clock is {found['clock_shift_ms']} ms before the middle of the others'"
+    yield f"fleet of {found['size']}:"
+    for member in found["members"]:
+        words = f"  {member['name']:<12} {member['life']:<8} for {ago(member['for_ms']):<7}"
+        if "standing" in member:
+            words += f" {member['standing']:<8} heard {ago(member['heard_ms_ago'])} ago"
+        if "list" in member:
+            words += f", list {member['list'].partition('/')[0]}"
+            words += f" ({member['behind']} behind)" if member["behind"] else ""
+        yield words + (", known to have stopped" if member["stopped"] else "")
+    for clash in found["clashes"]:
+        yield f"clash: {clash}"
+    for name, count in found["implausible"].items():
+        yield f"{name} claimed what cannot be, {count} times"
--- a/spurdeal/lab/engines.py
+++ b/spurdeal/lab/engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import time
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
@@ -25,6 +26,7 @@
         self.multiple, self.window = multiple, window
         self.runs: Counter[bytes] = Counter()
         self.sent_by: Counter[tuple[str, str]] = Counter()
+        self.ran: list[tuple[float, str, str, bytes]] = []  # Unix s, whose, on which engine, id
         self.engines: list[Engine] = []
 
     def now(self) -> float:
@@ -133,7 +135,9 @@
         cost = float(found[1]) if found else 10.0
         # Before the fall: what makes an engine fall has reached it, and has run.
         self.engine.fleet.runs[ident] += 1
-        self.engine.fleet.sent_by[self.transport.getPeer().host, self.engine.ident] += 1
+        host = self.transport.getPeer().host
+        self.engine.fleet.sent_by[host, self.engine.ident] += 1
+        self.engine.fleet.ran.append((time.time(), host, self.engine.ident, ident))
         self.engine.arrives(cost)
         if self.engine.down:
             return
--- a/spurdeal/lab/fleet_world.py
+++ b/spurdeal/lab/fleet_world.py
@@ -40,7 +40,7 @@
     fleet: Fleet
     life: int = 0
     paused_until: float = 0.0
-    unix_off: float = 0.0
+    unix_off: float = 0.0  # of its system's clock; what stamps are made of does not step
     source: bool = True  # the name service answers it
     source_old: Version | None = None  # and says this, whatever is new
     waiting: list[tuple[Address, bytes]] = field(default_factory=list)
@@ -95,7 +95,9 @@
         self.at(self.now + self.chance.uniform(0.0, ASK_EVERY), self.ask_source, node, node.life)
 
     def unix(self, node: Node | None) -> float:
-        return UNIX + self.now + (node.unix_off if node is not None else 0.0)
+        if node is not None:
+            node.fleet.skew = node.unix_off
+        return UNIX + self.now
 
     # Time.
 
@@ -206,5 +208,9 @@
         node.fleet.leave(self.now, self.unix(node))
         self.sent(node)
 
+    def all_have(self, version: Version) -> bool:
+        """Is that list in force at all?"""
+        return all(version in node.had for node in self.nodes.values() if node.life)
+
     def standings(self) -> Counter[str]:
         return Counter(node.fleet.ladder.standing.name for node in self.nodes.values() if node.life)
--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -118,6 +118,8 @@
             self.answer(200 if self.clients.ready else 503, {}, keep)
         elif method == b"GET" and last == b"counters":
             self.answer(200, self.clients.counters.figures(), keep)
+        elif method == b"GET" and last == b"fleet" and self.clients.fleet is not None:
+            self.answer(200, self.clients.fleet(), keep)
         else:
             self.answer(404 if method == b"GET" else 405, {"fault": "NotKnown"}, keep)
 
@@ -209,6 +211,7 @@
         self.clock, self.counters, self.log = clock, counters, log
         self.connections: dict[Client, None] = {}
         self.port: Any = None
+        self.fleet: Callable[[], object] | None = None  # what is known of the fleet, where there is one
         self.ready = self.full = False
 
     def bound(self, most: int, memory_mb: float) -> None:
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -87,9 +87,17 @@
     def answered(self, taken: Taken, answer: Answer | None) -> None:
         """The answer has left, or the client (None)."""
 
-    def cold(self, engine: int) -> bool:
-        """Something is about to be sent to an engine; False: not now, since it is cold and no part is
-        left."""
+    def departs(self, taken: Taken, trip: int, engine: int) -> bool:
+        """A trip is about to be sent to an engine; False: not now, and nothing of it has run."""
+
+    def called_off(self, taken: Taken, trip: int) -> None:
+        """A trip that is out is being called off."""
+
+    def said(self, line: str) -> None:
+        """The rules have changed a mode."""
+
+    def turned(self) -> None:
+        """A turn is over; what it has sent leaves after this."""
 
     def seat(self, seat: Seat) -> Seat:
         """The seat as the rules are to see it."""
@@ -257,6 +265,8 @@
         asked, self.asked = self.asked, []
         for act, words in asked:
             self.guarded(act, *words)
+        if self.guard is not None:
+            self.guarded(self.guard.turned)
         self.counters.most("longest_turn_ms", self.clock() - began)
         self.in_turn = False
         if self.inbox:
@@ -318,6 +328,8 @@
 
     def log(self, line: str) -> None:
         self.logger.info("rules", extra={"figures": {"says": line}})
+        if self.guard is not None:
+            self.guard.said(line)
 
     # Carrying out.
 
@@ -350,7 +362,7 @@
     def depart(self, taken: Taken, trip: int, engine: int, time_limit: float, now: float) -> None:
         wait = min(time_limit, taken.expiry - now) if time_limit else taken.expiry - now
         rank = taken.rank if self.priorities else None
-        if self.guard is not None and not self.guard.cold(engine):
+        if self.guard is not None and not self.guard.departs(taken, trip, engine):
             self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
             return
         out = taken.carrier.send(engine, taken.ident, taken.workload, wait, rank, taken.statement)
@@ -366,6 +378,8 @@
 
     def cancel(self, number: int, trip: int) -> None:
         if number in self.taken and trip in self.taken[number].trips:
+            if self.guard is not None:
+                self.guard.called_off(self.taken[number], trip)
             self.taken[number].carrier.give_up(self.taken[number].trips[trip], Ending.CALLED_OFF)
         elif number in self.taken and trip in self.taken[number].waiting:
             self.never_sent(self.taken[number], trip)
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -87,6 +87,7 @@
         self.reactor, self.address, self.number, self.listed = reactor, address, number, listed
         self.counters, self.log = counters, log
         self.ident, self.open, self.asking = 0, dict[int, None](), None
+        self.same: Callable[[dict[str, Seat]], None] | None = None  # who compares an answer without news
         self.heard_at = float("-inf")  # the reactor's seconds: when an answer last told of the list
 
     def startProtocol(self) -> None:
@@ -131,12 +132,16 @@
                 raise dns.BadDatagram("no serial")
             self.counters.add("names_answered")
             self.heard_at = self.reactor.seconds()
-            if serial <= self.number:  # no news, or an answer that others have overtaken
-                return
+            if serial < self.number or (serial == self.number and self.same is None):
+                return  # no news, or an answer that others have overtaken
             seats = answered_seats(services, addresses, texts)
         except dns.BadDatagram as fault:
             self.counters.add("names_bad")
             self.log.warning("bad_datagram", extra={"figures": {"why": str(fault)}})
             return
+        if serial == self.number:
+            assert self.same is not None
+            self.same(seats)
+            return
         self.number = serial
         self.listed(seats)
--- a/spurdeal/settings/installation.py
+++ b/spurdeal/settings/installation.py
@@ -35,9 +35,9 @@
 class Track(Part):
     """A condition that lowers a group's priority while it holds."""
 
-    condition: Literal["list_stale", "no_engine", "stopping"] = Field(
+    condition: Literal["list_stale", "no_engine", "shut_out", "stopping"] = Field(
         description="list_stale: no answer of the name service for stale_after; no_engine: none is ready; "
-                    "stopping: a planned stop has begun")
+                    "shut_out: the fleet's lease is not held; stopping: a planned stop has begun")
     lowers: int = Field(ge=1, le=254, description="by how much the priority is lowered; it stays 1 at least")
 
 
@@ -195,6 +195,53 @@
         return self
 
 
+class Seed(Part):
+    """A dispatcher that a new one asks first."""
+
+    name: Name = Field(description="its name, as its own file says")
+    at: SocketAddress = Field(description="where it is reached by the fleet")
+
+
+class AuditPart(Part):
+    """The audit: what was decided under which versions."""
+
+    path: str = Field(min_length=1, description="a folder of its own, on a disk that outlives the process")
+    bytes: int = Field(268_435_456, ge=131_072, description="most bytes of the folder; the oldest files go")
+    page: Duration = Field(100.0, ge=10, le=60_000, description="a page is sealed, and told, so often")
+
+
+class FleetPart(Part):
+    """The fleet: who is in it, who acts on which versions, what one that is behind may do."""
+
+    listen: SocketAddress = Field(description="where the others' datagrams arrive, by UDP")
+    advertise: SocketAddress | None = Field(None, description="where they send them, if not to listen")
+    keys: list[Key] = Field(min_length=1, max_length=2,
+                            description="the first seals; both open, so that keys can change in service")
+    seeds: list[Seed] = Field(default_factory=list, max_length=32,
+                              description="whom a new one asks; one that lives is enough")
+    period: Duration = Field(200.0, ge=50, le=10_000, description="between two probes")
+    lease: Duration = Field(1500.0, ge=300, le=60_000, description="so long an answer of a warden counts")
+    part: float = Field(0.34, gt=0.0, le=1.0, description="of the wardens: so many must answer")
+    forget: Duration = Field(600_000.0, description="one that is gone counts to the fleet for so long")
+    behind_for: Duration = Field(2000.0, description="so long behind the newest list, and it has lapsed")
+    shut_after: Duration = Field(4000.0, description="so long lapsed with no way back, and it is shut out")
+    most_shut: float = Field(0.34, ge=0.0, le=1.0, description="of the fleet: no more are shut out as behind")
+    clock_off: Duration = Field(2000.0, description="Unix time so far off the others', and it has lapsed")
+    revision: int = Field(0, ge=0, le=1 << 48, description="of this file and the configuration, as you count")
+    audit: AuditPart | None = Field(None, description="the audit log; absent: none")
+    clock_file: str | None = Field(None, description="for tests: a file with ms that Unix time is off by")
+
+    @model_validator(mode="after")
+    def times_agree(self) -> FleetPart:
+        if self.lease < 3 * self.period:
+            raise ValueError("lease is under three times period: it would end between two probes")
+        if len({key.id for key in self.keys}) != len(self.keys):
+            raise ValueError("two keys have one id")
+        if len({seed.name for seed in self.seeds}) != len(self.seeds):
+            raise ValueError("two seeds have one name")
+        return self
+
+
 class Installation(Part):
     """The whole file."""
 
@@ -203,6 +250,7 @@
     vrrp: Vrrp | None = Field(None, description="who holds which addresses; absent: nobody")
     ledger: LedgerPart | None = Field(None, description="a durable ledger; absent: none")
     extproc: ExtprocPart | None = Field(None, description="the external processor; absent: none")
+    fleet: FleetPart | None = Field(None, description="the fleet; absent: none")
     handover: HandoverPart | None = Field(None, description="what they tell each other; absent: nothing")
     tenure: TenurePart = Field(TenurePart.model_construct(), description="parts of cold engines' budgets")
 
--- a/spurdeal/store/guard.py
+++ b/spurdeal/store/guard.py
@@ -100,8 +100,20 @@
             except Full:
                 self.counters.add("ledger_not_written")
 
-    def cold(self, engine: int) -> bool:
-        return self.inner.cold(engine) if self.inner is not None else True
+    def departs(self, taken: Taken, trip: int, engine: int) -> bool:
+        return self.inner.departs(taken, trip, engine) if self.inner is not None else True
+
+    def called_off(self, taken: Taken, trip: int) -> None:
+        if self.inner is not None:
+            self.inner.called_off(taken, trip)
+
+    def said(self, line: str) -> None:
+        if self.inner is not None:
+            self.inner.said(line)
+
+    def turned(self) -> None:
+        if self.inner is not None:
+            self.inner.turned()
 
     def seat(self, seat: Seat) -> Seat:
         return self.inner.seat(seat) if self.inner is not None else seat
--- a/spurdeal/vrrp/groups.py
+++ b/spurdeal/vrrp/groups.py
@@ -8,7 +8,7 @@
 from .advert import OWNER, Address
 from .machine import NEVER, Act, Machine, State, Terms
 
-CONDITIONS = ("list_stale", "no_engine", "stopping")  # what can be tracked
+CONDITIONS = ("list_stale", "no_engine", "shut_out", "stopping")  # what can be tracked
 LEAST = 1  # a priority that is lowered stays a priority; 0 is said by stopping only
 
 
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -102,6 +102,7 @@
         self.began, self.fresh, self.barred, self.stopping = now, False, True, False
         self.ticking: Any = None
         self.flushing = False
+        self.shut_out: Callable[[], bool] = lambda: False  # by the fleet, where there is one
         self.greeted, self.greeted_since = 0, now
         self.ports: list[Any] = []
 
@@ -203,6 +204,8 @@
         conditions = ["list_stale"] if stale and now - self.began > self.vrrp.stale_after else []
         if not any(engine.aside_until <= unix for engine in self.link.rules.ready):
             conditions.append("no_engine")
+        if self.shut_out():
+            conditions.append("shut_out")
         return conditions
 
     def rearm(self) -> None:
@@ -409,7 +412,16 @@
         if self.handover is not None and self.guarded[taken.kind]:
             self.handover.over(taken.ident.lower(), never_ran=True)
 
-    def cold(self, engine: int) -> bool:
+    def called_off(self, taken: Taken, trip: int) -> None:
+        """Nothing follows of it here."""
+
+    def said(self, line: str) -> None:
+        """Nothing follows of it here."""
+
+    def turned(self) -> None:
+        """Nothing follows of it here."""
+
+    def departs(self, taken: Taken, trip: int, engine: int) -> bool:
         """May something go there now? A cold engine's budget may have been lent since the rules chose."""
         found = self.link.rules.engines.get(engine)
         if found is None or found.warm_at <= self.link.clock() or not self.plan.tenure.on \
