--- a/spurdeal/fleet/audit.py
+++ b/spurdeal/fleet/audit.py
@@ -173,6 +173,8 @@
 def read(data: bytes) -> Read:
     """A file, checked from its head on; Broken tells from where it cannot be used. A torn tail is no fault:
     `end` lies before it."""
+    if MAGIC.startswith(data):  # its very beginning was torn off
+        return Read([], {}, 0, 0, NO_DIGEST, 0, {}, 0)
     if data[:len(MAGIC)] != MAGIC:
         raise Broken(0, "no audit log: it does not begin as one")
     at, records, seals = len(MAGIC), list[Record](), dict[int, tuple[str, int, Stamp]]()
--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -325,6 +325,9 @@
             return
         self.next_offers = now + OFFERS_EVERY
         offers = self.book.offers() if self.fetch.want is None else []
+        for version, holders in offers:
+            if version not in self.offered:
+                self.told.append(Told("newer_seen", {"list": str(version), "at": " ".join(holders[:3])}))
         self.offered = {version: self.offered.get(version, now) for version, _ in offers}
         # Our own source comes first, where it answers: one that is told what others are not must not lead
         # them all.
--- a/spurdeal/fleet/journal.py
+++ b/spurdeal/fleet/journal.py
@@ -60,7 +60,12 @@
                 file.rename(file.with_suffix(".broken"))
                 del self.sizes[newest]
                 continue
-            if found.end < len(data):
+            if not found.head:  # killed, or out of room, as it was begun
+                self.torn += 1
+                file.unlink()
+                del self.sizes[newest]
+                found = None
+            elif found.end < len(data):
                 self.torn += 1
                 os.truncate(file, found.end)
                 self.sizes[newest] = found.end
@@ -88,6 +93,10 @@
             self.pages.tell(Kind.VERSIONS, self.versions)
         begun = self.put(self.pages.frame(self.stamp(), self.index), MAGIC)
         self.pages.records += kept
+        if not begun:  # no room even for a head
+            with suppress(OSError):
+                self.name_of(self.number).unlink()
+            del self.sizes[self.number]
         self.shrink()
         return begun
 
--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -31,6 +31,7 @@
 LARGEST = 65_535
 KINDS = {"standing": Kind.STANDING, "member": Kind.MEMBER, "page": Kind.WITNESS, "clash": Kind.CLASH}
 ANSWERS = {Shed: Kind.SHED, BrokenOff: Kind.BROKEN_OFF, Granted: Kind.GRANTED}
+COUNT_EVERY = 500.0  # ms
 QUIET = ("page",)  # told too often for the log lines
 
 
@@ -98,6 +99,7 @@
             self.journal = Journal(Path(part.audit.path), plan.name, self.fleet.boot,
                                    lambda: self.fleet.hybrid.stamp(self.unix()), monotonic, part.audit.bytes)
         self.next_seal, self.heard_at = monotonic(), float("-inf")
+        self.next_count = monotonic()
         self.told_by, self.parts = "start", True
         self.idents: dict[int, str] = {}  # engines by place, as the audit names them
         self.fleet.in_force(Line.CONFIGURATION, configured(configuration, plan))
@@ -185,6 +187,10 @@
             self.fleet.source_answered(now)
         self.fleet.skew = self.raw() - self.unix()
         self.fleet.tick(now, self.unix())
+        if now >= self.next_count:
+            self.next_count = now + COUNT_EVERY
+            for name, count in self.fleet.counts.items():
+                self.counters.sums["fleet_" + name] = count
         if self.journal is not None and self.plan.fleet is not None and self.plan.fleet.audit is not None \
                 and now >= self.next_seal:
             self.next_seal = now + self.plan.fleet.audit.page
@@ -206,8 +212,6 @@
         doubtful = self.fleet.ladder.allowed.doubtful
         if doubtful != self.parts:
             self.tell_parts(doubtful)
-        for name, count in self.fleet.counts.items():
-            self.counters.sums["fleet_" + name] = count
 
     def send(self) -> None:
         out, self.fleet.out = self.fleet.out, []
--- a/spurdeal/lab/audited.py
+++ b/spurdeal/lab/audited.py
@@ -426,10 +426,10 @@
             if entry.record.kind is Kind.VERSIONS:
                 first.setdefault(entry.record.told["list"], entry.record.stamp.ms)
             started.setdefault((entry.name, entry.boot), entry.record.stamp.ms)
-        behind: dict[str, list[float]] = {}
+        seen: dict[tuple[str, str], list[float]] = {}
         for name in self.rig.processes:
-            behind[name] = [at * 1000 for at, pairs in self.rig.lines(name, "fleet_standing")
-                            if pairs.get("standing") == "behind"]
+            for when, pairs in self.rig.lines(name, "fleet_newer_seen"):
+                seen.setdefault((name, pairs["list"]), []).append(when * 1000)
         up, found = list[float](), list[float]()
         for entry in entries:
             told = entry.record.told
@@ -441,7 +441,7 @@
                 if name == entry.name and began * 1000 <= at + 50 and ended * 1000 <= at + 50:
                     since = max(since, ended * 1000) if ended * 1000 > since else since
             up.append(max(0.0, at - since))
-            known = [each for each in behind.get(entry.name, ()) if since <= each <= at]
+            known = [each for each in seen.get((entry.name, told["list"]), ()) if since - 50 <= each <= at]
             found.append(max(0.0, min([at, *known]) - since))
         return up, found
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,6 +3,7 @@
 import io
 import json
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError
@@ -151,7 +152,8 @@
 
 
 class World:
-    def __init__(self, case: unittest.TestCase, engines: int = 1, **more: Any) -> None:
+    def __init__(self, case: unittest.TestCase, engines: int = 1,
+                 before: Callable[[Service, "World"], None] | None = None, **more: Any) -> None:
         self.case, self.done = case, list[float]()
         self.reactor: Any = Reactor(self)
         self.names, self.asked = list[bytes](), list[object]()
@@ -159,6 +161,8 @@
         told = read_configuration(json.dumps(configuration(engines, **more)))
         self.service = Service(told, self.reactor, self.now, logger("n1", self.log),
                                lambda: self.done.append(self.now()))
+        if before is not None:
+            before(self.service, self)
         self.service.start()
         self.service.clients.port = self.door = Port()
         case.addCleanup(self.check)
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,353 @@
+"""The fleet's audit: what is written, what a failure costs, what is told of a log that was altered."""
+
+import errno
+import json
+import os
+import tempfile
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from spurdeal.fleet.asking import Asked, Unreadable, check, chosen, merged, read_log
+from spurdeal.fleet.audit import Broken, Kind, Pages, read
+from spurdeal.fleet.hybrid import Stamp
+from spurdeal.fleet.journal import Journal
+from spurdeal.fleet.station import FleetStation
+from spurdeal.fleet.words import status_words
+from spurdeal.lab.names import Seat
+from spurdeal.net.start import Service
+from spurdeal.settings.reading import read_text
+from spurdeal.vrrp.sealed import Keys
+from tests.helpers import World, configuration
+from tests.test_settings import call
+
+
+class Disk:
+    """The system's calls, of which a test makes some fail."""
+
+    def __init__(self) -> None:
+        self.left = float("inf")  # bytes that still fit
+        self.cuts = True
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(os, name)
+
+    def write(self, file: int, data: memoryview) -> int:
+        if self.left <= 0:
+            raise OSError(errno.ENOSPC, "full")
+        fits = int(min(len(data), self.left))
+        self.left -= fits
+        return os.write(file, data[:fits])
+
+    def ftruncate(self, file: int, size: int) -> None:
+        if not self.cuts:
+            raise OSError(errno.EIO, "no")
+        os.ftruncate(file, size)
+
+
+class Logs(unittest.TestCase):
+    def setUp(self) -> None:
+        self.root = Path(tempfile.mkdtemp(prefix="spurdeal-test-"))
+        self.now = 1000.0
+        self.tallies = 0
+
+    def stamp(self) -> Stamp:
+        self.tallies += 1
+        return Stamp(int(self.now), self.tallies)
+
+    def journal(self, name: str = "d1", boot: int = 1, most: int = 1 << 20, system: Any = os) -> Journal:
+        found = Journal(self.root / name, name, boot, self.stamp, lambda: self.now, most, system)
+        self.addCleanup(found.close)
+        return found
+
+    def listed(self, journal: Journal, number: int, engines: dict[str, int], digest: str = "aa") -> None:
+        self.now += 10
+        journal.act_on({"list": f"0.{number}/{digest}", "by": "names", "engines": engines})
+
+    def send(self, journal: Journal, ident: str, engine: str = "s-0", trip: int = 0) -> None:
+        self.now += 1
+        journal.pages.sent(ident.encode(), trip, engine, 0)
+        journal.flush()
+
+    def usual(self, name: str = "d1") -> Journal:
+        """Thirty sends in six sealed pages."""
+        journal = self.journal(name)
+        self.listed(journal, 1, {"s-0": 2, "s-1": 2})
+        for number in range(30):
+            self.send(journal, f"{number:016x}")
+            if number % 5 == 4:
+                journal.seal()
+        return journal
+
+    def test_what_was_written_is_read(self) -> None:
+        journal = self.usual()
+        journal.pages.short(Kind.SHED, b"00ff")
+        journal.pages.tell(Kind.MODE, {"says": "engine 3 aside"})
+        journal.flush()
+        log = read_log(self.root / "d1")
+        kinds = [entry.record.kind for entry in log.entries]
+        self.assertEqual(30, kinds.count(Kind.SENT))
+        self.assertEqual([Kind.SHED, Kind.MODE], kinds[-2:])
+        sent = next(entry for entry in log.entries if entry.record.kind is Kind.SENT)
+        self.assertEqual(("s-0", "0.1/aa"), (sent.record.engine, sent.versions["list"]))
+        self.assertEqual([], check([log], 250.0))
+
+    def test_each_byte_that_is_altered_is_seen(self) -> None:
+        self.usual().close()
+        file = next((self.root / "d1").glob("*.log"))
+        data = file.read_bytes()
+        good = read(data)
+        for place in range(len(data)):
+            spoilt = bytearray(data)
+            spoilt[place] ^= 0x10
+            try:
+                found = read(bytes(spoilt))
+            except Broken:
+                continue
+            self.assertLess(found.end, len(data), place)  # as a torn tail, which others' digests give away
+            self.assertEqual(good.records[:len(found.records)], found.records)
+
+    def test_each_torn_tail_is_cut_and_the_next_start_goes_on(self) -> None:
+        self.usual().close()
+        file = next((self.root / "d1").glob("*.log"))
+        data = file.read_bytes()
+        for cut in range(len(data) - 60, len(data), 7):
+            file.write_bytes(data[:cut])
+            journal = self.journal(boot=2)
+            self.send(journal, "ff" * 8)
+            journal.close()
+            log = read_log(self.root / "d1")
+            self.assertEqual([], log.problems, cut)
+            self.assertEqual(read(data[:cut]).end < cut, bool(journal.torn))
+            for later in sorted((self.root / "d1").glob("*.log"))[1:]:
+                later.unlink()
+
+    def test_a_full_disk_costs_records_and_says_how_many(self) -> None:
+        disk = Disk()
+        journal = self.journal(system=disk)
+        self.listed(journal, 1, {"s-0": 2})
+        for number in range(40):
+            disk.left = 3 if 10 <= number < 20 else float("inf")
+            self.send(journal, f"{number:016x}")
+            self.now += 100
+            journal.seal()
+        journal.close()
+        log = read_log(self.root / "d1")
+        sends = sum(entry.record.kind is Kind.SENT for entry in log.entries)
+        self.assertGreater(journal.lost, 9)
+        self.assertEqual((True, []), (25 <= sends <= 30, log.problems), "tried again every half second")
+        self.assertEqual(journal.lost, log.lost)
+        self.assertGreaterEqual(journal.lost, 40 - sends)
+        self.assertIn("lost", [finding.kind for finding in check([log], 250.0)])
+
+    def test_a_disk_that_cannot_even_cut_gets_a_new_file(self) -> None:
+        disk = Disk()
+        journal = self.journal(system=disk)
+        self.listed(journal, 1, {"s-0": 2})
+        disk.left, disk.cuts = 5, False
+        self.send(journal, "aa" * 8)
+        disk.left, disk.cuts = float("inf"), True
+        self.now += 1000
+        self.send(journal, "bb" * 8)
+        self.send(journal, "cc" * 8)
+        journal.close()
+        idents = [entry.record.ident for entry in read_log(self.root / "d1", strict=False).entries]
+        self.assertIn("cc" * 8, idents)
+
+    def test_the_folder_stays_in_its_bound(self) -> None:
+        journal = self.journal(most=131_072)
+        self.listed(journal, 1, {"s-0": 2})
+        for number in range(6000):
+            self.send(journal, f"{number:016x}")
+            if number % 20 == 0:
+                journal.seal()
+        self.assertLessEqual(sum(file.stat().st_size for file in (self.root / "d1").iterdir()), 131_072)
+        self.assertGreater(journal.dropped, 0)
+        journal.close()
+        self.assertEqual([], read_log(self.root / "d1").problems)
+
+    def test_what_cannot_be_read_is_put_aside_at_a_start_and_refused_when_asked(self) -> None:
+        self.usual().close()
+        file = next((self.root / "d1").glob("*.log"))
+        file.write_bytes(b"something else")
+        with self.assertRaises(Unreadable) as caught:
+            read_log(self.root / "d1")
+        self.assertIn("at byte 0: no audit log", str(caught.exception))
+        journal = self.journal(boot=2)
+        self.assertEqual(1, journal.broken)
+        self.assertTrue(file.with_suffix(".broken").exists())
+
+    # What went against the versions.
+
+    def findings(self, *names: str) -> list[str]:
+        logs = [read_log(self.root / name, False) for name in names]
+        return [finding.kind for finding in check(logs, 250.0)]
+
+    def test_a_send_to_what_its_own_list_has_draining(self) -> None:
+        journal = self.journal()
+        self.listed(journal, 2, {"s-0": 1, "s-1": 2})
+        self.send(journal, "aa", "s-1")
+        self.assertEqual([], self.findings("d1"))
+        self.send(journal, "bb", "s-0")
+        self.send(journal, "cc", "s-9")
+        self.assertEqual(["own_version"] * 2, self.findings("d1"))
+
+    def test_a_send_that_a_newer_list_forbade_by_then(self) -> None:
+        old, new = self.journal("d1"), self.journal("d2")
+        self.listed(old, 1, {"s-0": 2})
+        self.listed(new, 2, {"s-0": 1})
+        self.now += 240
+        self.send(old, "aa")
+        self.assertEqual([], self.findings("d1", "d2"), "within the grace")
+        self.now += 20
+        self.send(old, "bb")
+        self.assertEqual(["newer_version"], self.findings("d1", "d2"))
+
+    def test_two_contents_of_one_version(self) -> None:
+        self.listed(self.journal("d1"), 3, {"s-0": 2}, "aa")
+        self.listed(self.journal("d2"), 3, {"s-0": 2}, "bb")
+        self.assertEqual(["clash"], self.findings("d1", "d2"))
+
+    def test_a_log_that_was_cut_or_put_back(self) -> None:
+        journal, other = self.usual(), self.journal("d2")
+        page, digest, count = journal.pages.page - 1, journal.pages.digest.hex(), journal.pages.count
+        other.pages.tell(Kind.WITNESS, {"name": "d1", "boot": f"{1:016x}", "page": page, "digest": digest,
+                                        "records": count})
+        other.flush()
+        self.assertEqual([], self.findings("d1", "d2"))
+        file = next((self.root / "d1").glob("*.log"))
+        whole = file.read_bytes()
+        file.write_bytes(whole[:len(whole) // 2])
+        self.assertEqual(["witness"], self.findings("d1", "d2"))
+
+    def test_asked_for_one_submission_in_a_true_order(self) -> None:
+        one, two = self.journal("d1"), self.journal("d2")
+        self.listed(one, 1, {"s-0": 2})
+        self.listed(two, 1, {"s-0": 2})
+        self.send(two, "abcd", trip=0)
+        self.send(one, "abcd", trip=1)
+        self.send(one, "ffff")
+        entries = merged([read_log(self.root / "d1"), read_log(self.root / "d2")])
+        found = list(chosen(entries, Asked(submission="ABCD")))
+        self.assertEqual([("d2", 0), ("d1", 1)], [(entry.name, entry.record.trip) for entry in found])
+        self.assertEqual(3, len(list(chosen(entries, Asked(engine="s-0", version="0.1")))))
+
+    def test_the_commands(self) -> None:
+        self.listed(journal := self.usual(), 2, {"s-0": 1})
+        self.send(journal, "dd" * 8)
+        journal.close()
+        folder = str(self.root / "d1")
+        told = call("fleet", "audit", folder, "--submission", "dd" * 8, "--json")
+        self.assertEqual(["s-0", "0.2/aa"], [json.loads(told.stdout)["engine"],
+                                             json.loads(told.stdout)["versions"]["list"]])
+        checked = call("fleet", "check", folder)
+        self.assertEqual(1, checked.returncode)
+        self.assertIn("which its own list 0.2/aa has draining", checked.stdout)
+        next((self.root / "d1").glob("*.log")).write_bytes(b"x")
+        refused = call("fleet", "audit", folder)
+        self.assertEqual((2, True), (refused.returncode, "at byte 0" in refused.stderr))
+        self.assertEqual(2, call("fleet", "status", "--at", "127.0.8.250:1").returncode)
+
+
+PLAN = """
+name: n1
+fleet:
+  listen: 127.0.8.1:7114
+  keys: [{id: 1, hex: 5f5f5f5f5f5f5f5f5f5f5f5f5f5f5f5f}]
+  seeds: [%s]
+  audit: {path: %s}
+"""
+
+
+class Stations(unittest.TestCase):
+    def world(self, seeds: str = "") -> World:
+        self.folder = Path(tempfile.mkdtemp(prefix="spurdeal-test-"))
+        plan = read_text("plan", (PLAN % (seeds, self.folder / "audit")).encode())
+
+        def added(service: Service, world: World) -> None:
+            raw = json.dumps(configuration(2)).encode()
+            clock: Callable[[], float] = lambda: float(world.reactor.seconds()) * 1000  # noqa: E731
+            self.station = FleetStation(service, plan, Keys({1: b"_" * 16}), raw, world.reactor, clock,
+                                        service.clock, service.clock, service.log)
+            self.station.start()
+            self.addCleanup(self.station.close)
+        return World(self, 2, before=added)
+
+    def entries(self, kind: Kind) -> list[Any]:
+        return [entry.record for entry in read_log(self.folder / "audit", False).entries
+                if entry.record.kind is kind]
+
+    def test_a_send_is_in_the_log_before_it_leaves(self) -> None:
+        world = self.world()
+        caller = world_caller(world)
+        caller.post(7)
+        peer = world.peer()
+        seen: list[int] = []
+        write = peer.pipe.write
+
+        def written(data: bytes) -> None:
+            seen.append(len(self.entries(Kind.SENT)))
+            write(data)
+        peer.pipe.write = written  # type: ignore[method-assign]
+        peer.up()
+        self.assertEqual(["serve"], [each[0] for each in peer.heard()])
+        self.assertEqual([f"{7:016x}"], [record.ident for record in self.entries(Kind.SENT)])
+
+    def test_what_is_shed_and_left_is_in_the_log(self) -> None:
+        world = self.world()
+        caller = world_caller(world)
+        caller.post(7)
+        caller.leave()
+        self.assertEqual([f"{7:016x}"], [record.ident for record in self.entries(Kind.WITHDRAWN)])
+
+    def test_without_a_lease_irreversible_ones_are_shed_at_once(self) -> None:
+        world = self.world("{name: n2, at: 127.0.8.2:7114}")
+        caller = world_caller(world)
+        caller.post(7, "load")
+        self.assertEqual([503], [status for status, _, _ in caller.answers()])
+        caller.post(8)
+        world.peer().up()
+        self.assertEqual([f"{8:016x}"], [record.ident for record in self.entries(Kind.SENT)])
+        self.assertEqual(0.0, world.service.link.rules.cold_budget)
+
+    def test_each_list_is_a_version_and_one_of_the_same_number_a_clash(self) -> None:
+        world = self.world()
+        seats = [Seat(f"s-{number}", f"127.0.9.{number}", 7001) for number in range(3)]
+        world.list(2, *(seat.record() for seat in seats))
+        self.assertEqual(["0.1", "0.2"], [record.told["list"].partition("/")[0]
+                                          for record in self.entries(Kind.VERSIONS)])
+        world.list(2, *(seat.record() for seat in seats[:2]))
+        world.go(100)
+        self.assertEqual(1, len(self.entries(Kind.CLASH)))
+        self.assertEqual(3, len(world.service.link.seats))
+
+    def test_its_view_can_be_asked_for(self) -> None:
+        world = self.world("{name: n2, at: 127.0.8.2:7114}")
+        caller = world_caller(world)
+        caller.say(b"GET /fleet HTTP/1.1\r\nHost: x\r\n\r\n")
+        (status, _, found), = caller.answers()
+        self.assertEqual((200, "n1", "joining"), (status, found["name"], found["standing"]))
+        self.assertIn("lease not held", next(status_words(found)))
+
+    def test_without_a_fleet_there_is_no_such_view(self) -> None:
+        caller = world_caller(World(self))
+        caller.say(b"GET /fleet HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual([404], [status for status, _, _ in caller.answers()])
+
+
+def world_caller(world: World) -> Any:
+    from tests.helpers import Caller
+    return Caller(world)
+
+
+class Chains(unittest.TestCase):
+    def test_a_page_holds_all_that_came_before(self) -> None:
+        one, two = Pages(), Pages()
+        for pages, ident in ((one, b"a"), (two, b"b")):
+            for each in (ident, b"c"):
+                pages.sent(each, 0, "s-0", 0)
+                pages.wrote(pages.frame(Stamp(1, 0), 0), True)
+                pages.seal(Stamp(1, 1), 0)
+                pages.sealed()
+        self.assertNotEqual(one.digest, two.digest)
