--- a/spurdeal/fleet/asking.py
+++ b/spurdeal/fleet/asking.py
@@ -10,7 +10,7 @@
 
 from .audit import COLD, DOUBTFUL, Broken, Kind, Record, head_of, read
 from .hybrid import Stamp
-from .versions import Line
+from .versions import WITNESSES, Line
 
 READY = 2
 LINES = tuple(line.name.lower() for line in Line)
@@ -184,11 +184,18 @@
                               f"{'draining' if life else 'gone'}", entry)
 
 
-def against_newer(entries: Iterable[Entry], grace: float) -> Iterator[Finding]:
-    """Entries in order: a newer list that someone acted on more than the grace ago, and that forbade it."""
-    first: list[tuple[int, int, Mapping[str, Any]]] = []  # number, first acted on at, versions; numbers grow
+def against_newer(entries: Sequence[Entry], grace: float) -> Iterator[Finding]:
+    """Entries in order: a newer list that someone acted on more than the grace ago, and that forbade it. A
+    list that only one of several ever acted on is one witness's word: it may have made it up."""
+    names = {entry.name for entry in entries}
+    acted: dict[str, set[str]] = {}
     for entry in entries:
         if entry.record.kind is Kind.VERSIONS and "list" in entry.record.told:
+            acted.setdefault(entry.record.told["list"], set()).add(entry.name)
+    believed = {told for told, by in acted.items() if len(by) >= min(WITNESSES, len(names) - 1)}
+    first: list[tuple[int, int, Mapping[str, Any]]] = []  # number, first acted on at, versions; numbers grow
+    for entry in entries:
+        if entry.record.kind is Kind.VERSIONS and entry.record.told.get("list") in believed:
             number = number_of(entry.record.told["list"])
             if not first or number > first[-1][0]:
                 first.append((number, entry.record.stamp.ms, entry.record.told))
--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -383,10 +383,10 @@
             if change.life >= Life.GONE:
                 self.book.forget(change.name)
                 self.heard.pop(change.name, None)
-        kept = self.members.others.keys() | self.seeds.keys()
+        most = len(self.members.others) + len(self.seeds) + STRANGERS
         for table in (self.sessions, self.wards.wards, self.heard, self.book.claims):
-            if len(table) > len(kept) + STRANGERS:
-                for name in table.keys() - kept:
+            if len(table) > most:
+                for name in table.keys() - self.members.others.keys() - self.seeds.keys():
                     table.pop(name)
 
     def settle_names(self, now: float) -> None:
--- a/spurdeal/fleet/journal.py
+++ b/spurdeal/fleet/journal.py
@@ -90,7 +90,7 @@
                                     "page": self.pages.page, "records": self.pages.count,
                                     "before": self.pages.digest.hex()})
         if self.versions:
-            self.pages.tell(Kind.VERSIONS, self.versions)
+            self.pages.tell(Kind.VERSIONS, self.versions | {"again": True})
         begun = self.put(self.pages.frame(self.stamp(), self.index), MAGIC)
         self.pages.records += kept
         if not begun:  # no room even for a head
--- a/spurdeal/fleet/members.py
+++ b/spurdeal/fleet/members.py
@@ -90,7 +90,7 @@
         self.own, self.period, self.forget_after, self.chance = own, period, forget, chance
         self.others: dict[str, Record] = {}
         self.living: set[str] = set()  # of the others, those who are not over
-        self.sum = 0
+        self.sum = self.left = 0
         self.since: dict[str, float] = {}
         self.suspicions: dict[str, Suspicion] = {}
         self.ring: list[str] = []
@@ -115,7 +115,7 @@
 
     def size(self) -> int:
         """Of the fleet, ourselves with it."""
-        return len(self.known()) + 1
+        return len(self.others) - self.left + 1
 
     def scale(self) -> float:
         return max(1.0, math.log10(max(2, len(self.living) + 1)))
@@ -134,6 +134,8 @@
     def keep(self, name: str, record: Record | None) -> None:
         """The table, who is living, and the sum go together."""
         before = self.others.get(name)
+        self.left += (record is not None and record.life is Life.LEFT) \
+            - (before is not None and before.life is Life.LEFT)
         if before is not None and before.life <= Life.SUSPECT:
             self.sum ^= zlib.crc32(self.line(before))
             self.living.discard(name)
--- a/spurdeal/fleet/versions.py
+++ b/spurdeal/fleet/versions.py
@@ -91,13 +91,15 @@
         self.clashes: dict[tuple[Line, int, int], Clash] = {}
         self.told: dict[Line, Version] = {}  # by our own source, whether or not it is in force
         self.implausible: dict[str, int] = {}
-        self.found: dict[Line, Version | None] = {}  # what `newest` has found since anything changed
+        # What `newest` and `offers` have found since anything changed.
+        self.found: dict[Line, Version | None] = {}
+        self.beyond: dict[Line, list[tuple[Version, list[str]]]] = {}
 
     def take(self, line: Line, version: Version, by_source: bool = True) -> bool:
         """Puts a version in force. False, and nothing changes, for one that is not newer: versions never go
         back unasked, and other content under the version in force is a clash."""
         before = self.force.get(line)
-        self.found.clear()
+        self.changed()
         if by_source and (line not in self.told or version.order >= self.told[line].order):
             self.told[line] = version
         if before is not None and version.order <= before.order:
@@ -121,7 +123,7 @@
                 found += self.clash(line, version, name)
         if self.claims.get(name) != kept:
             self.claims[name] = kept
-            self.found.clear()
+            self.changed()
         return found
 
     def clash(self, line: Line, version: Version, name: str) -> list[Clash]:
@@ -132,9 +134,13 @@
         self.clashes[key] = clash
         return [clash]
 
+    def changed(self) -> None:
+        self.found.clear()
+        self.beyond.clear()
+
     def forget(self, name: str) -> None:
         self.claims.pop(name, None)
-        self.found.clear()
+        self.changed()
         self.implausible.pop(name, None)
 
     def newest(self, line: Line) -> Version | None:
@@ -165,6 +171,11 @@
     def offers(self, line: Line = Line.LIST) -> list[tuple[Version, list[str]]]:
         """What members claim beyond ours, newest first, also with one witness: it may be asked for, since
         what comes is checked against its digest and against what is in force."""
+        if line not in self.beyond:
+            self.beyond[line] = self.find_offers(line)
+        return self.beyond[line]
+
+    def find_offers(self, line: Line) -> list[tuple[Version, list[str]]]:
         own = self.force.get(line)
         ahead = {claims[line] for claims in self.claims.values()
                  if line in claims and (own is None or claims[line].order > own.order)}
--- a/spurdeal/lab/fleet_world.py
+++ b/spurdeal/lab/fleet_world.py
@@ -212,5 +212,17 @@
         """Is that list in force at all?"""
         return all(version in node.had for node in self.nodes.values() if node.life)
 
+    def introduce(self) -> None:
+        """All know all, as long after a start: no news is left of it."""
+        records = [node.fleet.members.own for node in self.nodes.values()]
+        for node in self.nodes.values():
+            members = node.fleet.members
+            for record in records:
+                if record.name != node.name:
+                    members.put(self.now, record, node.name)
+            members.news.clear()
+            members.changes.clear()
+            node.fleet.synced = True
+
     def standings(self) -> Counter[str]:
         return Counter(node.fleet.ladder.standing.name for node in self.nodes.values() if node.life)
