--- a/spurdeal/lab/audited.py
+++ b/spurdeal/lab/audited.py
@@ -359,9 +359,22 @@
             "irreversible_run_twice": twice, "cold_budget_used_max": round(rig.engines.budget_used_most(), 3),
             "sent_to_drained": drained,
             "delivered_part": round(counts["delivered"] / counts["submissions"], 4),
+            "missing": self.missing()[:10],
             "idle_cpu": round(sum(self.idle.values()) / max(1, len(self.idle)), 4)}
         return found | self.of_the_fleet() if rig.fleet_on else found
 
+    def missing(self) -> list[str]:
+        """Each answer that is owed and did not come: to whom it was sent, and during which fault."""
+        found = []
+        for asked in self.crowd.asked:
+            for place in asked.unanswered:
+                if not self.rig.excused(place, asked):
+                    began = asked.began / 1000
+                    fault = next((f"{kind} of {' '.join(whom)}, {began - since:.2f} s in" for kind, since, until, whom
+                                  in self.done if since <= began <= until + 1.0), "no fault")
+                    found.append(f"{asked.ident} at {place[0]} during {fault}; answers {asked.answers}")
+        return found
+
     def sent_to_drained(self) -> int:
         """By the engines' own log: what reached one that drains or has gone, a second after that or later."""
         since = {ident: at for at, _, ident in reversed(self.rig.released)}
