--- a/spurdeal/lab/audited.py
+++ b/spurdeal/lab/audited.py
@@ -370,8 +370,9 @@
             for place in asked.unanswered:
                 if not self.rig.excused(place, asked):
                     began = asked.began / 1000
-                    fault = next((f"{kind} of {' '.join(whom)}, {began - since:.2f} s in" for kind, since, until, whom
-                                  in self.done if since <= began <= until + 1.0), "no fault")
+                    fault = next((f"{kind} of {' '.join(whom)}, {began - since:.2f} s in"
+                                  for kind, since, until, whom in self.done
+                                  if since <= began <= until + 1.0), "no fault")
                     found.append(f"{asked.ident} at {place[0]} during {fault}; answers {asked.answers}")
         return found
 
