--- a/spurdeal/fleet/bringing.py
+++ b/spurdeal/fleet/bringing.py
@@ -23,8 +23,8 @@
 LARGEST = 1_048_576  # bytes unpacked
 KEPT = 8  # lists kept for those who are behind
 SERVED = 24  # pieces served in a period
-PATIENCE = 250.0  # ms for one piece
-PAUSE = 150.0, 400.0  # ms after a failure until another is asked
+PATIENCE = 200.0  # ms for one piece
+PAUSE = 50.0, 150.0  # ms after a failure until another is asked
 ONE_WITNESS_DROPS = 0.34  # of the engines ready here: what one witness alone may take away at once
 
 Rows = dict[str, Row]
--- a/spurdeal/lab/audited.py
+++ b/spurdeal/lab/audited.py
@@ -67,7 +67,11 @@
         rig = self.rig
         for name in list(rig.processes):
             rig.start(name)
-        yield 3.0
+        for _ in range(200):  # a machine that starts many at once takes its time
+            yield 0.1
+            if all(rig.lines(name, "ready") for name in rig.processes):
+                break
+        yield 2.5
         self.crowd.start()
         yield 1.0
         for name, process in rig.processes.items():
@@ -289,6 +293,8 @@
         assert twin.child is not None
         twin.child.kill()
         twin.child.wait()
+        if self.rig.lines(whom[0], "fleet_name_yielded"):  # it had only just been started: the other came first
+            self.rig.kill(whom[0])
 
     def clash(self, whom: list[str]) -> Iterator[float]:
         """One is told other content under the number that all others get."""
@@ -408,11 +414,15 @@
             "says": [finding.words for finding in findings
                      if finding.kind not in ("newer_version", "clash")][:5],
             **planted_breaks(rig, folders, self.chance),
-            "names_yielded": sum(len(self.lines_of(twin, "fleet_name_yielded")) > 0 for twin in self.twins),
+            "names_yielded": sum(self.yielded(twin) for twin in self.twins),
             "twins": len(self.twins),
             "bytes_per_s_real": round(self.rate() * sum(each["fleet_sent_bytes"] / each["fleet_sent"]
                                                         for each in fetched) / max(1, len(fetched)))}
 
+    def yielded(self, twin: Process) -> bool:
+        """Has one of the two under a name given way? Where both are new starts, it may be either."""
+        return any(self.lines_of(process, "fleet_name_yielded") for process in (twin, self.rig.processes[twin.name]))
+
     def rate(self) -> float:
         """Datagrams that a dispatcher sends a second, by the cables."""
         passed = time.time() - self.done[0][1] if self.done else 1.0
