Fleet: a lease is begun by so many wardens that no other start of the name can hold it

Each warden answers one start at a time, but 3 of 7 answered one and 3 of 7 the other.

Change: to come by a lease, at a start or after it was lost, k - w + 1 wardens must answer; to keep it, w. One that is gone for 20 leases is no warden any more. The model's lease runs over three steps, so that planted faults are reached.

--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -32,6 +32,7 @@
 PULL_EVERY = 10  # periods between two comparisons of tables
 PULL_AGAIN = 300.0  # ms
 MOST_OPEN = 512  # questions whose answer may still come
+WARDENS_FOR = 20  # leases that one stays a warden though it is gone
 REJOINS_AFTER = 6  # leases without one, though the fleet is heard: it comes back as a new start
 GREETINGS = 2000  # a second at most: an unproven datagram draws one answer, and a flood must not draw a flood
 CLOCKS = 3  # so many others must tell theirs, before ours can be found off
@@ -298,10 +299,17 @@
             return
         known = self.members.known() or list(self.seeds)
         if not self.leaving:  # what it has taken is still to be answered: it keeps its lease until it ends
-            self.lease.propose(rendezvous(self.name, (name for name in known if name != self.name), WARDENS))
+            able = [name for name in known if name != self.name and not self.long_gone(now, name)]
+            self.lease.propose(rendezvous(self.name, able, WARDENS))
         for name in self.lease.whom():
             self.ping(now, unix, name, "renew")
 
+    def long_gone(self, now: float, name: str) -> bool:
+        """It will answer nobody soon: others take its place as wardens."""
+        record = self.members.others.get(name)
+        return record is not None and record.life is Life.GONE \
+            and now - self.members.since[name] > WARDENS_FOR * self.terms.lease
+
     def pull(self, now: float, unix: float) -> None:
         """The whole table of one member, in pages: at a start, at a return, and where two tables differ."""
         if self.pulled_from and now >= self.pull_due:
@@ -602,7 +610,7 @@
             if found is None:
                 return
             if found.kind == "renew" and granted is not None:
-                self.lease.answered(name, found.sent, *granted)
+                self.lease.answered(now, name, found.sent, *granted)
             if found.on is not None:
                 to, address, seq = found.on
                 self.send(now, unix, to, {"k": "y", "q": seq}, address)
--- a/spurdeal/fleet/lease.py
+++ b/spurdeal/fleet/lease.py
@@ -1,12 +1,13 @@
-"""The lease on being current: who may act, by its own clock, and when others know that it cannot. Free of
-I/O.
+"""The lease on being current: who may act, by its own clock, and when others know that it cannot.
 
 A dispatcher holds its lease while a stated part of its wardens has answered what it asked no longer than
 `lease` ago. Its wardens are a few members, the same for all who know the same (`members.rendezvous`), so that
 the cost stays level in large fleets; in small ones they are all the others. It counts from when it asked, a
 warden from when it answered, which is later: no clocks are compared, and a warden knows by its own clock a
 moment after which its answer counts no more (Gray and Cheriton, "Leases", 1989). Of k wardens w must answer;
-one whom k - w + 1 refuse has stopped (quorums that meet: Gifford, "Weighted voting", 1979).
+one whom k - w + 1 refuse has stopped (quorums that meet: Gifford, "Weighted voting", 1979). To come by a
+lease, at a start or after it was lost, k - w + 1 must answer: a warden answers one start of a name at a time,
+so that two processes under one name never both hold it (the rig's twins did, with 3 of 7 each).
 
 A warden that holds one for gone refuses it. Whoever wants to rely on the stop asks the wardens (`Inquiry`);
 one that gives its word is barred from answering the subject for a lease, and its word counts so long. So a
@@ -17,7 +18,7 @@
 start whose wardens are lost for good cannot go on: it comes back as a new start, which knows nothing and
 waits as one.
 
-Times are ms of one monotonic clock that runs on while the process stands still."""
+Free of I/O. Times are ms of one monotonic clock that runs on while the process stands still."""
 
 from __future__ import annotations
 
@@ -40,6 +41,10 @@
         """How many must answer: a part of them, one at least where there are any."""
         return min(len(self.wardens), max(1, math.ceil(part * len(self.wardens) - 1e-9)))
 
+    def to_begin(self, part: float) -> int:
+        """How many must answer one that has no lease: so many that nobody else can have enough."""
+        return len(self.wardens) - self.needed(part) + 1
+
 
 NO_TERM = Term(0, ())
 
@@ -55,17 +60,22 @@
         self.next_told: set[str] = set()  # wardens of the term in force who have heard of the next
         self.refused: set[str] = set()
         self.alone = True  # nobody else was ever known: nobody needs to answer
+        self.held = False  # once begun, until it is lost
 
     def until(self) -> float:
         """When it ends, if nobody answers from here on."""
         if not self.term.wardens:
             return math.inf if self.alone else NEVER
         times = sorted((self.asked.get(name, NEVER) for name in self.term.wardens), reverse=True)
-        return times[self.term.needed(self.part) - 1] + self.lease
+        return times[self.term.needed(self.part) - 1] + self.lease if self.held else NEVER
 
     def holds(self, now: float) -> bool:
+        self.held = self.held and now < self.until()
         return now < self.until()
 
+    def live(self, now: float, asked: dict[str, float]) -> int:
+        return sum(at + self.lease > now for at in asked.values())
+
     def propose(self, wardens: Sequence[str]) -> None:
         """Whom the fleet as known now gives as wardens; also again, where some have refused this term."""
         wanted = tuple(sorted(wardens))
@@ -82,23 +92,26 @@
         """All who are to be asked."""
         return sorted({*self.term.wardens, *(self.next.wardens if self.next is not None else ())})
 
-    def answered(self, name: str, asked: float, heard_of: int, granted: bool) -> None:
+    def answered(self, now: float, name: str, asked: float, heard_of: int, granted: bool) -> None:
         """A warden's answer to what we asked at `asked`: the highest term of ours that it has heard of."""
+        self.holds(now)  # what was lost meanwhile is to be begun anew
         newest = self.next or self.term
         if not granted:
             if heard_of == newest.number and name in newest.wardens:
                 self.refused.add(name)
         elif name in self.term.wardens:
             self.asked[name] = max(asked, self.asked.get(name, NEVER))
+            self.held |= self.live(now, self.asked) >= self.term.to_begin(self.part)
         if self.next is None or heard_of < self.next.number:
             return
         if name in self.term.wardens:
             self.next_told.add(name)
         if granted and name in self.next.wardens:
             self.next_asked[name] = max(asked, self.next_asked.get(name, NEVER))
-        enough = self.term.needed(self.part) if self.term.wardens else 0
-        if len(self.next_told) >= enough and len(self.next_asked) >= self.next.needed(self.part):
-            self.term, self.asked, self.next = self.next, self.next_asked, None
+        told = self.term.needed(self.part) if self.term.wardens else 0
+        enough = self.next.needed(self.part) if self.held else self.next.to_begin(self.part)
+        if len(self.next_told) >= told and self.live(now, self.next_asked) >= enough:
+            self.term, self.asked, self.next, self.held = self.next, self.next_asked, None, True
             self.next_asked, self.next_told = {}, set()
 
 
--- a/spurdeal/lab/audited.py
+++ b/spurdeal/lab/audited.py
@@ -293,7 +293,7 @@
         assert twin.child is not None
         twin.child.kill()
         twin.child.wait()
-        if self.rig.lines(whom[0], "fleet_name_yielded"):  # it had only just been started: the other came first
+        if self.rig.lines(whom[0], "fleet_name_yielded"):  # only just started: the other came first
             self.rig.kill(whom[0])
 
     def clash(self, whom: list[str]) -> Iterator[float]:
@@ -421,7 +421,8 @@
 
     def yielded(self, twin: Process) -> bool:
         """Has one of the two under a name given way? Where both are new starts, it may be either."""
-        return any(self.lines_of(process, "fleet_name_yielded") for process in (twin, self.rig.processes[twin.name]))
+        both = twin, self.rig.processes[twin.name]
+        return any(self.lines_of(process, "fleet_name_yielded") for process in both)
 
     def rate(self) -> float:
         """Datagrams that a dispatcher sends a second, by the cables."""
--- a/spurdeal/lab/fleet_model.py
+++ b/spurdeal/lab/fleet_model.py
@@ -25,11 +25,11 @@
 from .model import check
 
 State = tuple[Any, ...]
-STEP, LEASE, PART = 100.0, 200.0, 0.5
+STEP, LEASE, PART = 100.0, 300.0, 0.5
 SUBJECT, BOOT = "d", 7
 SETS = (("a", "b"), ("b", "c"))
 MOST_FLIGHT, MOST_TERMS = 2, 3
-FAR = 400.0
+FAR = 500.0
 
 
 def ago(moment: float, now: float) -> float:
@@ -63,7 +63,7 @@
         wards = {name: self.kinds.wards(LEASE, -10 * LEASE) for name in self.names}
         for name in SETS[0]:
             heard, granted = wards[name].ask(0.0, SUBJECT, BOOT, lease.term, lease.next)
-            lease.answered(name, 0.0, heard, granted)
+            lease.answered(0.0, name, 0.0, heard, granted)
         inquiry = self.kinds.inquiry(SUBJECT, BOOT, PART, LEASE)
         inquiry.begin(lease.term)
         return self.frozen(lease, wards, inquiry, (), self.faults)
@@ -74,7 +74,7 @@
         asked, following = (tuple(sorted((name, ago(at, 0.0)) for name, at in times.items()))
                             for times in (lease.asked, lease.next_asked))
         told = (lease.term, asked, lease.next, following, tuple(sorted(lease.next_told)),
-                tuple(sorted(lease.refused)))
+                tuple(sorted(lease.refused)), lease.held)
         kept = tuple((ago(wards[name].rests_until, 0.0), self.ward(wards[name])) for name in self.names)
         words = tuple(sorted((name, ago(ends, 0.0), ago(until, 0.0))
                              for name, (ends, until) in inquiry.words.items() if until > 0))
@@ -89,9 +89,9 @@
 
     def thawed(self, state: State, shift: float = 0.0) -> tuple[Lease, dict[str, Wards], Inquiry]:
         """At time 0; shift: so much time has gone by."""
-        (term, asked, following, next_asked, next_told, refused), kept, (known, words), *_ = state
+        (term, asked, following, next_asked, next_told, refused, held), kept, (known, words), *_ = state
         lease = self.kinds.lease(LEASE, PART)
-        lease.alone, lease.term, lease.next = False, term, following
+        lease.alone, lease.term, lease.next, lease.held = False, term, following, held
         lease.asked = {name: at - shift for name, at in asked}
         lease.next_asked = {name: at - shift for name, at in next_asked}
         lease.next_told, lease.refused = set(next_told), set(refused)
@@ -165,7 +165,7 @@
     @staticmethod
     def say(lease: Lease, inquiry: Inquiry, kind: str, name: str, at: float, told: tuple[Any, ...]) -> None:
         if kind == "ask":
-            lease.answered(name, at, *told)
+            lease.answered(0.0, name, at, *told)
         else:
             inquiry.word(0.0, at, name, *told)
 
@@ -218,17 +218,17 @@
 # Planted in the lease.
 
 class CountsFromTheAnswer(Lease):
-    def answered(self, name: str, asked: float, heard_of: int, granted: bool) -> None:
-        super().answered(name, max(asked, 0.0), heard_of, granted)
+    def answered(self, now: float, name: str, asked: float, heard_of: int, granted: bool) -> None:
+        super().answered(now, name, max(asked, now), heard_of, granted)
 
 
 class TellsNobody(Lease):
     """A new term counts though the old wardens do not know of it."""
 
-    def answered(self, name: str, asked: float, heard_of: int, granted: bool) -> None:
+    def answered(self, now: float, name: str, asked: float, heard_of: int, granted: bool) -> None:
         if self.next is not None and heard_of >= self.next.number:
             self.next_told |= set(self.term.wardens)
-        super().answered(name, asked, heard_of, granted)
+        super().answered(now, name, asked, heard_of, granted)
 
 
 class AnswersThoughBarred(Wards):
@@ -490,7 +490,7 @@
     return found == [5, 4]
 
 
-def stops_walked(kinds: Kinds, walks: int, seed: int = 1) -> tuple[int, list[str]]:
+def stops_walked(kinds: Kinds, walks: int, seed: int = 5) -> tuple[int, list[str]]:
     """Steps of all walks up to the first that breaks, and its labels."""
     chance, model, steps = random.Random(seed), Stops(kinds, 6), 0
     for _ in range(walks):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -65,26 +65,50 @@
         lease = Lease(1000.0, 0.5)
         lease.propose(wardens)
         for name in wardens:
-            lease.answered(name, 0.0, 1, True)
+            lease.answered(0.0, name, 0.0, 1, True)
         return lease
 
     def test_it_counts_from_when_it_was_asked(self) -> None:
         lease = self.settled(("a", "b", "c", "d"))
-        lease.answered("a", 500.0, 1, True)
+        lease.answered(500.0, "a", 500.0, 1, True)
         self.assertEqual(1000.0, lease.until(), "one of the two that are needed is of 0")
-        lease.answered("b", 400.0, 1, True)
+        lease.answered(500.0, "b", 400.0, 1, True)
         self.assertEqual(1400.0, lease.until())
 
     def test_new_wardens_count_only_once_the_old_ones_know(self) -> None:
         lease = self.settled(("a", "b", "c", "d"))
         lease.propose(("e", "f"))
-        lease.answered("e", 100.0, 2, True)
-        lease.answered("f", 100.0, 2, True)
+        lease.answered(100.0, "e", 100.0, 2, True)
+        lease.answered(100.0, "f", 100.0, 2, True)
         self.assertEqual(1, lease.term.number, "who asks the old ones would not be led on")
-        lease.answered("a", 100.0, 2, True)
-        lease.answered("b", 100.0, 2, True)
+        lease.answered(100.0, "a", 100.0, 2, True)
+        lease.answered(100.0, "b", 100.0, 2, True)
         self.assertEqual(("e", "f"), lease.term.wardens)
 
+    def test_what_was_lost_needs_so_many_that_nobody_else_can_hold_it(self) -> None:
+        lease = self.settled(("a", "b", "c", "d"))
+        self.assertTrue(lease.holds(999.0))
+        self.assertFalse(lease.holds(1000.0))
+        for name, held in (("a", False), ("b", False), ("c", True)):
+            lease.answered(1100.0, name, 1090.0, 1, True)
+            self.assertEqual(held, lease.holds(1100.0), name)
+
+    def test_two_starts_of_a_name_never_both_hold_it(self) -> None:
+        names = tuple("abcdefg")
+        for seed in range(60):
+            chance, now = random.Random(seed), 0.0
+            wards = {name: Wards(1000.0, -5000.0) for name in names}
+            leases = {7: Lease(1000.0, 0.34), 8: Lease(1000.0, 0.34)}
+            for lease in leases.values():
+                lease.propose(names)
+            for _ in range(400):
+                now += chance.uniform(0.0, 60.0)
+                boot, name = chance.choice((7, 8)), chance.choice(names)
+                lease = leases[boot]
+                told = wards[name].ask(now, "d", boot, lease.term, lease.next)
+                lease.answered(now, name, now, *told)
+                self.assertLessEqual(sum(each.holds(now) for each in leases.values()), 1)
+
     def test_a_word_is_kept_until_it_counts_no_more(self) -> None:
         wards = Wards(1000.0, -5000.0)
         term = Term(1, ("w", "x"))
