Fleet: a new start asks a seed first, and nobody for a lease before it knows the members

Tests: twelve common starts end in one fleet each (they did not), two new starts of a name are never both allowed what is doubtful. A fleet without seeds that begins anew is not alone.

--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -21,7 +21,7 @@
 from . import wire
 from .bringing import ONE_WITNESS_DROPS, Ask, Fetch, Rows, Shelf, Spoilt, applied, drops, unpack
 from .hybrid import Hybrid
-from .lease import WARDENS, Inquiry, Lease, Term, Wards
+from .lease import NO_TERM, WARDENS, Inquiry, Lease, Term, Wards
 from .members import Address, Life, Members, Record, rendezvous
 from .standing import Allowed, Ladder, Limits, Seen, Standing
 from .versions import ROW, WITNESSES, Book, Line, Version, list_digest
@@ -139,7 +139,7 @@
         self.inquiries: dict[str, Inquiry] = {}
         self.asked_words: dict[str, float] = {}
         self.relied: set[tuple[str, int]] = set()
-        self.seq, self.next_renewal, self.next_pull = 0, now, now
+        self.seq, self.next_renewal, self.next_pull, self.next_seeds = 0, now, now, now
         self.pulled_from, self.pull_place, self.pull_due = "", 0, 0.0
         self.synced = not self.seeds
         self.raised_against: Counter[int] = Counter()
@@ -235,6 +235,7 @@
             self.ask_through(now, unix, helper)
         self.renew(now, unix, still)
         self.pull(now, unix)
+        self.look_for_seeds(now, unix)
         self.bring_up(now, unix)
         self.watch_gone(now, unix)
         if self.inquiries or self.relied:
@@ -275,6 +276,7 @@
             if record.life <= Life.SUSPECT:
                 self.members.put(now, record, self.name)
         self.members.raise_turn(turn)
+        self.lease.alone = self.lease.alone and not self.members.others
         self.ladder.returned += 1
         self.told.append(Told("rejoined", {"before": f"{before:016x}", "boot": f"{self.boot:016x}"}))
 
@@ -298,7 +300,9 @@
         if self.twin:
             return
         known = self.members.known() or list(self.seeds)
-        if not self.leaving:  # what it has taken is still to be answered: it keeps its lease until it ends
+        # One that leaves keeps its lease, as what it has taken is still to be answered. A new start asks
+        # nobody before it knows the members: the seeds alone would be other wardens than those of its name.
+        if not self.leaving and (self.synced or self.lease.term.wardens):
             able = [name for name in known if name != self.name and not self.long_gone(now, name)]
             self.lease.propose(rendezvous(self.name, able, WARDENS))
         for name in self.lease.whom():
@@ -316,13 +320,24 @@
             self.pulled_from, self.next_pull = "", now
         if self.pulled_from or self.synced or now < self.next_pull:
             return
-        alive = self.members.alive()
-        others = alive or [name for name in self.seeds if name != self.name]
+        # Seeds first: those who came to us may know nobody but us, and two halves would each be whole to
+        # itself.
+        seeds = [name for name in self.seeds if name not in self.members.others]
+        others = seeds if self.lease.term is NO_TERM and seeds else self.members.alive() or seeds
         if not others:
             self.synced = True
             return
         self.start_pull(now, unix, self.chance.choice(sorted(others)))
 
+    def look_for_seeds(self, now: float, unix: float) -> None:
+        """A seed that we know nothing of may be of another part of the fleet: both are one from its answer
+        on."""
+        if now >= self.next_seeds:
+            self.next_seeds = now + PULL_EVERY * self.terms.period
+            for name in self.seeds:
+                if name not in self.members.others:
+                    self.ping(now, unix, name)
+
     def start_pull(self, now: float, unix: float, name: str) -> None:
         self.pulled_from, self.pull_place = name, 0
         self.pull_due = self.next_pull = now + PULL_AGAIN
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -313,6 +313,30 @@
         world.run(4000.0)
         self.assertIs(Standing.CURRENT, world.nodes["d1"].fleet.ladder.standing)
 
+    def test_a_common_start_ends_in_one_fleet_whoever_asked_whom(self) -> None:
+        for seed in range(12):
+            world = self.world(12, seed)
+            world.run(3000.0)
+            self.assertEqual({12}, {node.fleet.members.size() for node in world.nodes.values()}, seed)
+
+    def test_two_new_starts_of_a_name_are_never_both_current(self) -> None:
+        for seed in range(4):
+            world = self.world(12, seed)
+            world.kill("d7")
+            world.run(300.0)
+            twin = world.add(99)
+            del world.nodes["d99"]
+            twin.name, twin.address = "d7", ("127.8.9.9", 7114)
+            twin.fleet = world.fleet("d7", twin.address)
+            world.nodes["twin"], world.by_address[twin.address] = twin, "twin"
+            world.restart("d7")
+            world.run(400.0 * seed)
+            world.start(twin)
+            for _ in range(250):
+                world.run(20.0)
+                both = [world.nodes[name].fleet.allowed(world.now).doubtful for name in ("d7", "twin")]
+                self.assertNotEqual([True, True], both, seed)
+
     def test_one_that_makes_versions_up_moves_nobody(self) -> None:
         world = self.world()
         liar = world.nodes["d4"].fleet
