Read once more: one reader of keys, unused state gone, what counts as used is asked last

Cause: the command line had written the reading of keys again beside VRRP's; a warden's drop, a counter of refutations, a probe's moment and who told a list were kept and asked by nobody; the fleet's station asked the guard behind it, which marks a cold engine's budget as used, before its own look could still hold the trip back.

Change: read_keys goes through keys_of; the unused state is taken out; the station asks the guard behind it last.

--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, TextIO, cast
 
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from ..fleet.station import FleetStation
-    from ..settings.installation import ExtprocPart, Installation, Key, LedgerPart
+    from ..settings.installation import ExtprocPart, FleetPart, HandoverPart, Installation, LedgerPart
     from ..store.ledger import Ledger
     from ..vrrp.sealed import Keys
     from ..vrrp.station import Station
@@ -92,14 +92,13 @@
     return unix
 
 
-def read_keys(path: str, part: str, keys: Sequence[Key]) -> Keys:
+def read_keys(path: str, name: str, part: FleetPart | HandoverPart) -> Keys:
     """Keys from the file or the files that it names; Unusable where there are none."""
-    from ..vrrp.sealed import Keys
+    from ..vrrp.station import keys_of
     try:
-        return Keys({key.id: bytes.fromhex(key.hex if key.hex is not None else
-                                           Path(key.file or "").read_text("ascii").strip()) for key in keys})
+        return keys_of(part)
     except (OSError, ValueError) as fault:
-        raise Unusable(f"{path}: {part}.keys: {fault}") from None
+        raise Unusable(f"{path}: {name}.keys: {fault}") from None
 
 
 def run_with(environment: Mapping[str, str], path: str) -> int:
@@ -138,7 +137,7 @@
     def make_fleet(self) -> FleetStation:
         from ..fleet.station import FleetStation
         assert self.plan.fleet is not None
-        keys = read_keys(self.path, "fleet", self.plan.fleet.keys)
+        keys = read_keys(self.path, "fleet", self.plan.fleet)
         audit = self.plan.fleet.audit
         try:
             configuration = Path(self.configuration).read_bytes()
@@ -221,7 +220,7 @@
                 self.context.load()
             if self.fleet is not None and plan.fleet is not None:
                 self.fleet.read_again(Path(self.configuration).read_bytes(), plan,
-                                      read_keys(self.path, "fleet", plan.fleet.keys))
+                                      read_keys(self.path, "fleet", plan.fleet))
         except (Unusable, OSError, ValueError) as fault:
             self.counters.add("installations_unusable")
             self.log.error("installation_kept", extra={"figures": {"why": str(fault)}})
@@ -250,7 +249,7 @@
 def serve(configuration: str, path: str) -> None:
     plan = read(path)
     if plan.handover is not None:
-        read_keys(path, "handover", plan.handover.keys)
+        read_keys(path, "handover", plan.handover)
     if not configuration:
         raise start.Unusable("ROUTER_CONFIG is not set")
     told = start.told_by(configuration)
--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -22,7 +22,7 @@
 from .bringing import ONE_WITNESS_DROPS, Ask, Fetch, Rows, Shelf, Spoilt, applied, drops, unpack
 from .hybrid import Hybrid
 from .lease import NO_TERM, WARDENS, Inquiry, Lease, Term, Wards
-from .members import Address, Life, Members, Record, rendezvous
+from .members import MOST_MEMBERS, Address, Life, Members, Record, rendezvous
 from .standing import Allowed, Ladder, Limits, Seen, Standing
 from .versions import ROW, WITNESSES, Book, Line, Version, list_digest
 
@@ -513,7 +513,7 @@
 
     def read(self, now: float, unix: float, source: Address, name: str, datagram: bytes) -> None:
         known = name in self.sessions
-        if not known and name not in self.members.others and len(self.members.others) >= 1024:
+        if not known and name not in self.members.others and len(self.members.others) >= MOST_MEMBERS:
             raise Refused("full")
         session = self.sessions[name] if known else Session(self.name, name, self.boot, self.keys)
         try:
--- a/spurdeal/fleet/lease.py
+++ b/spurdeal/fleet/lease.py
@@ -176,9 +176,6 @@
             self.wards[name] = known._replace(barred=now + self.lease)
         return known.term, known.following, refused, max(0.0, known.until - now)
 
-    def drop(self, name: str) -> None:
-        self.wards.pop(name, None)
-
 
 class Inquiry:
     """Has one start of one member stopped? Its wardens are asked, and it is concluded by our clock alone."""
--- a/spurdeal/fleet/members.py
+++ b/spurdeal/fleet/members.py
@@ -69,7 +69,6 @@
     """One that waits for its answer."""
 
     name: str
-    sent: float
     due: float  # no answer by then: others are asked
     end: float  # no answer by then: it failed
     nacks: int  # others that were asked and owe a word
@@ -100,7 +99,6 @@
         self.news: dict[str, int] = {own.name: 0}  # how often told
         self.changes: list[Change] = []
         self.contested: Record | None = None  # another start under our name, until it is settled
-        self.refuted = 0
         self.turns_seen = own.turn
 
     # What is known.
@@ -206,7 +204,6 @@
             if record.life < Life.GONE:
                 return
         if record.life is not Life.ALIVE and record.turn >= self.own.turn and self.own.life is not Life.LEFT:
-            self.refuted += 1
             self.worse()
             self.raise_turn(record.turn)
 
@@ -310,7 +307,7 @@
 
     def probing(self, now: float, name: str) -> str:
         scale = 1 + self.health
-        self.probe = Probe(name, now, now + 0.4 * self.period * scale, now + self.period * scale, 0)
+        self.probe = Probe(name, now + 0.4 * self.period * scale, now + self.period * scale, 0)
         return name
 
     def answered(self, now: float, name: str) -> None:
--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -100,7 +100,7 @@
                                    lambda: self.fleet.hybrid.stamp(self.unix()), monotonic, part.audit.bytes)
         self.next_seal, self.heard_at = monotonic(), float("-inf")
         self.next_count = monotonic()
-        self.told_by, self.parts = "start", True
+        self.parts = True
         self.idents: dict[int, str] = {}  # engines by place, as the audit names them
         self.fleet.in_force(Line.CONFIGURATION, configured(configuration, plan))
         self.fleet.in_force(Line.PROGRAM, program())
@@ -274,8 +274,6 @@
         found = self.link.rules.engines.get(engine)
         cold = found is not None and found.warm_at > self.link.clock()
         doubtful = cold or self.guarded[taken.kind]
-        if self.inner is not None and not self.inner.departs(taken, trip, engine):
-            return False
         allowed = self.fleet.allowed(self.monotonic())
         if not allowed.redoable or (doubtful and not allowed.doubtful):
             self.counters.add("fleet_withheld")
@@ -285,6 +283,8 @@
         if row is None or row[6] != READY:  # a newer list came between the choice and this, in one turn
             self.counters.add("fleet_overtaken")
             return False
+        if self.inner is not None and not self.inner.departs(taken, trip, engine):  # last: it counts as used
+            return False
         if self.journal is not None:
             flags = COLD * cold | DOUBTFUL * self.guarded[taken.kind]
             self.journal.pages.sent(taken.ident, trip, ident, flags)
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -27,13 +27,13 @@
 from .tenure import Tenure
 
 if TYPE_CHECKING:
-    from ..settings.installation import HandoverPart, Installation
+    from ..settings.installation import FleetPart, HandoverPart, Installation
 
 LARGEST_ADVERT = 8 + 16 * advert.MOST_ADDRESSES
 GREETINGS = 20  # a second at most: an unproven datagram draws one answer, and a flood must not draw a flood
 
 
-def keys_of(part: HandoverPart) -> Keys:
+def keys_of(part: HandoverPart | FleetPart) -> Keys:
     """The keys, read; ValueError or OSError for a file that holds none."""
     return Keys({key.id: bytes.fromhex(key.hex if key.hex is not None
                                        else Path(key.file or "").read_text("ascii").strip())
