A trip that never left is not remembered on its connection; lists and rations forced in tests

Seen in a test: a way that stays shut was dialled for anew at each try, since finish() put the id among those whose answers may cross, though nothing of it had left. Lists after a silence, idents that begin again, one bad record; one allowed trip, and a ration of none, with a drain while dialled for.

--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -237,7 +237,8 @@
     def finish(self, trip: Trip, outcome: Outcome, given_up: bool = False) -> None:
         if not self.engines.counters.must(self.trips.pop(trip.ident, None) is trip, "trip_ends_once"):
             return
-        self.past[trip.ident] = given_up  # an answer may cross or come twice: the same id comes here no more
+        if trip.written:
+            self.past[trip.ident] = given_up  # an answer may cross or come twice: the id comes here no more
         if len(self.past) > MOST_PAST:
             del self.past[next(iter(self.past))]
         trip.connection = None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from spurdeal.lab import names
 from spurdeal.net.start import Told, Unusable, read_configuration
 from tests.helpers import SETTINGS, Caller, World, configuration
 from tests.steps import Steps, Talk, settings
@@ -147,6 +148,27 @@
                     self.assertEqual(f"{peer.host}:{peer.port}", address)
                     self.assertEqual(peer.up().heard()[0][1], f"{1:016x}")
 
+    def test_what_never_left_counts_for_no_trip(self) -> None:
+        """One trip is allowed, no further ones: a drain while it is dialled for leaves it to another."""
+        ration = SETTINGS["rules"] | {"extra_floor": 0, "repeat_ratio": 0, "counted_over": 5000}
+        world = World(self, engines=2, settings=settings(limits={"send_cap": 1}, rules=ration))
+        Caller(world).post(1, "load")
+        dialled = world.peer().host
+        world.list(2, *((f"s-{number}.east.hosts", f"127.0.9.{number}:7001", int(dialled[-1] == str(number)),
+                         "kind=std cell=0 started=0") for number in range(2)))
+        self.assertEqual(len(world.peer(1).up().heard()), 1)
+
+    def test_a_way_that_stays_shut_is_not_tried_for_ever(self) -> None:
+        world = World(self, settings=settings(limits={"send_cap": 2}))
+        world.service.link.rules.may_send = lambda *_: False  # type: ignore[method-assign]
+        caller = Caller(world)
+        caller.post(1)
+        world.peer().up()
+        for _ in range(9):
+            world.go(10)
+        self.assertEqual(([status for status, _, _ in caller.answers()], world.count("trips_overtaken")),
+                         ([503], 5))
+
     def test_a_cold_send_counts_from_when_it_leaves(self) -> None:
         world = World(self)
         rules = world.service.link.rules
@@ -626,3 +648,33 @@
         self.assertEqual([peer.heard()[0][1] for peer in peers], [f"{ident:016x}" for ident in (1, 3, 4)])
         peers[0].say(1, "200", "parts=1")
         self.assertEqual(peers[0].heard()[0][1], f"{2:016x}")
+
+
+class Lists(unittest.TestCase):
+    def test_a_drain_in_the_first_answer_after_a_silence(self) -> None:
+        world = World(self, engines=2)
+        world.go(8000)
+        world.list(2, ("s-0.east.hosts", "127.0.9.0:7001", 1, "kind=std cell=0 started=0"),
+                   ("s-1.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0"))
+        for ident in range(4):
+            Caller(world).post(ident)
+        self.assertEqual({client[0] for client in world.reactor.tcpClients}, {"127.0.9.1"})
+
+    def test_idents_begin_again_and_an_answer_to_a_forgotten_one_is_foreign(self) -> None:
+        world = World(self)
+        world.service.names.ident = 0xFFFF
+        old = world.names[-1]
+        seat = ("s-7.east.hosts", "127.0.9.7:7001", 0, "kind=std cell=0 started=0")
+        world.list(2, seat)
+        self.assertEqual((world.names[-1][:2], set(world.service.link.seats)), (b"\0\0", {"s-7"}))
+        world.go(7000)
+        foreign = world.count("names_foreign")
+        world.service.names.datagramReceived(names.answer(old, 3, seat), ("127.0.8.9", 5300))
+        self.assertEqual((world.count("names_foreign"), world.service.names.number), (foreign + 1, 2))
+
+    def test_a_bad_record_changes_nothing(self) -> None:
+        world = World(self, engines=2)
+        world.list(2, ("s-0.east.hosts", "127.0.9.0:7001", 1, "kind=std cell=0 started=0"),
+                   ("s-1.east.hosts", "127.0.9.1:7001", 0, "cell=x"))
+        self.assertEqual((world.count("names_bad"), world.service.names.number), (1, 1))
+        self.assertEqual({seat.life.name for seat in world.service.link.seats.values()}, {"READY"})
