A connection whose far side reads no more is reset; the backlog is taken in twice at the end

Seen on reading the change once more: with a cancel in its write queue and the engine's window full, a connection without trips stayed for as long as the engine's process (close_if_done waits for the queue). The port's own end and the last look at the backlog were two timers of one time, whose order is not promised: the backlog is read before as well.

--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -356,13 +356,14 @@
         Closed over connections that wait there, it would reset them, and whole calls with them."""
         first, self.accept_ended = not self.accept_ended, True
         if first:
+            self.drain_backlog()
             self.link.reactor.callLater(0, self.drain_backlog)  # just before the port's own end
             self.port.stopListening()
         return first
 
     def drain_backlog(self) -> None:
         came = self.counters.sums["client_connections"]
-        for _ in range(MOST_WAITING):
+        for _ in range(MOST_WAITING if self.port.connected else 0):
             self.port.doRead()
             if came == (came := self.counters.sums["client_connections"]):
                 break
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -404,6 +404,7 @@
     def sweep(self, idle_since: float) -> None:
         for connection in list(self.connections):
             if connection.up and not connection.trips and connection.used < idle_since:
+                connection.silent |= connection.sending  # it has not read for so long what it was sent last
                 connection.retire()
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -97,7 +97,7 @@
     """The door: `waiting` makes those who wait there come in."""
 
     def __init__(self) -> None:
-        self.open, self.ended = True, False
+        self.open = self.connected = True
         self.waiting: list[Callable[[], object]] = []
 
     def doRead(self) -> None:
@@ -105,7 +105,7 @@
             self.waiting.pop(0)()
 
     def stopListening(self) -> None:
-        self.ended = True
+        self.connected = False
 
     def startReading(self) -> None:
         self.open = True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -246,6 +246,20 @@
                                  if not isinstance(message, bytes)])
         self.assertNotIn(b"cancel", b"".join(m for m in connection.write_queue if isinstance(m, bytes)))
 
+    def test_a_connection_whose_far_side_reads_no_more_is_not_kept(self) -> None:
+        """What is left to write on it waits for nothing: neither a trip nor a drain would end it."""
+        world = World(self)
+        caller = Caller(world)
+        caller.post(1)
+        peer = world.peer()
+        peer.pipe.full = True
+        peer.up()
+        caller.leave()
+        world.go(14_000)
+        self.assertFalse(peer.pipe.aborted)
+        world.go(2_000)
+        self.assertTrue(peer.pipe.aborted)
+
     def test_a_silent_connection_is_cut_and_not_closed(self) -> None:
         """Closed, the system would go on sending its bytes once a cut link heals."""
         steps = Steps(self)
