--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -115,8 +115,8 @@
         self.most_trips, self.may_call_off, self.ways_in = site.most_trips, site.may_call_off, site.most_open
         self.notes, self.pages, self.grant = site.notes_every, site.pages, GRANT if site.grants else 0.0
         self.cold_for, self.cold_window, self.come_back = site.cold_for, site.cold_window, site.most_come_back
-        self.cold_budget = (site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
-                            * site.cold_window * self.share * COLD_MARGIN)
+        cold_capacity = site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
+        self.cold_budget = cold_capacity * site.cold_window * self.share * COLD_MARGIN
         self.cold_whole = self.cold_budget / self.share
         self.light = COLD_GRAIN * self.cold_whole
         self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window or 0.0
@@ -132,8 +132,8 @@
         # How far a calm pace spreads is not known yet: as far as is believed.
         self.calmest, self.pressing, self.demand = 0.0, PRESSURE * PRESSURE, 0.0
         self.asked, self.asked_in = 0.0, 0.0
-        self.chain = (self.duty_stage, self.share_stage, self.order_stage, self.line_stage, self.choice_stage,
-                      self.trip_stage)
+        admission = (self.duty_stage, self.share_stage, self.order_stage)
+        self.chain = (*admission, self.line_stage, self.choice_stage, self.trip_stage)
         link.wake(TICK, WAKE_TICK)
         if not site.list_pushed:
             link.watch()
@@ -147,8 +147,8 @@
             if line.engine not in self.engines or line.started != engine.line.started:
                 engine.start_over(START_THREADS * engine.cores * self.own / self.all)
                 engine.aside_until, engine.trial, engine.luck = 0.0, False, self.chance.draw()
-                engine.be_cold(line.started + self.cold_for if line.started else 0.0, now,
-                               self.chance.draw() if line.started else 0.0)
+                part = self.chance.draw() if line.started else 0.0
+                engine.be_cold(line.started + self.cold_for if line.started else 0.0, now, part)
                 # What we sent before our own restart is unknown: the budget counts as spent for one window.
                 engine.cold_sends.append((self.began, self.cold_budget * engine.cores))
             engine.line = line
@@ -189,14 +189,16 @@
         self.usual[kind] = usual + (cost - usual) / 30 if usual else cost
         due = cost / w.threads * self.best[kind]
         cheap = w.threads == 1 and cost <= CHEAP_MARK * min(usual or cost for usual in self.usual)
+        key, expiry = key if w.in_order else 0, min(expiry, self.until)
+        agreed = now + w.agreed + w.stretch * due
         s: Submission = state.Submission(
-            number, kind, customer, key if w.in_order else 0, min(expiry, self.until), cost, memory, group,
-            now, w, due, now + w.agreed + w.stretch * due, w.utility, cheap)
+            number, kind, customer, key, expiry, cost, memory, group, now, w, due, agreed, w.utility, cheap
+        )
         self.open[number] = s
         self.asked += cost * min(1.0, self.best[kind])
         self.taken_times.append(now)
-        self.further_credit = min(FURTHER_MOST, self.further_credit + FURTHER_EACH
-                                  + FURTHER_SUCCESS * self.further_won.quantile(0.5))
+        credit = self.further_credit + FURTHER_EACH + FURTHER_SUCCESS * self.further_won.quantile(0.5)
+        self.further_credit = min(FURTHER_MOST, credit)
         self.pass_on(s)
 
     def pass_on(self, s: Submission, first: int = 0) -> bool:
