--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -56,8 +56,11 @@
     """The code of the run, and what is to be printed."""
     failed = HEAD.findall(out)
     said = [f"known red, and failed: {line}" for name, line in known.items() if name in failed]
-    said += [f"known red, and passed, to be taken out: {line}" for name, line in known.items()
-             if name not in failed and RAN.search(out)]
+    said += [
+        f"known red, and passed, to be taken out: {line}"
+        for name, line in known.items()
+        if name not in failed and RAN.search(out)
+    ]
     end = END.findall(out)
     counted = sum(int(count) for count in COUNT.findall(end[-1])) if end else 0
     only = code == 1 and bool(RAN.search(out)) and counted == len(failed) > 0 and set(failed) <= set(known)
--- a/spurdeal/__main__.py
+++ b/spurdeal/__main__.py
@@ -12,8 +12,10 @@
         SIGNALS.catch()  # before the long imports
     if len(sys.argv) > 1:
         from .cli.main import spurdeal
+
         spurdeal(prog_name="spurdeal")  # ends the process itself
     from .net.start import main as dispatcher
+
     return dispatcher(os.environ)
 
 
--- a/spurdeal/benchlink/frames.py
+++ b/spurdeal/benchlink/frames.py
@@ -24,17 +24,21 @@
         try:
             fields = layout.unpack_from(self.body, self.at)
         except struct.error:
-            raise BadInput(f"frame cut short at byte {self.at + HEADER.size}: {layout.size} more expected, "
-                           f"{len(self.body) - self.at} there") from None
+            raise BadInput(
+                f"frame cut short at byte {self.at + HEADER.size}: {layout.size} more expected, "
+                f"{len(self.body) - self.at} there"
+            ) from None
         self.at += layout.size
         return fields
 
     def take_bytes(self, count: int) -> bytes:
         if self.at + count > len(self.body):
-            raise BadInput(f"frame cut short at byte {self.at + HEADER.size}: {count} more expected, "
-                           f"{len(self.body) - self.at} there")
+            raise BadInput(
+                f"frame cut short at byte {self.at + HEADER.size}: {count} more expected, "
+                f"{len(self.body) - self.at} there"
+            )
         self.at += count
-        return self.body[self.at - count:self.at]
+        return self.body[self.at - count : self.at]
 
 
 def read_frame(stream: BinaryIO) -> tuple[float, int, Reader] | None:
--- a/spurdeal/benchlink/host.py
+++ b/spurdeal/benchlink/host.py
@@ -89,14 +89,34 @@
         cost = cost if bits & ESTIMATED else 0.0
         self.rules.submitted(now, number, kind, customer, key, expiry, cost, memory, int(group))
 
-    def settled(self, now: float, tid: int, trip: int, engine: int, ending: int, took: float, final: int,
-                bill: int, report: tuple[float, ...]) -> None:
+    def settled(
+        self,
+        now: float,
+        tid: int,
+        trip: int,
+        engine: int,
+        ending: int,
+        took: float,
+        final: int,
+        bill: int,
+        report: tuple[float, ...],
+    ) -> None:
         number = self.numbers.get(tid)
         if number is None:
             return
         self.trips_out[number] -= 1
-        self.rules.ended(now, number, trip, engine, Ending(ending), took, bool(final), float(bill >> 12),
-                         float((bill & 4095) * 4), report)
+        self.rules.ended(
+            now,
+            number,
+            trip,
+            engine,
+            Ending(ending),
+            took,
+            bool(final),
+            float(bill >> 12),
+            float((bill & 4095) * 4),
+            report,
+        )
         if final:
             self.over.add(number)
         self.forget(number)
@@ -162,9 +182,19 @@
         self.touched: dict[int, Instance] = {}
         self.replies: list[bytes] = []
         self.readers: dict[int, Callable[[float, Reader], None]] = {
-            0: self.provision, 1: self.membership, 2: self.inbound, 3: self.head, 4: self.settled,
-            5: self.aborted, 6: self.wakeup, 7: self.checked, 8: self.peer, 9: self.retire,
-            10: self.update, 11: self.page}
+            0: self.provision,
+            1: self.membership,
+            2: self.inbound,
+            3: self.head,
+            4: self.settled,
+            5: self.aborted,
+            6: self.wakeup,
+            7: self.checked,
+            8: self.peer,
+            9: self.retire,
+            10: self.update,
+            11: self.page,
+        }
 
     def serve(self, source: BinaryIO, sink: BinaryIO) -> None:
         batch = 0
--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -24,6 +24,7 @@
 
 def installation(path: str) -> Any:
     from ..settings.reading import Unusable, read
+
     try:
         return read(path)
     except Unusable as fault:
@@ -34,9 +35,11 @@
 @click.option("--settings", type=click.Path(), help="an operator's YAML file")
 def run(settings: str | None) -> None:
     from ..net.start import main
+
     if settings is None:
         sys.exit(main(os.environ))
     from .running import run_with
+
     sys.exit(run_with(os.environ, settings))
 
 
@@ -44,14 +47,18 @@
 @click.argument("file", type=click.Path())
 def check(file: str) -> None:
     found = installation(file)
-    parts = [part for part in ("vrrp", "handover", "fleet", "extproc", "ledger")
-             if getattr(found, part) is not None]
+    parts = [
+        part
+        for part in ("vrrp", "handover", "fleet", "extproc", "ledger")
+        if getattr(found, part) is not None
+    ]
     click.echo(f"{file}: can be used; {found.name} with {len(found.peers)} peers and {', '.join(parts)}")
 
 
 @spurdeal.command(help="Every key of an operator's file, its default and its meaning.")
 def keys() -> None:
     from ..settings.reading import keys as all_keys
+
     for key, default, meaning in all_keys():
         click.echo(f"{key}  ({default})\n    {meaning}" if default else f"{key}\n    {meaning}")
 
@@ -67,6 +74,7 @@
 @click.option("--hex", "as_hex", is_flag=True, help="as hex digits only")
 def advert(file: str, number: int, as_hex: bool) -> None:
     from ..vrrp import advert as adverts
+
     found = installation(file)
     groups = found.vrrp.groups if found.vrrp is not None else []
     group = next((group for group in groups if group.group == number), None)
@@ -87,6 +95,7 @@
     from ipaddress import ip_address
 
     from ..vrrp.advert import fields
+
     try:
         found = fields(bytes.fromhex(digits), ip_address(source), ip_address(target))
     except ValueError as fault:
@@ -110,6 +119,7 @@
     if installation(settings).extproc is None:
         refuse(f"{settings}: extproc: this key is missing")
     from .running import run_with
+
     sys.exit(run_with(os.environ, settings))
 
 
@@ -124,6 +134,7 @@
 def status(at: str, as_json: bool) -> None:
     from urllib.error import URLError
     from urllib.request import urlopen
+
     try:
         with urlopen(f"http://{at}/fleet", timeout=5) as answer:
             found = json.load(answer)
@@ -133,6 +144,7 @@
         click.echo(json.dumps(found))
         return
     from ..fleet.words import status_words
+
     click.echo("\n".join(status_words(found)))
 
 
@@ -140,6 +152,7 @@
     from pathlib import Path
 
     from ..fleet.asking import Unreadable, read_log
+
     try:
         return [read_log(Path(folder), strict) for folder in folders]
     except (Unreadable, OSError) as fault:
@@ -154,9 +167,17 @@
 @click.option("--version", default="", help="only what was done under this version, as 0.57")
 @click.option("--between", nargs=2, type=float, default=None, help="Unix ms, from and until")
 @click.option("--json", "as_json", is_flag=True, help="a JSON object a line")
-def audit(folders: tuple[str, ...], submission: str, engine: str, dispatcher: str, version: str,
-          between: tuple[float, float] | None, as_json: bool) -> None:
+def audit(
+    folders: tuple[str, ...],
+    submission: str,
+    engine: str,
+    dispatcher: str,
+    version: str,
+    between: tuple[float, float] | None,
+    as_json: bool,
+) -> None:
     from ..fleet.asking import Asked, chosen, merged
+
     since, until = between or (0.0, float("inf"))
     asked = Asked(submission, engine, dispatcher, version, since, until)
     for entry in chosen(merged(logs_of(folders, True)), asked):
@@ -170,6 +191,7 @@
 def check_logs(folders: tuple[str, ...], grace: str, as_json: bool) -> None:
     from ..fleet.asking import check as check_all
     from ..settings.units import milliseconds
+
     try:
         allowed = milliseconds(grace)
     except ValueError as fault:
@@ -177,8 +199,11 @@
     findings = check_all(logs_of(folders, False), allowed)
     for found in findings:
         at = str(found.entry.record.stamp) if found.entry is not None else None
-        click.echo(json.dumps({"kind": found.kind, "says": found.words, "at": at}) if as_json
-                   else f"{found.kind}: {found.words}")
+        click.echo(
+            json.dumps({"kind": found.kind, "says": found.words, "at": at})
+            if as_json
+            else f"{found.kind}: {found.words}"
+        )
     if not as_json:
         click.echo(f"{len(findings)} findings in {len(folders)} logs")
     sys.exit(1 if findings else 0)
@@ -187,17 +212,22 @@
 def proofs(name: str) -> Any:
     if name == "audit":
         from ..lab.audited import figures as audited
+
         return audited
     if name == "model":
         from ..lab.model import figures as models
+
         return models
     if name == "extproc":
         from ..lab.asking import figures as askings
+
         return askings
     if name == "emulate":
         from ..lab.emulate import figures as emulated
+
         return emulated
     from ..lab.takeover import figures
+
     return figures
 
 
--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -33,8 +33,11 @@
     record = event.pop("_record", None)
     for inner in ("_from_structlog", "exc_info"):
         event.pop(inner, None)
-    pairs = {"t": f"{record.created if record else time.time():.3f}", "level": event.pop("level", "info"),
-             "event": event.pop("event", "")} | event
+    pairs = {
+        "t": f"{record.created if record else time.time():.3f}",
+        "level": event.pop("level", "info"),
+        "event": event.pop("event", ""),
+    } | event
     return " ".join(pair(key, value) for key, value in pairs.items())
 
 
@@ -50,9 +53,13 @@
 def logger(name: str, stream: TextIO) -> logging.Logger:
     """A logger of its own that renders through structlog, over the logging module."""
     handler = logging.StreamHandler(stream)
-    handler.setFormatter(structlog.stdlib.ProcessorFormatter(
-        foreign_pre_chain=[structlog.stdlib.add_log_level, figures], processors=[key_value],
-        keep_exc_info=False))
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=[structlog.stdlib.add_log_level, figures],
+            processors=[key_value],
+            keep_exc_info=False,
+        )
+    )
     log = logging.Logger(name, logging.INFO)
     log.addHandler(handler)
     return log
@@ -66,6 +73,7 @@
 
     class SteadyReactor(EPollReactor):
         seconds = staticmethod(time.monotonic)
+
     reactor = cast(Any, SteadyReactor)()
     cast(Any, installReactor)(reactor)
     return reactor
@@ -88,12 +96,14 @@
             except (OSError, ValueError):
                 shift = 0.0
         return start.unix_ms() + shift
+
     return unix
 
 
 def read_keys(path: str, name: str, part: FleetPart | HandoverPart) -> Keys:
     """Keys from the file or the files that it names; Unusable where there are none."""
     from ..vrrp.station import keys_of
+
     try:
         return keys_of(part)
     except (OSError, ValueError) as fault:
@@ -113,8 +123,15 @@
 class Installed:
     """A dispatcher with all that an operator's file adds, started and stopped together."""
 
-    def __init__(self, service: start.Service, plan: Installation, loop: Any, path: str,
-                 configuration: str, unix: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        service: start.Service,
+        plan: Installation,
+        loop: Any,
+        path: str,
+        configuration: str,
+        unix: Callable[[], float],
+    ) -> None:
         self.service, self.plan, self.loop, self.path = service, plan, loop, path
         self.configuration, self.unix = configuration, unix
         self.link, self.log, self.counters = service.link, service.log, service.counters
@@ -125,6 +142,7 @@
         self.context: Any = None
         if plan.vrrp is not None:
             from ..vrrp.station import Station
+
             self.station = Station(service, plan, loop, monotonic_ms, secrets.randbits(63) | 1, self.log)
         if plan.ledger is not None:
             self.ledger = self.open_ledger(plan.ledger)
@@ -135,19 +153,30 @@
 
     def make_fleet(self) -> FleetStation:
         from ..fleet.station import FleetStation
+
         assert self.plan.fleet is not None
         keys = read_keys(self.path, "fleet", self.plan.fleet)
         audit = self.plan.fleet.audit
         try:
             configuration = Path(self.configuration).read_bytes()
-            return FleetStation(self.service, self.plan, keys, configuration, self.loop, monotonic_ms,
-                                self.service.clock, self.unix, self.log)
+            return FleetStation(
+                self.service,
+                self.plan,
+                keys,
+                configuration,
+                self.loop,
+                monotonic_ms,
+                self.service.clock,
+                self.unix,
+                self.log,
+            )
         except OSError as fault:
             where = audit.path if audit is not None else self.configuration
             raise Unusable(f"{self.path}: fleet.audit.path: {fault.strerror}: {where}") from None
 
     def open_ledger(self, part: LedgerPart) -> Ledger:
         from ..store.ledger import Ledger
+
         try:
             return Ledger(Path(part.path), start.unix_ms, part.flush, part.ids, part.bytes)
         except OSError as fault:
@@ -157,24 +186,50 @@
         from ..extproc.bounds import Bounds
         from ..extproc.calls import Terms
         from ..extproc.server import Server
+
         site, told = self.service.told.site, self.service.told
         if site.drain_grace and part.use_within >= site.drain_grace:
-            raise Unusable(f"{self.path}: extproc.use_within: {part.use_within:.0f} ms is not under the "
-                           f"drain "
-                           f"rule's grace of {site.drain_grace:.0f} ms")
+            raise Unusable(
+                f"{self.path}: extproc.use_within: {part.use_within:.0f} ms is not under the "
+                f"drain "
+                f"rule's grace of {site.drain_grace:.0f} ms"
+            )
         if part.tls is not None:
             from ..extproc.tls import Context
+
             try:
                 self.context = Context(part.tls.certificate, part.tls.key)
             except (OSError, ValueError) as fault:
                 raise Unusable(f"{self.path}: extproc.tls: {fault}") from None
-        terms = Terms(part.message_timeout, part.most_timeout, part.margin, part.use_within,
-                      part.id_header.encode(), part.proof_header.encode())
-        bounds = Bounds(connections=part.connections, calls=part.calls, calls_each=part.calls_each,
-                        message=part.message, idle=part.idle)
+        terms = Terms(
+            part.message_timeout,
+            part.most_timeout,
+            part.margin,
+            part.use_within,
+            part.id_header.encode(),
+            part.proof_header.encode(),
+        )
+        bounds = Bounds(
+            connections=part.connections,
+            calls=part.calls,
+            calls_each=part.calls_each,
+            message=part.message,
+            idle=part.idle,
+        )
         longest = max(workload.expiry for workload in site.workloads)
-        return Server(self.link, self.service.engines, told.workloads, terms, bounds, longest,
-                      site.most_come_back, self.loop, self.service.clock, self.counters, self.log)
+        return Server(
+            self.link,
+            self.service.engines,
+            told.workloads,
+            terms,
+            bounds,
+            longest,
+            site.most_come_back,
+            self.loop,
+            self.service.clock,
+            self.counters,
+            self.log,
+        )
 
     def start(self) -> None:
         """Before the service: its first list and its first submission are seen through all of this."""
@@ -183,15 +238,30 @@
         if self.ledger is not None and self.plan.ledger is not None:
             from ..net.link import at_most_once
             from ..store.guard import LedgerGuard
+
             site = self.service.told.site
-            self.link.guard = LedgerGuard(self.ledger, at_most_once(site), self.plan.ledger.keep,
-                                          site.most_come_back, self.loop, self.counters, self.log,
-                                          self.link.guard)
+            self.link.guard = LedgerGuard(
+                self.ledger,
+                at_most_once(site),
+                self.plan.ledger.keep,
+                site.most_come_back,
+                self.loop,
+                self.counters,
+                self.log,
+                self.link.guard,
+            )
             if self.station is not None:
                 self.station.recall(self.ledger.ends)
-            self.log.info("ledger", extra={"figures": {
-                "recovered": self.ledger.recovered, "torn_tails": self.ledger.torn,
-                "bytes": self.ledger.bytes}})
+            self.log.info(
+                "ledger",
+                extra={
+                    "figures": {
+                        "recovered": self.ledger.recovered,
+                        "torn_tails": self.ledger.torn,
+                        "bytes": self.ledger.bytes,
+                    }
+                },
+            )
         if self.fleet is not None:
             self.fleet.start()
             if self.station is not None:
@@ -218,8 +288,9 @@
             if self.context is not None:
                 self.context.load()
             if self.fleet is not None and plan.fleet is not None:
-                self.fleet.read_again(Path(self.configuration).read_bytes(), plan,
-                                      read_keys(self.path, "fleet", plan.fleet))
+                self.fleet.read_again(
+                    Path(self.configuration).read_bytes(), plan, read_keys(self.path, "fleet", plan.fleet)
+                )
         except (Unusable, OSError, ValueError) as fault:
             self.counters.add("installations_unusable")
             self.log.error("installation_kept", extra={"figures": {"why": str(fault)}})
@@ -263,6 +334,7 @@
     def again() -> None:
         service.read_again(lambda: start.told_by(configuration))
         installed.read_again()
+
     start.on_signals(loop, again, installed.stop)
     globalLogBeginner.beginLoggingTo([cast(Any, service.unhandled)], redirectStandardIO=False)
     try:
--- a/spurdeal/deployment.py
+++ b/spurdeal/deployment.py
@@ -53,41 +53,61 @@
 def _deployment(options: dict[str, Any]) -> Deployment:
     extra, limits, rules = options.get("extra", {}), options.get("limits", {}), options.get("rules", {})
     zones, models, grades = options.get("zones", []), options.get("models", []), options["grades"]
-    threads, holds, waits = ([*extra.get(name, []), *[None] * len(grades)]
-                             for name in ("parallelism", "holds_tables", "class_waits"))
+    threads, holds, waits = (
+        [*extra.get(name, []), *[None] * len(grades)]
+        for name in ("parallelism", "holds_tables", "class_waits")
+    )
     fields = reported(options)
     workloads = tuple(
         Workload(
-            agreed=float(grade["aim"]), stretch=float(grade.get("aim_stretch", 0.0)),
-            expiry=float(grade["deadline"]), utility=float(grade.get("worth", 1.0)),
+            agreed=float(grade["aim"]),
+            stretch=float(grade.get("aim_stretch", 0.0)),
+            expiry=float(grade["deadline"]),
+            utility=float(grade.get("worth", 1.0)),
             late_utility=float(grade.get("late_worth", 0.0)),
-            effect=EFFECTS[grade.get("effect", "repeatable")], reach=REACHES[grade.get("group", "all")],
-            known_for=float(grade.get("window", 0.0)), in_order=bool(grade.get("serial_by_key", False)),
+            effect=EFFECTS[grade.get("effect", "repeatable")],
+            reach=REACHES[grade.get("group", "all")],
+            known_for=float(grade.get("window", 0.0)),
+            in_order=bool(grade.get("serial_by_key", False)),
             locations=indices(grade.get("zones_open"), zones),
             kinds=indices(grade.get("models_allowed"), models),
-            threads=max(1, int(threads[place] or 1)), holds_tables=bool(holds[place]),
-            waits_for_loads=bool(waits[place]))
-        for place, grade in enumerate(grades))
+            threads=max(1, int(threads[place] or 1)),
+            holds_tables=bool(holds[place]),
+            waits_for_loads=bool(waits[place]),
+        )
+        for place, grade in enumerate(grades)
+    )
     if not workloads:
         raise ValueError("no workloads")
     return Deployment(
-        index=int(options.get("index", 0)), dispatchers=max(1, int(options.get("balancers", 1))),
-        location=int(options.get("zone", 0)), workloads=workloads,
+        index=int(options.get("index", 0)),
+        dispatchers=max(1, int(options.get("balancers", 1))),
+        location=int(options.get("zone", 0)),
+        workloads=workloads,
         quotas=tuple(float(tenant.get("quota_per_s", 0.0)) for tenant in options.get("tenants", [])),
         over_share_utility=float(options.get("over_share_worth", 1.0)),
         cores=tuple(max(1, int(cores or 1)) for cores in extra.get("cpu_of_kind", [])),
         memory_mb=tuple(float(memory) for memory in extra.get("memory_by_kind_mb", [])),
         in_hand=fields.index(IN_HAND) if IN_HAND in fields else None,
         list_pushed=options.get("membership_mode", "pushed") == "pushed",
-        may_call_off=bool(limits.get("cancelling", False)), may_probe=bool(limits.get("may_probe", False)),
-        may_tell=bool(limits.get("may_tell", False)), second_copies=bool(limits.get("second_copies", False)),
+        may_call_off=bool(limits.get("cancelling", False)),
+        may_probe=bool(limits.get("may_probe", False)),
+        may_tell=bool(limits.get("may_tell", False)),
+        second_copies=bool(limits.get("second_copies", False)),
         most_trips=max(1, int(limits.get("send_cap", 1))),
         most_come_back=float(limits.get("max_retry_after", 0.0)) if limits.get("retry_after") else 0.0,
-        grants=bool(extra.get("grants_count", False)), pages=extra.get("memory_short") == "swap",
+        grants=bool(extra.get("grants_count", False)),
+        pages=extra.get("memory_short") == "swap",
         priorities=bool(extra.get("priorities", False)),
-        largest_grant=float(extra.get("grant_cap", 1.0)), notes_every=float(extra.get("note_period", 0.0)),
-        drain_grace=float(rules.get("drain_grace", 0.0)), cold_for=float(rules.get("cold", 0.0)),
-        cold_share=float(rules.get("cold_share", 1.0)), cold_multiple=float(rules.get("fall_multiple", 1.0)),
-        cold_window=float(rules.get("tip_after", 0.0)), order_rest=optional(rules.get("order_settle")),
-        further_free=optional(rules.get("extra_floor")), further_share=optional(rules.get("repeat_ratio")),
-        further_window=optional(rules.get("counted_over")))
+        largest_grant=float(extra.get("grant_cap", 1.0)),
+        notes_every=float(extra.get("note_period", 0.0)),
+        drain_grace=float(rules.get("drain_grace", 0.0)),
+        cold_for=float(rules.get("cold", 0.0)),
+        cold_share=float(rules.get("cold_share", 1.0)),
+        cold_multiple=float(rules.get("fall_multiple", 1.0)),
+        cold_window=float(rules.get("tip_after", 0.0)),
+        order_rest=optional(rules.get("order_settle")),
+        further_free=optional(rules.get("extra_floor")),
+        further_share=optional(rules.get("repeat_ratio")),
+        further_window=optional(rules.get("counted_over")),
+    )
--- a/spurdeal/extproc/answers.py
+++ b/spurdeal/extproc/answers.py
@@ -10,8 +10,14 @@
 from . import processor_pb2 as pb
 from .calls import BadCall
 
-PHASES = ("request_headers", "response_headers", "request_body", "response_body", "request_trailers",
-          "response_trailers")
+PHASES = (
+    "request_headers",
+    "response_headers",
+    "request_body",
+    "response_body",
+    "request_trailers",
+    "response_trailers",
+)
 OVERWRITE = 2  # HeaderValueOption.HeaderAppendAction.OVERWRITE_IF_EXISTS_OR_ADD
 
 
--- a/spurdeal/extproc/calls.py
+++ b/spurdeal/extproc/calls.py
@@ -90,10 +90,15 @@
     wait = number(headers, b"req-wait-ms")
     if wait <= 0:
         raise BadCall(400, "req-wait-ms cannot be used")
-    return Ask(ident, path.partition(b"?")[0].rpartition(b"/")[2], min(wait, longest),
-               number(headers, b"req-cost", 0.0), number(headers, b"x-est-mb", 0.0),
-               int(number(headers, b"x-tables-group", -1.0)) if b"x-tables-group" in headers else -1,
-               patience(headers))
+    return Ask(
+        ident,
+        path.partition(b"?")[0].rpartition(b"/")[2],
+        min(wait, longest),
+        number(headers, b"req-cost", 0.0),
+        number(headers, b"x-est-mb", 0.0),
+        int(number(headers, b"x-tables-group", -1.0)) if b"x-tables-group" in headers else -1,
+        patience(headers),
+    )
 
 
 def patience(headers: Mapping[bytes, bytes]) -> float | None:
--- a/spurdeal/extproc/server.py
+++ b/spurdeal/extproc/server.py
@@ -53,8 +53,9 @@
 class Granter:
     """The link's carrier for calls: a send grants a place to the caller."""
 
-    def __init__(self, engines: Engines, clock: Callable[[], float], terms: Terms, most: int,
-                 counters: Counters) -> None:
+    def __init__(
+        self, engines: Engines, clock: Callable[[], float], terms: Terms, most: int, counters: Counters
+    ) -> None:
         self.engines, self.clock, self.terms, self.counters = engines, clock, terms, counters
         self.grants = Grants(most)
         self.calls: dict[bytes, Call] = {}
@@ -63,14 +64,26 @@
     def ready(self, engine: int) -> bool:
         return self.engines.ready(engine)
 
-    def send(self, engine: int, ident: bytes, workload: bytes, statement: bytes, expiry: float,
-             at_most_once: bool, at_send: Callable[[], SendTerms | None]) -> Lease:
+    def send(
+        self,
+        engine: int,
+        ident: bytes,
+        workload: bytes,
+        statement: bytes,
+        expiry: float,
+        at_most_once: bool,
+        at_send: Callable[[], SendTerms | None],
+    ) -> Lease:
         call = self.calls.get(ident.lower())
         lease = Lease(call)
         seat = self.engines.engines[engine].seat if engine in self.engines.engines else None
         now, told = self.clock(), at_send() if call is not None and seat is not None else None
-        if call is None or seat is None or told is None \
-                or not self.grants.say(now, call.number, engine, now + told.wait):
+        if (
+            call is None
+            or seat is None
+            or told is None
+            or not self.grants.say(now, call.number, engine, now + told.wait)
+        ):
             self.counters.add("grants_not_said")  # its caller left, or its engine did: nothing ran
             lease.done.callback(Outcome(Ending.MOOT))
             return lease
@@ -120,8 +133,8 @@
             elif len(self.unread) < PREFIX.size + size:
                 return
             else:
-                message = self.unread[PREFIX.size:PREFIX.size + size]
-                self.unread = self.unread[PREFIX.size + size:]
+                message = self.unread[PREFIX.size : PREFIX.size + size]
+                self.unread = self.unread[PREFIX.size + size :]
                 self.message(message)
 
     def message(self, data: bytes) -> None:
@@ -178,8 +191,9 @@
             raise BadCall(409, "a submission with this id is open")
         server.granter.calls[self.ident] = self
         server.granter.grants.hold(self.number, self.ident)
-        answer = server.link.take(ask.ident, ask.workload, kind, ask.wait, ask.cost, ask.memory, ask.group,
-                                  b"", server.granter)
+        answer = server.link.take(
+            ask.ident, ask.workload, kind, ask.wait, ask.cost, ask.memory, ask.group, b"", server.granter
+        )
         if answer is None:
             self.let_go(Seen.CANCELLED)
             raise BadCall(409, "a submission with this id is open")
@@ -215,11 +229,18 @@
         terms, place = self.server.terms, f"{host}:{port}".encode()
         self.said = True
         self.server.held.pop(self, None)
-        self.write(answers.granted((
-            ("x-envoy-original-dst-host", place), ("x-spurdeal-to", place),
-            ("x-spurdeal-id", self.ident), ("x-spurdeal-rank", b"%d" % (1 if rank is None else rank)),
-            ("x-spurdeal-wait-ms", b"%d" % max(1, int(wait))),
-            ("x-spurdeal-use-within-ms", b"%d" % int(terms.use_within)))))
+        self.write(
+            answers.granted(
+                (
+                    ("x-envoy-original-dst-host", place),
+                    ("x-spurdeal-to", place),
+                    ("x-spurdeal-id", self.ident),
+                    ("x-spurdeal-rank", b"%d" % (1 if rank is None else rank)),
+                    ("x-spurdeal-wait-ms", b"%d" % max(1, int(wait))),
+                    ("x-spurdeal-use-within-ms", b"%d" % int(terms.use_within)),
+                )
+            )
+        )
 
     def immediate(self, status: int, why: str, come_back: float) -> None:
         self.over = True
@@ -227,8 +248,11 @@
         if status == 503 and come_back > 0:
             headers.append(("srv-wait-ms", b"%d" % round(come_back)))
         self.server.counters.add(f"extproc_answers_{status}")
-        self.write(answers.immediate(status, b'{"fault":"%b"}' % why.encode().replace(b'"', b"'"), headers,
-                                     why.replace(" ", "_")))
+        self.write(
+            answers.immediate(
+                status, b'{"fault":"%b"}' % why.encode().replace(b'"', b"'"), headers, why.replace(" ", "_")
+            )
+        )
 
     def waits(self, now: float) -> None:
         """It is held: the caller is asked for more time, or refused while that can still be heard."""
@@ -307,9 +331,15 @@
     def __init__(self, server: Server) -> None:
         self.server, self.meter = server, Meter(server.bounds)
         # Headers come in as they are and are checked by `calls`; ours are written as they should be.
-        self.h2 = H2Connection(H2Configuration(
-            client_side=False, header_encoding=None, validate_inbound_headers=False,
-            validate_outbound_headers=False, normalize_outbound_headers=False))
+        self.h2 = H2Connection(
+            H2Configuration(
+                client_side=False,
+                header_encoding=None,
+                validate_inbound_headers=False,
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+            )
+        )
         self.calls: dict[int, Call] = {}
         self.since = self.now()
         self.admitted = self.closing = self.clogged = self.producing = False
@@ -326,9 +356,13 @@
             self.transport.abortConnection()
             return
         self.transport.setTcpNoDelay(True)
-        self.h2.local_settings = type(self.h2.local_settings)(client=False, initial_values={
-            SettingCodes.MAX_CONCURRENT_STREAMS: self.server.bounds.calls_each,
-            SettingCodes.MAX_HEADER_LIST_SIZE: 16_384})
+        self.h2.local_settings = type(self.h2.local_settings)(
+            client=False,
+            initial_values={
+                SettingCodes.MAX_CONCURRENT_STREAMS: self.server.bounds.calls_each,
+                SettingCodes.MAX_HEADER_LIST_SIZE: 16_384,
+            },
+        )
         self.h2.initiate_connection()
         self.push()
 
@@ -397,8 +431,9 @@
             for each in [call] if call is not None else list(self.calls.values()):
                 if each.unsent:
                     self.flush(each)
-        if isinstance(event, (events.RemoteSettingsChanged, events.PingReceived, events.PriorityUpdated)) \
-                and self.meter.control(self.now()):
+        if isinstance(
+            event, (events.RemoteSettingsChanged, events.PingReceived, events.PriorityUpdated)
+        ) and self.meter.control(self.now()):
             self.cut("too many control frames")
 
     def request(self, stream: int, headers: Any) -> None:
@@ -407,21 +442,29 @@
         call = Call(self, stream, told.get(b"grpc-timeout"))
         if self.server.stopping:
             self.reset(stream, ErrorCodes.REFUSED_STREAM)  # by the standard: nothing of it was looked at
-        elif told.get(b":path") != METHOD \
-                or not told.get(b"content-type", b"").startswith(b"application/grpc"):
+        elif told.get(b":path") != METHOD or not told.get(b"content-type", b"").startswith(
+            b"application/grpc"
+        ):
             self.whole(stream, UNKNOWN_METHOD, "no such method")
         elif not self.server.door.call(self.meter):
             self.server.counters.add("extproc_refused")
-            self.whole(stream, TOO_MUCH, "too many calls",
-                       ((b"grpc-retry-pushback-ms", b"%d" % round(self.server.come_back)),))
+            self.whole(
+                stream,
+                TOO_MUCH,
+                "too many calls",
+                ((b"grpc-retry-pushback-ms", b"%d" % round(self.server.come_back)),),
+            )
         else:
             self.calls[stream] = call
             self.server.counters.add("extproc_calls")
 
     def whole(self, stream: int, status: int, why: str, more: tuple[tuple[bytes, bytes], ...] = ()) -> None:
         """An answer of headers alone."""
-        self.h2.send_headers(stream, (*BEGIN, (b"grpc-status", b"%d" % status),
-                                      (b"grpc-message", why.encode()), *more), end_stream=True)
+        self.h2.send_headers(
+            stream,
+            (*BEGIN, (b"grpc-status", b"%d" % status), (b"grpc-message", why.encode()), *more),
+            end_stream=True,
+        )
 
     def trailers(self, call: Call, status: int, why: str) -> None:
         if call.stream not in self.calls:
@@ -527,9 +570,20 @@
 
     noisy = False
 
-    def __init__(self, link: SocketLink, engines: Engines, workloads: Mapping[bytes, int], terms: Terms,
-                 bounds: Bounds, longest: float, come_back: float, reactor: Any, clock: Callable[[], float],
-                 counters: Counters, log: logging.Logger) -> None:
+    def __init__(
+        self,
+        link: SocketLink,
+        engines: Engines,
+        workloads: Mapping[bytes, int],
+        terms: Terms,
+        bounds: Bounds,
+        longest: float,
+        come_back: float,
+        reactor: Any,
+        clock: Callable[[], float],
+        counters: Counters,
+        log: logging.Logger,
+    ) -> None:
         self.link, self.workloads, self.terms, self.bounds = link, workloads, terms, bounds
         self.longest, self.come_back = longest, come_back
         self.reactor, self.clock, self.counters, self.log = reactor, clock, counters, log
--- a/spurdeal/extproc/tls.py
+++ b/spurdeal/extproc/tls.py
@@ -28,8 +28,12 @@
             if not certificates:
                 raise ValueError(f"{self.certificate} holds no certificate")
             options = ssl.CertificateOptions(
-                privateKey=key, certificate=certificates[0], extraCertChain=certificates[1:],
-                acceptableProtocols=[b"h2"], raiseMinimumTo=ssl.TLSVersion.TLSv1_2)
+                privateKey=key,
+                certificate=certificates[0],
+                extraCertChain=certificates[1:],
+                acceptableProtocols=[b"h2"],
+                raiseMinimumTo=ssl.TLSVersion.TLSv1_2,
+            )
             context = options.getContext()
             context.use_certificate(certificates[0])
             context.check_privatekey()
--- a/spurdeal/fleet/asking.py
+++ b/spurdeal/fleet/asking.py
@@ -34,13 +34,21 @@
 
     def told(self) -> dict[str, Any]:
         record = self.record
-        found: dict[str, Any] = {"at": str(record.stamp), "dispatcher": self.name, "boot": self.boot,
-                                 "what": record.kind.name.lower()}
+        found: dict[str, Any] = {
+            "at": str(record.stamp),
+            "dispatcher": self.name,
+            "boot": self.boot,
+            "what": record.kind.name.lower(),
+        }
         if record.ident:
             found["submission"] = record.ident
         if record.engine:
-            found |= {"engine": record.engine, "trip": record.trip, "cold": bool(record.flags & COLD),
-                      "doubtful": bool(record.flags & DOUBTFUL)}
+            found |= {
+                "engine": record.engine,
+                "trip": record.trip,
+                "cold": bool(record.flags & COLD),
+                "doubtful": bool(record.flags & DOUBTFUL),
+            }
         if record.kind is Kind.CALLED_OFF:
             found["trip"] = record.trip
         found |= {key: value for key, value in record.told.items() if key != "engines"}
@@ -179,9 +187,13 @@
         if entry.record.kind is Kind.SENT:
             life = life_of(entry.versions, entry.record.engine)
             if life is not None and life != READY:
-                yield Finding("own_version", f"{entry.name} sent {entry.record.ident} to "
-                              f"{entry.record.engine}, which its own list {entry.versions['list']} has "
-                              f"{'draining' if life else 'gone'}", entry)
+                yield Finding(
+                    "own_version",
+                    f"{entry.name} sent {entry.record.ident} to "
+                    f"{entry.record.engine}, which its own list {entry.versions['list']} has "
+                    f"{'draining' if life else 'gone'}",
+                    entry,
+                )
 
 
 def against_newer(entries: Sequence[Entry], grace: float) -> Iterator[Finding]:
@@ -208,10 +220,14 @@
             if entry.record.stamp.ms - at > grace:
                 life = life_of(versions, entry.record.engine)
                 if life is not None and life != READY:
-                    yield Finding("newer_version", f"{entry.name} sent {entry.record.ident} to "
-                                  f"{entry.record.engine} on list {entry.versions['list']}; list "
-                                  f"{versions['list']}, acted on {entry.record.stamp.ms - at} ms before, "
-                                  f"has it {'draining' if life else 'gone'}", entry)
+                    yield Finding(
+                        "newer_version",
+                        f"{entry.name} sent {entry.record.ident} to "
+                        f"{entry.record.engine} on list {entry.versions['list']}; list "
+                        f"{versions['list']}, acted on {entry.record.stamp.ms - at} ms before, "
+                        f"has it {'draining' if life else 'gone'}",
+                        entry,
+                    )
                 break
 
 
@@ -254,9 +270,17 @@
         broken = any(log.problems for log in parts)
         if digest is not None and digest != told["digest"]:
             told_of.add((name, boot))
-            yield Finding("witness", f"{name}: page {page} of start {boot} is not the one that {entry.name} "
-                          f"was told of: the log was rewritten", entry)
+            yield Finding(
+                "witness",
+                f"{name}: page {page} of start {boot} is not the one that {entry.name} "
+                f"was told of: the log was rewritten",
+                entry,
+            )
         elif digest is None and page > last and not broken:
             told_of.add((name, boot))
-            yield Finding("witness", f"{name}: {entry.name} was told of page {page} of start {boot}, and the "
-                          f"log ends before it: its tail was cut, or its disk put back", entry)
+            yield Finding(
+                "witness",
+                f"{name}: {entry.name} was told of page {page} of start {boot}, and the "
+                f"log ends before it: its tail was cut, or its disk put back",
+                entry,
+            )
--- a/spurdeal/fleet/audit.py
+++ b/spurdeal/fleet/audit.py
@@ -103,8 +103,9 @@
         if place is None:
             place = self.engines[engine] = len(self.engines)
             self.tell(Kind.ENGINE, {"place": place, "engine": engine})
-        self.records.append(SENT.pack(Kind.SENT, min(trip, 255), flags, len(ident)) + ident
-                            + place.to_bytes(4, "big"))
+        self.records.append(
+            SENT.pack(Kind.SENT, min(trip, 255), flags, len(ident)) + ident + place.to_bytes(4, "big")
+        )
 
     def short(self, kind: Kind, ident: bytes, trip: int = 0) -> None:
         self.records.append(SENT.pack(kind, min(trip, 255), 0, len(ident)) + ident)
@@ -139,8 +140,11 @@
         if not self.in_page:
             return b""
         digest = self.unsealed.digest()
-        body = TIME.pack(stamp.ms >> 32, stamp.ms & 0xFFFFFFFF, stamp.tally, index) \
-            + SEAL.pack(Kind.SEAL, self.page, self.count) + digest
+        body = (
+            TIME.pack(stamp.ms >> 32, stamp.ms & 0xFFFFFFFF, stamp.tally, index)
+            + SEAL.pack(Kind.SEAL, self.page, self.count)
+            + digest
+        )
         return FRAME.pack(len(body), zlib.crc32(body)) + body
 
     def sealed(self) -> tuple[int, str, int]:
@@ -175,7 +179,7 @@
     `end` lies before it."""
     if MAGIC.startswith(data):  # its very beginning was torn off
         return Read([], {}, 0, 0, NO_DIGEST, 0, {}, 0)
-    if data[:len(MAGIC)] != MAGIC:
+    if data[: len(MAGIC)] != MAGIC:
         raise Broken(0, "no audit log: it does not begin as one")
     at, records, seals = len(MAGIC), list[Record](), dict[int, tuple[str, int, Stamp]]()
     head: dict[str, Any] = {}
@@ -227,7 +231,7 @@
     if at + FRAME.size > len(data):
         return None
     size, told = FRAME.unpack_from(data, at)
-    body = data[at + FRAME.size:at + FRAME.size + size]
+    body = data[at + FRAME.size : at + FRAME.size + size]
     if not TIME.size < size <= LARGEST or len(body) < size or zlib.crc32(body) != told:
         return None
     return body, at + FRAME.size + size
@@ -248,23 +252,23 @@
             if kind is Kind.SENT or kind in SHORT:
                 _, trip, flags, size = SENT.unpack_from(body, at)
                 at += SENT.size
-                ident = body[at:at + size].decode("ascii")
+                ident = body[at : at + size].decode("ascii")
                 at += size
                 engine = ""
                 if kind is Kind.SENT:
-                    engine = engines[int.from_bytes(body[at:at + 4], "big")]
+                    engine = engines[int.from_bytes(body[at : at + 4], "big")]
                     at += 4
                 yield Record(stamp, index, kind, ident, engine, trip, flags)
             elif kind is Kind.SEAL:
                 _, page, count = SEAL.unpack_from(body, at)
                 at += SEAL.size
-                digest = body[at:at + DIGEST].hex()
+                digest = body[at : at + DIGEST].hex()
                 at += DIGEST
                 yield Record(stamp, index, kind, told={"page": page, "records": count, "digest": digest})
             else:
                 _, size = TEXT.unpack_from(body, at)
                 at += TEXT.size
-                told = json.loads(zlib.decompress(body[at:at + size]))
+                told = json.loads(zlib.decompress(body[at : at + size]))
                 at += size
                 if kind is Kind.ENGINE:
                     engines[int(told["place"])] = str(told["engine"])
--- a/spurdeal/fleet/bringing.py
+++ b/spurdeal/fleet/bringing.py
@@ -36,7 +36,7 @@
 
 def pack(value: Any) -> list[bytes]:
     packed = zlib.compress(json.dumps(value, separators=(",", ":")).encode(), 9)
-    return [packed[at:at + PIECE] for at in range(0, len(packed), PIECE)]
+    return [packed[at : at + PIECE] for at in range(0, len(packed), PIECE)]
 
 
 def unpack(pieces: Sequence[bytes]) -> Any:
@@ -51,8 +51,10 @@
 
 
 def difference(old: Rows, new: Rows) -> dict[str, Any]:
-    return {"changed": [list(row) for ident, row in sorted(new.items()) if old.get(ident) != row],
-            "gone": sorted(old.keys() - new.keys())}
+    return {
+        "changed": [list(row) for ident, row in sorted(new.items()) if old.get(ident) != row],
+        "gone": sorted(old.keys() - new.keys()),
+    }
 
 
 def applied(old: Rows, told: Any) -> Rows:
@@ -154,8 +156,9 @@
                 return Ask(self.of, have, version, 0)
         return None
 
-    def came(self, now: float, sender: str, want: Version, place: int, count: int, data: str) \
-            -> Ask | list[bytes] | None:
+    def came(
+        self, now: float, sender: str, want: Version, place: int, count: int, data: str
+    ) -> Ask | list[bytes] | None:
         """A piece: what to ask for next, or all of them."""
         if sender != self.of or want != self.want or place != len(self.pieces):
             return None
--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -101,9 +101,18 @@
 class Fleet:
     """`bring` is called with a list that was fetched and checked, and puts it in force."""
 
-    def __init__(self, name: str, address: Address, seeds: Mapping[str, Address], terms: Terms, keys: Keys,
-                 chance: random.Random, bring: Callable[[Version, Rows], None], now: float,
-                 unix: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        seeds: Mapping[str, Address],
+        terms: Terms,
+        keys: Keys,
+        chance: random.Random,
+        bring: Callable[[Version, Rows], None],
+        now: float,
+        unix: float,
+    ) -> None:
         self.name, self.address, self.seeds, self.terms, self.keys = name, address, dict(seeds), terms, keys
         self.chance, self.bring = chance, bring
         self.out: list[tuple[Address, bytes]] = []
@@ -155,8 +164,9 @@
         allowed = self.ladder.allowed
         return allowed if self.lease.holds(now) else allowed._replace(doubtful=False)
 
-    def in_force(self, line: Line, version: Version, rows: Rows | None = None,
-                 by_source: bool = True) -> bool:
+    def in_force(
+        self, line: Line, version: Version, rows: Rows | None = None, by_source: bool = True
+    ) -> bool:
         """What this dispatcher acts on from now on."""
         taken = self.book.take(line, version, by_source)
         if taken and rows is not None:
@@ -186,35 +196,54 @@
         """A planned end is told to some at once; news carries it on."""
         self.leaving = True
         self.members.leave()
-        for name in self.members.alive()[:2 * WARDENS]:
+        for name in self.members.alive()[: 2 * WARDENS]:
             self.ping(now, unix, name)
 
     def status(self, now: float) -> dict[str, Any]:
         """All that is known here of the fleet, for people and programs."""
         newest = self.book.newest(Line.LIST)
         versions = {line.name.lower(): str(each) for line, each in sorted(self.book.force.items())}
-        own = {"name": self.name, "boot": f"{self.boot:016x}", "why": self.ladder.why,
-               "standing": self.ladder.standing.name.lower(), "for_ms": round(now - self.ladder.since),
-               "lease": self.lease.holds(now), "term": self.lease.term.number,
-               "wardens": list(self.lease.term.wardens), "versions": versions,
-               "newest_list": str(newest) if newest is not None else None, "behind": self.book.behind(),
-               "clock_shift_ms": round(self.clock_shift), "size": self.members.size(),
-               "health": self.members.health}
-        return own | {"members": [self.status_of(now, name) for name in sorted(self.members.others)],
-                      "clashes": [str(clash) for clash in self.book.clashes.values()],
-                      "implausible": dict(self.book.implausible), "counts": dict(sorted(self.counts.items()))}
+        own = {
+            "name": self.name,
+            "boot": f"{self.boot:016x}",
+            "why": self.ladder.why,
+            "standing": self.ladder.standing.name.lower(),
+            "for_ms": round(now - self.ladder.since),
+            "lease": self.lease.holds(now),
+            "term": self.lease.term.number,
+            "wardens": list(self.lease.term.wardens),
+            "versions": versions,
+            "newest_list": str(newest) if newest is not None else None,
+            "behind": self.book.behind(),
+            "clock_shift_ms": round(self.clock_shift),
+            "size": self.members.size(),
+            "health": self.members.health,
+        }
+        return own | {
+            "members": [self.status_of(now, name) for name in sorted(self.members.others)],
+            "clashes": [str(clash) for clash in self.book.clashes.values()],
+            "implausible": dict(self.book.implausible),
+            "counts": dict(sorted(self.counts.items())),
+        }
 
     def status_of(self, now: float, name: str) -> dict[str, Any]:
         record, heard = self.members.others[name], self.heard.get(name)
         claims = self.book.claims.get(name, {})
         newest = self.book.newest(Line.LIST)
-        found: dict[str, Any] = {"name": name, "life": record.life.name.lower(),
-                                 "boot": f"{record.boot:016x}",
-                                 "for_ms": round(now - self.members.since[name]),
-                                 "at": f"{record.host}:{record.port}", "stopped": self.stopped(now, name)}
+        found: dict[str, Any] = {
+            "name": name,
+            "life": record.life.name.lower(),
+            "boot": f"{record.boot:016x}",
+            "for_ms": round(now - self.members.since[name]),
+            "at": f"{record.host}:{record.port}",
+            "stopped": self.stopped(now, name),
+        }
         if heard is not None:
-            found |= {"standing": heard.standing.name.lower(), "heard_ms_ago": round(now - heard.at),
-                      "page": heard.page[0] if heard.page is not None else None}
+            found |= {
+                "standing": heard.standing.name.lower(),
+                "heard_ms_ago": round(now - heard.at),
+                "page": heard.page[0] if heard.page is not None else None,
+            }
         if Line.LIST in claims and newest is not None:
             told = claims[Line.LIST]
             found |= {"list": str(told), "behind": max(0, newest.number - told.number)}
@@ -250,11 +279,29 @@
             self.leased_at = now
         if now >= self.next_shift:
             self.next_shift, self.clock_shift = now + SHIFT_EVERY, self.shift(now)
-        if self.ladder.step(now, Seen(held, self.book.behind(), now - self.source_at, self.others_behind,
-                                      self.members.size(), self.synced, self.clock_shift, self.twin)):
-            self.told.append(Told("standing", {
-                "standing": self.ladder.standing.name.lower(), "why": self.ladder.why,
-                "list": str(self.book.force.get(Line.LIST, ""))}))
+        if self.ladder.step(
+            now,
+            Seen(
+                held,
+                self.book.behind(),
+                now - self.source_at,
+                self.others_behind,
+                self.members.size(),
+                self.synced,
+                self.clock_shift,
+                self.twin,
+            ),
+        ):
+            self.told.append(
+                Told(
+                    "standing",
+                    {
+                        "standing": self.ladder.standing.name.lower(),
+                        "why": self.ladder.why,
+                        "list": str(self.book.force.get(Line.LIST, "")),
+                    },
+                )
+            )
             if self.ladder.standing is Standing.JOINING:
                 self.synced = not self.members.alive()  # what was missed is got from one before it acts again
                 self.pulled_from, self.next_pull = "", now
@@ -284,9 +331,12 @@
         newest = self.book.newest(Line.LIST)
         if newest is None:
             return []
-        return [name for name, claims in self.book.claims.items()
-                if (Line.LIST in claims and claims[Line.LIST].order < newest.order)
-                or (name in self.heard and self.heard[name].standing is Standing.SHUT)]
+        return [
+            name
+            for name, claims in self.book.claims.items()
+            if (Line.LIST in claims and claims[Line.LIST].order < newest.order)
+            or (name in self.heard and self.heard[name].standing is Standing.SHUT)
+        ]
 
     def shift(self, now: float) -> float:
         """How far our Unix time lies before the middle of the others'; 0 while too few have told theirs."""
@@ -311,8 +361,11 @@
     def long_gone(self, now: float, name: str) -> bool:
         """It will answer nobody soon: others take its place as wardens."""
         record = self.members.others.get(name)
-        return record is not None and record.life is Life.GONE \
+        return (
+            record is not None
+            and record.life is Life.GONE
             and now - self.members.since[name] > WARDENS_FOR * self.terms.lease
+        )
 
     def pull(self, now: float, unix: float) -> None:
         """The whole table of one member, in pages: at a start, at a return, and where two tables differ."""
@@ -356,15 +409,26 @@
         # Our own source comes first, where it answers: one that is told what others are not must not lead
         # them all.
         patience = SOURCE_FIRST if now - self.source_at < SOURCE_FIRST else 0.0
-        ask = self.fetch.tick(now, have, [
-            (version, [name for name in holders if name in self.heard]) for version, holders in offers
-            if now - self.offered[version] >= patience])
+        ask = self.fetch.tick(
+            now,
+            have,
+            [
+                (version, [name for name in holders if name in self.heard])
+                for version, holders in offers
+                if now - self.offered[version] >= patience
+            ],
+        )
         if ask is not None:
             self.send_fetch(now, unix, ask)
 
     def send_fetch(self, now: float, unix: float, ask: Ask) -> None:
-        self.ask(now, unix, ask.to, "fetch", {"k": "f", "have": list(ask.have), "want": list(ask.want),
-                                              "i": ask.place})
+        self.ask(
+            now,
+            unix,
+            ask.to,
+            "fetch",
+            {"k": "f", "have": list(ask.have), "want": list(ask.want), "i": ask.place},
+        )
 
     def tell_stopped(self, now: float) -> None:
         """Whom we rely on as stopped, and from when we do so no more."""
@@ -397,13 +461,23 @@
     def changes(self) -> None:
         found, self.members.changes = self.members.changes, []
         for change in found:
-            self.told.append(Told("member", {"name": change.name, "life": change.life.name.lower(),
-                                             "boot": f"{change.boot:016x}", "why": change.why}))
+            self.told.append(
+                Told(
+                    "member",
+                    {
+                        "name": change.name,
+                        "life": change.life.name.lower(),
+                        "boot": f"{change.boot:016x}",
+                        "why": change.why,
+                    },
+                )
+            )
             if change.life is Life.GONE:
                 self.wards.refuse(change.name, change.boot)
                 if len(self.inquiries) < MOST_INQUIRIES:
-                    self.inquiries[change.name] = Inquiry(change.name, change.boot, self.terms.part,
-                                                          self.terms.lease)
+                    self.inquiries[change.name] = Inquiry(
+                        change.name, change.boot, self.terms.part, self.terms.lease
+                    )
             if change.life >= Life.GONE:
                 self.book.forget(change.name)
                 self.heard.pop(change.name, None)
@@ -442,11 +516,22 @@
     # Datagrams out.
 
     def body(self, unix: float, more: Mapping[str, Any]) -> dict[str, Any]:
-        return {"h": list(self.hybrid.stamp(unix)), "u": int(unix + self.skew),
-                "v": wire.versions_written(self.book.force), "s": int(self.ladder.standing)} | dict(more)
-
-    def send(self, now: float, unix: float, name: str, more: Mapping[str, Any],
-             address: Address | None = None, news: bool = True) -> None:
+        return {
+            "h": list(self.hybrid.stamp(unix)),
+            "u": int(unix + self.skew),
+            "v": wire.versions_written(self.book.force),
+            "s": int(self.ladder.standing),
+        } | dict(more)
+
+    def send(
+        self,
+        now: float,
+        unix: float,
+        name: str,
+        more: Mapping[str, Any],
+        address: Address | None = None,
+        news: bool = True,
+    ) -> None:
         """To a member, with as much news as fits."""
         record = self.members.others.get(name)
         address = address or (record.address if record is not None else self.seeds.get(name))
@@ -473,20 +558,36 @@
             self.sessions[name] = Session(self.name, name, self.boot, self.keys)
         return self.sessions[name]
 
-    def ask(self, now: float, unix: float, name: str, kind: str, more: Mapping[str, Any],
-            on: tuple[str, Address, int] | None = None, news: bool = False) -> None:
+    def ask(
+        self,
+        now: float,
+        unix: float,
+        name: str,
+        kind: str,
+        more: Mapping[str, Any],
+        on: tuple[str, Address, int] | None = None,
+        news: bool = False,
+    ) -> None:
         self.seq += 1
         self.open[self.seq] = Open(name, now, kind, on)
         while len(self.open) > MOST_OPEN:
             self.open.popitem(last=False)
         self.send(now, unix, name, {"q": self.seq} | dict(more), on[1] if on is not None else None, news)
 
-    def ping(self, now: float, unix: float, name: str, kind: str = "ping",
-             on: tuple[str, Address, int] | None = None) -> None:
+    def ping(
+        self,
+        now: float,
+        unix: float,
+        name: str,
+        kind: str = "ping",
+        on: tuple[str, Address, int] | None = None,
+    ) -> None:
         more: dict[str, Any] = {"k": "p"}
         if kind == "renew":
-            more["l"] = [wire.term_written(self.lease.term),
-                         wire.term_written(self.lease.next) if self.lease.next is not None else None]
+            more["l"] = [
+                wire.term_written(self.lease.term),
+                wire.term_written(self.lease.next) if self.lease.next is not None else None,
+            ]
             if self.page is not None:
                 more["d"] = list(self.page)
         self.ask(now, unix, name, kind, more, on, news=True)
@@ -540,8 +641,18 @@
         if not self.hybrid.seen(unix, stamp):
             self.counts["stamp_ahead"] += 1
         if page is not None and (name not in self.heard or self.heard[name].page != page):
-            self.told.append(Told("page", {"name": name, "boot": f"{session.peer_boot:016x}", "page": page[0],
-                                           "digest": page[1], "records": page[2]}))
+            self.told.append(
+                Told(
+                    "page",
+                    {
+                        "name": name,
+                        "boot": f"{session.peer_boot:016x}",
+                        "page": page[0],
+                        "digest": page[1],
+                        "records": page[2],
+                    },
+                )
+            )
         before = self.heard[name].page if name in self.heard else None
         self.heard[name] = Heard(now, standing, page or before, apart)
         for clash in self.book.claim(name, claims):
@@ -559,8 +670,14 @@
         if record is None:
             self.members.hear(now, Record(name, *source, boot, 0, Life.ALIVE), name)
         prints = body.get("e")
-        if isinstance(prints, int) and prints != self.members.print() and not self.pulled_from \
-                and now >= self.next_pull and self.synced and not self.members.news:
+        if (
+            isinstance(prints, int)
+            and prints != self.members.print()
+            and not self.pulled_from
+            and now >= self.next_pull
+            and self.synced
+            and not self.members.news
+        ):
             self.next_pull = now + PULL_EVERY * self.terms.period
             self.start_pull(now, unix, name)
 
@@ -613,6 +730,7 @@
                 heard_of, granted = (0, False) if out else self.wards.ask(now, name, boot, *terms)
                 more["g"] = [heard_of, int(granted)]
             self.send(now, unix, name, more, source)
+
         return act
 
     def on_ack(self, came: Came) -> Act:
@@ -629,6 +747,7 @@
             if found.on is not None:
                 to, address, seq = found.on
                 self.send(now, unix, to, {"k": "y", "q": seq}, address)
+
         return act
 
     def on_through(self, came: Came) -> Act:
@@ -642,6 +761,7 @@
                 self.open[self.seq] = Open(whom, now, "relay", (name, source, seq))
                 self.send(now, unix, whom, {"k": "p", "q": self.seq}, place)
             self.send(now, unix, name, {"k": "n", "q": seq}, source, news=False)
+
         return act
 
     def on_nack(self, came: Came) -> Act:
@@ -653,6 +773,7 @@
         def act() -> None:
             if found is not None and found.to == name and found.kind == "through":
                 self.members.nacked()
+
         return act
 
     def on_yes(self, came: Came) -> Act:
@@ -664,6 +785,7 @@
             probe = self.members.probe
             if found is not None and probe is not None:
                 self.members.answered(now, probe.name)
+
         return act
 
     def on_join(self, came: Came) -> Act:
@@ -674,13 +796,14 @@
             table = sorted(self.members.table())
             rows, more = list[list[Any]](), {"k": "J", "q": seq, "i": place, "of": len(table)}
             left = wire.room(self.name, self.body(unix, more)) - 16
-            for record in table[place:place + wire.MOST_RECORDS]:
+            for record in table[place : place + wire.MOST_RECORDS]:
                 row = wire.written(self.members.as_told(record))
                 left -= len(str(row)) + 1
                 if left < 0:
                     break
                 rows.append(row)
             self.send(now, unix, name, more | {"n": rows}, source, news=False)
+
         return act
 
     def on_table(self, came: Came) -> Act:
@@ -698,6 +821,7 @@
                 return
             self.pull_due = now + PULL_AGAIN
             self.ask(now, unix, name, "pull", {"k": "j", "i": self.pull_place})
+
         return act
 
     def on_word(self, came: Came) -> Act:
@@ -709,9 +833,18 @@
             if word is not None:
                 term, following, refused, left = word
                 proposed = wire.term_written(following) if following is not None else None
-                more = {"k": "W", "q": seq, "who": who, "boot": boot, "r": int(refused), "left": left,
-                        "t": wire.term_written(term), "f": proposed}
+                more = {
+                    "k": "W",
+                    "q": seq,
+                    "who": who,
+                    "boot": boot,
+                    "r": int(refused),
+                    "left": left,
+                    "t": wire.term_written(term),
+                    "f": proposed,
+                }
                 self.send(now, unix, name, more, source, news=False)
+
         return act
 
     def on_worded(self, came: Came) -> Act:
@@ -727,6 +860,7 @@
             if found is None or inquiry is None or inquiry.boot != boot:
                 return
             inquiry.word(now, found.sent, name, term, following, bool(refused), left)
+
         return act
 
     def on_fetch(self, came: Came) -> Act:
@@ -738,9 +872,16 @@
             piece = self.shelf.piece(now, have, want, place)
             if piece is not None:
                 self.counts["pieces_served"] += 1
-                more = {"k": "F", "q": seq, "want": list(want), "i": place, "of": piece[0],
-                        "b": base64.b64encode(piece[1]).decode()}
+                more = {
+                    "k": "F",
+                    "q": seq,
+                    "want": list(want),
+                    "i": place,
+                    "of": piece[0],
+                    "b": base64.b64encode(piece[1]).decode(),
+                }
                 self.send(now, unix, name, more, source, news=False)
+
         return act
 
     def on_fetched(self, came: Came) -> Act:
@@ -756,6 +897,7 @@
                 self.send_fetch(now, unix, step)
             elif step is not None:
                 self.put_in_force(now, name, want, step)
+
         return act
 
     def put_in_force(self, now: float, name: str, want: Version, pieces: list[bytes]) -> None:
@@ -771,8 +913,9 @@
         dropped = drops(self.rows, rows, READY)
         if dropped > self.one_drops and len(self.book.holders(Line.LIST, want)) < WITNESSES:
             self.fetch.refuse(now)
-            self.told.append(Told("list_refused", {
-                "from": name, "drops": round(dropped, 2), "list": str(want)}))
+            self.told.append(
+                Told("list_refused", {"from": name, "drops": round(dropped, 2), "list": str(want)})
+            )
             return
         self.fetch.end(now, 0.0)
         if self.in_force(Line.LIST, want, rows, by_source=False):
@@ -780,6 +923,15 @@
             self.bring(want, rows)
 
     HANDLERS: Mapping[str, Callable[[Fleet, Came], Act]] = {
-        "p": on_ping, "a": on_ack, "r": on_through, "n": on_nack, "y": on_yes, "j": on_join, "J": on_table,
-        "w": on_word, "W": on_worded, "f": on_fetch, "F": on_fetched}
-
+        "p": on_ping,
+        "a": on_ack,
+        "r": on_through,
+        "n": on_nack,
+        "y": on_yes,
+        "j": on_join,
+        "J": on_table,
+        "w": on_word,
+        "W": on_worded,
+        "f": on_fetch,
+        "F": on_fetched,
+    }
--- a/spurdeal/fleet/journal.py
+++ b/spurdeal/fleet/journal.py
@@ -23,8 +23,16 @@
 class Journal:
     """One dispatcher's log. now gives ms for the tries; most_bytes is the bound on the folder."""
 
-    def __init__(self, path: Path, name: str, boot: int, stamp: Callable[[], Stamp], now: Callable[[], float],
-                 most_bytes: int, system: Any = os) -> None:
+    def __init__(
+        self,
+        path: Path,
+        name: str,
+        boot: int,
+        stamp: Callable[[], Stamp],
+        now: Callable[[], float],
+        most_bytes: int,
+        system: Any = os,
+    ) -> None:
         self.path, self.name, self.boot, self.stamp, self.now = path, name, boot, stamp, now
         self.most_bytes, self.system = most_bytes, system
         self.file, self.bytes, self.number = -1, 0, 0
@@ -86,9 +94,17 @@
         kept, self.pages.records = self.pages.records, []
         self.pages.close()
         self.pages.engines.clear()
-        self.pages.tell(Kind.HEAD, {"name": self.name, "boot": f"{self.boot:016x}", "file": self.number,
-                                    "page": self.pages.page, "records": self.pages.count,
-                                    "before": self.pages.digest.hex()})
+        self.pages.tell(
+            Kind.HEAD,
+            {
+                "name": self.name,
+                "boot": f"{self.boot:016x}",
+                "file": self.number,
+                "page": self.pages.page,
+                "records": self.pages.count,
+                "before": self.pages.digest.hex(),
+            },
+        )
         if self.versions:
             self.pages.tell(Kind.VERSIONS, self.versions | {"again": True})
         begun = self.put(self.pages.frame(self.stamp(), self.index), MAGIC)
@@ -136,7 +152,7 @@
             try:
                 view = memoryview(before + data)
                 while view:
-                    view = view[self.system.write(self.file, view):]
+                    view = view[self.system.write(self.file, view) :]
                 written = True
             except OSError:
                 self.failures += 1
--- a/spurdeal/fleet/lease.py
+++ b/spurdeal/fleet/lease.py
@@ -199,8 +199,16 @@
         """All who are to be asked."""
         return sorted({name for term in self.terms.values() for name in term.wardens})
 
-    def word(self, now: float, asked: float, name: str, term: Term, following: Term | None, refused: bool,
-             left: float) -> None:
+    def word(
+        self,
+        now: float,
+        asked: float,
+        name: str,
+        term: Term,
+        following: Term | None,
+        refused: bool,
+        left: float,
+    ) -> None:
         """A warden's word, to what we asked at `asked`."""
         self.begin(term, following)
         if refused:
@@ -213,5 +221,7 @@
         """It holds no lease, whatever its own clock says."""
         ended = {name for name, (ends, until) in self.words.items() if ends <= now < until}
         terms = [term for term in self.terms.values() if term.wardens]  # without wardens none is held
-        return bool(terms) and all(len(ended.intersection(term.wardens)) > len(term.wardens)
-                                   - term.needed(self.part) for term in terms)
+        return bool(terms) and all(
+            len(ended.intersection(term.wardens)) > len(term.wardens) - term.needed(self.part)
+            for term in terms
+        )
--- a/spurdeal/fleet/members.py
+++ b/spurdeal/fleet/members.py
@@ -132,8 +132,9 @@
     def keep(self, name: str, record: Record | None) -> None:
         """The table, who is living, and the sum go together."""
         before = self.others.get(name)
-        self.left += (record is not None and record.life is Life.LEFT) \
-            - (before is not None and before.life is Life.LEFT)
+        self.left += (record is not None and record.life is Life.LEFT) - (
+            before is not None and before.life is Life.LEFT
+        )
         if before is not None and before.life <= Life.SUSPECT:
             self.sum ^= zlib.crc32(self.line(before))
             self.living.discard(name)
@@ -175,8 +176,14 @@
         if known is None or (known.life, known.boot) != (record.life, record.boot):
             self.since[record.name] = now
             new = known is not None and known.boot != record.boot
-            self.changes.append(Change(record.name, record.life, record.boot,
-                                       f"a new start, told by {by}" if new else f"told by {by}"))
+            self.changes.append(
+                Change(
+                    record.name,
+                    record.life,
+                    record.boot,
+                    f"a new start, told by {by}" if new else f"told by {by}",
+                )
+            )
 
     def suspicion(self, now: float, by: str) -> Suspicion:
         least = SUSPECT_LEAST * self.scale() * self.period
@@ -223,8 +230,9 @@
         """Up to so many records, least told first. One of whom something else is known than that its start
         `boot` is alive hears that first."""
         limit = math.ceil(SPREAD * math.log2(len(self.living) + 2))
-        ranked = heapq.nsmallest(most, self.news,
-                                 key=lambda name: (self.news[name], name != self.own.name, name))
+        ranked = heapq.nsmallest(
+            most, self.news, key=lambda name: (self.news[name], name != self.own.name, name)
+        )
         named = self.others.get(to)
         first = [to] if named is not None and (named.life is not Life.ALIVE or named.boot != boot) else []
         told = (first + [name for name in ranked if name != to])[:most]
@@ -233,8 +241,11 @@
                 self.news[name] += 1
                 if self.news[name] >= limit:
                     del self.news[name]
-        return [self.own if name == self.own.name else self.as_told(self.others[name]) for name in told
-                if name == self.own.name or name in self.others]
+        return [
+            self.own if name == self.own.name else self.as_told(self.others[name])
+            for name in told
+            if name == self.own.name or name in self.others
+        ]
 
     def as_told(self, record: Record) -> Record:
         """A suspicion is passed on in the name of one who says so: only different ones confirm one
@@ -250,8 +261,10 @@
         if still > 2 * self.period:
             # We stood still, not they: what was due meanwhile proves nothing.
             self.probe, self.health = None, HEALTH_MOST
-            self.suspicions = {name: each._replace(end=each.end + still, since=each.since + still)
-                               for name, each in self.suspicions.items()}
+            self.suspicions = {
+                name: each._replace(end=each.end + still, since=each.since + still)
+                for name, each in self.suspicions.items()
+            }
             self.next_probe = now
         self.ticked = now
         for name in [name for name, each in self.suspicions.items() if now >= each.end]:
@@ -298,8 +311,9 @@
             name = self.ring.pop()
             record = self.others.get(name)
             # One that is gone is looked for now and then: a cut that has healed is found so.
-            if record is not None and (record.life <= Life.SUSPECT or (record.life is Life.GONE
-                                                                      and self.chance.random() < 0.3)):
+            if record is not None and (
+                record.life <= Life.SUSPECT or (record.life is Life.GONE and self.chance.random() < 0.3)
+            ):
                 return self.probing(now, name)
         self.ring = [name for name, record in self.others.items() if record.life is not Life.LEFT]
         self.chance.shuffle(self.ring)
@@ -326,8 +340,11 @@
 
     def forget(self, now: float) -> None:
         """Who is over for long is no more of the fleet."""
-        for name in [name for name, record in self.others.items()
-                     if record.life >= Life.GONE and now - self.since[name] > self.forget_after]:
+        for name in [
+            name
+            for name, record in self.others.items()
+            if record.life >= Life.GONE and now - self.since[name] > self.forget_after
+        ]:
             self.drop(name)
 
     def drop(self, name: str) -> None:
@@ -340,6 +357,8 @@
 def rendezvous(name: str, others: Iterable[str], count: int) -> list[str]:
     """The `count` of others with the highest weight for a name (Thaler and Ravishankar, 1998): the same for
     all who know the same, and one that comes or goes moves only its own part."""
+
     def weight(other: str) -> bytes:
         return hashlib.blake2b(f"{name}\0{other}".encode(), digest_size=8).digest()
+
     return sorted(others, key=weight, reverse=True)[:count]
--- a/spurdeal/fleet/standing.py
+++ b/spurdeal/fleet/standing.py
@@ -45,7 +45,8 @@
     Standing.BEHIND: Allowed(True, True, False),
     Standing.LAPSED: Allowed(True, False, True),
     Standing.SHUT: Allowed(False, False, True),
-    Standing.TWIN: Allowed(False, False, True)}
+    Standing.TWIN: Allowed(False, False, True),
+}
 
 
 class Limits(NamedTuple):
@@ -111,9 +112,15 @@
             return Standing.TWIN, "another process has our name"
         late = self.behind_since is not None and now - self.behind_since > self.limits.behind_for
         off = abs(seen.clock) > self.limits.clock_off
-        reason = "no lease: too few wardens have answered" if not seen.lease else \
-            f"behind by {seen.behind} for too long" if late else \
-            f"our clock is {seen.clock:.0f} ms off the others'" if off else ""
+        reason = (
+            "no lease: too few wardens have answered"
+            if not seen.lease
+            else f"behind by {seen.behind} for too long"
+            if late
+            else f"our clock is {seen.clock:.0f} ms off the others'"
+            if off
+            else ""
+        )
         if reason:
             return self.fallen(now, seen, reason)
         if self.standing in (Standing.LAPSED, Standing.SHUT):
@@ -129,8 +136,10 @@
         if self.standing is Standing.JOINING and not self.returned:
             long = now - self.since > self.limits.shut_after
         else:
-            long = self.standing in (Standing.LAPSED, Standing.SHUT, Standing.JOINING) \
+            long = (
+                self.standing in (Standing.LAPSED, Standing.SHUT, Standing.JOINING)
                 and now - self.lapsed_since > self.limits.shut_after
+            )
         blind = seen.source > self.limits.shut_after
         if long and not seen.lease and blind:
             return Standing.SHUT, f"{reason}, and no word of the name service for {seen.source:.0f} ms"
--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -38,8 +38,11 @@
 def program() -> Version:
     """The program as it stands on the disk: the digest of its sources."""
     root = Path(__file__).parent.parent
-    parts = [part for file in sorted(root.rglob("*.py"))
-             for part in (str(file.relative_to(root)).encode(), file.read_bytes())]
+    parts = [
+        part
+        for file in sorted(root.rglob("*.py"))
+        for part in (str(file.relative_to(root)).encode(), file.read_bytes())
+    ]
     return Version(0, 0, digest_of(*parts))
 
 
@@ -56,8 +59,11 @@
 
 def keyed(keys: Keys) -> Version:
     """Which keys are in use; nothing can be learnt of them from it."""
-    return Version(0, keys.sealing, digest_of(*[bytes([ident]) + keys.seal(ident, b"fleet")
-                                                for ident in sorted(keys.keys)]))
+    return Version(
+        0,
+        keys.sealing,
+        digest_of(*[bytes([ident]) + keys.seal(ident, b"fleet") for ident in sorted(keys.keys)]),
+    )
 
 
 class Datagrams(DatagramProtocol):
@@ -76,9 +82,18 @@
     """One dispatcher among its fleet. monotonic gives ms that run on while the process stands still, unix
     Unix ms that do not step, raw those of the system."""
 
-    def __init__(self, service: Service, plan: Installation, keys: Keys, configuration: bytes, reactor: Any,
-                 monotonic: Callable[[], float], unix: Callable[[], float], raw: Callable[[], float],
-                 log: logging.Logger) -> None:
+    def __init__(
+        self,
+        service: Service,
+        plan: Installation,
+        keys: Keys,
+        configuration: bytes,
+        reactor: Any,
+        monotonic: Callable[[], float],
+        unix: Callable[[], float],
+        raw: Callable[[], float],
+        log: logging.Logger,
+    ) -> None:
         assert plan.fleet is not None
         self.service, self.plan, self.reactor = service, plan, reactor
         self.monotonic, self.unix, self.raw, self.log = monotonic, unix, raw, log
@@ -88,16 +103,39 @@
         self.come_back, self.share = site.most_come_back, 1.0 / site.dispatchers
         self.inner: Guard | None = None
         at = part.advertise or part.listen
-        terms = Terms(part.period, part.lease, part.part, part.forget, part.behind_for, part.shut_after,
-                      part.most_shut, part.clock_off)
+        terms = Terms(
+            part.period,
+            part.lease,
+            part.part,
+            part.forget,
+            part.behind_for,
+            part.shut_after,
+            part.most_shut,
+            part.clock_off,
+        )
         seeds = {seed.name: (str(seed.at[0]), seed.at[1]) for seed in part.seeds if seed.name != plan.name}
-        self.fleet = Fleet(plan.name, (str(at[0]), at[1]), seeds, terms, keys,
-                           random.Random(secrets.randbits(64)), self.bring, monotonic(), unix())
+        self.fleet = Fleet(
+            plan.name,
+            (str(at[0]), at[1]),
+            seeds,
+            terms,
+            keys,
+            random.Random(secrets.randbits(64)),
+            self.bring,
+            monotonic(),
+            unix(),
+        )
         self.datagrams = Datagrams(self)
         self.journal: Journal | None = None
         if part.audit is not None:
-            self.journal = Journal(Path(part.audit.path), plan.name, self.fleet.boot,
-                                   lambda: self.fleet.hybrid.stamp(self.unix()), monotonic, part.audit.bytes)
+            self.journal = Journal(
+                Path(part.audit.path),
+                plan.name,
+                self.fleet.boot,
+                lambda: self.fleet.hybrid.stamp(self.unix()),
+                monotonic,
+                part.audit.bytes,
+            )
         self.next_seal, self.heard_at = monotonic(), float("-inf")
         self.next_count = monotonic()
         self.parts = True
@@ -164,8 +202,20 @@
 
     def bring(self, version: Version, rows: Mapping[str, Row]) -> None:
         """A peer has handed over a newer list; it was checked."""
-        seats = {ident: Seat(ident, str(row[1]), int(row[2]), str(row[3]), str(row[4]), int(row[5]),
-                             Life(row[6]), float(row[7]), float(row[8])) for ident, row in rows.items()}
+        seats = {
+            ident: Seat(
+                ident,
+                str(row[1]),
+                int(row[2]),
+                str(row[3]),
+                str(row[4]),
+                int(row[5]),
+                Life(row[6]),
+                float(row[7]),
+                float(row[8]),
+            )
+            for ident, row in rows.items()
+        }
         self.service.names.number = max(self.service.names.number, version.number)
         self.counters.add("lists_from_peers")
         self.acted_on("peer")
@@ -191,8 +241,12 @@
             self.next_count = now + COUNT_EVERY
             for name, count in self.fleet.counts.items():
                 self.counters.sums["fleet_" + name] = count
-        if self.journal is not None and self.plan.fleet is not None and self.plan.fleet.audit is not None \
-                and now >= self.next_seal:
+        if (
+            self.journal is not None
+            and self.plan.fleet is not None
+            and self.plan.fleet.audit is not None
+            and now >= self.next_seal
+        ):
             self.next_seal = now + self.plan.fleet.audit.page
             self.fleet.page = self.journal.seal() or self.fleet.page
             for name in ("torn", "lost", "failures", "dropped", "broken", "written"):
--- a/spurdeal/fleet/versions.py
+++ b/spurdeal/fleet/versions.py
@@ -55,8 +55,10 @@
 
     def __str__(self) -> str:
         one, two = self.digests
-        return (f"{self.line.name.lower()} {self.generation}.{self.number} is {one} at {self.names[0]} and "
-                f"{two} at {self.names[1]}")
+        return (
+            f"{self.line.name.lower()} {self.generation}.{self.number} is {one} at {self.names[0]} and "
+            f"{two} at {self.names[1]}"
+        )
 
 
 def digest_of(*parts: bytes) -> str:
@@ -73,8 +75,20 @@
 
 def rows_of(seats: Iterable[Any]) -> dict[str, Row]:
     """Seats, as net.names has them, in one form whoever told them; by id."""
-    return {seat.ident: (seat.ident, seat.host, seat.port, seat.location, seat.kind, seat.cell,
-                         int(seat.life), round(float(seat.weight), 3), int(seat.started)) for seat in seats}
+    return {
+        seat.ident: (
+            seat.ident,
+            seat.host,
+            seat.port,
+            seat.location,
+            seat.kind,
+            seat.cell,
+            int(seat.life),
+            round(float(seat.weight), 3),
+            int(seat.started),
+        )
+        for seat in seats
+    }
 
 
 def list_digest(rows: Mapping[str, Row]) -> str:
@@ -114,8 +128,9 @@
         kept, found = dict[Line, Version](), list[Clash]()
         for line, version in claims.items():
             own = self.force.get(line)
-            if own is not None and (version.generation > own.generation + 1
-                                    or version.number > own.number + MOST_STEP):
+            if own is not None and (
+                version.generation > own.generation + 1 or version.number > own.number + MOST_STEP
+            ):
                 self.implausible[name] = self.implausible.get(name, 0) + 1
                 continue
             kept[line] = version
@@ -177,7 +192,12 @@
 
     def find_offers(self, line: Line) -> list[tuple[Version, list[str]]]:
         own = self.force.get(line)
-        ahead = {claims[line] for claims in self.claims.values()
-                 if line in claims and (own is None or claims[line].order > own.order)}
-        return [(version, self.holders(line, version))
-                for version in sorted(ahead, key=lambda each: (*each.order, each.digest), reverse=True)]
+        ahead = {
+            claims[line]
+            for claims in self.claims.values()
+            if line in claims and (own is None or claims[line].order > own.order)
+        }
+        return [
+            (version, self.holders(line, version))
+            for version in sorted(ahead, key=lambda each: (*each.order, each.digest), reverse=True)
+        ]
--- a/spurdeal/fleet/wire.py
+++ b/spurdeal/fleet/wire.py
@@ -32,7 +32,7 @@
     if len(datagram) > LARGEST:
         raise Refused("long")
     size = datagram[5]
-    text = datagram[HEAD.size:HEAD.size + size]
+    text = datagram[HEAD.size : HEAD.size + size]
     if not 1 <= size <= LONGEST_NAME or len(text) != size or not text.isascii():
         raise Refused("name")
     return text.decode("ascii")
@@ -45,6 +45,7 @@
 
 # Reading: each raises Refused("body") for what has not its form.
 
+
 def whole(value: Any, most: float = 1 << 63) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= most:
         raise Refused("body")
@@ -52,15 +53,23 @@
 
 
 def figure(value: Any, most: float = MOST_LEFT) -> float:
-    if not isinstance(value, (int, float)) or isinstance(value, bool) or not isfinite(value) \
-            or not 0 <= value <= most:
+    if (
+        not isinstance(value, (int, float))
+        or isinstance(value, bool)
+        or not isfinite(value)
+        or not 0 <= value <= most
+    ):
         raise Refused("body")
     return float(value)
 
 
 def text(value: Any, most: int = LONGEST_NAME) -> str:
-    if not isinstance(value, str) or not 1 <= len(value) <= most or not value.isascii() \
-            or not value.isprintable():
+    if (
+        not isinstance(value, str)
+        or not 1 <= len(value) <= most
+        or not value.isascii()
+        or not value.isprintable()
+    ):
         raise Refused("body")
     return value
 
@@ -85,8 +94,9 @@
     except ValueError:
         raise Refused("body") from None
     by = text(row[6]) if row[6] != "" else ""
-    return Record(text(row[0]), host(row[1]), whole(row[2], 65535), whole(row[3]), whole(row[4], RAISED_MOST),
-                  life, by)
+    return Record(
+        text(row[0]), host(row[1]), whole(row[2], 65535), whole(row[3]), whole(row[4], RAISED_MOST), life, by
+    )
 
 
 def written(found: Record) -> list[Any]:
--- a/spurdeal/interface.py
+++ b/spurdeal/interface.py
@@ -135,11 +135,32 @@
     def list_failed(self, now: float) -> None: ...
     def tenured(self, now: float, cold: float, start: float) -> None: ...
     def warned(self, now: float, number: int, left: float) -> None: ...
-    def submitted(self, now: float, number: int, kind: int, customer: int, key: int, expiry: float,
-                  cost: float, memory: float, group: int) -> None: ...
+    def submitted(
+        self,
+        now: float,
+        number: int,
+        kind: int,
+        customer: int,
+        key: int,
+        expiry: float,
+        cost: float,
+        memory: float,
+        group: int,
+    ) -> None: ...
     def noted(self, now: float, number: int, trip: int, engine: int, word: Word, level: float) -> None: ...
-    def ended(self, now: float, number: int, trip: int, engine: int, ending: Ending, took: float, final: bool,
-              work: float, memory: float, report: Sequence[float]) -> None: ...
+    def ended(
+        self,
+        now: float,
+        number: int,
+        trip: int,
+        engine: int,
+        ending: Ending,
+        took: float,
+        final: bool,
+        work: float,
+        memory: float,
+        report: Sequence[float],
+    ) -> None: ...
     def withdrawn(self, now: float, number: int) -> None: ...
     def woken(self, now: float, token: int) -> None: ...
     def stopping(self, now: float, until: float) -> None: ...
--- a/spurdeal/lab/asking.py
+++ b/spurdeal/lab/asking.py
@@ -47,17 +47,39 @@
 
 
 def configuration(known: dict[str, Any]) -> dict[str, Any]:
-    return {"name": "n1", "listen": f"{HOST}:{PORT}", "seed": "8c1f", "nameserver": f"{NAMES[0]}:{NAMES[1]}",
-            "limits": {"sockets": 4096, "memory_mb": 192}, "known": known, "settings": {
-                "balancers": 1, "zones": ["east"], "models": ["std"],
-                "grades": [{"name": "lookup", "aim": 800, "deadline": WAIT, "late_worth": 0.5},
-                           {"name": "load", "aim": 1500, "deadline": WAIT, "effect": "once",
-                            "late_worth": 0.5}],
-                "extra": {"cpu_of_kind": [CORES], "priorities": True},
-                "limits": {"cancelling": True, "dial_timeout": 250, "send_cap": 3, "retry_after": True,
-                           "max_retry_after": 500, "streams_per_conn": 4},
-                "rules": {"drain_grace": 250, "cold": 8000, "cold_share": 0.3, "fall_multiple": 2,
-                          "tip_after": 1500}}}
+    return {
+        "name": "n1",
+        "listen": f"{HOST}:{PORT}",
+        "seed": "8c1f",
+        "nameserver": f"{NAMES[0]}:{NAMES[1]}",
+        "limits": {"sockets": 4096, "memory_mb": 192},
+        "known": known,
+        "settings": {
+            "balancers": 1,
+            "zones": ["east"],
+            "models": ["std"],
+            "grades": [
+                {"name": "lookup", "aim": 800, "deadline": WAIT, "late_worth": 0.5},
+                {"name": "load", "aim": 1500, "deadline": WAIT, "effect": "once", "late_worth": 0.5},
+            ],
+            "extra": {"cpu_of_kind": [CORES], "priorities": True},
+            "limits": {
+                "cancelling": True,
+                "dial_timeout": 250,
+                "send_cap": 3,
+                "retry_after": True,
+                "max_retry_after": 500,
+                "streams_per_conn": 4,
+            },
+            "rules": {
+                "drain_grace": 250,
+                "cold": 8000,
+                "cold_share": 0.3,
+                "fall_multiple": 2,
+                "tip_after": 1500,
+            },
+        },
+    }
 
 
 class Dispatcher:
@@ -74,9 +96,20 @@
         (self.folder / "n1.yaml").write_text(settings(self.folder, ledger))
         with open(self.folder / "n1.log", "ab") as log:
             self.child = subprocess.Popen(
-                [sys.executable, "-O", "-m", "spurdeal", "extproc", "serve", "--settings",
-                 str(self.folder / "n1.yaml")], stderr=log, stdin=subprocess.DEVNULL,
-                env=os.environ | {"ROUTER_CONFIG": str(self.folder / "n1.json")})
+                [
+                    sys.executable,
+                    "-O",
+                    "-m",
+                    "spurdeal",
+                    "extproc",
+                    "serve",
+                    "--settings",
+                    str(self.folder / "n1.yaml"),
+                ],
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=os.environ | {"ROUTER_CONFIG": str(self.folder / "n1.json")},
+            )
 
     def counters(self) -> dict[str, int]:
         with urlopen(f"http://{HOST}:{PORT}/counters", timeout=5) as answer:
@@ -135,6 +168,7 @@
 def run_engines() -> None:
     """Engines and name service, until SIGTERM; then prints how often each id ran."""
     from twisted.internet import reactor
+
     loop: Any = reactor
     fleet, names = Fleet(loop, CORES, 8000, 0.3, 2.0, 1500), Names(seats())
     for seat in seats():
@@ -154,9 +188,11 @@
     except OSError:
         return -1
     try:
-        writer.write(f"POST /ops/{workload} HTTP/1.1\r\nHost: x\r\nReq-Id: {asked.ident}\r\nReq-Wait-Ms: "
-                     f"{wait:.0f}\r\nReq-Cost: {asked.cost:.2f}\r\nContent-Length: {len(body)}\r\n"
-                     f"Connection: close\r\n\r\n{body}".encode())
+        writer.write(
+            f"POST /ops/{workload} HTTP/1.1\r\nHost: x\r\nReq-Id: {asked.ident}\r\nReq-Wait-Ms: "
+            f"{wait:.0f}\r\nReq-Cost: {asked.cost:.2f}\r\nContent-Length: {len(body)}\r\n"
+            f"Connection: close\r\n\r\n{body}".encode()
+        )
         text = await asyncio.wait_for(reader.read(), wait / 1000 + 0.3)
         return int(text.split(b" ", 2)[1]) if text else 0
     except (OSError, TimeoutError):
@@ -170,8 +206,9 @@
 
     def __init__(self, folder: Path, size: str, say: Callable[[str], None]) -> None:
         self.size, self.say, self.chance = size, say, random.Random(11)
-        self.engines = subprocess.Popen([sys.executable, "-m", "spurdeal.lab.asking", "engines"],
-                                        stdout=subprocess.PIPE)
+        self.engines = subprocess.Popen(
+            [sys.executable, "-m", "spurdeal.lab.asking", "engines"], stdout=subprocess.PIPE
+        )
         assert self.engines.stdout is not None
         self.engines.stdout.readline()  # they listen
         self.dispatcher = Dispatcher(folder, Names(seats()).known())
@@ -219,8 +256,12 @@
                 before = proxy.counts["caller_timeouts"], proxy.counts["timeouts_injected"]
                 status = await proxy.go(asked, left)
                 timed_out = proxy.counts["caller_timeouts"] - before[0]
-                if status == 504 and timed_out and before[1] == proxy.counts["timeouts_injected"] \
-                        and not self.dispatcher.was_away(began, time.time()):
+                if (
+                    status == 504
+                    and timed_out
+                    and before[1] == proxy.counts["timeouts_injected"]
+                    and not self.dispatcher.was_away(began, time.time())
+                ):
                     self.missing += 1
             if status in (200, 500, 502, 503, 409, 400):
                 break
@@ -249,6 +290,7 @@
 
         async def forward(asked: Asked) -> None:
             asked.answers.append(await by_http(asked, WAIT))
+
         await self.paced(200, rate, ask)  # warm: imports, connections
         unledgered = await self.clean(count, rate, ask)
         await self.dispatcher.stop()
@@ -279,8 +321,15 @@
         self.runs.update(json.loads(self.engines.communicate(timeout=10)[0]))
         return self.figures(plain, decisions, unledgered, forwarded, kills, counters)
 
-    def figures(self, plain: list[Proxy], decisions: float, unledgered: float, forwarded: float, kills: int,
-                counters: dict[str, int]) -> dict[str, Any]:
+    def figures(
+        self,
+        plain: list[Proxy],
+        decisions: float,
+        unledgered: float,
+        forwarded: float,
+        kills: int,
+        counters: dict[str, int],
+    ) -> dict[str, Any]:
         runs = self.runs
         counts: Counter[str] = Counter()
         for proxy in plain + self.proxies:
@@ -289,27 +338,36 @@
         statuses = Counter(answer for asked in self.asked for answer in asked.answers)
         decided = sorted(ms for proxy in plain for ms in proxy.decided)
         return {
-            "calls": counts["calls"], "submissions": len(self.asked),
-            "timeouts_injected": counts["timeouts_injected"], "second_paths": self.second_paths,
+            "calls": counts["calls"],
+            "submissions": len(self.asked),
+            "timeouts_injected": counts["timeouts_injected"],
+            "second_paths": self.second_paths,
             "kills": kills,
             "answers_missing": self.missing + sum(not asked.answers for asked in self.asked),
             "answers_double": counts["answers_double"] + sum(len(asked.answers) > 1 for asked in self.asked),
             "irreversible_sent": len(loads),
             "irreversible_run": sum(runs[asked.ident] > 0 for asked in loads),
             "irreversible_run_twice": sum(runs[asked.ident] > 1 for asked in loads),
-            "refused_unproven": sum(runs[asked.ident] > 0 for asked in loads
-                                    if asked.answers == [503]),
-            "decide_ms": spread(decided), "decisions_per_cpu_second": round(decisions),
+            "refused_unproven": sum(runs[asked.ident] > 0 for asked in loads if asked.answers == [503]),
+            "decide_ms": spread(decided),
+            "decisions_per_cpu_second": round(decisions),
             "ledger_cpu_share": round(1 - decisions / unledgered, 3),
-            "forwarded_per_cpu_second": round(forwarded), "ratio": round(decisions / forwarded, 2),
-            "ledger": {"appended": self.dispatcher.ledger["appended"],
-                       "torn_tails": self.dispatcher.ledger["torn"],
-                       "recovered": self.dispatcher.ledger["recovered"],
-                       "bytes_max": self.dispatcher.ledger["bytes"]},
+            "forwarded_per_cpu_second": round(forwarded),
+            "ratio": round(decisions / forwarded, 2),
+            "ledger": {
+                "appended": self.dispatcher.ledger["appended"],
+                "torn_tails": self.dispatcher.ledger["torn"],
+                "recovered": self.dispatcher.ledger["recovered"],
+                "bytes_max": self.dispatcher.ledger["bytes"],
+            },
             "statuses": {str(status): count for status, count in sorted(statuses.items())},
             "proxies": dict(counts),
-            "dispatcher": {name: count for name, count in counters.items()
-                           if name.startswith(("extproc_", "grants", "faults", "must_", "unhandled"))}}
+            "dispatcher": {
+                name: count
+                for name, count in counters.items()
+                if name.startswith(("extproc_", "grants", "faults", "must_", "unhandled"))
+            },
+        }
 
 
 def one_run(size: str, say: Callable[[str], None]) -> dict[str, Any]:
@@ -330,8 +388,12 @@
 
 def figures(quick: bool, say: Callable[[str], None]) -> dict[str, Any]:
     """All that `spurdeal lab extproc --json` prints."""
-    done = subprocess.run([sys.executable, "-m", "spurdeal.lab.asking", "quick" if quick else "full"],
-                          stdout=subprocess.PIPE, timeout=600, check=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "spurdeal.lab.asking", "quick" if quick else "full"],
+        stdout=subprocess.PIPE,
+        timeout=600,
+        check=True,
+    )
     *lines, last = done.stdout.decode().strip().splitlines()
     for line in lines:
         say(line)
--- a/spurdeal/lab/audited.py
+++ b/spurdeal/lab/audited.py
@@ -37,9 +37,29 @@
 RATE, HEAVY = 90.0, 0.25
 MARGIN = 0.3  # seconds by which lines of several processes may lie apart
 QUICK = ("kill", "pause", "deaf", "alone", "halves", "twin", "clash", "clock_step")
-KINDS = ("kill", "pause", "blip", "deaf", "mute", "alone", "halves", "noise", "old_half", "away",
-         "empty_disk", "old_disk", "disk_full", "clock_step", "rolling", "part_release", "twin", "clash",
-         "liar", "grow", "chain_up")
+KINDS = (
+    "kill",
+    "pause",
+    "blip",
+    "deaf",
+    "mute",
+    "alone",
+    "halves",
+    "noise",
+    "old_half",
+    "away",
+    "empty_disk",
+    "old_disk",
+    "disk_full",
+    "clock_step",
+    "rolling",
+    "part_release",
+    "twin",
+    "clash",
+    "liar",
+    "grow",
+    "chain_up",
+)
 
 
 class Run:
@@ -282,7 +302,8 @@
         twin.folder.mkdir()
         self.rig.cables.hosts[twin.host] = whom[0] + "'"
         self.rig.cables.plugs[whom[0] + "'"] = plug = type(self.rig.cables.plugs[whom[0]])(
-            self.rig.cables, whom[0] + "'")
+            self.rig.cables, whom[0] + "'"
+        )
         self.rig.reactor.listenUDP(7214, plug, interface=twin.host, maxPacketSize=65_535)
         told, file = twin.folder / "twin.json", twin.folder / "twin.yaml"
         told.write_text(json.dumps(self.rig.configuration(twin)))
@@ -361,12 +382,17 @@
         twice = sum(runs[asked.ident.encode()] > 1 for asked in self.crowd.asked if asked.irreversible)
         drained = self.sent_to_drained()
         found: dict[str, Any] = {
-            "processes": rig.count, "faults": len(self.done), "seed": rig.seed, **counts,
-            "irreversible_run_twice": twice, "cold_budget_used_max": round(rig.engines.budget_used_most(), 3),
+            "processes": rig.count,
+            "faults": len(self.done),
+            "seed": rig.seed,
+            **counts,
+            "irreversible_run_twice": twice,
+            "cold_budget_used_max": round(rig.engines.budget_used_most(), 3),
             "sent_to_drained": drained,
             "delivered_part": round(counts["delivered"] / counts["submissions"], 4),
             "missing": self.missing()[:10],
-            "idle_cpu": round(sum(self.idle.values()) / max(1, len(self.idle)), 4)}
+            "idle_cpu": round(sum(self.idle.values()) / max(1, len(self.idle)), 4),
+        }
         return found | self.of_the_fleet() if rig.fleet_on else found
 
     def missing(self) -> list[str]:
@@ -376,9 +402,14 @@
             for place in asked.unanswered:
                 if not self.rig.excused(place, asked):
                     began = asked.began / 1000
-                    fault = next((f"{kind} of {' '.join(whom)}, {began - since:.2f} s in"
-                                  for kind, since, until, whom in self.done
-                                  if since <= began <= until + 1.0), "no fault")
+                    fault = next(
+                        (
+                            f"{kind} of {' '.join(whom)}, {began - since:.2f} s in"
+                            for kind, since, until, whom in self.done
+                            if since <= began <= until + 1.0
+                        ),
+                        "no fault",
+                    )
                     found.append(f"{asked.ident} at {place[0]} during {fault}; answers {asked.answers}")
         return found
 
@@ -389,8 +420,12 @@
 
     def of_the_fleet(self) -> dict[str, Any]:
         rig = self.rig
-        folders = [path for process in [*rig.processes.values(), *self.twins]
-                   for path in (process.disk, *process.asides) if path.exists()]
+        folders = [
+            path
+            for process in [*rig.processes.values(), *self.twins]
+            for path in (process.disk, *process.asides)
+            if path.exists()
+        ]
         logs = [read_log(folder, strict=False) for folder in folders]
         entries = merged(logs)
         findings = check(logs, GRACE)
@@ -402,22 +437,35 @@
         fetched = [each for each in self.fetched.values() if each.get("fleet_sent")]
         out = self.shut_out()
         return {
-            "versions": len(numbers), "decisions": sum(entry.record.kind in decided for entry in entries),
-            "records": len(entries), "records_lost_told": sum(log.lost for log in logs),
+            "versions": len(numbers),
+            "decisions": sum(entry.record.kind in decided for entry in entries),
+            "records": len(entries),
+            "records_lost_told": sum(log.lost for log in logs),
             "decisions_unaccounted": self.unaccounted(sends, sum(log.lost for log in logs)),
             "sent_against_own_version": kinds["own_version"],
             "sent_against_newer_version": kinds["newer_version"],
-            "sent_after_lease": self.after_lease(sends), "stops_relied_on": self.relied(),
-            "stragglers": len(up), "found_ms": spread(found), "brought_up_ms": spread(up),
-            **out, "clash_planted": self.clashes, "clash_found": min(self.clashes, self.clash_lines()),
-            "clash_in_logs": kinds["clash"], "log_problems": kinds["chain"] + kinds["witness"],
-            "says": [finding.words for finding in findings
-                     if finding.kind not in ("newer_version", "clash")][:5],
+            "sent_after_lease": self.after_lease(sends),
+            "stops_relied_on": self.relied(),
+            "stragglers": len(up),
+            "found_ms": spread(found),
+            "brought_up_ms": spread(up),
+            **out,
+            "clash_planted": self.clashes,
+            "clash_found": min(self.clashes, self.clash_lines()),
+            "clash_in_logs": kinds["clash"],
+            "log_problems": kinds["chain"] + kinds["witness"],
+            "says": [finding.words for finding in findings if finding.kind not in ("newer_version", "clash")][
+                :5
+            ],
             **planted_breaks(rig, folders, self.chance),
             "names_yielded": sum(self.yielded(twin) for twin in self.twins),
             "twins": len(self.twins),
-            "bytes_per_s_real": round(self.rate() * sum(each["fleet_sent_bytes"] / each["fleet_sent"]
-                                                        for each in fetched) / max(1, len(fetched)))}
+            "bytes_per_s_real": round(
+                self.rate()
+                * sum(each["fleet_sent_bytes"] / each["fleet_sent"] for each in fetched)
+                / max(1, len(fetched))
+            ),
+        }
 
     def yielded(self, twin: Process) -> bool:
         """Has one of the two under a name given way? Where both are new starts, it may be either."""
@@ -434,8 +482,14 @@
         return [line for line in text.splitlines() if f"event={event} " in line]
 
     def clash_lines(self) -> int:
-        return len({line.partition("says=")[2].split(" is ")[0] for process in self.rig.processes.values()
-                    for line in self.lines_of(process, "fleet_clash") if '"list ' in line})
+        return len(
+            {
+                line.partition("says=")[2].split(" is ")[0]
+                for process in self.rig.processes.values()
+                for line in self.lines_of(process, "fleet_clash")
+                if '"list ' in line
+            }
+        )
 
     def unaccounted(self, sends: Sequence[Entry], lost: int) -> int:
         """Runs that an engine has logged and no dispatcher has; those that a log tells it lost are told."""
@@ -486,12 +540,19 @@
             ends = self.rig.lines(name, "fleet_stopped_over")
             for at, pairs in self.rig.lines(name, "fleet_stopped"):
                 whose = pairs["name"], pairs["boot"]
-                end = min((over for over, told in ends
-                           if (told["name"], told["boot"]) == whose and over >= at), default=math.inf)
+                end = min(
+                    (over for over, told in ends if (told["name"], told["boot"]) == whose and over >= at),
+                    default=math.inf,
+                )
                 spans.setdefault(whose, []).append((at, end))
-        return sum(any(began < at < ended for whose in doubtful.get((engine, ident.decode()), ())
-                       for began, ended in spans.get(whose, ()))
-                   for at, _, engine, ident in self.rig.engines.ran)
+        return sum(
+            any(
+                began < at < ended
+                for whose in doubtful.get((engine, ident.decode()), ())
+                for began, ended in spans.get(whose, ())
+            )
+            for at, _, engine, ident in self.rig.engines.ran
+        )
 
     def shut_out(self) -> dict[str, Any]:
         """How many were shut out, how many without need, and the greatest part of the fleet at one moment."""
@@ -501,19 +562,24 @@
             for at, pairs in self.rig.lines(name, "fleet_standing"):
                 out = pairs["standing"] == "shut"
                 moments.append((at, name, out))
-                wrongly += out and not any(name == whom and began <= at <= ended
-                                           for whom, began, ended in self.may_be_out)
+                wrongly += out and not any(
+                    name == whom and began <= at <= ended for whom, began, ended in self.may_be_out
+                )
         now_out: set[str] = set()
         most = 0
         for _, name, out in sorted(moments):
             (now_out.add if out else now_out.discard)(name)
             most = max(most, len(now_out))
-        return {"shut_out": sum(out for _, _, out in moments), "shut_out_wrongly": wrongly,
-                "mass_shut_out_most": round(most / self.rig.count, 3)}
+        return {
+            "shut_out": sum(out for _, _, out in moments),
+            "shut_out_wrongly": wrongly,
+            "mass_shut_out_most": round(most / self.rig.count, 3),
+        }
 
 
 # Faults planted in the logs.
 
+
 def planted_breaks(rig: Rig, folders: Sequence[Path], chance: random.Random) -> dict[str, int]:
     """Copies of the logs in which something was altered or cut; each must be found by what the others say."""
     planted = found = 0
@@ -538,8 +604,17 @@
 
 def broken_words(logs: Sequence[Log]) -> set[str]:
     """What is said of logs that are not whole; what was decided in them is left out."""
-    told = [Log(log.folder, log.name, [entry for entry in log.entries if entry.record.kind is Kind.WITNESS],
-                log.seals, log.last_page, log.problems) for log in logs]
+    told = [
+        Log(
+            log.folder,
+            log.name,
+            [entry for entry in log.entries if entry.record.kind is Kind.WITNESS],
+            log.seals,
+            log.last_page,
+            log.problems,
+        )
+        for log in logs
+    ]
     return {finding.words for finding in check(told, GRACE)}
 
 
@@ -568,7 +643,7 @@
     seals = [until for _, until, body in frames(data) if body[TIME.size] == Kind.SEAL]
     if len(seals) < 12:
         return False
-    file.write_bytes(data[:seals[-11]])
+    file.write_bytes(data[: seals[-11]])
     return True
 
 
@@ -599,7 +674,7 @@
         if body[TIME.size] == Kind.SEAL:
             digest = digest_after(digest, pending)
             kind, page, count = SEAL.unpack_from(body, TIME.size)
-            body, pending = body[:TIME.size] + SEAL.pack(kind, page, count) + digest, b""
+            body, pending = body[: TIME.size] + SEAL.pack(kind, page, count) + digest, b""
             out += FRAME.pack(len(body), zlib.crc32(body)) + body
         else:
             frame = FRAME.pack(len(body), zlib.crc32(body)) + body
@@ -610,13 +685,14 @@
 
 
 def read_log_head(body: bytes) -> dict[str, Any]:
-    size, = struct.unpack_from("!H", body, TIME.size + 1)
-    told: dict[str, Any] = json.loads(zlib.decompress(body[TIME.size + 3:TIME.size + 3 + size]))
+    (size,) = struct.unpack_from("!H", body, TIME.size + 1)
+    told: dict[str, Any] = json.loads(zlib.decompress(body[TIME.size + 3 : TIME.size + 3 + size]))
     return told
 
 
 # Without processes.
 
+
 def in_virtual_time(size: int, quick: bool) -> dict[str, Any]:
     """One size: how fast a list spreads that one alone was told, and what the talk costs."""
     world = World(size, 17)
@@ -638,10 +714,15 @@
         at = world.now
         world.run_until(partial(world.all_have, version), 10_000.0)
         times += [node.had.get(version, math.inf) - at for node in world.nodes.values()]
-    return {"dispatchers": size, "all_know_all_at_first": large, "current_ms": joined,
-            "bytes_per_s": round(sent / seconds / size),
-            "cpu_share": round(used / seconds / size, 5), "largest_datagram": world.counts["largest"],
-            "spread_ms": spread([max(0.1, each) for each in times])}
+    return {
+        "dispatchers": size,
+        "all_know_all_at_first": large,
+        "current_ms": joined,
+        "bytes_per_s": round(sent / seconds / size),
+        "cpu_share": round(used / seconds / size, 5),
+        "largest_datagram": world.counts["largest"],
+        "spread_ms": spread([max(0.1, each) for each in times]),
+    }
 
 
 def same_twice() -> bool:
@@ -672,7 +753,7 @@
     for number in range(tries):
         one = bytearray(chance.choice(good))
         if number % 5 == 0:
-            one = one[:chance.randrange(len(one))]
+            one = one[: chance.randrange(len(one))]
         elif number % 5 == 1:
             one[chance.randrange(len(one))] ^= 1 << chance.randrange(8)
         elif number % 5 == 3:
@@ -705,13 +786,16 @@
 # Both together.
 
 SIZES: dict[str, tuple[int, int, int, tuple[str, ...]]] = {  # net, dispatchers, engines, faults
-    "small": (100, 4, 4, ("kill", "deaf", "pause", "clash")), "quick": (60, 6, 6, QUICK),
-    "full": (60, 12, 8, KINDS * 2)}
+    "small": (100, 4, 4, ("kill", "deaf", "pause", "clash")),
+    "quick": (60, 6, 6, QUICK),
+    "full": (60, 12, 8, KINDS * 2),
+}
 
 
 def one_run(fleet: bool, size: str, seed: int, say: Callable[[str], None]) -> dict[str, Any]:
     """In a process of its own: Twisted's reactor runs once. size: one of SIZES."""
     from twisted.internet import reactor
+
     loop: Any = reactor
     folder = Path(tempfile.mkdtemp(prefix="spurdeal-lab-"))
     net, count, engines, kinds = SIZES[size]
@@ -727,6 +811,7 @@
         except Exception as fault:
             found["fault"] = repr(fault)
             loop.stop()
+
     lag = Lag(loop)
     loop.callWhenRunning(step)
     try:
@@ -759,6 +844,7 @@
 def figures(quick: bool, say: Callable[[str], None], seed: int = 11) -> dict[str, Any]:
     """All that `spurdeal lab audit --json` prints."""
     from .fleet_model import figures as models
+
     sizes = (12, 48) if quick else (12, 200, 500)
     say(f"seed {seed}")
     spawned = multiprocessing.get_context("spawn")  # a fork would take the threads' locks along
@@ -771,16 +857,28 @@
         virtual = [world.result() for world in worlds]
         same, spoilt, checked = twice.result(), bad.result(), model.result()
     stamp = stamping()
-    return found | spoilt | {
-        "stamp_us": stamp, "cpu_share": {"real": round(found["idle_cpu"] - bare["idle_cpu"], 4)}
-        | {str(each["dispatchers"]): each["cpu_share"] for each in virtual},
-        "bytes_per_s": {"real": found["bytes_per_s_real"]}
-        | {str(each["dispatchers"]): each["bytes_per_s"] for each in virtual},
-        "spread_ms": {str(each["dispatchers"]): each["spread_ms"] for each in virtual},
-        "virtual": {"dispatchers": list(sizes), "same_bytes_twice": same, "worlds": virtual},
-        "model": checked, "baseline": bare}
+    return (
+        found
+        | spoilt
+        | {
+            "stamp_us": stamp,
+            "cpu_share": {"real": round(found["idle_cpu"] - bare["idle_cpu"], 4)}
+            | {str(each["dispatchers"]): each["cpu_share"] for each in virtual},
+            "bytes_per_s": {"real": found["bytes_per_s_real"]}
+            | {str(each["dispatchers"]): each["bytes_per_s"] for each in virtual},
+            "spread_ms": {str(each["dispatchers"]): each["spread_ms"] for each in virtual},
+            "virtual": {"dispatchers": list(sizes), "same_bytes_twice": same, "worlds": virtual},
+            "model": checked,
+            "baseline": bare,
+        }
+    )
 
 
 if __name__ == "__main__":
-    print(json.dumps(one_run(sys.argv[1] == "fleet", sys.argv[2], int(sys.argv[3]),
-                             lambda line: print(line, flush=True))))
+    print(
+        json.dumps(
+            one_run(
+                sys.argv[1] == "fleet", sys.argv[2], int(sys.argv[3]), lambda line: print(line, flush=True)
+            )
+        )
+    )
--- a/spurdeal/lab/emulate.py
+++ b/spurdeal/lab/emulate.py
@@ -19,8 +19,12 @@
     began = time.monotonic()
     made = world(dispatchers, engines, 0.8, seed)
     made.run(seconds)
-    return made.trace.hexdigest(), time.monotonic() - began, made.counts["submissions"], \
-        sum(made.observer.broken.values())
+    return (
+        made.trace.hexdigest(),
+        time.monotonic() - began,
+        made.counts["submissions"],
+        sum(made.observer.broken.values()),
+    )
 
 
 def figures(quick: bool, say: Callable[[str], None] = lambda _: None) -> dict[str, Any]:
@@ -37,10 +41,22 @@
         twice, *runs = [each.result() for each in worlds]
         wall = time.monotonic() - began
     return {
-        "closed_forms": {"checked": len(checked),
-                         "worst_error": round(max(form.error for form in checked), 4)},
-        "rules": {"planted": len(found), "planted_found": sum(seen > 0 for seen, _ in found),
-                  "broken_unplanted": sum(clean) + sum(broken for *_, broken in runs)},
-        "virtual": {"dispatchers": LARGE[0], "engines": LARGE[1], "simulated_s": seconds * (seeds + 1),
-                    "wall_s": round(wall, 1), "wall_s_of_one": round(max(each[1] for each in runs), 1),
-                    "submissions": sum(each[2] for each in runs), "same_bytes_twice": twice[0] == runs[0][0]}}
+        "closed_forms": {
+            "checked": len(checked),
+            "worst_error": round(max(form.error for form in checked), 4),
+        },
+        "rules": {
+            "planted": len(found),
+            "planted_found": sum(seen > 0 for seen, _ in found),
+            "broken_unplanted": sum(clean) + sum(broken for *_, broken in runs),
+        },
+        "virtual": {
+            "dispatchers": LARGE[0],
+            "engines": LARGE[1],
+            "simulated_s": seconds * (seeds + 1),
+            "wall_s": round(wall, 1),
+            "wall_s_of_one": round(max(each[1] for each in runs), 1),
+            "submissions": sum(each[2] for each in runs),
+            "same_bytes_twice": twice[0] == runs[0][0],
+        },
+    }
--- a/spurdeal/lab/engines.py
+++ b/spurdeal/lab/engines.py
@@ -20,8 +20,9 @@
 class Fleet:
     """What all engines share: the figures of the rules, and what ran where, by id."""
 
-    def __init__(self, reactor: Any, cores: int, cold_for: float, cold_share: float, multiple: float,
-                 window: float) -> None:
+    def __init__(
+        self, reactor: Any, cores: int, cold_for: float, cold_share: float, multiple: float, window: float
+    ) -> None:
         self.reactor, self.cores, self.cold_for, self.cold_share = reactor, cores, cold_for, cold_share
         self.multiple, self.window = multiple, window
         self.runs: Counter[bytes] = Counter()
@@ -96,6 +97,7 @@
         def over() -> None:
             self.running -= 1
             done()
+
         return self.fleet.reactor.callLater(took / 1000, over)
 
 
@@ -144,8 +146,13 @@
         self.open[ident] = None
 
         def done() -> None:
-            if ident in self.open and self.engine.connections and self in self.engine.connections \
-                    and not self.engine.hang:
+            if (
+                ident in self.open
+                and self.engine.connections
+                and self in self.engine.connections
+                and not self.engine.hang
+            ):
                 del self.open[ident]
                 self.transport.write(command(ident, b"200", b"parts=1", ROW))
+
         self.engine.run(cost, done)
--- a/spurdeal/lab/fleet_model.py
+++ b/spurdeal/lab/fleet_model.py
@@ -68,24 +68,42 @@
         inquiry.begin(lease.term)
         return self.frozen(lease, wards, inquiry, (), self.faults)
 
-    def frozen(self, lease: Lease, wards: dict[str, Wards], inquiry: Inquiry, flight: tuple[State, ...],
-               faults: int) -> State:
+    def frozen(
+        self, lease: Lease, wards: dict[str, Wards], inquiry: Inquiry, flight: tuple[State, ...], faults: int
+    ) -> State:
         both = lease.holds(0.0) and inquiry.stopped(0.0)
-        asked, following = (tuple(sorted((name, ago(at, 0.0)) for name, at in times.items()))
-                            for times in (lease.asked, lease.next_asked))
-        told = (lease.term, asked, lease.next, following, tuple(sorted(lease.next_told)),
-                tuple(sorted(lease.refused)), lease.held)
+        asked, following = (
+            tuple(sorted((name, ago(at, 0.0)) for name, at in times.items()))
+            for times in (lease.asked, lease.next_asked)
+        )
+        told = (
+            lease.term,
+            asked,
+            lease.next,
+            following,
+            tuple(sorted(lease.next_told)),
+            tuple(sorted(lease.refused)),
+            lease.held,
+        )
         kept = tuple((ago(wards[name].rests_until, 0.0), self.ward(wards[name])) for name in self.names)
-        words = tuple(sorted((name, ago(ends, 0.0), ago(until, 0.0))
-                             for name, (ends, until) in inquiry.words.items() if until > 0))
+        words = tuple(
+            sorted(
+                (name, ago(ends, 0.0), ago(until, 0.0))
+                for name, (ends, until) in inquiry.words.items()
+                if until > 0
+            )
+        )
         known = inquiry.in_force, tuple(sorted(inquiry.terms.values()))
         return told, kept, (known, words), tuple(sorted(flight, key=str)), faults, both
 
     @staticmethod
     def ward(wards: Wards) -> State | None:
         found = wards.wards.get(SUBJECT)
-        return None if found is None else (found.term, found.following, ago(found.until, 0.0), found.refused,
-                                           ago(found.barred, 0.0))
+        return (
+            None
+            if found is None
+            else (found.term, found.following, ago(found.until, 0.0), found.refused, ago(found.barred, 0.0))
+        )
 
     def thawed(self, state: State, shift: float = 0.0) -> tuple[Lease, dict[str, Wards], Inquiry]:
         """At time 0; shift: so much time has gone by."""
@@ -101,8 +119,9 @@
             wards[name].rests_until = rests - shift
             if ward is not None:
                 term, following, until, refused_to, barred = ward
-                wards[name].wards[SUBJECT] = Ward(BOOT, term, following, until - shift, refused_to,
-                                                  barred - shift)
+                wards[name].wards[SUBJECT] = Ward(
+                    BOOT, term, following, until - shift, refused_to, barred - shift
+                )
         inquiry = self.kinds.inquiry(SUBJECT, BOOT, PART, LEASE)
         inquiry.in_force, inquiry.terms = known[0], {each.number: each for each in known[1]}
         inquiry.words = {name: (ends - shift, until - shift) for name, ends, until in words}
@@ -126,7 +145,7 @@
                 if len(flight) < MOST_FLIGHT and not any(each[:2] == (kind, name) for each in flight):
                     yield f"{kind} {name}, late", partial(self.asked, state, kind, name, True)
         for place, each in enumerate(flight):
-            rest = flight[:place] + flight[place + 1:]
+            rest = flight[:place] + flight[place + 1 :]
             yield f"{each[0]} {each[1]} answered", partial(self.answered, state, each, rest)
             if each[2] <= -FAR:
                 yield f"{each[0]} {each[1]} never", partial(self.without, state, rest)
@@ -195,8 +214,14 @@
 
     def search(self, most: int) -> Any:
         """Breadth first, as far as `most` states go."""
-        return check("stops", self.FIELDS, self.initial(), self.steps, {
-            "it acts while another relies on its stop": lambda state: not state["both"]}, most)
+        return check(
+            "stops",
+            self.FIELDS,
+            self.initial(),
+            self.steps,
+            {"it acts while another relies on its stop": lambda state: not state["both"]},
+            most,
+        )
 
     def walk(self, chance: random.Random, length: int) -> tuple[int, list[str]]:
         """One schedule far beyond what breadth first reaches: steps, and the labels where it breaks."""
@@ -205,8 +230,10 @@
             moves = list(self.moves(state))
             kinds: dict[str, list[tuple[str, Callable[[], State]]]] = {}
             for move in moves:
-                kinds.setdefault("fault" if move[0][1:2] == " " or move[0].startswith("wardens")
-                                 else move[0].split()[0], []).append(move)
+                kinds.setdefault(
+                    "fault" if move[0][1:2] == " " or move[0].startswith("wardens") else move[0].split()[0],
+                    [],
+                ).append(move)
             label, after = chance.choice(kinds[chance.choice(sorted(kinds))])
             state = after()
             labels.append(label)
@@ -217,6 +244,7 @@
 
 # Planted in the lease.
 
+
 class CountsFromTheAnswer(Lease):
     def answered(self, now: float, name: str, asked: float, heard_of: int, granted: bool) -> None:
         super().answered(now, name, max(asked, now), heard_of, granted)
@@ -278,8 +306,16 @@
 class ForgetsNoWord(Inquiry):
     """A word counts for ever."""
 
-    def word(self, now: float, asked: float, name: str, term: Term, following: Term | None, refused: bool,
-             left: float) -> None:
+    def word(
+        self,
+        now: float,
+        asked: float,
+        name: str,
+        term: Term,
+        following: Term | None,
+        refused: bool,
+        left: float,
+    ) -> None:
         super().word(now, asked, name, term, following, refused, left)
         self.words = {each: (ends, 10 * FAR) for each, (ends, _) in self.words.items()}
 
@@ -299,14 +335,23 @@
         super().begin(following or term)
 
 
-IN_THE_LEASE = (Kinds(lease=CountsFromTheAnswer), Kinds(lease=TellsNobody), Kinds(wards=AnswersThoughBarred),
-                Kinds(wards=ForgetsItsRest), Kinds(wards=SaysNothingLeft), Kinds(wards=RefusesNothing),
-                Kinds(inquiry=OneWordIsEnough), Kinds(inquiry=ForgetsNoWord),
-                Kinds(inquiry=KeepsToTheOldTerm), Kinds(inquiry=BelievesWhatIsProposed))
+IN_THE_LEASE = (
+    Kinds(lease=CountsFromTheAnswer),
+    Kinds(lease=TellsNobody),
+    Kinds(wards=AnswersThoughBarred),
+    Kinds(wards=ForgetsItsRest),
+    Kinds(wards=SaysNothingLeft),
+    Kinds(wards=RefusesNothing),
+    Kinds(inquiry=OneWordIsEnough),
+    Kinds(inquiry=ForgetsNoWord),
+    Kinds(inquiry=KeepsToTheOldTerm),
+    Kinds(inquiry=BelievesWhatIsProposed),
+)
 
 
 # Whole fleets, walked.
 
+
 class Walk:
     """One world through failures by chance; `broken` counts what was seen that must not be."""
 
@@ -366,8 +411,9 @@
         names = list(world.nodes)
         whom = chance.choice(names)
         rest = set(names) - {whom}
-        what = chance.choice(("pause", "kill", "cut", "deaf", "mute", "split", "noise", "blind", "old",
-                              "release", "liar"))
+        what = chance.choice(
+            ("pause", "kill", "cut", "deaf", "mute", "split", "noise", "blind", "old", "release", "liar")
+        )
         if what == "pause":
             world.pause(whom, chance.choice((500.0, 2000.0, 4000.0)))
         elif what == "kill":
@@ -414,6 +460,7 @@
 
 # Planted in whole fleets.
 
+
 class NeverLooksAgain(Fleet):
     """What may be sent is what the last timer found: one that stood still acts on it."""
 
@@ -477,10 +524,12 @@
 
 def backwards() -> bool:
     """A book that takes what is older: does the check of versions see it?"""
+
     class Backwards(Book):
         def take(self, line: Line, version: Version, by_source: bool = True) -> bool:
             self.force[line] = version
             return True
+
     found = []
     for kind in (Book, Backwards):
         book = kind("d")
@@ -510,12 +559,19 @@
     missed: list[str] = []
     for kinds in IN_THE_LEASE:
         if not stops_walked(kinds, 20_000)[1]:
-            missed.append(next(kind.__name__ for kind, usual in zip(kinds, Kinds(), strict=True)
-                               if kind is not usual))
+            missed.append(
+                next(kind.__name__ for kind, usual in zip(kinds, Kinds(), strict=True) if kind is not usual)
+            )
     in_fleets = IN_FLEETS[:1] if quick else IN_FLEETS
     missed += [made.__name__ for made in in_fleets if not walks(made, range(40), 4, 6)[1]]
     missed += [] if backwards() else ["Backwards"]
     planted = len(IN_THE_LEASE) + len(in_fleets) + 1
-    return {"states": stops.states + walked + seen, "violations": violations, "planted": planted,
-            "planted_found": planted - len(missed), "depth": stops.depth, "walks": dict(wrong),
-            "missed": missed}
+    return {
+        "states": stops.states + walked + seen,
+        "violations": violations,
+        "planted": planted,
+        "planted_found": planted - len(missed),
+        "depth": stops.depth,
+        "walks": dict(wrong),
+        "missed": missed,
+    }
--- a/spurdeal/lab/fleet_world.py
+++ b/spurdeal/lab/fleet_world.py
@@ -27,8 +27,20 @@
 
 
 def engines(count: int, draining: int = -1) -> Rows:
-    return {f"s-{number}": (f"s-{number}", f"127.9.{number // 250}.{number % 250 + 1}", 7001, "east", "std",
-                            number % 4, 1 if number == draining else 2, 1.0, 0) for number in range(count)}
+    return {
+        f"s-{number}": (
+            f"s-{number}",
+            f"127.9.{number // 250}.{number % 250 + 1}",
+            7001,
+            "east",
+            "std",
+            number % 4,
+            1 if number == draining else 2,
+            1.0,
+            0,
+        )
+        for number in range(count)
+    }
 
 
 @dataclass(slots=True, eq=False)
@@ -50,8 +62,15 @@
 class World:
     """Dispatchers and what lies between them."""
 
-    def __init__(self, count: int, seed: int, terms: Terms = TERMS, seeds: int = 2, engine_count: int = 40,
-                 made: Callable[..., Fleet] = Fleet) -> None:
+    def __init__(
+        self,
+        count: int,
+        seed: int,
+        terms: Terms = TERMS,
+        seeds: int = 2,
+        engine_count: int = 40,
+        made: Callable[..., Fleet] = Fleet,
+    ) -> None:
         self.chance, self.now, self.terms, self.made = random.Random(seed), 0.0, terms, made
         self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.counter = 0
@@ -83,8 +102,17 @@
 
     def fleet(self, name: str, address: Address) -> Fleet:
         seeds = {each: at for each, at in self.seeds.items() if each != name}
-        return self.made(name, address, seeds, self.terms, KEYS, random.Random(self.chance.getrandbits(64)),
-                         lambda version, rows: self.brought(name, version), self.now, self.unix(None))
+        return self.made(
+            name,
+            address,
+            seeds,
+            self.terms,
+            KEYS,
+            random.Random(self.chance.getrandbits(64)),
+            lambda version, rows: self.brought(name, version),
+            self.now,
+            self.unix(None),
+        )
 
     def start(self, node: Node) -> None:
         node.life = self.next()
--- a/spurdeal/lab/forms.py
+++ b/spurdeal/lab/forms.py
@@ -25,8 +25,9 @@
         return max(abs(self.seen / self.told - 1), abs(self.little - 1))
 
 
-def run(cores: float, load: float, mean: float, draw: Callable[[random.Random], float], jobs: int,
-        seed: int) -> tuple[float, float]:
+def run(
+    cores: float, load: float, mean: float, draw: Callable[[random.Random], float], jobs: int, seed: int
+) -> tuple[float, float]:
     """Mean time in the engine, and Little's ratio, of one engine fed by Poisson arrivals of one-threaded
     jobs."""
     chance = random.Random(seed)
@@ -53,8 +54,8 @@
 def erlang_c(servers: int, load: float) -> float:
     """The share of arrivals that wait in an M/M/c queue at this load of each server."""
     offered = servers * load
-    last = offered ** servers / factorial(servers) / (1 - load)
-    return last / (sum(offered ** each / factorial(each) for each in range(servers)) + last)
+    last = offered**servers / factorial(servers) / (1 - load)
+    return last / (sum(offered**each / factorial(each) for each in range(servers)) + last)
 
 
 def exponential(chance: random.Random) -> float:
@@ -72,13 +73,15 @@
 def forms(quick: bool) -> list[Form]:
     """Each with its own seed, spread over the cores."""
     jobs = 120_000 if quick else 600_000
-    wanted = [(f"M/{'D' if even else 'M'}/1 processor sharing at {load}", 1, load, even, 10 / (1 - load))
-              for load in (0.3, 0.5, 0.7) for even in (False, True)]
-    wanted += [(f"M/M/{cores} at {load}", cores, load, False,
-                10 + erlang_c(cores, load) * 10 / (cores * (1 - load)))
-               for cores, load in ((2, 0.6), (4, 0.7), (8, 0.8))]
+    wanted = [
+        (f"M/{'D' if even else 'M'}/1 processor sharing at {load}", 1, load, even, 10 / (1 - load))
+        for load in (0.3, 0.5, 0.7)
+        for even in (False, True)
+    ]
+    wanted += [
+        (f"M/M/{cores} at {load}", cores, load, False, 10 + erlang_c(cores, load) * 10 / (cores * (1 - load)))
+        for cores, load in ((2, 0.6), (4, 0.7), (8, 0.8))
+    ]
     with ProcessPoolExecutor() as pool:
         found = [pool.submit(check, *each, jobs, seed) for seed, each in enumerate(wanted, 40)]
         return [each.result() for each in found]
-
-
--- a/spurdeal/lab/front.py
+++ b/spurdeal/lab/front.py
@@ -15,8 +15,17 @@
 
 AGAIN = 20.0  # ms until a front that found nobody looks again
 MOST_WAYS = 400
-COUNTS = ("submissions", "answers_missing", "answers_double", "held_by_killed", "delivered", "shed",
-          "broken_off", "irreversible_sent", "never_answered")
+COUNTS = (
+    "submissions",
+    "answers_missing",
+    "answers_double",
+    "held_by_killed",
+    "delivered",
+    "shed",
+    "broken_off",
+    "irreversible_sent",
+    "never_answered",
+)
 
 
 @dataclass(slots=True)
@@ -37,8 +46,18 @@
 class Front:
     """Sends at a rate, and the same submission with the same id again where its connection was lost."""
 
-    def __init__(self, reactor: Any, clock: Callable[[], float], switch: Switch, address: str, seed: int,
-                 rate: float, wait: float, irreversible: float, cost: float) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Callable[[], float],
+        switch: Switch,
+        address: str,
+        seed: int,
+        rate: float,
+        wait: float,
+        irreversible: float,
+        cost: float,
+    ) -> None:
         self.reactor, self.clock, self.switch, self.address = reactor, clock, switch, address
         self.chance, self.rate, self.wait = random.Random(seed), rate, wait
         self.irreversible, self.cost, self.running = irreversible, cost, False
@@ -125,7 +144,8 @@
         self.transport.write(
             f"POST /ops/{workload} HTTP/1.1\r\nHost: front\r\nReq-Id: {asked.ident}\r\n"
             f"Req-Wait-Ms: {max(1.0, left):.0f}\r\nReq-Cost: {asked.cost:.2f}\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n{body}".encode())
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n{body}".encode()
+        )
         asked.ways.append(self.place)
         front.connections.add(self)
         self.timer = front.reactor.callLater(max(0.0, left + 50) / 1000, self.out_of_time)
--- a/spurdeal/lab/model.py
+++ b/spurdeal/lab/model.py
@@ -43,9 +43,14 @@
     trace: tuple[str, ...]
 
 
-def check(name: str, fields: tuple[str, ...], initial: State_,
-          steps: Callable[[State_], Iterator[tuple[str, State_]]],
-          invariants: dict[str, Callable[[dict[str, Any]], bool]], most: int) -> Found:
+def check(
+    name: str,
+    fields: tuple[str, ...],
+    initial: State_,
+    steps: Callable[[State_], Iterator[tuple[str, State_]]],
+    invariants: dict[str, Callable[[dict[str, Any]], bool]],
+    most: int,
+) -> Found:
     """Stops at the first violation: one is enough, and its trace is a shortest one."""
     broken: list[str] = []
     depths = {initial: 0}
@@ -64,32 +69,62 @@
                 broken.append(key)
                 return False
             return True
+
         return holds
-    model = Protocol(name=name, candidate=False, fields=fields, initial=initial,
-                     transitions=next_of,
-                     invariants={key: watched(key) for key in invariants})
+
+    model = Protocol(
+        name=name,
+        candidate=False,
+        fields=fields,
+        initial=initial,
+        transitions=next_of,
+        invariants={key: watched(key) for key in invariants},
+    )
     result = check_safety(model, max_states=most)
     violated = tuple(key for key, told in result["properties"].items() if told["holds"] is False)
-    trace = tuple(str(step["label"]) for key in violated[:1]
-                  for step in result["properties"][key]["counterexample"][1:])
-    return Found(name, int(result["reachable_states"]), max(depths.values()),
-                 bool(result["exhaustive"]) and not violated, violated, trace)
+    trace = tuple(
+        str(step["label"]) for key in violated[:1] for step in result["properties"][key]["counterexample"][1:]
+    )
+    return Found(
+        name,
+        int(result["reachable_states"]),
+        max(depths.values()),
+        bool(result["exhaustive"]) and not violated,
+        violated,
+        trace,
+    )
 
 
 # Who holds the address.
 
+
 def frozen(machine: Machine, now: float) -> State_:
     def ago(moment: float) -> float:
         return moment if moment in (NEVER, -NEVER) else max(-FAR, moment - now)
-    return (machine.state.value, machine.priority, machine.sender_interval, ago(machine.due),
-            ago(machine.seen), machine.barred, ago(machine.preempt_at))
+
+    return (
+        machine.state.value,
+        machine.priority,
+        machine.sender_interval,
+        ago(machine.due),
+        ago(machine.seen),
+        machine.barred,
+        ago(machine.preempt_at),
+    )
 
 
 def thawed(kind: type[Machine], place: int, snapshot: State_) -> Machine:
     """At time 0."""
     machine = kind(Terms(1, RANKS[place], INTERVAL, ip_address(f"127.0.0.{place + 1}")))
-    state, machine.priority, machine.sender_interval, machine.due, machine.seen, machine.barred, \
-        machine.preempt_at = snapshot
+    (
+        state,
+        machine.priority,
+        machine.sender_interval,
+        machine.due,
+        machine.seen,
+        machine.barred,
+        machine.preempt_at,
+    ) = snapshot
     machine.state = State(state)
     return machine
 
@@ -104,8 +139,14 @@
 
     FIELDS = ("machines", "fares", "flight", "faults", "calm", "unheld", "seen")
 
-    def __init__(self, count: int, kind: type[Machine] = Machine, faults: int = 1, loss: bool = True,
-                 pause: bool = True) -> None:
+    def __init__(
+        self,
+        count: int,
+        kind: type[Machine] = Machine,
+        faults: int = 1,
+        loss: bool = True,
+        pause: bool = True,
+    ) -> None:
         self.count, self.kind, self.faults, self.loss, self.pause = count, kind, faults, loss, pause
         lowest = RANKS[count - 1]
         # Until the last Backup has waited its time out, and one preemption after it.
@@ -129,15 +170,24 @@
         machines, fares, flight, faults, calm, unheld, _ = state
         if faults:
             yield from self.faulty(state)
-        choices = [("taken", "lost", "late", "twice") if self.loss and not late else
-                   ("taken", "lost") if self.loss else ("taken",) for *_, late in flight]
+        choices = [
+            ("taken", "lost", "late", "twice")
+            if self.loss and not late
+            else ("taken", "lost")
+            if self.loss
+            else ("taken",)
+            for *_, late in flight
+        ]
         for fates in product(*choices):
             after = self.tick(machines, fares, flight, fates)
-            held = any(fare == LIVE and machine[0] == "active"
-                       for machine, fare in zip(after[0], fares, strict=True))
+            held = any(
+                fare == LIVE and machine[0] == "active" for machine, fare in zip(after[0], fares, strict=True)
+            )
             quiet = 0 if any(fate != "taken" for fate in fates) else min(self.heals, calm + 1)
-            gap = tuple(0 if held or fare != LIVE else min(self.bound + 1, steps + 1)
-                        for fare, steps in zip(fares, unheld, strict=True))
+            gap = tuple(
+                0 if held or fare != LIVE else min(self.bound + 1, steps + 1)
+                for fare, steps in zip(fares, unheld, strict=True)
+            )
             yield "step " + " ".join(fates), (after[0], fares, after[1], faults, quiet, gap, after[2])
 
     def faulty(self, state: State_) -> Iterator[tuple[str, State_]]:
@@ -162,21 +212,32 @@
                 spent = label.startswith(("crash", "pause"))
                 if spent and faults < 2 and self.returns(fares):
                     continue  # the last fault left is for who is away to come back
-                left = fares[:place] + (fare,) + fares[place + 1:]
-                yield label, (machines[:place] + (machine_now,) + machines[place + 1:],
-                              left, flight, faults - 1, 0,
-                              unheld[:place] + (0,) + unheld[place + 1:], "")
+                left = fares[:place] + (fare,) + fares[place + 1 :]
+                yield (
+                    label,
+                    (
+                        machines[:place] + (machine_now,) + machines[place + 1 :],
+                        left,
+                        flight,
+                        faults - 1,
+                        0,
+                        unheld[:place] + (0,) + unheld[place + 1 :],
+                        "",
+                    ),
+                )
 
     def returns(self, fares: tuple[str, ...]) -> bool:
         return any(fare != LIVE for fare in fares)
 
-    def tick(self, machines: State_, fares: tuple[str, ...], flight: State_, fates: tuple[str, ...]) \
-            -> tuple[State_, State_, str]:
+    def tick(
+        self, machines: State_, fares: tuple[str, ...], flight: State_, fates: tuple[str, ...]
+    ) -> tuple[State_, State_, str]:
         """One step of time: what arrives is heard first, then timers. What they say arrives a step later."""
         now, seen = STEP, ""
         thaw = [thawed(self.kind, place, machine) for place, machine in enumerate(machines)]
-        active = [fare == LIVE and machine.state is State.ACTIVE
-                  for fare, machine in zip(fares, thaw, strict=True)]
+        active = [
+            fare == LIVE and machine.state is State.ACTIVE for fare, machine in zip(fares, thaw, strict=True)
+        ]
         heard = [now - machine.seen for machine in thaw]
         left: list[State_] = []
         takers: list[int] = []
@@ -190,9 +251,13 @@
                 elif act is Act.HOLD and not active[place]:
                     takers.append(place)
                     # Its timer ran out although it heard an Active one: that is a preemption.
-                    if thaw[place].barred and heard[place] < 2 * INTERVAL \
-                            and any(active[:place] + active[place + 1:]):
+                    if (
+                        thaw[place].barred
+                        and heard[place] < 2 * INTERVAL
+                        and any(active[:place] + active[place + 1 :])
+                    ):
                         seen = "barred"
+
         for (sender, target, rank, _), fate in zip(flight, fates, strict=True):
             if fate in ("late", "twice"):
                 left.append((sender, target, rank, True))
@@ -211,10 +276,12 @@
 
     def check(self, name: str, most: int) -> Found:
         invariants: dict[str, Callable[[dict[str, Any]], bool]] = {
-            "one holder once all arrives": lambda state: state["calm"] < self.heals or LIVE not in
-            state["fares"] or self.holders(state) == 1,
+            "one holder once all arrives": lambda state: (
+                state["calm"] < self.heals or LIVE not in state["fares"] or self.holders(state) == 1
+            ),
             "never unheld for longer than the bound": lambda state: max(state["unheld"]) <= self.bound,
-            "no preemption without a list": lambda state: state["seen"] != "barred"}
+            "no preemption without a list": lambda state: state["seen"] != "barred",
+        }
         if not self.loss and self.faults == 1:  # one that starts meanwhile may time out at the same moment
             invariants["no two take it at once"] = lambda state: state["seen"] != "two at once"
         return check(name, self.FIELDS, self.initial(), self.steps, invariants, most)
@@ -222,6 +289,7 @@
 
 # Which part of a cold engine's budget each may use.
 
+
 class Parts:
     """Dispatchers' tenures, the datagrams between them, and what each has used in the last window at most."""
 
@@ -229,17 +297,34 @@
     TICK, WINDOW, LEASE = 100.0, 300.0, 200.0
     OLD = -300.0  # ms: a datagram, or an echo in one, so old changes nothing any more
 
-    def __init__(self, count: int, kind: type[Tenure] = Tenure, faults: int = 1,
-                 lenders: tuple[int, ...] = (1,), flying: int = 2) -> None:
+    def __init__(
+        self,
+        count: int,
+        kind: type[Tenure] = Tenure,
+        faults: int = 1,
+        lenders: tuple[int, ...] = (1,),
+        flying: int = 2,
+    ) -> None:
         self.count, self.kind, self.faults, self.lenders, self.flying = count, kind, faults, lenders, flying
 
     def frozen(self, tenure: Tenure, now: float) -> State_:
-        lent = tuple(sorted((to, until - now) for to, until in tenure.lent_until.items()
-                            if until + self.WINDOW > now))
-        loans = tuple(sorted((peer, loan.part, max(0.0, loan.since - now), loan.until - now)
-                             for peer, loan in tenure.loans.items() if loan.until > now))
-        return (max(0.0, tenure.own_from - now), max(0.0, tenure.rests_until - now),
-                max(-self.WINDOW, tenure.used_at - now), lent, loans)
+        lent = tuple(
+            sorted((to, until - now) for to, until in tenure.lent_until.items() if until + self.WINDOW > now)
+        )
+        loans = tuple(
+            sorted(
+                (peer, loan.part, max(0.0, loan.since - now), loan.until - now)
+                for peer, loan in tenure.loans.items()
+                if loan.until > now
+            )
+        )
+        return (
+            max(0.0, tenure.own_from - now),
+            max(0.0, tenure.rests_until - now),
+            max(-self.WINDOW, tenure.used_at - now),
+            lent,
+            loans,
+        )
 
     def thawed(self, snapshot: State_) -> Tenure:
         tenure = self.kind(self.count, self.WINDOW, self.LEASE, 0.0)
@@ -269,17 +354,31 @@
 
     def steps(self, state: State_) -> Iterator[tuple[str, State_]]:
         tenures, boots, heard, flight, faults, history = state
-        yield "step", self.noted((
-            tuple(self.frozen(self.thawed(each), self.TICK) for each in tenures), boots,
-            tuple(tuple(known and (known[0], max(self.OLD, known[1] - self.TICK)) for known in row)
-                  for row in heard),
-            tuple((*message[:-1], message[-1] - self.TICK) for message in flight if message[-1] > self.OLD),
-            faults, tuple((place, boot, age + self.TICK, part) for place, boot, age, part in history)))
+        yield (
+            "step",
+            self.noted(
+                (
+                    tuple(self.frozen(self.thawed(each), self.TICK) for each in tenures),
+                    boots,
+                    tuple(
+                        tuple(known and (known[0], max(self.OLD, known[1] - self.TICK)) for known in row)
+                        for row in heard
+                    ),
+                    tuple(
+                        (*message[:-1], message[-1] - self.TICK)
+                        for message in flight
+                        if message[-1] > self.OLD
+                    ),
+                    faults,
+                    tuple((place, boot, age + self.TICK, part) for place, boot, age, part in history),
+                )
+            ),
+        )
         for one, two, idle in product(range(self.count), range(self.count), (True, False)):
             if one != two and len(flight) < self.flying and (one in self.lenders or not idle):
                 yield f"{one} tells {two}{' idle' if idle else ''}", self.says(state, one, two, idle)
         for place, message in enumerate(flight):
-            rest = flight[:place] + flight[place + 1:]
+            rest = flight[:place] + flight[place + 1 :]
             yield f"lost {message[:2]}", (tenures, boots, heard, rest, faults, history)
             yield f"taken {message[:2]}", self.taken((tenures, boots, heard, rest, faults, history), message)
         for place in range(self.count):
@@ -290,19 +389,37 @@
             if faults:
                 fresh = self.kind(self.count, self.WINDOW, self.LEASE, 0.0)
                 after = self.with_tenure(state, place, fresh)
-                yield f"{place} starts anew", self.noted((
-                    after[0], boots[:place] + (boots[place] + 1,) + boots[place + 1:],
-                    heard[:place] + ((None,) * self.count,) + heard[place + 1:], flight, faults - 1, history))
+                yield (
+                    f"{place} starts anew",
+                    self.noted(
+                        (
+                            after[0],
+                            boots[:place] + (boots[place] + 1,) + boots[place + 1 :],
+                            heard[:place] + ((None,) * self.count,) + heard[place + 1 :],
+                            flight,
+                            faults - 1,
+                            history,
+                        )
+                    ),
+                )
 
     def with_tenure(self, state: State_, place: int, tenure: Tenure) -> State_:
-        tenures = state[0][:place] + (self.frozen(tenure, 0.0),) + state[0][place + 1:]
+        tenures = state[0][:place] + (self.frozen(tenure, 0.0),) + state[0][place + 1 :]
         return self.noted((tenures, *state[1:]))
 
     def says(self, state: State_, one: int, two: int, idle: bool) -> State_:
         tenure = self.thawed(state[0][one])
         part, wait = tenure.lend(0.0, str(two), idle)
-        message = (one, two, state[1][one], state[2][one][two], part, wait,
-                   tenure.left_of(0.0, str(two)), 0.0)
+        message = (
+            one,
+            two,
+            state[1][one],
+            state[2][one][two],
+            part,
+            wait,
+            tenure.left_of(0.0, str(two)),
+            0.0,
+        )
         after = self.with_tenure(state, one, tenure)
         return (*after[:3], tuple(sorted((*state[3], message), key=repr)), *after[4:])
 
@@ -314,8 +431,8 @@
         known = heard[two][one]
         if known is not None and known[0] > boot:
             return state
-        row = heard[two][:one] + ((boot, sent),) + heard[two][one + 1:]
-        after = (tenures, boots, heard[:two] + (row,) + heard[two + 1:], flight, faults, history)
+        row = heard[two][:one] + ((boot, sent),) + heard[two][one + 1 :]
+        after = (tenures, boots, heard[:two] + (row,) + heard[two + 1 :], flight, faults, history)
         if echo is None or echo[0] != boots[two]:
             return after
         tenure = self.thawed(tenures[two])
@@ -333,8 +450,14 @@
         return sum(most.values())
 
     def check(self, name: str, most: int) -> Found:
-        return check(name, self.FIELDS, self.initial(), self.steps,
-                     {"parts come to one at most": lambda state: self.together(state) <= 1.0 + 1e-9}, most)
+        return check(
+            name,
+            self.FIELDS,
+            self.initial(),
+            self.steps,
+            {"parts come to one at most": lambda state: self.together(state) <= 1.0 + 1e-9},
+            most,
+        )
 
 
 # No irreversible submission runs twice where it is told ahead.
@@ -359,8 +482,19 @@
     def fresh(self, name: str) -> Handover:
         self.boots += 1
         peer = "b" if name == "a" else "a"
-        return self.kind(name, [peer], self.boots, KEYS, Tenure(2, 1500, 1000, self.now), Marks(8, 60_000.0),
-                         self.now, True, 40.0, None, 1e9)
+        return self.kind(
+            name,
+            [peer],
+            self.boots,
+            KEYS,
+            Tenure(2, 1500, 1000, self.now),
+            Marks(8, 60_000.0),
+            self.now,
+            True,
+            40.0,
+            None,
+            1e9,
+        )
 
     def verdicts(self, name: str, verdicts: list[Any]) -> None:
         for verdict in verdicts:
@@ -399,8 +533,15 @@
             self.crashes -= 1
             self.sides[name] = self.fresh(name)
         del self.flight[:-12]
-        self.shapes.add(hash(tuple((tuple(each.marks.known.items()), len(each.waiting), len(each.synced))
-                                   for each in self.sides.values()) + (len(self.runs), len(self.flight))))
+        self.shapes.add(
+            hash(
+                tuple(
+                    (tuple(each.marks.known.items()), len(each.waiting), len(each.synced))
+                    for each in self.sides.values()
+                )
+                + (len(self.runs), len(self.flight))
+            )
+        )
 
     def deliver(self, sender: str, target: str, text: bytes) -> None:
         side = self.sides[target]
@@ -422,14 +563,16 @@
         shapes |= one.shapes
         ran += len(one.runs)
         if len(one.runs) > 1:
-            return Found(name, len(shapes), length, False, ("runs once at most",),
-                         (f"seed {seed}", *one.runs))
+            return Found(
+                name, len(shapes), length, False, ("runs once at most",), (f"seed {seed}", *one.runs)
+            )
     assert ran, "no walk let it run: the check would see nothing"
     return Found(name, len(shapes), length, False, (), ())
 
 
 # Faults planted in what runs: each must be found.
 
+
 class NoSkew(Machine):
     """All Backups wait alike."""
 
@@ -509,11 +652,17 @@
 
     def before(self, now: float, ident: bytes, expiry: float, token: object) -> Any:
         verdict = super().before(now, ident, expiry, token)
-        return verdict._replace(go=True) if verdict is not None and verdict.go else \
-            type(verdict)(token, True) if verdict is not None else self.at_once(token)
+        return (
+            verdict._replace(go=True)
+            if verdict is not None and verdict.go
+            else type(verdict)(token, True)
+            if verdict is not None
+            else self.at_once(token)
+        )
 
     def at_once(self, token: object) -> Any:
         from ..vrrp.handover import Verdict
+
         self.waiting.pop(token, None)
         return Verdict(token, True)
 
@@ -550,13 +699,15 @@
 Job = tuple[str, Callable[..., Found], tuple[Any, ...]]
 
 
-def address(name: str, count: int, kind: type[Machine], faults: int, loss: bool, pause: bool,
-            most: int) -> Found:
+def address(
+    name: str, count: int, kind: type[Machine], faults: int, loss: bool, pause: bool, most: int
+) -> Found:
     return Address(count, kind, faults, loss, pause).check(name, most)
 
 
-def parts(name: str, count: int, kind: type[Tenure], faults: int, lenders: tuple[int, ...], flying: int,
-          most: int) -> Found:
+def parts(
+    name: str, count: int, kind: type[Tenure], faults: int, lenders: tuple[int, ...], flying: int, most: int
+) -> Found:
     return Parts(count, kind, faults, lenders, flying).check(name, most)
 
 
@@ -572,7 +723,8 @@
         ("parts: two, one lends, a new start", parts, (2, Tenure, 1, (1,), 1, most)),
         ("parts: two, both lend, a new start", parts, (2, Tenure, 1, (0, 1), 2, most)),
         ("parts: three, two lend, a new start", parts, (3, Tenure, 1, (1, 2), 1, most)),
-        ("ahead: two, a crash", walk, (Handover, 400 if quick else 20_000, 120, 1))]
+        ("ahead: two, a crash", walk, (Handover, 400 if quick else 20_000, 120, 1)),
+    ]
 
 
 def planted() -> list[Job]:
@@ -589,7 +741,8 @@
         ("planted: a loan counted from its arrival", parts, (2, LongLoan, 0, (1,), 1, most)),
         ("planted: sent without the peer's word", walk, (SendsAtOnce, 400, 120, 1)),
         ("planted: an old word counts", walk, (OldWord, 4000, 120, 1)),
-        ("planted: open before the marks are read", walk, (OpensUnread, 400, 120, 1))]
+        ("planted: open before the marks are read", walk, (OpensUnread, 400, 120, 1)),
+    ]
 
 
 def carry_out(jobs: list[Job]) -> list[Found]:
@@ -603,10 +756,22 @@
     began = time.monotonic()
     jobs, broken = real_checks(quick), planted()
     found = carry_out(jobs + broken)
-    real, spoilt = found[:len(jobs)], found[len(jobs):]
-    return {"states": sum(each.states for each in real),
-            "violations": sum(len(each.violated) for each in real),
-            "planted": len(broken), "planted_found": sum(bool(each.violated) for each in spoilt),
-            "seconds": round(time.monotonic() - began, 1),
-            "checks": [{"name": each.name, "states": each.states, "whole": each.whole, "depth": each.depth,
-                        "violated": list(each.violated), "trace": list(each.trace[:40])} for each in found]}
+    real, spoilt = found[: len(jobs)], found[len(jobs) :]
+    return {
+        "states": sum(each.states for each in real),
+        "violations": sum(len(each.violated) for each in real),
+        "planted": len(broken),
+        "planted_found": sum(bool(each.violated) for each in spoilt),
+        "seconds": round(time.monotonic() - began, 1),
+        "checks": [
+            {
+                "name": each.name,
+                "states": each.states,
+                "whole": each.whole,
+                "depth": each.depth,
+                "violated": list(each.violated),
+                "trace": list(each.trace[:40]),
+            }
+            for each in found
+        ],
+    }
--- a/spurdeal/lab/model_engine.py
+++ b/spurdeal/lab/model_engine.py
@@ -87,8 +87,11 @@
         job.began = now
         if sum(other.memory_mb for other in self.jobs.values()) + job.memory_mb > self.kind.memory_mb:
             job.work, job.spilt = job.work * (1 + self.kind.spill), True
-        job.waits = any(other.holds and other.group == job.group for other in self.jobs.values()) \
-            if job.group >= 0 else False
+        job.waits = (
+            any(other.holds and other.group == job.group for other in self.jobs.values())
+            if job.group >= 0
+            else False
+        )
         self.jobs[job.ident] = job
         self.pushed(now, job.work)
         self.share(now)
@@ -143,8 +146,12 @@
         if job.holds:
             for other in self.jobs.values():
                 if other.group == job.group and not any(
-                        each.holds and each is not other and each.group == other.group
-                        and each.began < other.began for each in self.jobs.values()):
+                    each.holds
+                    and each is not other
+                    and each.group == other.group
+                    and each.began < other.began
+                    for each in self.jobs.values()
+                ):
                     other.waits = False
 
     def next_at(self) -> float:
--- a/spurdeal/lab/names.py
+++ b/spurdeal/lab/names.py
@@ -27,17 +27,33 @@
 
     def told(self) -> dict[str, Any]:
         """As the configuration's list of the start has it."""
-        return {"instanceId": self.ident, "hostPort": f"{self.host}:{self.port}", "zone": self.location,
-                "machineType": self.kind, "cell": self.cell, "weight": 1,
-                "lifecycle": "DRAINING" if self.draining else "SERVING", "startedAtMs": self.started}
+        return {
+            "instanceId": self.ident,
+            "hostPort": f"{self.host}:{self.port}",
+            "zone": self.location,
+            "machineType": self.kind,
+            "cell": self.cell,
+            "weight": 1,
+            "lifecycle": "DRAINING" if self.draining else "SERVING",
+            "startedAtMs": self.started,
+        }
 
     def record(self) -> tuple[str, str, int, str]:
-        return (f"{self.ident}.{self.location}.hosts", f"{self.host}:{self.port}", int(self.draining),
-                f"kind={self.kind} cell={self.cell} started={self.started}")
-
-
-def answer(question: bytes, serial: int, *seats: tuple[str, str, int, str], compressed: bool = True,
-           flags: int = 0x8400) -> bytes:
+        return (
+            f"{self.ident}.{self.location}.hosts",
+            f"{self.host}:{self.port}",
+            int(self.draining),
+            f"kind={self.kind} cell={self.cell} started={self.started}",
+        )
+
+
+def answer(
+    question: bytes,
+    serial: int,
+    *seats: tuple[str, str, int, str],
+    compressed: bool = True,
+    flags: int = 0x8400,
+) -> bytes:
     """Seats are target, address, priority and text; names are compressed or not at all. A dot within a label
     of a target is written as `\\.`."""
     message = bytearray(struct.pack("!2s5H", question[:2], flags, 1, len(seats), 1, 2 * len(seats)))
@@ -59,7 +75,7 @@
         message.extend(b"\0\0")
         at = len(message)
         message.extend(data())
-        message[at - 2:at] = struct.pack("!H", len(message) - at)
+        message[at - 2 : at] = struct.pack("!H", len(message) - at)
 
     message.extend(name(SERVICE) + struct.pack("!HH", dns.SRV, 1))
     for target, address, priority, _ in seats:
@@ -69,8 +85,9 @@
         def service_data(head: bytes = message_head, target: str = target) -> bytes:
             message.extend(head)  # a name's place counts from the message's start
             text = name(target)
-            del message[-len(head):]
+            del message[-len(head) :]
             return head + text
+
         record(SERVICE, dns.SRV, service_data)
     record("svc.local", dns.SOA, lambda: b"\0\0" + struct.pack("!5I", serial, 1, 1, 1, 1))
     for target, address, _, text in seats:
@@ -94,11 +111,23 @@
 
     def known(self) -> dict[str, Any]:
         """The list as a configuration tells it at a start."""
-        return {"no": self.serial, "items": [{"no": self.serial, "roster": {
-            "generation": 1, "reset": True, "instances": [seat.told() for seat in self.seats]}}]}
+        return {
+            "no": self.serial,
+            "items": [
+                {
+                    "no": self.serial,
+                    "roster": {
+                        "generation": 1,
+                        "reset": True,
+                        "instances": [seat.told() for seat in self.seats],
+                    },
+                }
+            ],
+        }
 
     def datagramReceived(self, datagram: bytes, address: Any) -> None:
         if not self.silent:
             self.answered += 1
-            self.transport.write(answer(datagram, self.serial, *(seat.record() for seat in self.seats)),
-                                 address)
+            self.transport.write(
+                answer(datagram, self.serial, *(seat.record() for seat in self.seats)), address
+            )
--- a/spurdeal/lab/observer.py
+++ b/spurdeal/lab/observer.py
@@ -111,8 +111,10 @@
         told = self.left.get((dispatcher, engine))
         if line is None or (told is not None and now > told + self.site.drain_grace + SLACK):
             self.breaks(3, now, f"{what}: told {told} that it drains or is gone")
-        if line is not None and ((w.locations is not None and line.location not in w.locations)
-                                 or (w.kinds is not None and line.kind not in w.kinds)):
+        if line is not None and (
+            (w.locations is not None and line.location not in w.locations)
+            or (w.kinds is not None and line.kind not in w.kinds)
+        ):
             self.breaks(6, now, f"{what}: not among its places")
         if seen.key:
             self.ordered(now, what, dispatcher, number, seen)
@@ -133,8 +135,13 @@
             return
         first = ran[0]
         before, after = self.places.get(first.engine), self.places.get(engine)
-        same = w.reach == Reach.ALL or (before is not None and after is not None and (
-            before.location == after.location if w.reach == Reach.LOCATION else before.cell == after.cell))
+        same = w.reach == Reach.ALL or (
+            before is not None
+            and after is not None
+            and (
+                before.location == after.location if w.reach == Reach.LOCATION else before.cell == after.cell
+            )
+        )
         if not same or now > first.sent + w.known_for + SLACK:
             self.breaks(2, now, f"{what}: labelled, and its mark is not known there")
 
--- a/spurdeal/lab/planted.py
+++ b/spurdeal/lab/planted.py
@@ -14,24 +14,56 @@
 def site(dispatchers: int) -> Deployment:
     """Five workloads that bring all seven rules to bear."""
     return Deployment(
-        index=0, dispatchers=dispatchers, location=0, workloads=(
+        index=0,
+        dispatchers=dispatchers,
+        location=0,
+        workloads=(
             Workload(800, 0, 3000, 1.0, 0.5),
             Workload(2000, 0, 6000, 2.0, 0.5, effect=Effect.IRREVERSIBLE),
             Workload(1500, 0, 5000, 1.0, 0.5, effect=Effect.LABELLED, reach=Reach.CELL, known_for=3000.0),
             Workload(1500, 0, 5000, 1.0, 0.5, in_order=True),
-            Workload(1500, 0, 5000, 1.0, 0.5, locations=(0,))),
-        quotas=(), over_share_utility=1.0, cores=(8,), memory_mb=(), in_hand=None, list_pushed=True,
-        may_call_off=True, may_probe=False, may_tell=False, second_copies=True, most_trips=4,
-        most_come_back=500.0, grants=False, pages=False, priorities=False, largest_grant=1.0, notes_every=0.0,
-        drain_grace=250.0, cold_for=15_000.0, cold_share=0.3, cold_multiple=1.2, cold_window=1500.0,
-        order_rest=500.0, further_free=3.0, further_share=0.01, further_window=10_000.0)
+            Workload(1500, 0, 5000, 1.0, 0.5, locations=(0,)),
+        ),
+        quotas=(),
+        over_share_utility=1.0,
+        cores=(8,),
+        memory_mb=(),
+        in_hand=None,
+        list_pushed=True,
+        may_call_off=True,
+        may_probe=False,
+        may_tell=False,
+        second_copies=True,
+        most_trips=4,
+        most_come_back=500.0,
+        grants=False,
+        pages=False,
+        priorities=False,
+        largest_grant=1.0,
+        notes_every=0.0,
+        drain_grace=250.0,
+        cold_for=15_000.0,
+        cold_share=0.3,
+        cold_multiple=1.2,
+        cold_window=1500.0,
+        order_rest=500.0,
+        further_free=3.0,
+        further_share=0.01,
+        further_window=10_000.0,
+    )
 
 
 KIND = Kind(multiple=1.2)
 SHARES, WORK = (0.5, 0.1, 0.15, 0.15, 0.1), (40.0, 160.0, 60.0, 50.0, 60.0)
-ROUGH = (Failure(1500, "crash", 0), Failure(2500, "replace", 1), Failure(3000, "drain", 2),
-         Failure(3500, "hang", 3), Failure(5000, "restart", 0), Failure(5500, "slow", 4, 0.25),
-         Failure(6500, "replace", 5))
+ROUGH = (
+    Failure(1500, "crash", 0),
+    Failure(2500, "replace", 1),
+    Failure(3000, "drain", 2),
+    Failure(3500, "hang", 3),
+    Failure(5000, "restart", 0),
+    Failure(5500, "slow", 4, 0.25),
+    Failure(6500, "replace", 5),
+)
 
 
 def load(engines: int, of_capacity: float) -> Load:
@@ -39,9 +71,14 @@
     return Load(of_capacity * engines * KIND.cores * 1000 / mean, SHARES, WORK, groups=30)
 
 
-def world(dispatchers: int, engines: int, of_capacity: float, seed: int,
-          make: Callable[[Deployment, int, Any, float], Any] = Dispatcher,
-          failures: Sequence[Failure] = ROUGH) -> World:
+def world(
+    dispatchers: int,
+    engines: int,
+    of_capacity: float,
+    seed: int,
+    make: Callable[[Deployment, int, Any, float], Any] = Dispatcher,
+    failures: Sequence[Failure] = ROUGH,
+) -> World:
     return World(site(dispatchers), KIND, engines, load(engines, of_capacity), failures, seed, make)
 
 
@@ -60,6 +97,7 @@
     def __init__(self, told: Deployment, seed: int, link: Link, now: float) -> None:
         super().__init__(told, seed, link, now)
         from dataclasses import replace
+
         self.workloads = tuple(replace(w, effect=Effect.REDOABLE) for w in self.workloads)
 
 
@@ -90,6 +128,7 @@
     def __init__(self, told: Deployment, seed: int, link: Link, now: float) -> None:
         super().__init__(told, seed, link, now)
         from dataclasses import replace
+
         self.workloads = tuple(replace(w, locations=None) for w in self.workloads)
 
 
@@ -99,14 +138,31 @@
     def may_go_further(self) -> bool:
         return True
 
-    def ended(self, now: float, number: int, trip: int, engine: int, ending: Ending, took: float, final: bool,
-              work: float, memory: float, report: Sequence[float]) -> None:
+    def ended(
+        self,
+        now: float,
+        number: int,
+        trip: int,
+        engine: int,
+        ending: Ending,
+        took: float,
+        final: bool,
+        work: float,
+        memory: float,
+        report: Sequence[float],
+    ) -> None:
         self.further_credit = 30.0
         super().ended(now, number, trip, engine, ending, took, final, work, memory, report)
 
 
-PLANTED: dict[int, type[Dispatcher]] = {2: RunsTwice, 3: ForgetsDrains, 4: ForgetsCold, 5: ForgetsOrder,
-                                        6: ForgetsPlaces, 7: ForgetsBudget}
+PLANTED: dict[int, type[Dispatcher]] = {
+    2: RunsTwice,
+    3: ForgetsDrains,
+    4: ForgetsCold,
+    5: ForgetsOrder,
+    6: ForgetsPlaces,
+    7: ForgetsBudget,
+}
 
 
 def find(rule: int, seconds: float) -> tuple[int, int]:
--- a/spurdeal/lab/proxy.py
+++ b/spurdeal/lab/proxy.py
@@ -33,10 +33,16 @@
 def request(asked: Asked, wait: float) -> Any:
     told = pb.ProcessingRequest()
     workload = "load" if asked.irreversible else "lookup"
-    for key, value in ((":method", "POST"), (":path", f"/ops/{workload}"), (":authority", "origin"),
-                       ("req-id", asked.ident), ("req-wait-ms", f"{wait:.0f}"),
-                       ("req-cost", f"{asked.cost:.2f}"), ("user-agent", "lab"),
-                       ("x-request-id", asked.ident * 2)):
+    for key, value in (
+        (":method", "POST"),
+        (":path", f"/ops/{workload}"),
+        (":authority", "origin"),
+        ("req-id", asked.ident),
+        ("req-wait-ms", f"{wait:.0f}"),
+        ("req-cost", f"{asked.cost:.2f}"),
+        ("user-agent", "lab"),
+        ("x-request-id", asked.ident * 2),
+    ):
         header = told.request_headers.headers.headers.add()
         header.key, header.raw_value = key, value.encode()
     return told
@@ -62,8 +68,14 @@
             return 503, True  # refused, or never up: not a byte has left
         parser, workload = ArrayParser(), b"load" if asked.irreversible else b"lookup"
         try:
-            writer.write(command(b"serve", asked.ident.encode(), b"class=%b,wait=%d" % (workload, int(wait)),
-                                 b"SELECT 1 /* cost=%.2f */" % asked.cost))
+            writer.write(
+                command(
+                    b"serve",
+                    asked.ident.encode(),
+                    b"class=%b,wait=%d" % (workload, int(wait)),
+                    b"SELECT 1 /* cost=%.2f */" % asked.cost,
+                )
+            )
             until = asyncio.get_running_loop().time() + wait / 1000
             while (parts := parser.take()) is None:
                 left = until - asyncio.get_running_loop().time()
@@ -91,8 +103,12 @@
         self.channel: Any = None
 
     def dial(self) -> None:
-        options = [("grpc.initial_reconnect_backoff_ms", 50), ("grpc.max_reconnect_backoff_ms", 100),
-                   ("grpc.min_reconnect_backoff_ms", 50), ("grpc.use_local_subchannel_pool", 1)]
+        options = [
+            ("grpc.initial_reconnect_backoff_ms", 50),
+            ("grpc.max_reconnect_backoff_ms", 100),
+            ("grpc.min_reconnect_backoff_ms", 50),
+            ("grpc.use_local_subchannel_pool", 1),
+        ]
         self.channel = grpc.aio.insecure_channel(self.target, options=options)
         self.stub = service.ExternalProcessorStub(self.channel)
 
@@ -135,8 +151,10 @@
         if answer.HasField("immediate_response"):
             call.cancel()
             return int(answer.immediate_response.status.code)
-        told = {option.header.key: option.header.raw_value.decode()
-                for option in answer.request_headers.response.header_mutation.set_headers}
+        told = {
+            option.header.key: option.header.raw_value.decode()
+            for option in answer.request_headers.response.header_mutation.set_headers
+        }
         return await self.forward(call, asked, told, fault, wait - (loop.time() - began) * 1000)
 
     async def forward(self, call: Any, asked: Asked, told: dict[str, str], fault: float, wait: float) -> int:
@@ -157,8 +175,7 @@
             if reply is not grpc.aio.EOF and not reply.HasField("response_headers"):
                 self.counts["answers_double"] += 1
             await asyncio.wait_for(call.done_writing(), 1.0)
-        except (grpc.aio.AioRpcError, TimeoutError, asyncio.InvalidStateError,
-                asyncio.CancelledError):
+        except (grpc.aio.AioRpcError, TimeoutError, asyncio.InvalidStateError, asyncio.CancelledError):
             self.counts["outcome_not_told"] += 1
             call.cancel()
         return status if proof or status == 200 else 0
--- a/spurdeal/lab/rig.py
+++ b/spurdeal/lab/rig.py
@@ -158,8 +158,17 @@
     """Clients of all dispatchers together."""
 
     def __init__(self, rig: Rig, seed: int, rate: float, irreversible: float) -> None:
-        super().__init__(rig.reactor, lambda: time.time() * 1000, Switch(time.time), "", seed, rate, WAIT,
-                         irreversible, COST)
+        super().__init__(
+            rig.reactor,
+            lambda: time.time() * 1000,
+            Switch(time.time),
+            "",
+            seed,
+            rate,
+            WAIT,
+            irreversible,
+            COST,
+        )
         self.rig = rig
 
     def send(self, asked: Asked) -> None:
@@ -186,11 +195,24 @@
 class Rig:
     """All of it. `net` tells the loopback addresses apart from other runs'; `fleet` off is the baseline."""
 
-    def __init__(self, reactor: Any, net: int, folder: Path, count: int, seed: int, fleet: bool = True,
-                 terms: Mapping[str, str] | None = None, engines: int = 6) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        net: int,
+        folder: Path,
+        count: int,
+        seed: int,
+        fleet: bool = True,
+        terms: Mapping[str, str] | None = None,
+        engines: int = 6,
+    ) -> None:
         self.reactor, self.net, self.folder, self.fleet_on = reactor, net, folder, fleet
-        self.terms = {"period": "100ms", "lease": "900ms", "behind_for": "1500ms", "shut_after": "2500ms"} \
-            | dict(terms or {})
+        self.terms = {
+            "period": "100ms",
+            "lease": "900ms",
+            "behind_for": "1500ms",
+            "shut_after": "2500ms",
+        } | dict(terms or {})
         self.seed, self.chance = seed, random.Random(seed)
         self.cables = Cables(reactor, random.Random(seed + 1))
         self.engines = Fleet(reactor, CORES, COLD_FOR, COLD_SHARE, MULTIPLE, WINDOW)
@@ -262,8 +284,10 @@
     def installation(self, process: Process) -> str:
         if not self.fleet_on:
             return f"name: {process.name}\n"
-        seeds = "".join(f"\n    - {{name: {other.name}, at: {other.host}:{CABLE}}}"
-                        for other in list(self.processes.values())[:3])
+        seeds = "".join(
+            f"\n    - {{name: {other.name}, at: {other.host}:{CABLE}}}"
+            for other in list(self.processes.values())[:3]
+        )
         terms = "".join(f"\n  {key}: {value}" for key, value in self.terms.items())
         return f"""name: {process.name}
 fleet:
@@ -277,19 +301,40 @@
 """
 
     def configuration(self, process: Process) -> dict[str, Any]:
-        return {"name": process.name, "listen": f"{process.host}:{PORT}",
-                "seed": f"{zlib.crc32(f'{process.name} {self.seed}'.encode()):08x}",
-                "limits": {"sockets": 1024, "memory_mb": 192}, "nameserver": f"{process.host}:{NAMES}",
-                "known": self.known_first, "settings": {
-                    "balancers": self.count, "index": process.number, "zones": ["east"], "models": ["std"],
-                    "grades": [{"name": "lookup", "aim": 800, "deadline": WAIT, "late_worth": 0.5},
-                               {"name": "load", "aim": 1500, "deadline": WAIT, "effect": "once",
-                                "late_worth": 0.5}],
-                    "extra": {"cpu_of_kind": [CORES]},
-                    "limits": {"cancelling": True, "dial_timeout": 250, "send_cap": 3, "retry_after": True,
-                               "max_retry_after": 500, "streams_per_conn": 4},
-                    "rules": {"drain_grace": GRACE, "cold": COLD_FOR, "cold_share": COLD_SHARE,
-                              "fall_multiple": MULTIPLE, "tip_after": WINDOW}}}
+        return {
+            "name": process.name,
+            "listen": f"{process.host}:{PORT}",
+            "seed": f"{zlib.crc32(f'{process.name} {self.seed}'.encode()):08x}",
+            "limits": {"sockets": 1024, "memory_mb": 192},
+            "nameserver": f"{process.host}:{NAMES}",
+            "known": self.known_first,
+            "settings": {
+                "balancers": self.count,
+                "index": process.number,
+                "zones": ["east"],
+                "models": ["std"],
+                "grades": [
+                    {"name": "lookup", "aim": 800, "deadline": WAIT, "late_worth": 0.5},
+                    {"name": "load", "aim": 1500, "deadline": WAIT, "effect": "once", "late_worth": 0.5},
+                ],
+                "extra": {"cpu_of_kind": [CORES]},
+                "limits": {
+                    "cancelling": True,
+                    "dial_timeout": 250,
+                    "send_cap": 3,
+                    "retry_after": True,
+                    "max_retry_after": 500,
+                    "streams_per_conn": 4,
+                },
+                "rules": {
+                    "drain_grace": GRACE,
+                    "cold": COLD_FOR,
+                    "cold_share": COLD_SHARE,
+                    "fall_multiple": MULTIPLE,
+                    "tip_after": WINDOW,
+                },
+            },
+        }
 
     def start(self, name: str) -> None:
         process = self.processes[name]
@@ -304,8 +349,11 @@
     def launch(self, process: Process, told: Path, file: Path, log: Path) -> None:
         with open(log, "ab") as out:
             process.child = subprocess.Popen(
-                [sys.executable, "-O", "-m", "spurdeal", "run", "--settings", str(file)], stderr=out,
-                stdin=subprocess.DEVNULL, env=os.environ | {"ROUTER_CONFIG": str(told)})
+                [sys.executable, "-O", "-m", "spurdeal", "run", "--settings", str(file)],
+                stderr=out,
+                stdin=subprocess.DEVNULL,
+                env=os.environ | {"ROUTER_CONFIG": str(told)},
+            )
 
     def kill(self, name: str) -> None:
         process = self.processes[name]
@@ -354,8 +402,11 @@
     def front_knows(self) -> list[Process]:
         """Those that the front takes for up: it notices a death after a while."""
         now = time.time()
-        return [process for name, process in self.processes.items() if process.child is not None
-                and now - self.dead_since.get(name, now) < NOTICED]
+        return [
+            process
+            for name, process in self.processes.items()
+            if process.child is not None and now - self.dead_since.get(name, now) < NOTICED
+        ]
 
     def end(self) -> None:
         for process in self.processes.values():
--- a/spurdeal/lab/takeover.py
+++ b/spurdeal/lab/takeover.py
@@ -63,7 +63,8 @@
     """The operator's file, with the cables' ends in place of the peer's own ports."""
     other = "n2" if name == "n1" else "n1"
     host, far = net.hosts[name], net.hosts[other]
-    handover = f"""
+    handover = (
+        f"""
 handover:
   listen: {host}:{HANDOVER}
   keys: [{{id: 1, hex: {KEY}}}]
@@ -72,7 +73,10 @@
   ahead_wait: 40ms
   alone: send
   alone_after: 400ms
-""" if guarded else ""
+"""
+        if guarded
+        else ""
+    )
     return f"""
 name: {name}
 peers:
@@ -96,18 +100,40 @@
 
 
 def configuration(net: Net, name: str, known: dict[str, Any]) -> dict[str, Any]:
-    return {"name": name, "listen": f"{net.hosts[name]}:{PORT}", "seed": f"{zlib.crc32(name.encode()):08x}",
-            "limits": {"sockets": 1024, "memory_mb": 192}, "nameserver": f"{net.names[0]}:{net.names[1]}",
-            "known": known, "settings": {
-                "balancers": 2, "index": int(name[1:]) - 1, "zones": ["east"], "models": ["std"],
-                "grades": [{"name": "lookup", "aim": 800, "deadline": WAIT, "late_worth": 0.5},
-                           {"name": "load", "aim": 1500, "deadline": WAIT, "effect": "once",
-                            "late_worth": 0.5}],
-                "extra": {"cpu_of_kind": [CORES]},
-                "limits": {"cancelling": True, "dial_timeout": 250, "send_cap": 3, "retry_after": True,
-                           "max_retry_after": 500, "streams_per_conn": 4},
-                "rules": {"drain_grace": 250, "cold": COLD_FOR, "cold_share": COLD_SHARE,
-                          "fall_multiple": MULTIPLE, "tip_after": WINDOW}}}
+    return {
+        "name": name,
+        "listen": f"{net.hosts[name]}:{PORT}",
+        "seed": f"{zlib.crc32(name.encode()):08x}",
+        "limits": {"sockets": 1024, "memory_mb": 192},
+        "nameserver": f"{net.names[0]}:{net.names[1]}",
+        "known": known,
+        "settings": {
+            "balancers": 2,
+            "index": int(name[1:]) - 1,
+            "zones": ["east"],
+            "models": ["std"],
+            "grades": [
+                {"name": "lookup", "aim": 800, "deadline": WAIT, "late_worth": 0.5},
+                {"name": "load", "aim": 1500, "deadline": WAIT, "effect": "once", "late_worth": 0.5},
+            ],
+            "extra": {"cpu_of_kind": [CORES]},
+            "limits": {
+                "cancelling": True,
+                "dial_timeout": 250,
+                "send_cap": 3,
+                "retry_after": True,
+                "max_retry_after": 500,
+                "streams_per_conn": 4,
+            },
+            "rules": {
+                "drain_grace": 250,
+                "cold": COLD_FOR,
+                "cold_share": COLD_SHARE,
+                "fall_multiple": MULTIPLE,
+                "tip_after": WINDOW,
+            },
+        },
+    }
 
 
 class Process:
@@ -127,8 +153,11 @@
         file.write_text(installation(self.net, self.name, self.guarded))
         with open(self.log, "ab") as log:
             self.child = subprocess.Popen(
-                [sys.executable, "-O", "-m", "spurdeal", "run", "--settings", str(file)], stderr=log,
-                stdin=subprocess.DEVNULL, env=os.environ | {"ROUTER_CONFIG": str(told)})
+                [sys.executable, "-O", "-m", "spurdeal", "run", "--settings", str(file)],
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=os.environ | {"ROUTER_CONFIG": str(told)},
+            )
 
     def signal(self, number: int) -> None:
         assert self.child is not None
@@ -177,8 +206,9 @@
 class Proof:
     """One run of the whole set-up; `faults` are carried out one after the other."""
 
-    def __init__(self, reactor: Any, net: Net, folder: Path, guarded: bool, seed: int,
-                 say: Callable[[str], None]) -> None:
+    def __init__(
+        self, reactor: Any, net: Net, folder: Path, guarded: bool, seed: int, say: Callable[[str], None]
+    ) -> None:
         self.reactor, self.net, self.say, self.chance = reactor, net, say, random.Random(seed)
         self.fleet = Fleet(reactor, CORES, COLD_FOR, COLD_SHARE, MULTIPLE, WINDOW)
         self.next_engine = 0
@@ -187,11 +217,14 @@
         reactor.listenUDP(net.names[1], self.names, interface=net.names[0], maxPacketSize=65535)
         self.switch = Switch(time.time)
         reactor.listenUDP(net.switch[1], self.switch, interface=net.switch[0])
-        self.cables = [Cable(reactor, (net.hosts["n1"], port), (net.hosts["n2"], port), SHIFT, seed + port)
-                       for port in (ADVERTS, HANDOVER)]
+        self.cables = [
+            Cable(reactor, (net.hosts["n1"], port), (net.hosts["n2"], port), SHIFT, seed + port)
+            for port in (ADVERTS, HANDOVER)
+        ]
         self.processes = {name: Process(net, name, folder, known, guarded) for name in net.hosts}
-        self.front = Front(reactor, lambda: time.time() * 1000, self.switch, net.address, seed, RATE, WAIT,
-                           HEAVY, COST)
+        self.front = Front(
+            reactor, lambda: time.time() * 1000, self.switch, net.address, seed, RATE, WAIT, HEAVY, COST
+        )
         self.takeovers: list[tuple[str, float, float]] = []  # kind, loss, ms
         self.missed: list[str] = []
         self.bad, self.tried, self.refused = 1000 if guarded else 0, 0, 0
@@ -243,18 +276,20 @@
         """Datagrams that nobody should take, of either kind, in the peer's name; what is counted as
         dropped."""
         before = self.dropped()
-        good = advert.write(1, 200, INTERVAL, [ip_address(self.net.address)],
-                            *map(ip_address, self.net.hosts.values()))
+        good = advert.write(
+            1, 200, INTERVAL, [ip_address(self.net.address)], *map(ip_address, self.net.hosts.values())
+        )
         forged = Session("n1", "n2", 1, Keys({1: b"x" * 32}))
         adverts, handover = self.cables
         for number in range(self.bad):
             spoilt = bytearray(good)
             spoilt[number % 8] ^= 1 << self.chance.randrange(8)
             adverts.inject(bytes(spoilt) if number % 4 else self.chance.randbytes(number % 40))
-            sealed = bytearray(forged.write(0.0, {"list": number}) if number % 2 or not handover.last
-                               else handover.last)
+            sealed = bytearray(
+                forged.write(0.0, {"list": number}) if number % 2 or not handover.last else handover.last
+            )
             sealed[self.chance.randrange(len(sealed))] ^= 1 << self.chance.randrange(8)
-            handover.inject(bytes(sealed) if number % 8 else bytes(sealed)[:number % 70])
+            handover.inject(bytes(sealed) if number % 8 else bytes(sealed)[: number % 70])
             if number % 10 == 9:
                 yield 0.005
         yield 0.2
@@ -311,28 +346,38 @@
 
         def excused(place: tuple[str, int], asked: Asked) -> bool:
             return by_place[place].was_away(asked.began / 1000 - 0.05, asked.expiry / 1000 + 0.05)
+
         counts = self.front.counts(excused)
-        twice = sum(self.fleet.runs[asked.ident.encode()] > 1
-                    for asked in self.front.asked if asked.irreversible)
+        twice = sum(
+            self.fleet.runs[asked.ident.encode()] > 1 for asked in self.front.asked if asked.irreversible
+        )
         one, two = (list(self.processes[name].held()) for name in self.net.hosts)
         both = [min(a[1], b[1]) - max(a[0], b[0]) for a in one for b in two]
         planned = [ms for kind, loss, ms in self.takeovers if kind == "stop" and loss == 0]
         crash = [ms for kind, loss, ms in self.takeovers if kind != "stop" and loss == 0]
         losses = sorted({loss for _, loss, _ in self.takeovers})
         return counts | {
-            "takeovers": len(self.takeovers), "takeovers_missed": len(self.missed),
-            "takeover_ms": spread(crash), "planned_takeover_ms": spread(planned),
-            "by_loss": {str(loss): spread([ms for kind, at, ms in self.takeovers
-                                           if at == loss and kind != "stop"]) for loss in losses},
-            "dual_holder_ms": {"sum": round(1000 * sum(ms for ms in both if ms > 0), 1),
-                               "max": round(1000 * max([0.0, *both]), 1)},
+            "takeovers": len(self.takeovers),
+            "takeovers_missed": len(self.missed),
+            "takeover_ms": spread(crash),
+            "planned_takeover_ms": spread(planned),
+            "by_loss": {
+                str(loss): spread([ms for kind, at, ms in self.takeovers if at == loss and kind != "stop"])
+                for loss in losses
+            },
+            "dual_holder_ms": {
+                "sum": round(1000 * sum(ms for ms in both if ms > 0), 1),
+                "max": round(1000 * max([0.0, *both]), 1),
+            },
             "irreversible_run_twice": twice,
             "cold_budget_used_max": round(self.fleet.budget_used_most(), 3),
             "cold_nodes": sum(engine.warm_at > 0 for engine in self.fleet.engines),
             "cold_nodes_fallen": self.fleet.fallen(),
-            "malformed_tried": self.tried, "malformed_accepted": max(0, self.tried - self.refused),
+            "malformed_tried": self.tried,
+            "malformed_accepted": max(0, self.tried - self.refused),
             "datagrams": sum(cable.seen for cable in self.cables),
-            "datagrams_lost": sum(cable.lost for cable in self.cables)}
+            "datagrams_lost": sum(cable.lost for cable in self.cables),
+        }
 
 
 def spread(values: list[float]) -> dict[str, float]:
@@ -342,14 +387,20 @@
     histogram = HdrHistogram(1, 600_000, 3)
     for value in values:
         histogram.record_value(max(1, round(value * 10)))
-    return {"count": len(values), "p50": histogram.get_value_at_percentile(50) / 10,
-            "p99": histogram.get_value_at_percentile(99) / 10, "max": round(max(values), 1)}
+    return {
+        "count": len(values),
+        "p50": histogram.get_value_at_percentile(50) / 10,
+        "p99": histogram.get_value_at_percentile(99) / 10,
+        "max": round(max(values), 1),
+    }
 
 
-def one_run(guarded: bool, faults: list[tuple[str, float]], seed: int, say: Callable[[str], None]) \
-        -> dict[str, Any]:
+def one_run(
+    guarded: bool, faults: list[tuple[str, float]], seed: int, say: Callable[[str], None]
+) -> dict[str, Any]:
     """In a process of its own: Twisted's reactor runs once."""
     from twisted.internet import reactor
+
     loop: Any = reactor
     folder = Path(tempfile.mkdtemp(prefix="spurdeal-lab-"))
     proof = Proof(loop, Net(8 if guarded else 18), folder, guarded, seed, say)
@@ -366,6 +417,7 @@
         except Exception as fault:
             found["fault"] = repr(fault)
             loop.stop()
+
     lag = Lag(loop)
     loop.callWhenRunning(step)
     try:
@@ -397,8 +449,13 @@
 
 def run_apart(guarded: bool, quick: bool, say: Callable[[str], None]) -> dict[str, Any]:
     """A run in a process of its own, whose last line holds its figures."""
-    words = [sys.executable, "-m", "spurdeal.lab.takeover", "guarded" if guarded else "bare",
-             "quick" if quick else "full"]
+    words = [
+        sys.executable,
+        "-m",
+        "spurdeal.lab.takeover",
+        "guarded" if guarded else "bare",
+        "quick" if quick else "full",
+    ]
     done = subprocess.run(words, stdout=subprocess.PIPE, timeout=600)
     lines = done.stdout.decode().strip().splitlines()
     for line in lines[:-1]:
@@ -415,13 +472,23 @@
         runs = [pool.submit(run_apart, guarded, quick, say) for guarded in (True, False)]
         found, bare = (run.result() for run in runs)
     ranks = PRIORITIES.items()
-    told = {"active_down_ms": {name: active_down_interval(rank, INTERVAL) for name, rank in ranks},
-            "skew_ms": {name: skew_time(rank, INTERVAL) for name, rank in ranks}}
+    told = {
+        "active_down_ms": {name: active_down_interval(rank, INTERVAL) for name, rank in ranks},
+        "skew_ms": {name: skew_time(rank, INTERVAL) for name, rank in ranks},
+    }
     checked = models(quick)
     model = {key: checked[key] for key in ("states", "violations", "planted", "planted_found", "checks")}
     return told | found | {"model": model, "baseline": bare}
 
 
 if __name__ == "__main__":
-    print(json.dumps(one_run(sys.argv[1] == "guarded", QUICK if sys.argv[2] == "quick" else FULL, 7,
-                             lambda line: print(line, flush=True))))
+    print(
+        json.dumps(
+            one_run(
+                sys.argv[1] == "guarded",
+                QUICK if sys.argv[2] == "quick" else FULL,
+                7,
+                lambda line: print(line, flush=True),
+            )
+        )
+    )
--- a/spurdeal/lab/virtual.py
+++ b/spurdeal/lab/virtual.py
@@ -136,8 +136,18 @@
             took = world.now - (taken.expiry - world.site.workloads[taken.kind].expiry)
             world.took[taken.kind].append(took)
             world.counts["in_time"] += took <= world.site.workloads[taken.kind].agreed
-        self.rules.ended(world.now, taken.number, trip, engine, ending, world.now - sent,
-                         delivered or taken.answered, 0.0, 0.0, ())
+        self.rules.ended(
+            world.now,
+            taken.number,
+            trip,
+            engine,
+            ending,
+            world.now - sent,
+            delivered or taken.answered,
+            0.0,
+            0.0,
+            (),
+        )
         self.drop(taken)
 
     def came_back(self, number: int, trip: int, ending: Ending) -> None:
@@ -200,9 +210,17 @@
 class World:
     """Engines, dispatchers, clients, failures, and the observer that sees it all."""
 
-    def __init__(self, site: Deployment, kind: Kind, engines: int, load: Load, failures: Sequence[Failure],
-                 seed: int, make: Callable[[Deployment, int, Any, float], Any] = Dispatcher,
-                 links: type[VirtualLink] = VirtualLink) -> None:
+    def __init__(
+        self,
+        site: Deployment,
+        kind: Kind,
+        engines: int,
+        load: Load,
+        failures: Sequence[Failure],
+        seed: int,
+        make: Callable[[Deployment, int, Any, float], Any] = Dispatcher,
+        links: type[VirtualLink] = VirtualLink,
+    ) -> None:
         self.site, self.kind, self.load = site, kind, load
         self.chance, self.now = random.Random(seed), 1e6  # Unix times are too coarse for ends of jobs
         self.began = self.now
@@ -264,8 +282,9 @@
     def add_engine(self, number: int, cold: bool) -> None:
         self.engines[number] = Engine(self.kind, self.now if cold else None, self.now)
         places = max(1, len({0, *self.site.cores}))
-        self.lines[number] = Listed(number, number % 2, number % places, number % 4, Life.READY, 1.0,
-                                    self.now if cold else 0.0)
+        self.lines[number] = Listed(
+            number, number % 2, number % places, number % 4, Life.READY, 1.0, self.now if cold else 0.0
+        )
         if cold:
             self.observer.started(number, self.now + self.kind.cold_for)
 
@@ -273,16 +292,24 @@
         """A trip reaches its engine."""
         engine = self.engines[number]
         if engine.down:
-            self.at(self.now + self.way(), link.event, life, link.came_back, taken.number, trip,
-                    Ending.UNREACHED)
+            self.at(
+                self.now + self.way(), link.event, life, link.came_back, taken.number, trip, Ending.UNREACHED
+            )
             return
         if engine.hung:
             return  # it says nothing; the trip's time will be up
         self.progress(number)
         self.observer.reached(self.now, number, taken.work)
         w = self.site.workloads[taken.kind]
-        made = Job(job, max(0.01, taken.work), w.threads, 1.0, 0.0, taken.group if w.holds_tables
-                   or w.waits_for_loads else -1, w.holds_tables)
+        made = Job(
+            job,
+            max(0.01, taken.work),
+            w.threads,
+            1.0,
+            0.0,
+            taken.group if w.holds_tables or w.waits_for_loads else -1,
+            w.holds_tables,
+        )
         if not engine.start(self.now, made):
             self.at(self.now + self.way(), link.event, life, link.came_back, taken.number, trip, Ending.FULL)
         else:
@@ -345,8 +372,10 @@
             self.change(failure.whom, Life.DRAINING)
         elif engine is not None:
             self.progress(failure.whom)
-            engine.hung, engine.speed = failure.what == "hang", \
-                failure.factor if failure.what == "slow" else engine.speed
+            engine.hung, engine.speed = (
+                failure.what == "hang",
+                failure.factor if failure.what == "slow" else engine.speed,
+            )
             engine.share(self.now)
             self.plan(failure.whom)
 
