--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -161,8 +161,9 @@
                 self.clients.counters.add("client_bad_messages")
                 self.answer(fault.status, {"fault": str(fault)}, False)
 
-    def handle(self, method: bytes, target: bytes, fields: dict[bytes, memoryview], body: memoryview,
-               keep: bool) -> None:
+    def handle(
+        self, method: bytes, target: bytes, fields: dict[bytes, memoryview], body: memoryview, keep: bool
+    ) -> None:
         path = target.partition(b"?")[0]
         last = path.rpartition(b"/")[2]
         if method == b"POST":
@@ -192,10 +193,20 @@
         if mark and not MARK.fullmatch(mark):
             raise BadMessage(400, "req-token cannot be used")
         waited = max(0.0, self.clients.clock() - self.arrivals[0][1]) if self.arrivals else 0.0
-        call = self.clients.link.take(ident, self.clients.names[kind], kind, wait - waited, cost, memory,
-                                      group_of(statement), statement, here=self.is_here,
-                                      customer=self.clients.customers.get(owner),
-                                      key=key_of(fields.get(b"req-key", b"")), mark=mark)
+        call = self.clients.link.take(
+            ident,
+            self.clients.names[kind],
+            kind,
+            wait - waited,
+            cost,
+            memory,
+            group_of(statement),
+            statement,
+            here=self.is_here,
+            customer=self.clients.customers.get(owner),
+            key=key_of(fields.get(b"req-key", b"")),
+            mark=mark,
+        )
         if call is None:
             raise BadMessage(400, "a submission with this id is open")
         self.call, self.brought = call, True
@@ -254,8 +265,17 @@
         """Unread answers, unfinished messages, silence and idleness each hold a descriptor for nothing."""
         if self.call is not None:
             return False
-        longest = LONGEST_LINGER if self.written else LONGEST_UNREAD if self.clogged or self.closing else \
-            LONGEST_UNFINISHED if self.parser.left() else LONGEST_IDLE if self.brought else LONGEST_SILENT
+        longest = (
+            LONGEST_LINGER
+            if self.written
+            else LONGEST_UNREAD
+            if self.clogged or self.closing
+            else LONGEST_UNFINISHED
+            if self.parser.left()
+            else LONGEST_IDLE
+            if self.brought
+            else LONGEST_SILENT
+        )
         return now - self.since > longest
 
     def expire(self) -> None:
@@ -278,8 +298,15 @@
 
     noisy = False
 
-    def __init__(self, link: SocketLink, workloads: Mapping[bytes, int], customers: Mapping[bytes, int],
-                 clock: Callable[[], float], counters: Counters, log: logging.Logger) -> None:
+    def __init__(
+        self,
+        link: SocketLink,
+        workloads: Mapping[bytes, int],
+        customers: Mapping[bytes, int],
+        clock: Callable[[], float],
+        counters: Counters,
+        log: logging.Logger,
+    ) -> None:
         self.link, self.workloads, self.most, self.ahead = link, workloads, 0, MOST_AHEAD
         self.names = {kind: name for name, kind in workloads.items()}
         self.customers, self.slashes = customers, max(name.count(b"/") for name in workloads)
@@ -312,8 +339,12 @@
         self.connections[client] = None
         self.counters.add("client_connections")
         self.counters.most("most_client_connections", len(self.connections))
-        if len(self.connections) >= self.most and not self.evict_idle(client) \
-                and not self.paused and not self.accept_ended:
+        if (
+            len(self.connections) >= self.most
+            and not self.evict_idle(client)
+            and not self.paused
+            and not self.accept_ended
+        ):
             self.paused = True  # further ones wait at the machine's door
             self.counters.add("accept_paused")
             self.log.warning("accept_paused", extra={"figures": {"connections": len(self.connections)}})
@@ -322,8 +353,11 @@
     def evict_idle(self, newest: Client | None = None) -> bool:
         """Lets go of one that lingers, else closes the one idle for longest, the newest excepted; first one
         that has brought nothing."""
-        waiting = [client for client in self.connections
-                   if client is not newest and (client.written or client.is_idle())]
+        waiting = [
+            client
+            for client in self.connections
+            if client is not newest and (client.written or client.is_idle())
+        ]
         for client in sorted(waiting, key=lambda client: (not client.written, client.brought, client.since)):
             if client.written:
                 client.expire()
--- a/spurdeal/net/dns.py
+++ b/spurdeal/net/dns.py
@@ -50,8 +50,9 @@
         if at + 1 + size > len(message) or total > LONGEST_NAME:
             raise BadDatagram("a name is cut short or too long")
         # A dot within a label is none between labels (RFC 4343, section 2.1).
-        labels.append(bytes(message[at + 1:at + 1 + size]).decode("utf-8", "backslashreplace")
-                      .replace(".", "\\."))
+        labels.append(
+            bytes(message[at + 1 : at + 1 + size]).decode("utf-8", "backslashreplace").replace(".", "\\.")
+        )
         at += 1 + size
 
 
@@ -66,13 +67,14 @@
         size = data[at]
         if at + 1 + size > len(data):
             raise BadDatagram("a text is cut short")
-        strings.append(bytes(data[at + 1:at + 1 + size]).decode("utf-8", "replace"))
+        strings.append(bytes(data[at + 1 : at + 1 + size]).decode("utf-8", "replace"))
         at += 1 + size
     return strings
 
 
-def read_answer(datagram: bytes, ident: int, name: str, kind: int) \
-        -> tuple[int | None, list[tuple[int, int, int, str]], dict[str, str], dict[str, list[str]]] | None:
+def read_answer(
+    datagram: bytes, ident: int, name: str, kind: int
+) -> tuple[int | None, list[tuple[int, int, int, str]], dict[str, str], dict[str, list[str]]] | None:
     """The serial, the SRV records, addresses and texts by name; None if it answers another question."""
     message = memoryview(datagram)
     try:
@@ -94,7 +96,7 @@
             owner = owner.lower()
             record, family, _, size = FIXED.unpack_from(message, at)
             at += FIXED.size
-            data = message[at:at + size]
+            data = message[at : at + size]
             if len(data) < size:
                 raise BadDatagram("a record is cut short")
             if family == IN and record == SRV and owner == asked_name.lower():
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -53,11 +53,30 @@
 class Trip:
     """One trip from its sending to its outcome, which its Deferred brings exactly once."""
 
-    __slots__ = ("at_send", "connection", "done", "expiry", "ident", "pages", "parts", "report", "sent",
-                 "size", "statement", "workload", "written")
-
-    def __init__(self, ident: bytes, workload: bytes, statement: bytes, expiry: float,
-                 at_send: Callable[[], SendTerms | None]) -> None:
+    __slots__ = (
+        "at_send",
+        "connection",
+        "done",
+        "expiry",
+        "ident",
+        "pages",
+        "parts",
+        "report",
+        "sent",
+        "size",
+        "statement",
+        "workload",
+        "written",
+    )
+
+    def __init__(
+        self,
+        ident: bytes,
+        workload: bytes,
+        statement: bytes,
+        expiry: float,
+        at_send: Callable[[], SendTerms | None],
+    ) -> None:
         self.ident, self.workload, self.statement = ident, workload, statement
         self.expiry, self.at_send, self.written = expiry, at_send, False
         self.done: Deferred[Outcome] = Deferred()
@@ -224,8 +243,9 @@
         for trip in [trip for trip in self.trips.values() if not trip.written]:
             self.withdraw(trip)
         if self.leaving is not None and self.up:
-            self.engines.reactor.callLater(DRAIN_PART * self.engines.drain_grace / 1000, self.cut_off,
-                                           self.leaving)
+            self.engines.reactor.callLater(
+                DRAIN_PART * self.engines.drain_grace / 1000, self.cut_off, self.leaving
+            )
 
     def cut_off(self, trip: Trip) -> None:
         """Covers a hang with its window full. A cut link whose bytes the system holds is not seen here."""
@@ -314,8 +334,9 @@
         if trip.size > LARGEST_RESULT:
             raise BadAnswer("a result is too large")
         page = bytes(text)  # it outlives the buffer: the others are still to come
-        if page and (not page.endswith(b"\n") or any(row.count(b"\t") != COLUMNS - 1
-                                                     for row in page[:-1].split(b"\n"))):
+        if page and (
+            not page.endswith(b"\n") or any(row.count(b"\t") != COLUMNS - 1 for row in page[:-1].split(b"\n"))
+        ):
             raise BadAnswer("a page does not hold whole rows")
         page.decode("utf-8")
         trip.pages[number] = page
@@ -377,21 +398,36 @@
         doubt, so one long unused is not taken while another can be had."""
         engines = self.engines
         for connection in self.connections:
-            if connection.up and not connection.closing and not connection.trips \
-                    and pending(connection.transport) == b"":
+            if (
+                connection.up
+                and not connection.closing
+                and not connection.trips
+                and pending(connection.transport) == b""
+            ):
                 connection.ended = True  # that is to be read next
-        open_here = [connection for connection in self.connections
-                     if not connection.closing and not connection.ended
-                     and trip.ident not in connection.trips and trip.ident not in connection.past]
+        open_here = [
+            connection
+            for connection in self.connections
+            if not connection.closing
+            and not connection.ended
+            and trip.ident not in connection.trips
+            and trip.ident not in connection.past
+        ]
         since = engines.clock() - IDLE_PART * engines.closes_after
-        fresh = [connection for connection in open_here if not at_most_once or connection.trips
-                 or max(connection.used, connection.heard) > since]
+        fresh = [
+            connection
+            for connection in open_here
+            if not at_most_once or connection.trips or max(connection.used, connection.heard) > since
+        ]
         if fresh or engines.connections < engines.most_connections:
             open_here = fresh
         emptiest = min(open_here, key=lambda connection: len(connection.trips), default=None)
         full = engines.connections >= engines.most_connections
-        if emptiest is not None and len(emptiest.trips) < engines.trips_a_connection \
-                and (not emptiest.trips or full or len(self.connections) >= engines.share()):
+        if (
+            emptiest is not None
+            and len(emptiest.trips) < engines.trips_a_connection
+            and (not emptiest.trips or full or len(self.connections) >= engines.share())
+        ):
             return emptiest
         if full:
             return None
@@ -411,14 +447,26 @@
 class Engines:
     """All engines by index. A trip is sent, and its Deferred tells how it ended."""
 
-    def __init__(self, reactor: Any, clock: Callable[[], float], report_fields: Sequence[str],
-                 counters: Counters, log: logging.Logger) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Callable[[], float],
+        report_fields: Sequence[str],
+        counters: Counters,
+        log: logging.Logger,
+    ) -> None:
         self.reactor, self.clock, self.counters, self.log = reactor, clock, counters, log
         self.report_fields, self.connections = tuple(report_fields), 0
         self.engines: dict[int, Engine] = {}
 
-    def bound(self, connect_within: float, idle_after: float, trips_a_connection: int,
-              most_connections: int, drain_grace: float) -> None:
+    def bound(
+        self,
+        connect_within: float,
+        idle_after: float,
+        trips_a_connection: int,
+        most_connections: int,
+        drain_grace: float,
+    ) -> None:
         self.connect_within, self.idle_after, self.drain_grace = connect_within, idle_after, drain_grace
         self.trips_a_connection, self.most_connections = max(1, trips_a_connection), most_connections
         self.closes_after = idle_after  # as seen, where engines close idle ones earlier
@@ -460,8 +508,16 @@
     def ready(self, engine: int) -> bool:
         return engine in self.engines and self.engines[engine].seat.life == Life.READY
 
-    def send(self, engine: int, ident: bytes, workload: bytes, statement: bytes, expiry: float,
-             at_most_once: bool, at_send: Callable[[], SendTerms | None]) -> Trip:
+    def send(
+        self,
+        engine: int,
+        ident: bytes,
+        workload: bytes,
+        statement: bytes,
+        expiry: float,
+        at_most_once: bool,
+        at_send: Callable[[], SendTerms | None],
+    ) -> Trip:
         trip = Trip(ident, workload, statement, expiry, at_send)
         found = self.engines.get(engine)
         connection = found.connection_for(trip, at_most_once) if found is not None else None
--- a/spurdeal/net/http.py
+++ b/spurdeal/net/http.py
@@ -6,9 +6,17 @@
 
 LARGEST_HEAD = 8192
 LARGEST_BODY = 65536
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large",
-           500: "Internal Server Error", 503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
 TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 # A workload's name comes in the target as it is: with spaces and letters of any script. What follows the last
 # space is the version, so none of this is ambiguous.
@@ -70,8 +78,12 @@
 
 
 def response(status: int, body: bytes, keep: bool, extra: tuple[tuple[str, str], ...] = ()) -> bytes:
-    lines = [f"HTTP/1.1 {status} {REASONS[status]}", "Content-Type: application/json",
-             f"Content-Length: {len(body)}", *(f"{name}: {value}" for name, value in extra)]
+    lines = [
+        f"HTTP/1.1 {status} {REASONS[status]}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+        *(f"{name}: {value}" for name, value in extra),
+    ]
     if not keep:
         lines.append("Connection: close")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -55,8 +55,16 @@
 
     def ready(self, engine: int) -> bool: ...
 
-    def send(self, engine: int, ident: bytes, workload: bytes, statement: bytes, expiry: float,
-             at_most_once: bool, at_send: Callable[[], SendTerms | None]) -> Carried:
+    def send(
+        self,
+        engine: int,
+        ident: bytes,
+        workload: bytes,
+        statement: bytes,
+        expiry: float,
+        at_most_once: bool,
+        at_send: Callable[[], SendTerms | None],
+    ) -> Carried:
         """at_most_once: a doubtful end would be final. at_send is asked once, as the first byte is about to
         leave; with None nothing leaves, and the trip ends as MOOT."""
 
@@ -66,8 +74,10 @@
 
 def at_most_once(site: Deployment) -> tuple[bool, ...]:
     """By workload: whether it must not run twice, also where it comes again by another way."""
-    return tuple(w.effect == Effect.IRREVERSIBLE or (w.effect == Effect.LABELLED and w.reach != Reach.ALL)
-                 for w in site.workloads)
+    return tuple(
+        w.effect == Effect.IRREVERSIBLE or (w.effect == Effect.LABELLED and w.reach != Reach.ALL)
+        for w in site.workloads
+    )
 
 
 class Guard(Protocol):
@@ -132,9 +142,18 @@
 class SocketLink:
     """Carries events to the rules and what they ask to the sockets. Knows nothing of either's bytes."""
 
-    def __init__(self, site: Deployment, seed: int, locations: Sequence[str], kinds: Sequence[str],
-                 engines: Engines, reactor: Any, clock: Callable[[], float], counters: Counters,
-                 log: logging.Logger) -> None:
+    def __init__(
+        self,
+        site: Deployment,
+        seed: int,
+        locations: Sequence[str],
+        kinds: Sequence[str],
+        engines: Engines,
+        reactor: Any,
+        clock: Callable[[], float],
+        counters: Counters,
+        log: logging.Logger,
+    ) -> None:
         self.locations, self.kinds = list(locations), list(kinds)
         self.engines, self.reactor, self.clock = engines, reactor, clock
         self.counters, self.logger = counters, log
@@ -168,10 +187,22 @@
     def at(self, when: float, call: Callable[..., None], *words: Any) -> None:
         heapq.heappush(self.alarms, (when, next(self.order), call, words))
 
-    def take(self, ident: bytes, workload: bytes, kind: int, wait: float, cost: float, memory: float,
-             group: int, statement: bytes, carrier: Carrier | None = None,
-             here: Callable[[], bool] = lambda: True, customer: int | None = None,
-             key: int = 0, mark: bytes = b"") -> Deferred[Answer] | None:
+    def take(
+        self,
+        ident: bytes,
+        workload: bytes,
+        kind: int,
+        wait: float,
+        cost: float,
+        memory: float,
+        group: int,
+        statement: bytes,
+        carrier: Carrier | None = None,
+        here: Callable[[], bool] = lambda: True,
+        customer: int | None = None,
+        key: int = 0,
+        mark: bytes = b"",
+    ) -> Deferred[Answer] | None:
         """A submission is taken; its Deferred brings the answer, and cancelling that withdraws it.
 
         None: one with this id is open, or was answered while a trip of it is still out."""
@@ -188,17 +219,39 @@
         now, number = self.clock(), next(self.numbers)
         expiry = min(now + wait - ANSWER_WAY, self.until)
         answer: Deferred[Answer] = Deferred(lambda _: self.left(number))
-        taken = Taken(number, kind, ident, workload, statement, expiry, answer, carrier or self.engines, here,
-                      mark)
+        taken = Taken(
+            number, kind, ident, workload, statement, expiry, answer, carrier or self.engines, here, mark
+        )
         self.taken[number] = self.by_ident[ident.lower()] = taken
         self.counters.add("taken")
         self.counters.most("most_open", len(self.by_ident))
-        self.gather(self.submit, number, kind, self.nobody if customer is None else customer, key, now,
-                    expiry, cost, memory, group)
+        self.gather(
+            self.submit,
+            number,
+            kind,
+            self.nobody if customer is None else customer,
+            key,
+            now,
+            expiry,
+            cost,
+            memory,
+            group,
+        )
         return answer
 
-    def submit(self, now: float, number: int, kind: int, customer: int, key: int, came: float,
-               expiry: float, cost: float, memory: float, group: int) -> None:
+    def submit(
+        self,
+        now: float,
+        number: int,
+        kind: int,
+        customer: int,
+        key: int,
+        came: float,
+        expiry: float,
+        cost: float,
+        memory: float,
+        group: int,
+    ) -> None:
         self.counters.most("longest_wait_for_a_turn_ms", now - came)
         self.at(expiry, self.expire, number)
         self.rules.submitted(now, number, kind, customer, key, expiry, cost, memory, group)
@@ -236,11 +289,23 @@
 
     def listed(self, seats: Mapping[str, Seat]) -> None:
         """The whole list. An engine's place goes with it: nothing outlives what is gone."""
-        told = seats.items() if self.guard is None else [(ident, self.guard.seat(seat))
-                                                         for ident, seat in seats.items()]
-        lines = [Listed(self.place_of(ident), self.number_of(self.locations, seat.location),
-                        self.number_of(self.kinds, seat.kind), seat.cell, seat.life, seat.weight,
-                        seat.started) for ident, seat in told]
+        told = (
+            seats.items()
+            if self.guard is None
+            else [(ident, self.guard.seat(seat)) for ident, seat in seats.items()]
+        )
+        lines = [
+            Listed(
+                self.place_of(ident),
+                self.number_of(self.locations, seat.location),
+                self.number_of(self.kinds, seat.kind),
+                seat.cell,
+                seat.life,
+                seat.weight,
+                seat.started,
+            )
+            for ident, seat in told
+        ]
         # Told first: what the engines' connections then give back must not be sent there again.
         self.gather(self.rules.listed, lines, True)
         gone = {ident: seat._replace(life=Life.GONE) for ident, seat in self.seats.items()}
@@ -371,8 +436,10 @@
             self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
             return
         if self.guard is not None:
+
             def go(verdict: bool | None) -> None:
                 self.told(taken, trip, engine, time_limit, verdict)
+
             taken.waiting[trip] = engine
             if not self.guard.before(taken, trip, go):
                 return
@@ -394,8 +461,16 @@
     def depart(self, taken: Taken, trip: int, engine: int, time_limit: float, now: float) -> None:
         def at_send() -> SendTerms | None:
             return self.send_terms(taken, trip, engine, time_limit)
-        out = taken.carrier.send(engine, taken.ident, taken.workload, taken.statement, taken.expiry,
-                                 self.at_most_once[taken.kind], at_send)
+
+        out = taken.carrier.send(
+            engine,
+            taken.ident,
+            taken.workload,
+            taken.statement,
+            taken.expiry,
+            self.at_most_once[taken.kind],
+            at_send,
+        )
         taken.trips[trip] = out
         if taken.carrier is not self.engines and not out.done.called:
             self.conclude(taken, Granted())
@@ -406,8 +481,11 @@
 
         Its client may have left unread; what the guard says counts as used, so it is asked last."""
         now = self.clock()
-        if taken.answered or not taken.carrier.ready(engine) \
-                or not self.rules.may_send(now, taken.number, trip, engine):
+        if (
+            taken.answered
+            or not taken.carrier.ready(engine)
+            or not self.rules.may_send(now, taken.number, trip, engine)
+        ):
             self.counters.add("trips_overtaken")
             return None
         if not taken.here():
@@ -463,15 +541,29 @@
         self.counters.add("trips_" + outcome.ending.name.lower())
         self.gather(self.ended, taken, trip, engine, sent, outcome)
 
-    def ended(self, now: float, taken: Taken, trip: int, engine: int, sent: float,
-              outcome: Outcome) -> None:
+    def ended(self, now: float, taken: Taken, trip: int, engine: int, sent: float, outcome: Outcome) -> None:
         taken.trips.pop(trip, None)
         delivered = outcome.ending == Ending.DELIVERED
-        if self.guard is not None and taken.answered and taken.carrier is not self.engines \
-                and outcome.ending in PROVE and not taken.trips:
+        if (
+            self.guard is not None
+            and taken.answered
+            and taken.carrier is not self.engines
+            and outcome.ending in PROVE
+            and not taken.trips
+        ):
             self.guard.never_ran(taken)
         if delivered and not taken.answered:
             self.asked.append((self.conclude, (taken, Delivered(outcome.pages))))
-        self.rules.ended(now, taken.number, trip, engine, outcome.ending, now - sent,
-                         delivered or taken.answered, 0.0, 0.0, outcome.report)
+        self.rules.ended(
+            now,
+            taken.number,
+            trip,
+            engine,
+            outcome.ending,
+            now - sent,
+            delivered or taken.answered,
+            0.0,
+            0.0,
+            outcome.report,
+        )
         self.drop(taken)
--- a/spurdeal/net/logs.py
+++ b/spurdeal/net/logs.py
@@ -15,8 +15,11 @@
     """The message names the event; a dict under `figures` in the record's extras holds what goes with it."""
 
     def format(self, record: logging.LogRecord) -> str:
-        pairs = {"t": f"{record.created:.3f}", "level": record.levelname.lower(),
-                 "event": record.getMessage()}
+        pairs = {
+            "t": f"{record.created:.3f}",
+            "level": record.levelname.lower(),
+            "event": record.getMessage(),
+        }
         pairs |= getattr(record, "figures", {})
         if record.exc_info:
             pairs["trace"] = self.formatException(record.exc_info)
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -51,16 +51,27 @@
             seats.clear()
         for entry in roster["instances"]:
             host, port = read_address(entry["hostPort"])
-            seat = Seat(str(entry["instanceId"]), host, port, str(entry["zone"]), str(entry["machineType"]),
-                        int(entry.get("cell", 0)), LIVES[entry["lifecycle"]],
-                        float(entry.get("weight", 1.0)), float(entry.get("startedAtMs", 0.0)))
+            seat = Seat(
+                str(entry["instanceId"]),
+                host,
+                port,
+                str(entry["zone"]),
+                str(entry["machineType"]),
+                int(entry.get("cell", 0)),
+                LIVES[entry["lifecycle"]],
+                float(entry.get("weight", 1.0)),
+                float(entry.get("startedAtMs", 0.0)),
+            )
             seats[seat.ident] = seat
         last = max(last, int(item["no"]))
     return last, {ident: seat for ident, seat in seats.items() if seat.life != Life.GONE}
 
 
-def answered_seats(services: Sequence[tuple[int, int, int, str]], addresses: Mapping[str, str],
-                   texts: Mapping[str, Sequence[str]]) -> dict[str, Seat]:
+def answered_seats(
+    services: Sequence[tuple[int, int, int, str]],
+    addresses: Mapping[str, str],
+    texts: Mapping[str, Sequence[str]],
+) -> dict[str, Seat]:
     seats = {}
     for priority, weight, port, target in services:
         labels = dns.labels_of(target)
@@ -69,9 +80,17 @@
             raise dns.BadDatagram(f"no address for {target}")
         told = dict(text.partition("=")[::2] for text in texts.get(owner, ()))
         try:
-            seats[labels[0]] = Seat(labels[0], addresses[owner], port, labels[1], told["kind"],
-                                    int(told.get("cell", 0)), Life.DRAINING if priority else Life.READY,
-                                    weight / WEIGHT_SCALE, float(told.get("started", 0.0)))
+            seats[labels[0]] = Seat(
+                labels[0],
+                addresses[owner],
+                port,
+                labels[1],
+                told["kind"],
+                int(told.get("cell", 0)),
+                Life.DRAINING if priority else Life.READY,
+                weight / WEIGHT_SCALE,
+                float(told.get("started", 0.0)),
+            )
         except (KeyError, ValueError):
             raise dns.BadDatagram(f"no usable text for {target}") from None
     return seats
@@ -82,8 +101,15 @@
 
     transport: Any
 
-    def __init__(self, reactor: Any, address: tuple[str, int], number: int,
-                 listed: Callable[[dict[str, Seat]], None], counters: Counters, log: logging.Logger) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        address: tuple[str, int],
+        number: int,
+        listed: Callable[[dict[str, Seat]], None],
+        counters: Counters,
+        log: logging.Logger,
+    ) -> None:
         self.reactor, self.address, self.number, self.listed = reactor, address, number, listed
         self.counters, self.log = counters, log
         self.ident, self.open, self.asking = 0, dict[int, None](), None
--- a/spurdeal/net/resp.py
+++ b/spurdeal/net/resp.py
@@ -27,9 +27,9 @@
             size, at = sized
             if len(self.buffer) < at + size + 2:
                 return None
-            if self.buffer[at + size:at + size + 2] != b"\r\n":
+            if self.buffer[at + size : at + size + 2] != b"\r\n":
                 raise BadAnswer("a string does not end where it said")
-            parts.append(whole[at:at + size])
+            parts.append(whole[at : at + size])
             at += size + 2
         self.took(at)
         return parts
@@ -38,14 +38,14 @@
         """The number of a line that starts with this mark, and where the next begins."""
         if at >= len(self.buffer):
             return None
-        if self.buffer[at:at + 1] != mark:
+        if self.buffer[at : at + 1] != mark:
             raise BadAnswer(f"{mark.decode()} was expected")
         end = self.buffer.find(b"\r\n", at, at + LONGEST_LENGTH)
         if end < 0:
             if len(self.buffer) - at >= LONGEST_LENGTH:
                 raise BadAnswer("a length does not end")
             return None
-        digits = self.buffer[at + 1:end]
+        digits = self.buffer[at + 1 : end]
         if not digits.isdigit() or int(digits) > most:
             raise BadAnswer("a length is no number or too large")
         return int(digits), end + 2
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -75,19 +75,27 @@
         site = replace(deployment(settings), most_open=sockets * CLIENTS_MOST)
         host, port = read_address(given["listen"])
         return Told(
-            name=str(given.get("name", "")), host=host, port=port, seed=int(str(given.get("seed", "0")), 16),
-            sockets=sockets, memory_mb=float(own.get("memory_mb", 192.0)),
+            name=str(given.get("name", "")),
+            host=host,
+            port=port,
+            seed=int(str(given.get("seed", "0")), 16),
+            sockets=sockets,
+            memory_mb=float(own.get("memory_mb", 192.0)),
             nameserver=read_address(given["nameserver"]),
-            known=known_seats(given["known"]), site=site,
+            known=known_seats(given["known"]),
+            site=site,
             workloads={str(grade["name"]).encode(): place for place, grade in enumerate(settings["grades"])},
-            customers={str(tenant.get("name", "")).encode(): place
-                       for place, tenant in enumerate(settings.get("tenants", []))},
+            customers={
+                str(tenant.get("name", "")).encode(): place
+                for place, tenant in enumerate(settings.get("tenants", []))
+            },
             locations=[str(name) for name in settings.get("zones", [])],
             kinds=[str(name) for name in settings.get("models", [])],
             report_fields=reported(settings),
             connect_within=float(limits.get("dial_timeout", 250.0)),
             idle_after=float(limits.get("conn_idle", 30_000.0)),
-            trips_a_connection=int(limits.get("streams_per_conn", 1)))
+            trips_a_connection=int(limits.get("streams_per_conn", 1)),
+        )
     except KeyError as missing:
         raise Unusable(f"configuration: {missing} is missing or has a value that is not known") from None
     except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
@@ -105,13 +113,20 @@
 class Service:
     """One dispatcher: its parts, started and stopped together."""
 
-    def __init__(self, told: Told, reactor: Any, clock: Callable[[], float], log: logging.Logger,
-                 done: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        told: Told,
+        reactor: Any,
+        clock: Callable[[], float],
+        log: logging.Logger,
+        done: Callable[[], None],
+    ) -> None:
         self.told, self.reactor, self.clock, self.log, self.done = told, reactor, clock, log, done
         self.counters = Counters()
         self.engines = Engines(reactor, clock, told.report_fields, self.counters, log)
-        self.link = SocketLink(told.site, told.seed, told.locations, told.kinds, self.engines, reactor, clock,
-                               self.counters, log)
+        self.link = SocketLink(
+            told.site, told.seed, told.locations, told.kinds, self.engines, reactor, clock, self.counters, log
+        )
         self.clients = Clients(self.link, told.workloads, told.customers, clock, self.counters, log)
         self.bound(told)
         number, seats = told.known
@@ -126,8 +141,13 @@
 
     def bound(self, told: Told) -> None:
         """All that follows from the limits told."""
-        self.engines.bound(told.connect_within, told.idle_after, told.trips_a_connection,
-                           int(told.sockets * ENGINES_PART), told.site.drain_grace)
+        self.engines.bound(
+            told.connect_within,
+            told.idle_after,
+            told.trips_a_connection,
+            int(told.sockets * ENGINES_PART),
+            told.site.drain_grace,
+        )
         self.clients.bound(int(told.sockets * CLIENTS_PART), told.memory_mb)
 
     def read_again(self, read: Callable[[], Told], tries: int = 0) -> None:
@@ -155,18 +175,32 @@
             self.names.move(told.nameserver)
         host, port = told.nameserver
         later = (told.site, told.host, told.port) != (self.told.site, self.told.host, self.told.port)
-        self.log.info("configuration_read", extra={"figures": {
-            "nameserver": f"{host}:{port}", "sockets": told.sockets, "rest_at_a_start": later}})
+        self.log.info(
+            "configuration_read",
+            extra={
+                "figures": {"nameserver": f"{host}:{port}", "sockets": told.sockets, "rest_at_a_start": later}
+            },
+        )
 
     def start(self) -> None:
-        self.clients.port = self.reactor.listenTCP(self.told.port, self.clients, backlog=BACKLOG,
-                                                   interface=self.told.host)
+        self.clients.port = self.reactor.listenTCP(
+            self.told.port, self.clients, backlog=BACKLOG, interface=self.told.host
+        )
         self.reactor.listenUDP(0, self.names, interface=self.told.host, maxPacketSize=65535)
         self.link.listed(self.seats)
         self.clients.ready = True
         self.sweeping.start(SWEEP_EVERY, now=False)
-        self.log.info("ready", extra={"figures": {"name": self.told.name, "listen": self.told.host,
-                                                  "port": self.told.port, "engines": len(self.seats)}})
+        self.log.info(
+            "ready",
+            extra={
+                "figures": {
+                    "name": self.told.name,
+                    "listen": self.told.host,
+                    "port": self.told.port,
+                    "engines": len(self.seats),
+                }
+            },
+        )
 
     def unhandled(self, event: Mapping[str, Any]) -> None:
         """A fault that a protocol let through: Twisted ends its connection, and the log tells why."""
@@ -191,8 +225,12 @@
         """Ends once all is answered and no more can come; answers on their way out are written first."""
         passed = self.clock() - self.stopped_at
         over = passed >= self.stop_within + OVERTIME
-        if not over and (passed < STOP_NOT_BEFORE or self.link.by_ident or self.clients.close_idle()
-                         or self.clients.stop_accepting()):
+        if not over and (
+            passed < STOP_NOT_BEFORE
+            or self.link.by_ident
+            or self.clients.close_idle()
+            or self.clients.stop_accepting()
+        ):
             self.reactor.callLater(LOOK_EVERY, self.leave)
             return
         if self.retry is not None and self.retry.active():
@@ -228,6 +266,7 @@
         raise Unusable("ROUTER_CONFIG is not set")
     told = told_by(path)
     from twisted.internet import reactor
+
     loop: Any = reactor
     service = Service(told, loop, unix_ms, logger(told.name or "spurdeal", sys.stderr), loop.stop)
     on_signals(loop, lambda: service.read_again(lambda: told_by(path)), service.stop)
--- a/spurdeal/net/statement.py
+++ b/spurdeal/net/statement.py
@@ -3,17 +3,37 @@
 import re
 from collections.abc import Iterator
 
-TOKENS = re.compile(r"""
+TOKENS = re.compile(
+    r"""
     (?P<skip>\s+|--[^\n]*|[eE]'(?:[^'\\]|\\.|'')*+'|'(?:[^']|'')*+')
     |(?P<comment>/\*)|(?P<dollar>\$(?:[^\W\d]\w*)?\$)
     |"(?P<quoted>(?:[^"]|"")*+)"|`(?P<ticked>[^`]*+)`
     |(?P<name>[^\W\d]\w*)
-    |(?P<other>.)""", re.VERBOSE | re.DOTALL)
+    |(?P<other>.)""",
+    re.VERBOSE | re.DOTALL,
+)
 COMMENT_MARKS = re.compile(r"/\*|\*/")
 GROUP = re.compile(r".*_(\d{1,9})", re.DOTALL)
 BEFORE_TABLE = {"from", "join", "into", "update", "table", "copy", "using", "only", "truncate", "merge"}
-ENDS_TABLES = {"where", "group", "order", "having", "limit", "union", "except", "intersect", "on", "set",
-               "values", "select", "returning", "window", "fetch", "offset", "for"}
+ENDS_TABLES = {
+    "where",
+    "group",
+    "order",
+    "having",
+    "limit",
+    "union",
+    "except",
+    "intersect",
+    "on",
+    "set",
+    "values",
+    "select",
+    "returning",
+    "window",
+    "fetch",
+    "offset",
+    "for",
+}
 QUERIES = {"select", "with", "("}
 STAGING = "staging"
 NO_GROUP = -1
--- a/spurdeal/net/unread.py
+++ b/spurdeal/net/unread.py
@@ -9,7 +9,7 @@
         self.at = 0
 
     def feed(self, data: bytes) -> None:
-        left = self.buffer[self.at:]
+        left = self.buffer[self.at :]
         self.buffer, self.at = left + data if left else data, 0
 
     def took(self, at: int) -> None:
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -181,8 +181,18 @@
 
     # Submissions on their way out: the stages.
 
-    def submitted(self, now: float, number: int, kind: int, customer: int, key: int, expiry: float,
-                  cost: float, memory: float, group: int) -> None:
+    def submitted(
+        self,
+        now: float,
+        number: int,
+        kind: int,
+        customer: int,
+        key: int,
+        expiry: float,
+        cost: float,
+        memory: float,
+        group: int,
+    ) -> None:
         self.now = now
         w, usual = self.workloads[kind], self.usual[kind]
         cost = cost or usual or w.agreed / 4
@@ -268,9 +278,17 @@
         leaving, a planned stop. It could only harm where the way is so slow that each look comes too late."""
         self.now, e = now, self.engines.get(engine)
         t = e.out.get((number, trip)) if e is not None else None
-        if e is None or t is None or t.called_off or t.submission.over or now >= t.submission.expiry \
-                or e.line.life != Life.READY or e.line.started != t.started \
-                or not self.may_repeat(t.submission) or (now < e.warm_at and not t.cold):
+        if (
+            e is None
+            or t is None
+            or t.called_off
+            or t.submission.over
+            or now >= t.submission.expiry
+            or e.line.life != Life.READY
+            or e.line.started != t.started
+            or not self.may_repeat(t.submission)
+            or (now < e.warm_at and not t.cold)
+        ):
             return False
         if t.cold and now > t.sent and (t.sent, t.cold) in e.cold_sends:  # it counts from when it leaves
             e.cold_sends.remove((t.sent, t.cold))
@@ -279,8 +297,11 @@
 
     def may_repeat(self, s: Submission) -> bool:
         """Rule 2 for labelled ones: a repeat leaves while the first that may have run is still known."""
-        return s.ran is None or s.workload.effect != Effect.LABELLED \
+        return (
+            s.ran is None
+            or s.workload.effect != Effect.LABELLED
             or self.now < s.ran.sent + s.workload.known_for - REPEAT_MARGIN
+        )
 
     def turn(self, now: float) -> None:
         """Held ones leave, lowest aged cost per utility first, each to the engine with most room."""
@@ -319,9 +340,14 @@
         # Where n* is under one submission ties are the rule: fewer trips out, then better pace of two drawn.
         # One that fails at once has fewest out: its errors since it last delivered count as threads.
         # A cold one whose part has come together first: left to chance, most of it would go unused.
-        ranks = [(-(e.threads + e.errors) / e.cores if fewest else e.room(),
-                  e.warm_at > self.now and self.cold_budget * e.cores < self.usual[s.kind],
-                  -len(e.out) if e.bound < w.threads else 0) for e in engines]
+        ranks = [
+            (
+                -(e.threads + e.errors) / e.cores if fewest else e.room(),
+                e.warm_at > self.now and self.cold_budget * e.cores < self.usual[s.kind],
+                -len(e.out) if e.bound < w.threads else 0,
+            )
+            for e in engines
+        ]
         top = max(ranks, default=None)
         best = [e for e, rank in zip(engines, ranks, strict=True) if rank == top]
         two = best[:2] if best and best[0].bound < w.threads else best[:1]
@@ -336,13 +362,17 @@
         w, now, ran = s.workload, self.now, s.ran if s.workload.effect == Effect.LABELLED else None
         if not self.may_repeat(s):
             return []
-        return [e for e in self.ready if now >= e.aside_until
-                and not (e.trial and (e.out or w.effect != Effect.REDOABLE))
-                and (now >= e.warm_at or self.bears(e, self.usual[s.kind]))
-                and (w.locations is None or e.line.location in w.locations)
-                and (w.kinds is None or e.line.kind in w.kinds)
-                and not (ran and w.reach == Reach.LOCATION and e.line.location != ran.engine.line.location)
-                and not (ran and w.reach == Reach.CELL and e.line.cell != ran.engine.line.cell)]
+        return [
+            e
+            for e in self.ready
+            if now >= e.aside_until
+            and not (e.trial and (e.out or w.effect != Effect.REDOABLE))
+            and (now >= e.warm_at or self.bears(e, self.usual[s.kind]))
+            and (w.locations is None or e.line.location in w.locations)
+            and (w.kinds is None or e.line.kind in w.kinds)
+            and not (ran and w.reach == Reach.LOCATION and e.line.location != ran.engine.line.location)
+            and not (ran and w.reach == Reach.CELL and e.line.cell != ran.engine.line.cell)
+        ]
 
     def bears(self, engine: Engine, work: float) -> bool:
         """Rule 4: our share of what a cold engine bears in any window, by the workload's usual work."""
@@ -353,8 +383,11 @@
         budget, sent = self.cold_budget * engine.cores, sum(sent for _, sent in engine.cold_sends)
         # Our share may be under one submission: a light one then goes once it has come together, from a part
         # drawn at the start, so that in sum over all dispatchers the shares are sent and no more.
-        part = (engine.cold_part * work + budget * (self.now - engine.cold_from) / self.cold_window
-                - engine.cold_spent)
+        part = (
+            engine.cold_part * work
+            + budget * (self.now - engine.cold_from) / self.cold_window
+            - engine.cold_spent
+        )
         engine.cold_spent += max(0.0, part - work)  # no more than one comes together: a burst would send all
         return work + sent <= budget or (work <= self.light * engine.cores and not sent and part >= work)
 
@@ -368,8 +401,10 @@
 
     def stands(self, engine: Engine, group: int) -> bool:
         """A load of ours holds that group of tables there, or one of ours stands still behind another's."""
-        return any(t.submission.group == group and (t.submission.workload.holds_tables or t.stands)
-                   for t in engine.out.values())
+        return any(
+            t.submission.group == group and (t.submission.workload.holds_tables or t.stands)
+            for t in engine.out.values()
+        )
 
     def may_go_further(self) -> bool:
         """Rule 7, and our own credit, which follows how many of the recent further trips succeeded."""
@@ -384,8 +419,19 @@
 
     # What comes back: trip, engine, order, then the answer owed.
 
-    def ended(self, now: float, number: int, trip: int, engine: int, ending: Ending, took: float, final: bool,
-              work: float, memory: float, report: Sequence[float]) -> None:
+    def ended(
+        self,
+        now: float,
+        number: int,
+        trip: int,
+        engine: int,
+        ending: Ending,
+        took: float,
+        final: bool,
+        work: float,
+        memory: float,
+        report: Sequence[float],
+    ) -> None:
         self.now, e = now, self.engines[engine]
         t = e.out.pop((number, trip))
         s = t.submission
@@ -409,10 +455,17 @@
             self.rests[s.key] = now + self.order_rest
         if final or s.over:
             self.close(s)
-        elif now >= s.expiry - 1.0 or (not s.out and (len(s.erred) > 1 or  # it fails anywhere
-                now >= s.expiry - LAST_MOMENT or ending == Ending.TIME_OUT
+        elif now >= s.expiry - 1.0 or (
+            not s.out
+            and (
+                len(s.erred) > 1  # it fails anywhere
+                or now >= s.expiry - LAST_MOMENT
+                or ending == Ending.TIME_OUT
                 or s.made >= self.most_trips + min(s.unsent, MOST_UNSENT)
-                or self.further_credit < 1.0 or (s.ran and s.workload.effect == Effect.IRREVERSIBLE))):
+                or self.further_credit < 1.0
+                or (s.ran and s.workload.effect == Effect.IRREVERSIBLE)
+            )
+        ):
             self.end(s)
         elif not s.out:
             s.avoid.append(e)
@@ -494,8 +547,11 @@
                 e.pressed_until = self.now + PRESSURE_HOLD
             quiet = self.now - e.answered
             # Silence while others answer: a hang, a lost link, answers lost on the way.
-            if quiet > SILENCE and sum(quiet > SILENCE_OF_DUE * t.submission.due * self.middle
-                                       for t in e.out.values()) >= SILENT_TRIPS:
+            if (
+                quiet > SILENCE
+                and sum(quiet > SILENCE_OF_DUE * t.submission.due * self.middle for t in e.out.values())
+                >= SILENT_TRIPS
+            ):
                 heard = sorted(other.answered for other in self.ready)
                 if heard and heard[len(heard) // 2] > e.answered + SILENCE / 2:
                     self.set_aside(e, f"silent {quiet:.0f} ms")
@@ -503,8 +559,13 @@
     def mind(self, e: Engine, t: Trip, times_due: float) -> None:
         """A trip with no word while its engine answers others stands still, or its answer is lost."""
         s, w, quiet = t.submission, t.submission.workload, self.now - t.heard
-        if self.may_call_off and not s.over and w.effect == Effect.REDOABLE \
-                and w.late_utility < LATE_WORTH_IT and self.now > s.taken + TOO_LATE * (s.agreed - s.taken):
+        if (
+            self.may_call_off
+            and not s.over
+            and w.effect == Effect.REDOABLE
+            and w.late_utility < LATE_WORTH_IT
+            and self.now > s.taken + TOO_LATE * (s.agreed - s.taken)
+        ):
             self.end(s)  # its answer is worth nothing any more, and its trip holds an engine
         if self.notes:
             lost = quiet > LOST_NOTES * self.notes
@@ -512,8 +573,13 @@
         else:
             lost = quiet > LOST_LEAST and times_due > LOST_DUE and self.now >= self.pressed_until
             e.stand(t, times_due > STANDS and (w.waits_for_loads or w.holds_tables))
-        if lost and w.effect == Effect.REDOABLE and s.made < self.most_trips \
-                and self.may_go_further() and self.now + s.due * self.middle < s.expiry - LAST_MOMENT:
+        if (
+            lost
+            and w.effect == Effect.REDOABLE
+            and s.made < self.most_trips
+            and self.may_go_further()
+            and self.now + s.due * self.middle < s.expiry - LAST_MOMENT
+        ):
             self.call_off([t])
 
     def noted(self, now: float, number: int, trip: int, engine: int, word: Word, level: float) -> None:
@@ -606,8 +672,9 @@
         # Luck lies even over the engines, so that in each interval as many are open as chance means.
         for place, e in enumerate(sorted(self.engines.values(), key=lambda _: self.chance.draw())):
             e.luck, moved = (first + place / count) % 1.0, START_THREADS * e.cores * share - e.start
-            e.start, e.bound, e.before = (max(FLOOR * (e.start + moved), n + moved)
-                                          for n in (e.start, e.bound, e.before))
+            e.start, e.bound, e.before = (
+                max(FLOOR * (e.start + moved), n + moved) for n in (e.start, e.bound, e.before)
+            )
             e.pace.halve()
             e.slowness, e.errors = pooled(e.pace, self.middle), e.errors / 2
             if self.now >= e.aside_until and not e.trial:
--- a/spurdeal/settings/installation.py
+++ b/spurdeal/settings/installation.py
@@ -17,6 +17,7 @@
 def socket_address(text: object) -> tuple[Address, int]:
     """An IP address and a port as 127.0.0.1:7112 or [::1]:7112."""
     from ipaddress import ip_address
+
     host, colon, port = str(text).rpartition(":")
     if not colon or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"{text!r} is no address with a port, as 127.0.0.1:7112")
@@ -37,7 +38,8 @@
 
     condition: Literal["list_stale", "no_engine", "shut_out", "stopping"] = Field(
         description="list_stale: no answer of the name service for stale_after; no_engine: none is ready; "
-                    "shut_out: the fleet's lease is not held; stopping: a planned stop has begun")
+        "shut_out: the fleet's lease is not held; stopping: a planned stop has begun"
+    )
     lowers: int = Field(ge=1, le=254, description="by how much the priority is lowered; it stays 1 at least")
 
 
@@ -100,7 +102,8 @@
     groups: list[Group] = Field(min_length=1, max_length=64, description="the virtual routers")
     bundles: list[list[int]] = Field(default_factory=list, description="groups that move together")
     holder: Annotated[Announce | Listen | Command, Field(discriminator="kind")] = Field(
-        description="how an address is held: announce, listen or command")
+        description="how an address is held: announce, listen or command"
+    )
     stale_after: Duration = Field(3000.0, description="the list of engines is stale after so long")
     bar: Duration = Field(10_000.0, description="so long a returning one waits for list and handover")
 
@@ -133,13 +136,17 @@
     """What dispatchers tell each other."""
 
     listen: SocketAddress = Field(description="where handover of the peers arrives, by UDP")
-    keys: list[Key] = Field(min_length=1, max_length=2,
-                            description="the first seals; both open, so that keys can change in service")
+    keys: list[Key] = Field(
+        min_length=1,
+        max_length=2,
+        description="the first seals; both open, so that keys can change in service",
+    )
     every: Duration = Field(100.0, ge=10, le=10_000, description="between two datagrams to each peer")
     ahead: bool = Field(False, description="irreversible ones are told to the peers before they are sent")
     ahead_wait: Duration = Field(50.0, ge=5, le=1000, description="the longest wait for the peers' answers")
     alone: Literal["refuse", "send"] = Field(
-        "refuse", description="irreversible ones while a peer is away: shed, or sent after alone_after")
+        "refuse", description="irreversible ones while a peer is away: shed, or sent after alone_after"
+    )
     alone_after: Duration = Field(3000.0, description="with send, a peer silent for so long is away")
     marks: int = Field(100_000, ge=100, le=5_000_000, description="most ids kept; then they are shed")
     keep: Duration = Field(60_000.0, description="an id is kept for so long after its submission's expiry")
@@ -157,7 +164,8 @@
 
     path: str = Field(min_length=1, description="a folder of its own, on a disk that outlives the process")
     flush: Literal["always", "turn", "never"] = Field(
-        "turn", description="always: on the disk before it is sent; turn: within 50ms; never: when it likes")
+        "turn", description="always: on the disk before it is sent; turn: within 50ms; never: when it likes"
+    )
     keep: Duration = Field(60_000.0, description="an id is kept for so long after its submission's expiry")
     ids: int = Field(1_000_000, ge=100, le=20_000_000, description="most ids kept; then they are shed")
     bytes: int = Field(268_435_456, ge=65_536, description="most bytes of the log; then they are shed")
@@ -180,8 +188,11 @@
     margin: Duration = Field(20.0, ge=1, description="an answer leaves so long before their time is up")
     use_within: Duration = Field(150.0, ge=10, description="an answer leaves so long before that")
     id_header: str = Field("req-id", pattern=r"^[a-z0-9-]{1,64}$", description="the header that holds the id")
-    proof_header: str = Field("x-never-ran", pattern=r"^[a-z0-9-]{1,64}$",
-                              description="on a response: whoever wrote it knows that nothing ran")
+    proof_header: str = Field(
+        "x-never-ran",
+        pattern=r"^[a-z0-9-]{1,64}$",
+        description="on a response: whoever wrote it knows that nothing ran",
+    )
     connections: int = Field(64, ge=1, le=4096, description="most connections of callers")
     calls: int = Field(2048, ge=1, le=100_000, description="most calls in hand")
     calls_each: int = Field(512, ge=1, le=100_000, description="most calls in hand on one connection")
@@ -215,10 +226,14 @@
 
     listen: SocketAddress = Field(description="where the others' datagrams arrive, by UDP")
     advertise: SocketAddress | None = Field(None, description="where they send them, if not to listen")
-    keys: list[Key] = Field(min_length=1, max_length=2,
-                            description="the first seals; both open, so that keys can change in service")
-    seeds: list[Seed] = Field(default_factory=list, max_length=32,
-                              description="whom a new one asks; one that lives is enough")
+    keys: list[Key] = Field(
+        min_length=1,
+        max_length=2,
+        description="the first seals; both open, so that keys can change in service",
+    )
+    seeds: list[Seed] = Field(
+        default_factory=list, max_length=32, description="whom a new one asks; one that lives is enough"
+    )
     period: Duration = Field(200.0, ge=50, le=10_000, description="between two probes")
     lease: Duration = Field(1500.0, ge=300, le=60_000, description="so long an answer of a warden counts")
     part: float = Field(0.34, gt=0.0, le=1.0, description="of the wardens: so many must answer")
@@ -263,7 +278,8 @@
             raise ValueError("vrrp and peers are told together, and handover with them")
         if self.handover is not None and self.tenure.on and self.tenure.lease < 3 * self.handover.every:
             raise ValueError("tenure.lease is under three times handover.every: loans would end in between")
-        if len({key.id for key in self.handover.keys} if self.handover else [0]) != \
-                (len(self.handover.keys) if self.handover else 1):
+        if len({key.id for key in self.handover.keys} if self.handover else [0]) != (
+            len(self.handover.keys) if self.handover else 1
+        ):
             raise ValueError("two keys have one id")
         return self
--- a/spurdeal/settings/reading.py
+++ b/spurdeal/settings/reading.py
@@ -85,8 +85,15 @@
         elif not isinstance(node, (CommentedMap, CommentedSeq)):
             continue  # which of several types was tried
         words += f"[{step}]" if isinstance(step, int) else f".{step}" if words else str(step)
-        node = node[step] if isinstance(node, CommentedMap) and step in node or \
-            isinstance(node, CommentedSeq) and isinstance(step, int) and step < len(node) else None
+        node = (
+            node[step]
+            if isinstance(node, CommentedMap)
+            and step in node
+            or isinstance(node, CommentedSeq)
+            and isinstance(step, int)
+            and step < len(node)
+            else None
+        )
     return words, line
 
 
@@ -94,8 +101,13 @@
     """Every key with its default and meaning, from the types that check the file."""
     for name, field in part.model_fields.items():
         path = f"{before}{name}"
-        default = "must be told" if field.is_required() else "" if field.default is PydanticUndefined \
+        default = (
+            "must be told"
+            if field.is_required()
+            else ""
+            if field.default is PydanticUndefined
             else str(field.default)
+        )
         yield path, default, field.description or ""
         for inner in parts_of(field.annotation):
             many = "[]" if "list" in str(field.annotation) else ""
--- a/spurdeal/store/guard.py
+++ b/spurdeal/store/guard.py
@@ -24,9 +24,18 @@
 class LedgerGuard:
     """A Guard that keeps a ledger, before another one (or none)."""
 
-    def __init__(self, ledger: Ledger, guarded: Sequence[bool], keep: float, come_back: float, reactor: Any,
-                 counters: Counters, log: logging.Logger, inner: Guard | None = None,
-                 in_thread: Callable[[Callable[[], None]], Deferred[None]] = deferToThread) -> None:
+    def __init__(
+        self,
+        ledger: Ledger,
+        guarded: Sequence[bool],
+        keep: float,
+        come_back: float,
+        reactor: Any,
+        counters: Counters,
+        log: logging.Logger,
+        inner: Guard | None = None,
+        in_thread: Callable[[Callable[[], None]], Deferred[None]] = deferToThread,
+    ) -> None:
         self.ledger, self.guarded, self.keep, self.come_back = ledger, guarded, keep, come_back
         self.reactor, self.counters, self.log, self.inner = reactor, counters, log, inner
         self.in_thread = in_thread
@@ -76,6 +85,7 @@
             else:
                 del self.waiting[token]
                 go(verdict)
+
         if self.inner is None or self.inner.before(taken, trip, told):
             self.gather(token)
         return False
@@ -144,8 +154,9 @@
             return
         if self.ledger.flush_when == "always":
             self.flushing = True
-            self.in_thread(self.ledger.syncer()).addCallbacks(lambda _: self.flushed(tokens, True),
-                                                          lambda _: self.flushed(tokens, False))
+            self.in_thread(self.ledger.syncer()).addCallbacks(
+                lambda _: self.flushed(tokens, True), lambda _: self.flushed(tokens, False)
+            )
         else:
             self.verdicts(tokens, True)
 
@@ -161,5 +172,3 @@
             found = self.waiting.pop(token, None)
             if found is not None:
                 found[1](go)
-
-
--- a/spurdeal/store/ledger.py
+++ b/spurdeal/store/ledger.py
@@ -38,8 +38,15 @@
     disk.
     """
 
-    def __init__(self, path: Path, clock: Callable[[], float], flush: str = "turn", most: int = 1_000_000,
-                 most_bytes: int = 256 * 1_048_576, system: Any = os) -> None:
+    def __init__(
+        self,
+        path: Path,
+        clock: Callable[[], float],
+        flush: str = "turn",
+        most: int = 1_000_000,
+        most_bytes: int = 256 * 1_048_576,
+        system: Any = os,
+    ) -> None:
         assert flush in FLUSHES
         self.path, self.clock, self.flush_when, self.most = path, clock, flush, most
         self.most_bytes, self.system = most_bytes, system
@@ -144,12 +151,13 @@
                 raise
             finally:
                 os.close(file)
+
         return sync
 
     def write(self, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            view = view[self.system.write(self.file, view):]
+            view = view[self.system.write(self.file, view) :]
 
     def cut(self) -> None:
         """What was half written goes, so that the next record does not stand behind a torn one."""
@@ -188,7 +196,7 @@
         try:
             view = memoryview(data)
             while view:
-                view = view[self.system.write(file, view):]
+                view = view[self.system.write(file, view) :]
             self.system.fsync(file)
             self.system.rename(fresh, self.name)
         except OSError:
--- a/spurdeal/store/records.py
+++ b/spurdeal/store/records.py
@@ -39,16 +39,16 @@
 
 def read(data: bytes) -> Iterator[tuple[Record, int]]:
     """Records, each with the place behind it, up to the first that is torn or spoilt."""
-    if data[:len(MAGIC)] != MAGIC:
+    if data[: len(MAGIC)] != MAGIC:
         return
     at = len(MAGIC)
     while at + FRAME.size <= len(data):
         size, told = FRAME.unpack_from(data, at)
-        body = data[at + FRAME.size:at + FRAME.size + size]
+        body = data[at + FRAME.size : at + FRAME.size + size]
         if not BODY.size < size <= LARGEST or len(body) < size or zlib.crc32(body) != told:
             return
         kind, until, length = BODY.unpack_from(body)
         if length != size - BODY.size or kind not in Kind.__members__.values():
             return
         at += FRAME.size + size
-        yield Record(Kind(kind), body[BODY.size:], float(until)), at
+        yield Record(Kind(kind), body[BODY.size :], float(until)), at
--- a/spurdeal/vrrp/address.py
+++ b/spurdeal/vrrp/address.py
@@ -28,8 +28,9 @@
 
     transport: Any
 
-    def __init__(self, reactor: Any, switch: tuple[str, int], here: tuple[str, int],
-                 counters: Counters) -> None:
+    def __init__(
+        self, reactor: Any, switch: tuple[str, int], here: tuple[str, int], counters: Counters
+    ) -> None:
         self.reactor, self.switch, self.here, self.counters = reactor, switch, here, counters
         self.held: dict[int, Sequence[Address]] = {}
         self.later: dict[int, list[Any]] = {}
@@ -67,8 +68,15 @@
     """Listens on the addresses in this process. The one that leaves them accepts no more and answers the
     rest."""
 
-    def __init__(self, reactor: Any, factory: Any, port: int, drain: Callable[[str], None],
-                 counters: Counters, log: logging.Logger) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        factory: Any,
+        port: int,
+        drain: Callable[[str], None],
+        counters: Counters,
+        log: logging.Logger,
+    ) -> None:
         self.reactor, self.factory, self.port, self.drain = reactor, factory, port, drain
         self.counters, self.log = counters, log
         self.ports: dict[Address, Any] = {}
@@ -87,8 +95,10 @@
             self.ports[address] = self.reactor.listenTCP(self.port, self.factory, interface=str(address))
         except CannotListenError as fault:
             self.counters.add("address_not_listened")
-            self.log.warning("address_not_listened", extra={"figures": {
-                "address": str(address), "why": str(fault.socketError)}})
+            self.log.warning(
+                "address_not_listened",
+                extra={"figures": {"address": str(address), "why": str(fault.socketError)}},
+            )
             self.reactor.callLater(LISTEN_AGAIN, self.listen, address)
 
     def leave(self, group: int, addresses: Sequence[Address]) -> None:
@@ -103,8 +113,15 @@
 class Commands:
     """Runs the operator's command, one after the other, each ended after its time."""
 
-    def __init__(self, reactor: Any, take: Sequence[str], leave: Sequence[str], within: float,
-                 counters: Counters, log: logging.Logger) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        take: Sequence[str],
+        leave: Sequence[str],
+        within: float,
+        counters: Counters,
+        log: logging.Logger,
+    ) -> None:
         self.reactor, self.words = reactor, {True: tuple(take), False: tuple(leave)}
         self.within, self.counters, self.log = within, counters, log
         self.queue: list[list[str]] = []
@@ -162,6 +179,11 @@
     def processEnded(self, reason: Failure) -> None:
         if self.limit is not None and self.limit.active():
             self.limit.cancel()
-        fault = "ended after its time" if self.late else \
-            "" if isinstance(reason.value, ProcessDone) else str(reason.value)
+        fault = (
+            "ended after its time"
+            if self.late
+            else ""
+            if isinstance(reason.value, ProcessDone)
+            else str(reason.value)
+        )
         self.commands.ended(self.words, fault)
--- a/spurdeal/vrrp/advert.py
+++ b/spurdeal/vrrp/advert.py
@@ -46,8 +46,9 @@
     return ~ones_sum(before + message) & 0xFFFF
 
 
-def write(group: int, priority: int, interval: float, addresses: Sequence[Address], source: Address,
-          target: Address) -> bytes:
+def write(
+    group: int, priority: int, interval: float, addresses: Sequence[Address], source: Address, target: Address
+) -> bytes:
     """One advertisement.
 
     group is the VRID, 1 to 255; interval in ms, rounded to centiseconds, 10 to 40,950. source and target are
@@ -64,8 +65,9 @@
     return HEAD.pack(first, group, priority, len(addresses), ticks, checksum(blank, source, target)) + body
 
 
-def read(datagram: bytes, source: Address, target: Address, ttl: int | None = None) \
-        -> tuple[int, int, float, tuple[Address, ...]]:
+def read(
+    datagram: bytes, source: Address, target: Address, ttl: int | None = None
+) -> tuple[int, int, float, tuple[Address, ...]]:
     """Group, priority, interval in ms and addresses; Dropped where a check of section 7.1 fails.
 
     ttl is None where the system does not tell it. The list's kind of address is that of the group, told by
@@ -89,8 +91,12 @@
     if not checks(datagram, source, target):
         raise Dropped("checksum", f"{told:#06x}")
     width = size // count
-    return group, priority, ticks * CENTISECOND, tuple(
-        ip_address(datagram[at:at + width]) for at in range(HEAD.size, len(datagram), width))
+    return (
+        group,
+        priority,
+        ticks * CENTISECOND,
+        tuple(ip_address(datagram[at : at + width]) for at in range(HEAD.size, len(datagram), width)),
+    )
 
 
 def checks(datagram: bytes, source: Address, target: Address) -> bool:
@@ -102,11 +108,18 @@
 
 def fields(datagram: bytes, source: Address, target: Address) -> dict[str, object]:
     """Field by field, also where a check fails, for people; `dropped` then names the reason."""
-    padded = datagram[:HEAD.size].ljust(HEAD.size, b"\0")
+    padded = datagram[: HEAD.size].ljust(HEAD.size, b"\0")
     first, group, priority, count, ticks, told = HEAD.unpack(padded)
     found: dict[str, object] = {
-        "version": first >> 4, "type": first & 0x0F, "group": group, "priority": priority, "count": count,
-        "interval_ms": (ticks & 0x0FFF) * CENTISECOND, "checksum": f"{told:#06x}", "bytes": len(datagram)}
+        "version": first >> 4,
+        "type": first & 0x0F,
+        "group": group,
+        "priority": priority,
+        "count": count,
+        "interval_ms": (ticks & 0x0FFF) * CENTISECOND,
+        "checksum": f"{told:#06x}",
+        "bytes": len(datagram),
+    }
     try:
         found["addresses"] = [str(address) for address in read(datagram, source, target)[3]]
     except Dropped as fault:
--- a/spurdeal/vrrp/groups.py
+++ b/spurdeal/vrrp/groups.py
@@ -25,8 +25,12 @@
 class Groups:
     """All groups of one dispatcher, by VRID. What is to be done comes as pairs of group and Act."""
 
-    def __init__(self, terms: Sequence[Terms], tracked: Mapping[int, Sequence[Tracked]],
-                 bundles: Iterable[Sequence[int]] = ()) -> None:
+    def __init__(
+        self,
+        terms: Sequence[Terms],
+        tracked: Mapping[int, Sequence[Tracked]],
+        bundles: Iterable[Sequence[int]] = (),
+    ) -> None:
         self.machines = {each.group: Machine(each) for each in terms}
         self.tracked = {group: tuple(tracked.get(group, ())) for group in self.machines}
         self.bundles = {group: tuple(bundle) for bundle in bundles for group in bundle}
--- a/spurdeal/vrrp/handover.py
+++ b/spurdeal/vrrp/handover.py
@@ -57,8 +57,12 @@
 
 
 def number(value: Any, most: float = LONGEST_LEFT) -> float:
-    if not isinstance(value, (int, float)) or isinstance(value, bool) or not isfinite(value) \
-            or not 0 <= value <= most:
+    if (
+        not isinstance(value, (int, float))
+        or isinstance(value, bool)
+        or not isfinite(value)
+        or not 0 <= value <= most
+    ):
         raise Refused("body")
     return float(value)
 
@@ -71,8 +75,11 @@
 
 def rows(body: Mapping[str, Any], name: str, width: int, most: int) -> list[list[Any]]:
     found = body.get(name, [])
-    if not isinstance(found, list) or len(found) > most or not all(isinstance(row, list) and len(row) == width
-                                                                   for row in found):
+    if (
+        not isinstance(found, list)
+        or len(found) > most
+        or not all(isinstance(row, list) and len(row) == width for row in found)
+    ):
         raise Refused("body")
     return found
 
@@ -85,9 +92,20 @@
     so many ms without any peer, what peers know counts as known.
     """
 
-    def __init__(self, own: str, peers: Sequence[str], boot: int, keys: Keys, tenure: Tenure, marks: Marks,
-                 now: float, ahead: bool, ahead_wait: float, alone_after: float | None,
-                 without: float) -> None:
+    def __init__(
+        self,
+        own: str,
+        peers: Sequence[str],
+        boot: int,
+        keys: Keys,
+        tenure: Tenure,
+        marks: Marks,
+        now: float,
+        ahead: bool,
+        ahead_wait: float,
+        alone_after: float | None,
+        without: float,
+    ) -> None:
         self.sessions = {peer: Session(own, peer, boot, keys) for peer in peers}
         self.tenure, self.marks, self.began = tenure, marks, now
         self.ahead, self.ahead_wait, self.alone_after, self.without = ahead, ahead_wait, alone_after, without
@@ -148,7 +166,7 @@
         if never_ran and (turn := self.marks.never_ran(ident)) is not None:
             for clearing in self.clearing.values():
                 clearing.append((ident, turn, SAY_CLEAR))
-                del clearing[:-MOST_TOLD * SAY_CLEAR]  # older ones end by time
+                del clearing[: -MOST_TOLD * SAY_CLEAR]  # older ones end by time
 
     def tick(self, now: float) -> list[Verdict]:
         late = [token for token, waiting in self.waiting.items() if now >= waiting.until]
@@ -164,11 +182,14 @@
         clears, self.clearing[peer] = self.clearing[peer][:MOST_TOLD], self.clearing[peer][MOST_TOLD:]
         self.clearing[peer] += [(ident, turn, times - 1) for ident, turn, times in clears if times > 1]
         body: dict[str, Any] = {
-            "list": facts.list_number, "held": list(facts.held),
+            "list": facts.list_number,
+            "held": list(facts.held),
             "cold": [list(row) for row in facts.cold[:MOST_ENGINES]],
             "aside": [list(row) for row in facts.aside[:MOST_ENGINES]],
-            "lend": [part, wait], "left": self.tenure.left_of(now, peer),
-            "clear": [[ident.decode(), turn] for ident, turn, _ in clears]}
+            "lend": [part, wait],
+            "left": self.tenure.left_of(now, peer),
+            "clear": [[ident.decode(), turn] for ident, turn, _ in clears],
+        }
         if peer not in self.synced:
             body["need"] = self.pages_got.get(peer, 0)
         if (pages := self.pages_of.get(peer)) is not None:
@@ -186,17 +207,23 @@
     def told(self, now: float, peer: str) -> dict[str, Any]:
         waiting = [waiting for waiting in self.waiting.values() if peer in waiting.missing][:MOST_TOLD]
         replies, self.replies[peer] = self.replies[peer][:MOST_TOLD], self.replies[peer][MOST_TOLD:]
-        return {"tell": [[each.ident.decode(), max(0.0, each.expiry + self.marks.keep - now), each.turn]
-                         for each in waiting],
-                "reply": [list(reply) for reply in replies]}
+        return {
+            "tell": [
+                [each.ident.decode(), max(0.0, each.expiry + self.marks.keep - now), each.turn]
+                for each in waiting
+            ],
+            "reply": [list(reply) for reply in replies],
+        }
 
     def take(self, now: float, peer: str, datagram: bytes) -> list[Verdict]:
         """Refused where it cannot be used; nothing has changed then but what Session counts as seen."""
         session = self.sessions[peer]
         boots = session.boots
         body, asked = session.read(now, datagram)
-        told = [(ident_of(ident), number(left), number(turn, 1e15))
-                for ident, left, turn in rows(body, "tell", 3, MOST_TOLD)]
+        told = [
+            (ident_of(ident), number(left), number(turn, 1e15))
+            for ident, left, turn in rows(body, "tell", 3, MOST_TOLD)
+        ]
         replies = [(number(turn, 1e15), ok is True) for turn, ok in rows(body, "reply", 2, MOST_TOLD)]
         clears = [(ident_of(ident), number(turn, 1e15)) for ident, turn in rows(body, "clear", 2, MOST_TOLD)]
         marks = [(ident_of(ident), number(left)) for ident, left in rows(body, "marks", 2, PAGE)]
@@ -218,7 +245,7 @@
             self.marks.peer_clears(peer, ident, turn)
         for ident, ms, turn in told:
             self.replies[peer].append((turn, self.marks.peer_marks(now, peer, ident, ms, turn)))
-            del self.replies[peer][:-4 * MOST_TOLD]
+            del self.replies[peer][: -4 * MOST_TOLD]
         if need is not None:
             if peer not in self.pages_of:
                 self.pages_of[peer] = list(self.marks.pages(now, PAGE))
@@ -260,24 +287,33 @@
     def read_known(self, now: float, body: Mapping[str, Any]) -> Known | None:
         if "list" not in body:
             return None
-        cold = tuple((ident_of(ident).decode(), number(started, 1e15), number(sent, 1e12))
-                     for ident, started, sent in rows(body, "cold", 3, MOST_ENGINES))
-        aside = tuple((ident_of(ident).decode(), number(left))
-                      for ident, left in rows(body, "aside", 2, MOST_ENGINES))
+        cold = tuple(
+            (ident_of(ident).decode(), number(started, 1e15), number(sent, 1e12))
+            for ident, started, sent in rows(body, "cold", 3, MOST_ENGINES)
+        )
+        aside = tuple(
+            (ident_of(ident).decode(), number(left)) for ident, left in rows(body, "aside", 2, MOST_ENGINES)
+        )
         held = body.get("held", [])
         if not isinstance(held, list) or len(held) > 255:
             raise Refused("body")
-        return Known(now, int(number(body["list"], 1e12)), tuple(int(number(group, 255)) for group in held),
-                     cold, aside)
-
-    def read_rest(self, body: Mapping[str, Any]) \
-            -> tuple[tuple[float, float] | None, float | None, float | None, tuple[int, int] | None]:
+        return Known(
+            now,
+            int(number(body["list"], 1e12)),
+            tuple(int(number(group, 255)) for group in held),
+            cold,
+            aside,
+        )
+
+    def read_rest(
+        self, body: Mapping[str, Any]
+    ) -> tuple[tuple[float, float] | None, float | None, float | None, tuple[int, int] | None]:
         lend = page = None
         if "lend" in body:
-            (part, wait), = rows({"lend": [body["lend"]]}, "lend", 2, 1)
+            ((part, wait),) = rows({"lend": [body["lend"]]}, "lend", 2, 1)
             lend = number(part, 1.0), number(wait)
         if "page" in body:
-            (at, of), = rows({"page": [body["page"]]}, "page", 2, 1)
+            ((at, of),) = rows({"page": [body["page"]]}, "page", 2, 1)
             page = int(number(at, MOST_PAGES)), int(number(of, MOST_PAGES))
         left = number(body["left"]) if "left" in body else None
         need = number(body["need"], MOST_PAGES) if "need" in body else None
--- a/spurdeal/vrrp/sealed.py
+++ b/spurdeal/vrrp/sealed.py
@@ -34,8 +34,9 @@
     """One or two keys by id. The first seals; all open, so that a change loses nothing."""
 
     def __init__(self, keys: Mapping[int, bytes]) -> None:
-        if not 1 <= len(keys) <= 2 or not all(0 <= ident <= 255 and len(key) >= 16
-                                              for ident, key in keys.items()):
+        if not 1 <= len(keys) <= 2 or not all(
+            0 <= ident <= 255 and len(key) >= 16 for ident, key in keys.items()
+        ):
             raise ValueError("one or two keys of 16 bytes or more, with ids from 0 to 255")
         self.keys, self.sealing = dict(keys), next(iter(keys))
 
@@ -61,9 +62,13 @@
         while len(self.sent) > WINDOW * 4:
             self.sent.popitem(last=False)
         key = self.keys.sealing
-        data = HEAD.pack(MAGIC, key, len(self.own), self.boot, self.number,
-                         *(echo or (self.peer_boot, self.newest))) \
-            + self.own + json.dumps(body, separators=(",", ":")).encode()
+        data = (
+            HEAD.pack(
+                MAGIC, key, len(self.own), self.boot, self.number, *(echo or (self.peer_boot, self.newest))
+            )
+            + self.own
+            + json.dumps(body, separators=(",", ":")).encode()
+        )
         if len(data) + SEAL > LARGEST:
             raise ValueError(f"{len(data)} bytes are more than a datagram holds")
         return data + self.keys.seal(key, data)
@@ -113,9 +118,9 @@
             raise Refused("key")
         if not hmac.compare_digest(self.keys.seal(key, datagram[:-SEAL]), datagram[-SEAL:]):
             raise Refused("seal")
-        if datagram[HEAD.size:HEAD.size + size] != self.peer:
+        if datagram[HEAD.size : HEAD.size + size] != self.peer:
             raise Refused("name")
-        return boot, number, echo_boot, echo_number, datagram[HEAD.size + size:-SEAL]
+        return boot, number, echo_boot, echo_number, datagram[HEAD.size + size : -SEAL]
 
     def greet(self, now: float, datagram: bytes) -> bytes:
         """An empty answer to an unproven one whose seal is right: it echoes that start, which can then prove
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -35,9 +35,14 @@
 
 def keys_of(part: HandoverPart | FleetPart) -> Keys:
     """The keys, read; ValueError or OSError for a file that holds none."""
-    return Keys({key.id: bytes.fromhex(key.hex if key.hex is not None
-                                       else Path(key.file or "").read_text("ascii").strip())
-                 for key in part.keys})
+    return Keys(
+        {
+            key.id: bytes.fromhex(
+                key.hex if key.hex is not None else Path(key.file or "").read_text("ascii").strip()
+            )
+            for key in part.keys
+        }
+    )
 
 
 class Adverts(DatagramProtocol):
@@ -67,8 +72,15 @@
 class Station:
     """One dispatcher among its peers. monotonic gives ms that run on while the process stands still."""
 
-    def __init__(self, service: Service, plan: Installation, reactor: Any, monotonic: Callable[[], float],
-                 boot: int, log: logging.Logger) -> None:
+    def __init__(
+        self,
+        service: Service,
+        plan: Installation,
+        reactor: Any,
+        monotonic: Callable[[], float],
+        boot: int,
+        log: logging.Logger,
+    ) -> None:
         self.service, self.plan, self.reactor, self.monotonic = service, plan, reactor, monotonic
         self.link, self.counters, self.log = service.link, service.counters, log
         assert plan.vrrp is not None
@@ -77,11 +89,18 @@
         now, site = monotonic(), service.told.site
         self.by_sender = {peer.adverts[0]: peer.name for peer in plan.peers}
         self.by_address = {(str(peer.handover[0]), peer.handover[1]): peer.name for peer in plan.peers}
-        terms = [Terms(each.group, each.priority, each.interval, self.own, each.preempt,
-                       each.preempt_delay) for each in self.vrrp.groups]
-        self.groups = Groups(terms, {each.group: [Tracked(track.condition, track.lowers)
-                                                  for track in each.tracks] for each in self.vrrp.groups},
-                             self.vrrp.bundles)
+        terms = [
+            Terms(each.group, each.priority, each.interval, self.own, each.preempt, each.preempt_delay)
+            for each in self.vrrp.groups
+        ]
+        self.groups = Groups(
+            terms,
+            {
+                each.group: [Tracked(track.condition, track.lowers) for track in each.tracks]
+                for each in self.vrrp.groups
+            },
+            self.vrrp.bundles,
+        )
         self.addresses = {each.group: tuple(each.addresses) for each in self.vrrp.groups}
         self.accepting = {each.group: each.accept for each in self.vrrp.groups}
         self.tenure = Tenure(site.dispatchers, site.cold_window, plan.tenure.lease, now)
@@ -90,9 +109,18 @@
         if plan.handover is not None:
             part = plan.handover
             self.handover = Handover(
-                plan.name, [peer.name for peer in plan.peers], boot, keys_of(part), self.tenure,
-                Marks(part.marks, part.keep), now, part.ahead, part.ahead_wait,
-                part.alone_after if part.alone == "send" else None, self.vrrp.bar)
+                plan.name,
+                [peer.name for peer in plan.peers],
+                boot,
+                keys_of(part),
+                self.tenure,
+                Marks(part.marks, part.keep),
+                now,
+                part.ahead,
+                part.ahead_wait,
+                part.alone_after if part.alone == "send" else None,
+                self.vrrp.bar,
+            )
         self.guarded = at_most_once(site)
         self.come_back = site.most_come_back
         self.holder = self.make_holder()
@@ -109,11 +137,21 @@
     def make_holder(self) -> Announcer | Listener | Commands:
         told = self.vrrp.holder
         if told.kind == "announce":
-            return Announcer(self.reactor, (str(told.switch[0]), told.switch[1]),
-                             (self.service.told.host, self.service.told.port), self.counters)
+            return Announcer(
+                self.reactor,
+                (str(told.switch[0]), told.switch[1]),
+                (self.service.told.host, self.service.told.port),
+                self.counters,
+            )
         if told.kind == "listen":
-            return Listener(self.reactor, self.service.clients, told.port, self.service.clients.drain,
-                            self.counters, self.log)
+            return Listener(
+                self.reactor,
+                self.service.clients,
+                told.port,
+                self.service.clients.drain,
+                self.counters,
+                self.log,
+            )
         return Commands(self.reactor, told.take, told.leave, told.within, self.counters, self.log)
 
     # Start and stop.
@@ -122,16 +160,19 @@
         """Before the service takes anything: its list is seen through this from the first."""
         self.link.guard = self
         host, port = self.vrrp.listen
-        self.ports.append(self.reactor.listenUDP(port, self.adverts, interface=str(host),
-                                                 maxPacketSize=LARGEST_ADVERT + 1))
+        self.ports.append(
+            self.reactor.listenUDP(port, self.adverts, interface=str(host), maxPacketSize=LARGEST_ADVERT + 1)
+        )
         sock = getattr(self.adverts.transport, "socket", None)
         if sock is not None and host.version == 4:
             import socket
+
             sock.setsockopt(socket.IPPROTO_IP, socket.IP_TTL, advert.TTL)
         if self.plan.handover is not None:
             host, port = self.plan.handover.listen
-            self.ports.append(self.reactor.listenUDP(port, self.telling, interface=str(host),
-                                                     maxPacketSize=65535))
+            self.ports.append(
+                self.reactor.listenUDP(port, self.telling, interface=str(host), maxPacketSize=65535)
+            )
         if isinstance(self.holder, Announcer):
             self.ports.append(self.reactor.listenUDP(0, self.holder, interface=str(self.own)))
         self.do(self.groups.start(self.monotonic(), barred=True))
@@ -155,8 +196,9 @@
                 return
             for session in self.handover.sessions.values():
                 session.keys = keys
-        later = plan.model_dump(exclude={"handover": {"keys"}}) != \
-            self.plan.model_dump(exclude={"handover": {"keys"}})
+        later = plan.model_dump(exclude={"handover": {"keys"}}) != self.plan.model_dump(
+            exclude={"handover": {"keys"}}
+        )
         self.log.info("installation_read", extra={"figures": {"rest_at_a_start": later}})
 
     def kept(self, why: str) -> None:
@@ -181,8 +223,9 @@
         if self.barred and self.may_lift(now):
             self.barred = False
             self.groups.lift()
-            self.log.info("bar_lifted", extra={"figures": {
-                "after_ms": now - self.began, "fresh": self.fresh}})
+            self.log.info(
+                "bar_lifted", extra={"figures": {"after_ms": now - self.began, "fresh": self.fresh}}
+            )
         if not self.stopping:
             self.do(self.groups.conditions(now, self.holding(now)))
         self.tell_all()
@@ -269,8 +312,12 @@
         if self.accepting[group]:
             self.holder.take(group, self.addresses[group])
         self.counters.add("addresses_taken")
-        self.log.info("address_taken", extra={"figures": {
-            "group": group, "why": why, "part": f"{self.tenure.part(self.monotonic()):.2f}"}})
+        self.log.info(
+            "address_taken",
+            extra={
+                "figures": {"group": group, "why": why, "part": f"{self.tenure.part(self.monotonic()):.2f}"}
+            },
+        )
         if self.handover is not None:
             for known in self.handover.known.values():
                 for ident, left in known.aside:
@@ -287,8 +334,7 @@
             if engine is None:
                 continue
             if engine.warm_at > unix and ident in self.link.seats:
-                sent = [row for row in self.sent_cold.get(place, ())
-                        if row[0] > now - self.tenure.window]
+                sent = [row for row in self.sent_cold.get(place, ()) if row[0] > now - self.tenure.window]
                 cold.append((ident, self.link.seats[ident].started, sum(work for _, work in sent)))
             if engine.aside_until > unix:
                 aside.append((ident, engine.aside_until - unix))
@@ -424,8 +470,12 @@
     def departs(self, taken: Taken, trip: int, engine: int) -> bool:
         """May something go there now? A cold engine's budget may have been lent since the rules chose."""
         found = self.link.rules.engines.get(engine)
-        if found is None or found.warm_at <= self.link.clock() or not self.plan.tenure.on \
-                or self.handover is None:
+        if (
+            found is None
+            or found.warm_at <= self.link.clock()
+            or not self.plan.tenure.on
+            or self.handover is None
+        ):
             return True
         now = self.monotonic()
         if self.tenure.part(now) <= 0.0:
@@ -441,6 +491,10 @@
         """Until the list is known to be fresh, each engine may have been started anew, and counts as cold."""
         if not self.fresh and self.plan.tenure.on and self.monotonic() < self.began + self.vrrp.bar:
             return seat._replace(started=self.link.clock())
-        told = [started for known in (self.handover.known.values() if self.handover else ())
-                for ident, started, _ in known.cold if ident == seat.ident]
+        told = [
+            started
+            for known in (self.handover.known.values() if self.handover else ())
+            for ident, started, _ in known.cold
+            if ident == seat.ident
+        ]
         return seat._replace(started=max(seat.started, *told)) if told else seat
--- a/spurdeal/vrrp/tenure.py
+++ b/spurdeal/vrrp/tenure.py
@@ -50,8 +50,9 @@
     def start(self, now: float) -> float:
         """Of the start of n* over all dispatchers. It is no budget over a window, so nothing rests."""
         own = self.own * (KEPT_START if self.lent(now) else 1.0)
-        return own + sum(loan.part * (1 - KEPT_START) for loan in self.loans.values()
-                         if loan.since <= now < loan.until)
+        return own + sum(
+            loan.part * (1 - KEPT_START) for loan in self.loans.values() if loan.since <= now < loan.until
+        )
 
     def lent(self, now: float) -> bool:
         return any(until > now for until in self.lent_until.values())
--- a/tests/confined.py
+++ b/tests/confined.py
@@ -19,11 +19,41 @@
 CLONE_THREAD, ENOSYS = 0x10000, 38
 NO_NEW_PRIVILEGES, SET_SECCOMP, MODE_FILTER = 38, 22, 2
 TABLES = {  # of the machine: its mark, what ends the process, clone, clone3, socket
-    "x86_64": (0xC000003E, {"execve": 59, "execveat": 322, "fork": 57, "vfork": 58, "io_uring_setup": 425,
-                            "splice": 275, "vmsplice": 278, "tee": 276, "sendfile": 40, "socketpair": 53},
-               56, 435, 41),
-    "aarch64": (0xC00000B7, {"execve": 221, "execveat": 281, "io_uring_setup": 425, "splice": 76,
-                             "vmsplice": 75, "tee": 77, "sendfile": 71, "socketpair": 199}, 220, 435, 198)}
+    "x86_64": (
+        0xC000003E,
+        {
+            "execve": 59,
+            "execveat": 322,
+            "fork": 57,
+            "vfork": 58,
+            "io_uring_setup": 425,
+            "splice": 275,
+            "vmsplice": 278,
+            "tee": 276,
+            "sendfile": 40,
+            "socketpair": 53,
+        },
+        56,
+        435,
+        41,
+    ),
+    "aarch64": (
+        0xC00000B7,
+        {
+            "execve": 221,
+            "execveat": 281,
+            "io_uring_setup": 425,
+            "splice": 76,
+            "vmsplice": 75,
+            "tee": 77,
+            "sendfile": 71,
+            "socketpair": 199,
+        },
+        220,
+        435,
+        198,
+    ),
+}
 
 
 def program() -> list[tuple[int, int, int, int]]:
@@ -35,8 +65,13 @@
     # Its flags lie in memory, which a filter does not read: the C library then falls back to clone.
     steps += [(EQUAL, 0, 1, clone3), (RETURN, 0, 0, REFUSE | ENOSYS)]
     for number, test, word in ((clone, ANY_BIT, CLONE_THREAD), (opened, EQUAL, int(socket.AF_INET))):
-        steps += [(EQUAL, 0, 4, number), (LOAD, 0, 0, FIRST_WORD), (test, 0, 1, word), (RETURN, 0, 0, ALLOW),
-                  (RETURN, 0, 0, KILL)]
+        steps += [
+            (EQUAL, 0, 4, number),
+            (LOAD, 0, 0, FIRST_WORD),
+            (test, 0, 1, word),
+            (RETURN, 0, 0, ALLOW),
+            (RETURN, 0, 0, KILL),
+        ]
     return [*steps, (RETURN, 0, 0, ALLOW)]
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,25 +17,50 @@
 
 BASE = 1_790_000_000_000.0
 SETTINGS: dict[str, Any] = {
-    "grades": [{"name": "lookup", "aim": 1000, "aim_stretch": 2, "deadline": 5000, "late_worth": 0.5},
-               {"name": "load", "aim": 3000, "aim_stretch": 2, "deadline": 20000, "effect": "once"}],
-    "zones": ["east"], "models": ["std"],
+    "grades": [
+        {"name": "lookup", "aim": 1000, "aim_stretch": 2, "deadline": 5000, "late_worth": 0.5},
+        {"name": "load", "aim": 3000, "aim_stretch": 2, "deadline": 20000, "effect": "once"},
+    ],
+    "zones": ["east"],
+    "models": ["std"],
     "extra": {"cpu_of_kind": [8], "priorities": True},
-    "limits": {"cancelling": True, "conn_idle": 30000, "dial_timeout": 250, "streams_per_conn": 2,
-               "send_cap": 3, "retry_after": True, "max_retry_after": 500},
-    "rules": {"drain_grace": 250, "cold": 15000, "cold_share": 0.3, "fall_multiple": 2, "tip_after": 1500}}
+    "limits": {
+        "cancelling": True,
+        "conn_idle": 30000,
+        "dial_timeout": 250,
+        "streams_per_conn": 2,
+        "send_cap": 3,
+        "retry_after": True,
+        "max_retry_after": 500,
+    },
+    "rules": {"drain_grace": 250, "cold": 15000, "cold_share": 0.3, "fall_multiple": 2, "tip_after": 1500},
+}
 
 
 def instance(number: int, **more: Any) -> dict[str, Any]:
-    return {"instanceId": f"s-{number}", "hostPort": f"127.0.9.{number}:7001", "zone": "east",
-            "machineType": "std", "cell": 0, "lifecycle": "SERVING", "weight": 1, "startedAtMs": 0} | more
+    return {
+        "instanceId": f"s-{number}",
+        "hostPort": f"127.0.9.{number}:7001",
+        "zone": "east",
+        "machineType": "std",
+        "cell": 0,
+        "lifecycle": "SERVING",
+        "weight": 1,
+        "startedAtMs": 0,
+    } | more
 
 
 def configuration(engines: int = 1, **more: Any) -> dict[str, Any]:
     roster = {"generation": 1, "reset": True, "instances": [instance(number) for number in range(engines)]}
-    return {"name": "n1", "listen": "127.0.8.1:7001", "seed": "00ff", "nameserver": "127.0.8.9:5300",
-            "limits": {"sockets": 64}, "known": {"no": 1, "items": [{"no": 1, "roster": roster}]},
-            "settings": SETTINGS} | more
+    return {
+        "name": "n1",
+        "listen": "127.0.8.1:7001",
+        "seed": "00ff",
+        "nameserver": "127.0.8.9:5300",
+        "limits": {"sockets": 64},
+        "known": {"no": 1, "items": [{"no": 1, "roster": roster}]},
+        "settings": SETTINGS,
+    } | more
 
 
 class Pipe(StringTransport):
@@ -139,8 +164,14 @@
         self.protocol = world.service.clients.buildProtocol(None)
         self.protocol.makeConnection(self.pipe)
 
-    def post(self, ident: int, workload: str = "lookup", wait: object = 5000, body: bytes = b"SELECT 1",
-             **more: object) -> None:
+    def post(
+        self,
+        ident: int,
+        workload: str = "lookup",
+        wait: object = 5000,
+        body: bytes = b"SELECT 1",
+        **more: object,
+    ) -> None:
         fields = {"Req-Id": f"{ident:016x}", "Req-Wait-Ms": wait, "Content-Length": len(body)} | more
         head = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in fields.items())
         self.say(f"POST /ops/{workload} HTTP/1.1\r\nHost: origin.svc\r\n{head}\r\n".encode() + body)
@@ -189,15 +220,21 @@
 
 
 class World:
-    def __init__(self, case: unittest.TestCase, engines: int = 1,
-                 before: Callable[[Service, "World"], None] | None = None, **more: Any) -> None:
+    def __init__(
+        self,
+        case: unittest.TestCase,
+        engines: int = 1,
+        before: Callable[[Service, "World"], None] | None = None,
+        **more: Any,
+    ) -> None:
         self.case, self.done = case, list[float]()
         self.reactor: Any = Reactor(self)
         self.names, self.asked = list[bytes](), list[object]()
         self.log = io.StringIO()
         told = read_configuration(json.dumps(configuration(engines, **more)))
-        self.service = Service(told, self.reactor, self.now, logger("n1", self.log),
-                               lambda: self.done.append(self.now()))
+        self.service = Service(
+            told, self.reactor, self.now, logger("n1", self.log), lambda: self.done.append(self.now())
+        )
         if before is not None:
             before(self.service, self)
         self.service.start()
@@ -209,8 +246,11 @@
         return BASE + float(self.reactor.seconds()) * 1000
 
     def check(self) -> None:
-        faults = {name: count for name, count in self.service.counters.sums.items()
-                  if name in ("faults", "unhandled") or name.startswith("must_")}
+        faults = {
+            name: count
+            for name, count in self.service.counters.sums.items()
+            if name in ("faults", "unhandled") or name.startswith("must_")
+        }
         self.case.assertEqual(faults, {}, self.log.getvalue())
 
     def go(self, ms: float = 0.0) -> None:
@@ -229,8 +269,13 @@
         self.names.append(datagram)
         self.asked.append(address)
 
-    def list(self, serial: int, *seats: tuple[str, str, int, str],
-             source: tuple[str, int] = ("127.0.8.9", 5300), **more: Any) -> None:
+    def list(
+        self,
+        serial: int,
+        *seats: tuple[str, str, int, str],
+        source: tuple[str, int] = ("127.0.8.9", 5300),
+        **more: Any,
+    ) -> None:
         self.go(200)  # the next question
         answer = names.answer(self.names[-1], serial, *seats, **more)
         self.service.names.datagramReceived(answer, source)
--- a/tests/stations.py
+++ b/tests/stations.py
@@ -52,8 +52,9 @@
             self.announced.append(json.loads(datagram))
         elif target in self.bound and not self.drops(source, target):
             self.carried.append((source, target, datagram))
-            self.callLater(0, lambda: target in self.bound
-                           and self.bound[target].datagramReceived(datagram, source))
+            self.callLater(
+                0, lambda: target in self.bound and self.bound[target].datagramReceived(datagram, source)
+            )
 
 
 class Wire:
@@ -71,11 +72,27 @@
     def __init__(self, pair: "Pair", name: str, boot: int) -> None:
         self.pair, self.name, self.log = pair, name, io.StringIO()
         other = "n2" if name == "n1" else "n1"
-        told = read_configuration(json.dumps(configuration(
-            0, name=name, listen=f"{HOSTS[name]}:7001", known=pair.known, nameserver="127.0.8.9:5300",
-            settings=pair.settings)))
-        text = pair.plan.format(name=name, other=other, host=HOSTS[name], far=HOSTS[other], key=KEY,
-                           priority=pair.priorities[name], interval=pair.intervals[name])
+        told = read_configuration(
+            json.dumps(
+                configuration(
+                    0,
+                    name=name,
+                    listen=f"{HOSTS[name]}:7001",
+                    known=pair.known,
+                    nameserver="127.0.8.9:5300",
+                    settings=pair.settings,
+                )
+            )
+        )
+        text = pair.plan.format(
+            name=name,
+            other=other,
+            host=HOSTS[name],
+            far=HOSTS[other],
+            key=KEY,
+            priority=pair.priorities[name],
+            interval=pair.intervals[name],
+        )
         self.plan = read_text("plan", text.encode())
         self.service = Service(told, pair.ether, pair.unix, logger(name, self.log), lambda: None)
         self.station = Station(self.service, self.plan, pair.ether, pair.mono, boot, self.service.log)
@@ -145,6 +162,9 @@
 
     def check(self, case: unittest.TestCase) -> None:
         for side in self.sides.values():
-            faults = {name: count for name, count in side.service.counters.sums.items()
-                      if name in ("faults", "unhandled") or name.startswith("must_")}
+            faults = {
+                name: count
+                for name, count in side.service.counters.sums.items()
+                if name in ("faults", "unhandled") or name.startswith("must_")
+            }
             case.assertEqual(faults, {}, side.log.getvalue())
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -80,9 +80,10 @@
         self.socket.sendall(command(f"{ident:016x}".encode(), word.encode(), fields.encode(), body))
 
     def post(self, ident: int, workload: str = "lookup", wait: int = 5000, body: bytes = b"S") -> None:
-        self.socket.sendall(b"POST /ops/%b HTTP/1.1\r\nReq-Id: %016x\r\nReq-Wait-Ms: %d\r\n"
-                            b"Content-Length: %d\r\n\r\n" % (workload.encode(), ident, wait, len(body))
-                            + body)
+        self.socket.sendall(
+            b"POST /ops/%b HTTP/1.1\r\nReq-Id: %016x\r\nReq-Wait-Ms: %d\r\n"
+            b"Content-Length: %d\r\n\r\n" % (workload.encode(), ident, wait, len(body)) + body
+        )
 
     def reset(self) -> None:
         """Gone at once (SO_LINGER 0)."""
@@ -102,15 +103,24 @@
         self.names = socket.socket(type=socket.SOCK_DGRAM)
         self.names.bind((HOST, 0))
         self.names.settimeout(0)
-        told = configuration(engines, listen=f"{HOST}:{free_port()}",
-                             nameserver=f"{HOST}:{self.names.getsockname()[1]}") | more
+        told = (
+            configuration(
+                engines, listen=f"{HOST}:{free_port()}", nameserver=f"{HOST}:{self.names.getsockname()[1]}"
+            )
+            | more
+        )
         for number, instance in enumerate(told["known"]["items"][0]["roster"]["instances"]):
             instance["hostPort"] = f"{HOST}:{self.engines[number].port}"
         self.told = read_configuration(json.dumps(told))
         self.done = list[float]()
         self.clients = list[Talk]()
-        self.service = Service(self.told, self.reactor, self.clock, logger("n1", io.StringIO()),
-                               lambda: self.done.append(self.clock()))
+        self.service = Service(
+            self.told,
+            self.reactor,
+            self.clock,
+            logger("n1", io.StringIO()),
+            lambda: self.done.append(self.clock()),
+        )
         self.service.start()
         self.case = case
         case.addCleanup(self.close)
@@ -120,8 +130,11 @@
         return float(BASE + (self.reactor.now - 1000.0) * 1000)
 
     def close(self) -> None:
-        faults = {name: count for name, count in self.service.counters.sums.items()
-                  if name in ("faults", "unhandled") or name.startswith("must_")}
+        faults = {
+            name: count
+            for name, count in self.service.counters.sums.items()
+            if name in ("faults", "unhandled") or name.startswith("must_")
+        }
         for thing in [*self.reactor.getReaders(), *self.reactor.getWriters()]:
             if hasattr(thing, "socket"):
                 thing.socket.close()
@@ -173,8 +186,15 @@
                 question, asked = self.names.recvfrom(9000)
         except BlockingIOError:
             pass
-        seats = [(f"s-{number}.east.hosts", f"{HOST}:{engine.port}", int(number in draining),
-                  "kind=std cell=0 started=0") for number, engine in enumerate(self.engines)]
+        seats = [
+            (
+                f"s-{number}.east.hosts",
+                f"{HOST}:{engine.port}",
+                int(number in draining),
+                "kind=std cell=0 started=0",
+            )
+            for number, engine in enumerate(self.engines)
+        ]
         self.names.sendto(names.answer(question, serial, *seats), asked)
         self.go()
 
@@ -187,5 +207,6 @@
 
 def settings(**more: Any) -> dict[str, Any]:
     """The usual ones, with other parts."""
-    return SETTINGS | {name: SETTINGS.get(name, {}) | part if isinstance(part, dict) else part
-                       for name, part in more.items()}
+    return SETTINGS | {
+        name: SETTINGS.get(name, {}) | part if isinstance(part, dict) else part for name, part in more.items()
+    }
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -38,22 +38,32 @@
     key = ec.generate_private_key(ec.SECP256R1())
     subject = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, name)])
     now = datetime.datetime.now(datetime.UTC)
-    made = x509.CertificateBuilder().subject_name(subject).issuer_name(subject).public_key(key.public_key()) \
-        .serial_number(x509.random_serial_number()).not_valid_before(now - datetime.timedelta(days=1)) \
-        .not_valid_after(now + datetime.timedelta(days=1)) \
-        .add_extension(x509.SubjectAlternativeName([x509.DNSName("spurdeal")]), critical=False) \
+    made = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(x509.SubjectAlternativeName([x509.DNSName("spurdeal")]), critical=False)
         .sign(key, hashes.SHA256())
+    )
     pem: bytes = made.public_bytes(serialization.Encoding.PEM)
     (folder / "cert.pem").write_bytes(pem)
-    (folder / "key.pem").write_bytes(key.private_bytes(
-        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()))
+    (folder / "key.pem").write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+        )
+    )
     return pem
 
 
 class Processes(unittest.TestCase):
     def test_a_small_run_of_the_proof(self) -> None:
-        done = subprocess.run([sys.executable, "-m", "spurdeal.lab.asking", "tiny"], capture_output=True,
-                              text=True, timeout=120)
+        done = subprocess.run(
+            [sys.executable, "-m", "spurdeal.lab.asking", "tiny"], capture_output=True, text=True, timeout=120
+        )
         self.assertEqual(done.returncode, 0, done.stderr)
         found = json.loads(done.stdout.splitlines()[-1])
         for key in ("answers_missing", "answers_double", "irreversible_run_twice", "refused_unproven"):
@@ -69,12 +79,24 @@
         folder = Path(folder_made.name)
         first = certificate(folder, "first")
         (folder / "n1.yaml").write_text(PLAN.format(host=HOST, folder=folder))
-        (folder / "n1.json").write_text(json.dumps(configuration(
-            0, listen=f"{HOST}:7302", nameserver="127.0.63.9:5300")))
+        (folder / "n1.json").write_text(
+            json.dumps(configuration(0, listen=f"{HOST}:7302", nameserver="127.0.63.9:5300"))
+        )
         child = subprocess.Popen(
-            [sys.executable, "-O", "-m", "spurdeal", "extproc", "serve", "--settings",
-             str(folder / "n1.yaml")],
-            stderr=subprocess.PIPE, text=True, env=os.environ | {"ROUTER_CONFIG": str(folder / "n1.json")})
+            [
+                sys.executable,
+                "-O",
+                "-m",
+                "spurdeal",
+                "extproc",
+                "serve",
+                "--settings",
+                str(folder / "n1.yaml"),
+            ],
+            stderr=subprocess.PIPE,
+            text=True,
+            env=os.environ | {"ROUTER_CONFIG": str(folder / "n1.json")},
+        )
         self.addCleanup(child.kill)
         self.assertEqual(self.ask(first, 1, 15), 503)  # no engine: refused in time
         second = certificate(folder, "second")
@@ -101,6 +123,7 @@
                     def messages(answered: threading.Event = answered) -> Iterator[Any]:
                         yield request(Asked(f"{number:016x}", False, 10.0), 1000)
                         answered.wait(5)  # the stream stays open while it is held
+
                     answers = service.ExternalProcessorStub(channel).Process(messages(), timeout=2)
                     status = next(iter(answers)).immediate_response.status.code
                     answered.set()
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -106,7 +106,7 @@
             except Broken:
                 continue
             self.assertLess(found.end, len(data), place)  # as a torn tail, which others' digests give away
-            self.assertEqual(good.records[:len(found.records)], found.records)
+            self.assertEqual(good.records[: len(found.records)], found.records)
 
     def test_each_torn_tail_is_cut_and_the_next_start_goes_on(self) -> None:
         self.usual().close()
@@ -125,16 +125,18 @@
 
     def test_a_kill_at_any_byte_loses_nothing_that_left(self) -> None:
         """Decided, stamped, sent: whatever byte the process ends at, what has left is in the log."""
+
         class Killed(BaseException):
             pass
 
         class Dying(Disk):
             def write(self, file: int, data: memoryview) -> int:
                 if len(data) > self.left:
-                    os.write(file, data[:int(self.left)])
+                    os.write(file, data[: int(self.left)])
                     raise Killed
                 self.left -= len(data)
                 return os.write(file, data)
+
         for byte in range(0, 900, 3):
             disk, name = Dying(), f"k{byte}"
             journal = self.journal(name, system=disk)
@@ -152,7 +154,7 @@
             again = self.journal(name, boot=2)
             log = read_log(self.root / name)
             found = [entry.record.ident for entry in log.entries if entry.record.kind is Kind.SENT]
-            self.assertEqual((left, []), (found[:len(left)], log.problems), byte)
+            self.assertEqual((left, []), (found[: len(left)], log.problems), byte)
             self.assertLessEqual(len(found), len(left) + 1)
             again.close()
             os.close(journal.file)
@@ -247,13 +249,15 @@
     def test_a_log_that_was_cut_or_put_back(self) -> None:
         journal, other = self.usual(), self.journal("d2")
         page, digest, count = journal.pages.page - 1, journal.pages.digest.hex(), journal.pages.count
-        other.pages.tell(Kind.WITNESS, {"name": "d1", "boot": f"{1:016x}", "page": page, "digest": digest,
-                                        "records": count})
+        other.pages.tell(
+            Kind.WITNESS,
+            {"name": "d1", "boot": f"{1:016x}", "page": page, "digest": digest, "records": count},
+        )
         other.flush()
         self.assertEqual([], self.findings("d1", "d2"))
         file = next((self.root / "d1").glob("*.log"))
         whole = file.read_bytes()
-        file.write_bytes(whole[:len(whole) // 2])
+        file.write_bytes(whole[: len(whole) // 2])
         self.assertEqual(["witness"], self.findings("d1", "d2"))
 
     def test_asked_for_one_submission_in_a_true_order(self) -> None:
@@ -274,8 +278,10 @@
         journal.close()
         folder = str(self.root / "d1")
         told = call("fleet", "audit", folder, "--submission", "dd" * 8, "--json")
-        self.assertEqual(["s-0", "0.2/aa"], [json.loads(told.stdout)["engine"],
-                                             json.loads(told.stdout)["versions"]["list"]])
+        self.assertEqual(
+            ["s-0", "0.2/aa"],
+            [json.loads(told.stdout)["engine"], json.loads(told.stdout)["versions"]["list"]],
+        )
         checked = call("fleet", "check", folder)
         self.assertEqual(1, checked.returncode)
         self.assertIn("which its own list 0.2/aa has draining", checked.stdout)
@@ -303,15 +309,28 @@
         def added(service: Service, world: World) -> None:
             raw = json.dumps(configuration(2)).encode()
             clock: Callable[[], float] = lambda: float(world.reactor.seconds()) * 1000  # noqa: E731
-            self.station = FleetStation(service, plan, Keys({1: b"_" * 16}), raw, world.reactor, clock,
-                                        service.clock, service.clock, service.log)
+            self.station = FleetStation(
+                service,
+                plan,
+                Keys({1: b"_" * 16}),
+                raw,
+                world.reactor,
+                clock,
+                service.clock,
+                service.clock,
+                service.log,
+            )
             self.station.start()
             self.addCleanup(self.station.close)
+
         return World(self, 2, before=added)
 
     def entries(self, kind: Kind) -> list[Any]:
-        return [entry.record for entry in read_log(self.folder / "audit", False).entries
-                if entry.record.kind is kind]
+        return [
+            entry.record
+            for entry in read_log(self.folder / "audit", False).entries
+            if entry.record.kind is kind
+        ]
 
     def test_a_send_is_in_the_log_before_it_leaves(self) -> None:
         world = self.world()
@@ -324,6 +343,7 @@
         def written(data: bytes) -> None:
             seen.append(len(self.entries(Kind.SENT)))
             write(data)
+
         peer.pipe.write = written  # type: ignore[method-assign]
         peer.up()
         self.assertEqual(["serve"], [each[0] for each in peer.heard()])
@@ -350,8 +370,9 @@
         world = self.world()
         seats = [Seat(f"s-{number}", f"127.0.9.{number}", 7001) for number in range(3)]
         world.list(2, *(seat.record() for seat in seats))
-        self.assertEqual(["0.1", "0.2"], [record.told["list"].partition("/")[0]
-                                          for record in self.entries(Kind.VERSIONS)])
+        self.assertEqual(
+            ["0.1", "0.2"], [record.told["list"].partition("/")[0] for record in self.entries(Kind.VERSIONS)]
+        )
         world.list(2, *(seat.record() for seat in seats[:2]))
         world.go(100)
         self.assertEqual(1, len(self.entries(Kind.CLASH)))
@@ -369,8 +390,11 @@
             self.station.service.names.number = 2
             self.station.listed(kept)
             world.go(100)
-            heard = [peer.host for peer in map(world.peer, range(len(world.reactor.tcpClients)))
-                     if peer.up().heard()]
+            heard = [
+                peer.host
+                for peer in map(world.peer, range(len(world.reactor.tcpClients)))
+                if peer.up().heard()
+            ]
             self.assertEqual([f"127.0.9.{stays[-1]}"], heard)
             world.go(200)
             self.assertEqual({stays}, {record.engine for record in self.entries(Kind.SENT)})
@@ -380,7 +404,7 @@
         world = self.world("{name: n2, at: 127.0.8.2:7114}")
         caller = world_caller(world)
         caller.say(b"GET /fleet HTTP/1.1\r\nHost: x\r\n\r\n")
-        (status, _, found), = caller.answers()
+        ((status, _, found),) = caller.answers()
         self.assertEqual((200, "n1", "joining"), (status, found["name"], found["standing"]))
         self.assertIn("lease not held", next(status_words(found)))
 
@@ -392,6 +416,7 @@
 
 def world_caller(world: World) -> Any:
     from tests.helpers import Caller
+
     return Caller(world)
 
 
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -36,29 +36,39 @@
 
 class Adapter(unittest.TestCase):
     def test_a_submission_is_sent_and_late_events_are_ignored(self) -> None:
-        code, out, err = run(frame(1000.0, provision(3), page(), MEMBERSHIP), frame(1005.0, INBOUND),
-                             frame(1100.0, SETTLED), frame(1105.0, struct.pack("<BHQ", 5, 3, 99)))
+        code, out, err = run(
+            frame(1000.0, provision(3), page(), MEMBERSHIP),
+            frame(1005.0, INBOUND),
+            frame(1100.0, SETTLED),
+            frame(1105.0, struct.pack("<BHQ", 5, 3, 99)),
+        )
         self.assertEqual((code, err), (0, ""))
         self.assertIn(struct.pack("<BHQ6sd", 0, 3, 99, b"engine", 0.0), out)
         self.assertTrue(out.endswith(struct.pack("<II", 0, 8)))
 
     def test_restart_in_one_batch_drops_what_the_killed_one_said(self) -> None:
-        code, out, _ = run(frame(1000.0, provision(3), page(), MEMBERSHIP),
-                           frame(1005.0, INBOUND, struct.pack("<BH", 9, 3), provision(3), MEMBERSHIP))
+        code, out, _ = run(
+            frame(1000.0, provision(3), page(), MEMBERSHIP),
+            frame(1005.0, INBOUND, struct.pack("<BH", 9, 3), provision(3), MEMBERSHIP),
+        )
         self.assertEqual((code, b"engine" in out), (0, False))
 
     def test_bad_input_ends_with_one_plain_message(self) -> None:
         start = provision(3), page(), MEMBERSHIP
-        for bad, words in ((b"\1\2", "header cut"), (frame(1.0, start[0])[:-5], "frame cut"),
-                           (struct.pack("<IdI", 3, 1.0, 0), "length 3"),
-                           (frame(1.0, b"\x63"), "code 99"),
-                           (frame(1.0, MEMBERSHIP), "instance 3"),
-                           (frame(1.0, *start[:2], MEMBERSHIP[:-2] + b"\5\0"), "list 5"),
-                           (frame(1.0, page(9)), "node state 9"), (frame(1.0, start[0], b"\0"), "cut short"),
-                           (frame(1.0, *start, INBOUND[:11] + b"\7\0" + INBOUND[13:]), "class 7"),
-                           (frame(1.0, *start, SETTLED.replace(b"engine", b"others")), "was in no list"),
-                           (frame(1.0, provision(3, {"grades": []})), "no workloads"),
-                           (frame(1.0, provision(3, {})), "'grades' is missing")):
+        for bad, words in (
+            (b"\1\2", "header cut"),
+            (frame(1.0, start[0])[:-5], "frame cut"),
+            (struct.pack("<IdI", 3, 1.0, 0), "length 3"),
+            (frame(1.0, b"\x63"), "code 99"),
+            (frame(1.0, MEMBERSHIP), "instance 3"),
+            (frame(1.0, *start[:2], MEMBERSHIP[:-2] + b"\5\0"), "list 5"),
+            (frame(1.0, page(9)), "node state 9"),
+            (frame(1.0, start[0], b"\0"), "cut short"),
+            (frame(1.0, *start, INBOUND[:11] + b"\7\0" + INBOUND[13:]), "class 7"),
+            (frame(1.0, *start, SETTLED.replace(b"engine", b"others")), "was in no list"),
+            (frame(1.0, provision(3, {"grades": []})), "no workloads"),
+            (frame(1.0, provision(3, {})), "'grades' is missing"),
+        ):
             with self.subTest(words):
                 code, out, err = run(bad)
                 self.assertEqual((code, out, err.count("\n")), (2, b"", 1), err)
--- a/tests/test_confined.py
+++ b/tests/test_confined.py
@@ -42,8 +42,10 @@
     "splice": "import os; a, b = os.pipe(); os.splice(a, b, 1)",
     "io_uring": "import ctypes; ctypes.CDLL(None).syscall(425, 1, 0)",
 }
-ALLOWED = ("import socket, threading; socket.socket(); socket.socket(type=socket.SOCK_DGRAM); "
-           "t = threading.Thread(target=print); t.start(); t.join()")
+ALLOWED = (
+    "import socket, threading; socket.socket(); socket.socket(type=socket.SOCK_DGRAM); "
+    "t = threading.Thread(target=print); t.start(); t.join()"
+)
 
 
 class Confined(unittest.TestCase):
@@ -51,15 +53,30 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.told = Path(folder.name) / "config.json"
-        roster = {"generation": 1, "reset": True,
-                  "instances": [instance(n, hostPort=f"{ENGINE}:{7001 + n}") for n in range(2)]}
-        self.told.write_text(json.dumps(configuration(
-            listen=f"{HOST}:{PORT}", nameserver=f"{NAMES}:5300",
-            known={"no": 1, "items": [{"no": 1, "roster": roster}]})))
+        roster = {
+            "generation": 1,
+            "reset": True,
+            "instances": [instance(n, hostPort=f"{ENGINE}:{7001 + n}") for n in range(2)],
+        }
+        self.told.write_text(
+            json.dumps(
+                configuration(
+                    listen=f"{HOST}:{PORT}",
+                    nameserver=f"{NAMES}:5300",
+                    known={"no": 1, "items": [{"no": 1, "roster": roster}]},
+                )
+            )
+        )
 
     def start(self, *command: str) -> subprocess.Popen[str]:
-        child = subprocess.Popen(command, text=True, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-                                 env=os.environ | {"ROUTER_CONFIG": str(self.told)})
+        child = subprocess.Popen(
+            command,
+            text=True,
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            env=os.environ | {"ROUTER_CONFIG": str(self.told)},
+        )
         self.addCleanup(child.communicate)
         self.addCleanup(child.kill)
         return child
@@ -97,8 +114,12 @@
         client = HTTPConnection(HOST, PORT, timeout=10)
         for number in range(40):
             path = "/ops/load" if number % 8 == 0 else "/ops/lookup"
-            client.request("POST", path, "SELECT a FROM s_1.t -- cost=5", {"Req-Id": f"{number:016x}",
-                                                                           "Req-Wait-Ms": "3000"})
+            client.request(
+                "POST",
+                path,
+                "SELECT a FROM s_1.t -- cost=5",
+                {"Req-Id": f"{number:016x}", "Req-Wait-Ms": "3000"},
+            )
             answer = client.getresponse()
             self.assertEqual((answer.status, b'"result"' in answer.read()), (200, True))
             if number == 20:
@@ -125,6 +146,11 @@
                 with self.subTest(name):
                     (Path(folder) / "planted.py").write_text(text)
                     done = subprocess.run(
-                        [sys.executable, str(ROOT / "tests" / "confined.py"), "planted"], cwd=folder,
-                        capture_output=True, text=True, timeout=30, check=False)
+                        [sys.executable, str(ROOT / "tests" / "confined.py"), "planted"],
+                        cwd=folder,
+                        capture_output=True,
+                        text=True,
+                        timeout=30,
+                        check=False,
+                    )
                     self.assertEqual(done.returncode, 0 if text == ALLOWED else -signal.SIGSYS, done.stderr)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -95,8 +95,9 @@
         caller.post(2)
         peer = world.peer().up()
         caller.leave()
-        self.assertEqual([said[:2] for said in peer.heard()],
-                         [["serve", f"{1:016x}"], ["cancel", f"{1:016x}"]])
+        self.assertEqual(
+            [said[:2] for said in peer.heard()], [["serve", f"{1:016x}"], ["cancel", f"{1:016x}"]]
+        )
 
     def test_held_and_then_let_go(self) -> None:
         world = World(self)
@@ -154,8 +155,18 @@
         world = World(self, engines=2, settings=settings(limits={"send_cap": 1}, rules=ration))
         Caller(world).post(1, "load")
         dialled = world.peer().host
-        world.list(2, *((f"s-{number}.east.hosts", f"127.0.9.{number}:7001", int(dialled[-1] == str(number)),
-                         "kind=std cell=0 started=0") for number in range(2)))
+        world.list(
+            2,
+            *(
+                (
+                    f"s-{number}.east.hosts",
+                    f"127.0.9.{number}:7001",
+                    int(dialled[-1] == str(number)),
+                    "kind=std cell=0 started=0",
+                )
+                for number in range(2)
+            ),
+        )
         self.assertEqual(len(world.peer(1).up().heard()), 1)
 
     def test_a_way_that_stays_shut_is_not_tried_for_ever(self) -> None:
@@ -166,8 +177,9 @@
         world.peer().up()
         for _ in range(9):
             world.go(10)
-        self.assertEqual(([status for status, _, _ in caller.answers()], world.count("trips_overtaken")),
-                         ([503], 5))
+        self.assertEqual(
+            ([status for status, _, _ in caller.answers()], world.count("trips_overtaken")), ([503], 5)
+        )
 
     def test_a_cold_send_counts_from_when_it_leaves(self) -> None:
         world = World(self)
@@ -196,8 +208,13 @@
 
     def full(self) -> Steps:
         """One connection whose far side does not read: a submission stuck in it, another behind that."""
-        steps = Steps(self, engines=2, small=True, limits={"sockets": 6}, settings=settings(
-            limits={"streams_per_conn": 8}, zones=["east"]))
+        steps = Steps(
+            self,
+            engines=2,
+            small=True,
+            limits={"sockets": 6},
+            settings=settings(limits={"streams_per_conn": 8}, zones=["east"]),
+        )
         steps.service.engines.most_connections = 2  # one an engine
         clients = [steps.client() for _ in range(4)]
         for number, client in enumerate(clients[:2]):
@@ -214,8 +231,12 @@
         return steps
 
     def stuck(self, steps: Steps) -> Any:
-        return [connection for engine in steps.service.engines.engines.values()
-                for connection in engine.connections if connection.sending]
+        return [
+            connection
+            for engine in steps.service.engines.engines.values()
+            for connection in engine.connections
+            if connection.sending
+        ]
 
     def test_what_waits_behind_a_full_window_goes_elsewhere(self) -> None:
         steps = self.full()
@@ -242,8 +263,9 @@
         ident = next(trip.ident for trip in connection.trips.values() if not trip.written)
         third.socket.close()
         steps.go()
-        self.assertNotIn(ident, [message.ident for message in connection.write_queue
-                                 if not isinstance(message, bytes)])
+        self.assertNotIn(
+            ident, [message.ident for message in connection.write_queue if not isinstance(message, bytes)]
+        )
         self.assertNotIn(b"cancel", b"".join(m for m in connection.write_queue if isinstance(m, bytes)))
 
     def test_a_connection_whose_far_side_reads_no_more_is_not_kept(self) -> None:
@@ -509,17 +531,26 @@
     """Before the loop is there to take them: sent from within the import that takes longest."""
 
     def run_with(self, sent: str, path: Path) -> subprocess.CompletedProcess[str]:
-        text = (f"import os, runpy, signal, sys\n"
-                f"class Hook:\n"
-                f"    def find_spec(self, name, *_):\n"
-                f"        if name == 'spurdeal.net.start':\n"
-                f"            for each in ({sent},):\n"
-                f"                os.kill(os.getpid(), each)\n"
-                f"sys.meta_path.insert(0, Hook())\n"
-                f"sys.argv[1:] = []\n"
-                f"runpy.run_module('spurdeal', run_name='__main__', alter_sys=True)\n")
-        return subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, timeout=60,
-                              cwd=ROOT, env=os.environ | {"ROUTER_CONFIG": str(path)}, check=False)
+        text = (
+            f"import os, runpy, signal, sys\n"
+            f"class Hook:\n"
+            f"    def find_spec(self, name, *_):\n"
+            f"        if name == 'spurdeal.net.start':\n"
+            f"            for each in ({sent},):\n"
+            f"                os.kill(os.getpid(), each)\n"
+            f"sys.meta_path.insert(0, Hook())\n"
+            f"sys.argv[1:] = []\n"
+            f"runpy.run_module('spurdeal', run_name='__main__', alter_sys=True)\n"
+        )
+        return subprocess.run(
+            [sys.executable, "-c", text],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            cwd=ROOT,
+            env=os.environ | {"ROUTER_CONFIG": str(path)},
+            check=False,
+        )
 
     def test_both_are_kept_and_carried_out(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
@@ -532,8 +563,11 @@
 
     def test_a_hangup_before_the_first_line_is_ignored(self) -> None:
         """The shell of `run` says so, and its program inherits that until it catches signals itself."""
-        run = next(line for line in (ROOT / "deploy" / "balancer.toml").read_text().splitlines()
-                   if line.startswith("run"))
+        run = next(
+            line
+            for line in (ROOT / "deploy" / "balancer.toml").read_text().splitlines()
+            if line.startswith("run")
+        )
         self.assertIn("trap '' HUP; exec ", run)
 
     def test_a_half_written_configuration_is_read_again(self) -> None:
@@ -545,6 +579,7 @@
             if len(reads) < 3:
                 raise Unusable("configuration: half of it")
             return told
+
         world.service.read_again(read)
         self.assertIn("event=configuration_kept", world.log.getvalue())
         world.go(400)
@@ -558,6 +593,7 @@
         def read() -> Told:
             reads.append(world.now())
             raise Unusable("configuration: nothing")
+
         world.service.read_again(read)
         world.go(20_000)
         self.assertEqual((len(reads), world.count("configurations_unusable")), (7, 1))
@@ -578,16 +614,25 @@
 
     def test_names_with_other_characters(self) -> None:
         grade = SETTINGS["grades"][0]
-        for name, path in (("aruanne (kuu)", "aruanne%20%28kuu%29"), ("sisse/kanne", "sisse%2Fkanne"),
-                           ("õ-laad", "%C3%B5-laad"), ("100%", "100%25"), ("a%20b", "a%20b"), ("q", "q")):
+        for name, path in (
+            ("aruanne (kuu)", "aruanne%20%28kuu%29"),
+            ("sisse/kanne", "sisse%2Fkanne"),
+            ("õ-laad", "%C3%B5-laad"),
+            ("100%", "100%25"),
+            ("a%20b", "a%20b"),
+            ("q", "q"),
+        ):
             with self.subTest(name):
                 self.serves(path, settings=SETTINGS | {"grades": [grade | {"name": name}]})
 
     def test_a_location_whose_name_holds_a_dot_or_other_letters(self) -> None:
         placed = [SETTINGS["grades"][0] | {"zones_open": ["2.korrus"]}]
         world = World(self, settings=SETTINGS | {"zones": ["õu", "2.korrus"], "grades": placed})
-        world.list(2, ("s-1.õu.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0"),
-                   ("s-2.2\\.korrus.hosts", "127.0.9.2:7001", 0, "kind=std cell=0 started=0"))
+        world.list(
+            2,
+            ("s-1.õu.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0"),
+            ("s-2.2\\.korrus.hosts", "127.0.9.2:7001", 0, "kind=std cell=0 started=0"),
+        )
         self.assertEqual([seat.location for seat in world.service.link.seats.values()], ["õu", "2.korrus"])
         Caller(world).post(1)
         self.assertEqual(world.peer().host, "127.0.9.2")
@@ -597,19 +642,43 @@
             with self.subTest(name):
                 self.serves("lookup", settings=SETTINGS | {name: None})
                 self.serves("lookup", settings={key: SETTINGS[key] for key in SETTINGS if key != name})
-        for name in ("aim_stretch", "late_worth", "effect", "group", "window", "serial_by_key", "zones_open",
-                     "models_allowed", "worth"):
+        for name in (
+            "aim_stretch",
+            "late_worth",
+            "effect",
+            "group",
+            "window",
+            "serial_by_key",
+            "zones_open",
+            "models_allowed",
+            "worth",
+        ):
             with self.subTest(name):
                 self.serves("lookup", settings=SETTINGS | {"grades": [SETTINGS["grades"][0] | {name: None}]})
-        self.serves("lookup", settings=SETTINGS | {"extra": {
-            "parallelism": [None], "holds_tables": None, "class_waits": [None, None], "cpu_of_kind": [None]}})
+        self.serves(
+            "lookup",
+            settings=SETTINGS
+            | {
+                "extra": {
+                    "parallelism": [None],
+                    "holds_tables": None,
+                    "class_waits": [None, None],
+                    "cpu_of_kind": [None],
+                }
+            },
+        )
         self.serves("lookup", limits={"sockets": None, "memory_mb": None}, seed=None)
 
     def test_whole_numbers_and_the_smallest_limits(self) -> None:
         ones = {"aim": 1, "aim_stretch": 0, "deadline": 5000, "worth": 0, "late_worth": 0}
         self.serves("lookup", settings=SETTINGS | {"grades": [SETTINGS["grades"][0] | ones]})
-        least = {"conn_idle": 0, "dial_timeout": 1, "streams_per_conn": 0, "send_cap": 0,
-                 "max_retry_after": 0}
+        least = {
+            "conn_idle": 0,
+            "dial_timeout": 1,
+            "streams_per_conn": 0,
+            "send_cap": 0,
+            "max_retry_after": 0,
+        }
         self.serves("lookup", limits={"sockets": 4, "memory_mb": 1}, settings=settings(limits=least))
         self.serves("lookup", settings=settings(extra={"cpu_of_kind": [0]}))
 
@@ -624,8 +693,10 @@
 
     def test_names_as_clients_write_them(self) -> None:
         """Unescaped: spaces, other letters and slashes stand in the target as they are."""
-        grades = [SETTINGS["grades"][0] | {"name": name}
-                  for name in ("otsing õ", "aruanne (kuu)", "sisse/kanne", "kanne")]
+        grades = [
+            SETTINGS["grades"][0] | {"name": name}
+            for name in ("otsing õ", "aruanne (kuu)", "sisse/kanne", "kanne")
+        ]
         for name in ("otsing õ", "aruanne (kuu)", "sisse/kanne", "kanne"):
             with self.subTest(name):
                 world = World(self, settings=SETTINGS | {"grades": grades})
@@ -668,8 +739,11 @@
     def test_a_drain_in_the_first_answer_after_a_silence(self) -> None:
         world = World(self, engines=2)
         world.go(8000)
-        world.list(2, ("s-0.east.hosts", "127.0.9.0:7001", 1, "kind=std cell=0 started=0"),
-                   ("s-1.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0"))
+        world.list(
+            2,
+            ("s-0.east.hosts", "127.0.9.0:7001", 1, "kind=std cell=0 started=0"),
+            ("s-1.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0"),
+        )
         for ident in range(4):
             Caller(world).post(ident)
         self.assertEqual({client[0] for client in world.reactor.tcpClients}, {"127.0.9.1"})
@@ -688,7 +762,10 @@
 
     def test_a_bad_record_changes_nothing(self) -> None:
         world = World(self, engines=2)
-        world.list(2, ("s-0.east.hosts", "127.0.9.0:7001", 1, "kind=std cell=0 started=0"),
-                   ("s-1.east.hosts", "127.0.9.1:7001", 0, "cell=x"))
+        world.list(
+            2,
+            ("s-0.east.hosts", "127.0.9.0:7001", 1, "kind=std cell=0 started=0"),
+            ("s-1.east.hosts", "127.0.9.1:7001", 0, "cell=x"),
+        )
         self.assertEqual((world.count("names_bad"), world.service.names.number), (1, 1))
         self.assertEqual({seat.life.name for seat in world.service.link.seats.values()}, {"READY"})
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -29,20 +29,37 @@
 from spurdeal.store.ledger import Ledger
 from tests.helpers import Caller, Pipe, World
 
-HEAD = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", METHOD), (b":authority", b"x"),
-        (b"content-type", b"application/grpc"), (b"te", b"trailers")]
+HEAD = [
+    (b":method", b"POST"),
+    (b":scheme", b"http"),
+    (b":path", METHOD),
+    (b":authority", b"x"),
+    (b"content-type", b"application/grpc"),
+    (b"te", b"trailers"),
+]
 
 
 class Meanings(unittest.TestCase):
-    GOOD = {b":method": b"POST", b":path": b"/ops/lookup?a=b", b"req-id": b"00000000000000aa",
-            b"req-wait-ms": b"1500", b"req-cost": b"20.5"}
+    GOOD = {
+        b":method": b"POST",
+        b":path": b"/ops/lookup?a=b",
+        b"req-id": b"00000000000000aa",
+        b"req-wait-ms": b"1500",
+        b"req-cost": b"20.5",
+    }
 
     def test_a_call_is_read_or_refused_with_a_status(self) -> None:
         ask = read_ask(self.GOOD, Terms(), 1000.0)
         self.assertEqual((ask.workload, ask.wait, ask.cost, ask.group), (b"lookup", 1000.0, 20.5, -1))
-        for name, value in ((b":method", b"GET"), (b"req-id", b"xyz"), (b"req-wait-ms", b"-1"),
-                            (b"req-wait-ms", b"1e3"), (b"req-cost", b"nan"), (b":path", b"ops"),
-                            (b"req-wait-ms", b"0")):
+        for name, value in (
+            (b":method", b"GET"),
+            (b"req-id", b"xyz"),
+            (b"req-wait-ms", b"-1"),
+            (b"req-wait-ms", b"1e3"),
+            (b"req-cost", b"nan"),
+            (b":path", b"ops"),
+            (b"req-wait-ms", b"0"),
+        ):
             with self.subTest(name=name, value=value), self.assertRaises(BadCall):
                 read_ask(self.GOOD | {name: value}, Terms(), 1000.0)
         with self.assertRaises(BadCall):
@@ -57,14 +74,22 @@
         self.assertEqual(times(terms._replace(most_timeout=1000), 1500, None), (980, 1000))
         self.assertEqual(times(terms._replace(most_timeout=1000), 1500, 150), (130, 0))
         self.assertEqual(patience({b"grpc-timeout": b"2S", b"x-envoy-expected-rq-timeout-ms": b"900"}), 900)
-        self.assertEqual([patience({b"grpc-timeout": text}) for text in (b"100m", b"1u", b"x", b"")],
-                         [100, 0.001, None, None])
+        self.assertEqual(
+            [patience({b"grpc-timeout": text}) for text in (b"100m", b"1u", b"x", b"")],
+            [100, 0.001, None, None],
+        )
 
     def test_only_the_proof_header_makes_a_refusal_prove(self) -> None:
-        for status, proof, ending in ((b"200", False, Ending.DELIVERED), (b"503", False, Ending.ERROR),
-                                      (b"503", True, Ending.FULL), (b"504", True, Ending.MOOT),
-                                      (b"504", False, Ending.TIME_OUT), (b"502", True, Ending.UNREACHED),
-                                      (b"500", False, Ending.ERROR), (b"x", True, Ending.RESET)):
+        for status, proof, ending in (
+            (b"200", False, Ending.DELIVERED),
+            (b"503", False, Ending.ERROR),
+            (b"503", True, Ending.FULL),
+            (b"504", True, Ending.MOOT),
+            (b"504", False, Ending.TIME_OUT),
+            (b"502", True, Ending.UNREACHED),
+            (b"500", False, Ending.ERROR),
+            (b"x", True, Ending.RESET),
+        ):
             headers = {b":status": status} | ({b"x-never-ran": b"1"} if proof else {})
             self.assertEqual(outcome(headers, Terms()), ending)
 
@@ -101,8 +126,11 @@
 
 class Numbers(unittest.TestCase):
     def test_every_field_of_ours_has_the_published_number_and_kind(self) -> None:
-        published = {message.name: message for module in (pb, base_pb2, http_status_pb2, duration_pb2)
-                     for message in module.DESCRIPTOR.message_types_by_name.values()}
+        published = {
+            message.name: message
+            for module in (pb, base_pb2, http_status_pb2, duration_pb2)
+            for message in module.DESCRIPTOR.message_types_by_name.values()
+        }
         checked = 0
         for name, message in processor_pb2.DESCRIPTOR.message_types_by_name.items():
             for field in message.fields:
@@ -145,8 +173,10 @@
                 text = self.text.get(stream, b"") + event.data
                 while len(text) >= 5 and len(text) >= 5 + struct.unpack("!I", text[1:5])[0]:
                     size = struct.unpack("!I", text[1:5])[0]
-                    self.got.setdefault(stream, []).append(pb.ProcessingResponse.FromString(text[5:5 + size]))
-                    text = text[5 + size:]
+                    self.got.setdefault(stream, []).append(
+                        pb.ProcessingResponse.FromString(text[5 : 5 + size])
+                    )
+                    text = text[5 + size :]
                 self.text[stream] = text
 
     def open(self, more: tuple[tuple[bytes, bytes], ...] = ()) -> int:
@@ -157,8 +187,13 @@
     def say(self, stream: int, message: bytes, end: bool = False, prefix: bytes | None = None) -> None:
         self.h2.send_data(stream, (prefix or struct.pack("!BI", 0, len(message))) + message, end_stream=end)
 
-    def ask(self, number: int, workload: str = "lookup", wait: float = 2000,
-            more: tuple[tuple[bytes, bytes], ...] = ()) -> int:
+    def ask(
+        self,
+        number: int,
+        workload: str = "lookup",
+        wait: float = 2000,
+        more: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> int:
         stream = self.open(more)
         self.say(stream, request(Asked(f"{number:016x}", workload == "load", 20.0), wait).SerializeToString())
         self.push()
@@ -170,8 +205,10 @@
             if message.HasField("immediate_response"):
                 return message.immediate_response.status.code
             if message.HasField("request_headers"):
-                told = {option.header.key: option.header.raw_value for option in
-                        message.request_headers.response.header_mutation.set_headers}
+                told = {
+                    option.header.key: option.header.raw_value
+                    for option in message.request_headers.response.header_mutation.set_headers
+                }
                 return told["x-spurdeal-to"].decode()
         return None
 
@@ -198,15 +235,33 @@
 
     def make(self, terms: Terms) -> None:
         service = self.world.service
-        self.server = Server(service.link, service.engines, service.told.workloads, terms, self.bounds,
-                             20_000, 500.0, self.world.reactor, self.world.now, service.counters, service.log)
+        self.server = Server(
+            service.link,
+            service.engines,
+            service.told.workloads,
+            terms,
+            self.bounds,
+            20_000,
+            500.0,
+            self.world.reactor,
+            self.world.now,
+            service.counters,
+            service.log,
+        )
 
     def ledger(self) -> None:
         service = self.world.service
         made = Ledger(self.path, self.world.now, "never")
         self.addCleanup(made.close)
-        service.link.guard = LedgerGuard(made, at_most_once(service.told.site), 60_000, 500.0,
-                                         self.world.reactor, service.counters, service.log)
+        service.link.guard = LedgerGuard(
+            made,
+            at_most_once(service.told.site),
+            60_000,
+            500.0,
+            self.world.reactor,
+            service.counters,
+            service.log,
+        )
 
     def engines(self) -> Any:
         return self.world.service.link.rules.engines
@@ -230,8 +285,15 @@
         proxy.h2.end_stream(stream)
         proxy.push()
         self.assertEqual(proxy.status[stream], "0")
-        self.assertEqual((self.server.granter.calls, self.server.granter.leases, self.server.door.calls,
-                          self.world.service.link.taken), ({}, {}, 0, {}))
+        self.assertEqual(
+            (
+                self.server.granter.calls,
+                self.server.granter.leases,
+                self.server.door.calls,
+                self.world.service.link.taken,
+            ),
+            ({}, {}, 0, {}),
+        )
 
     def test_both_fronts_share_n_star(self) -> None:
         proxy, caller = Proxy(self), Caller(self.world)
@@ -252,8 +314,17 @@
         self.assertIsInstance(proxy.answer(again), str)
 
     def test_each_end_of_an_irreversible_grant_and_the_same_id_by_another_path(self) -> None:
-        for how, second in (("reset", 500), ("cut", 500), ("end", 500), ("silent", 500), ("200", 500),
-                            ("500", 500), ("503", 500), ("503 with proof", "granted"), ("running", 500)):
+        for how, second in (
+            ("reset", 500),
+            ("cut", 500),
+            ("end", 500),
+            ("silent", 500),
+            ("200", 500),
+            ("500", 500),
+            ("503", 500),
+            ("503 with proof", "granted"),
+            ("running", 500),
+        ):
             for path in ("proxy", "http"):
                 with self.subTest(how=how, path=path):
                     self.setUp()
@@ -320,8 +391,10 @@
         self.world.go(20)
         proxy.read()
         self.assertEqual(proxy.answer(stream), 503)
-        headers = {option.header.key: option.header.raw_value for option in
-                   proxy.got[stream][0].immediate_response.headers.set_headers}
+        headers = {
+            option.header.key: option.header.raw_value
+            for option in proxy.got[stream][0].immediate_response.headers.set_headers
+        }
         self.assertEqual(headers["srv-wait-ms"], b"500")
         self.make(Terms(message_timeout=200, most_timeout=1000))
         patient = Proxy(self)
@@ -333,8 +406,9 @@
         self.world.go(500)
         patient.read()
         self.assertEqual(patient.answer(stream), 503)
-        self.assertEqual(pb.ProcessingResponse.FromString(wait_longer(250)).override_message_timeout.nanos,
-                         250_000_000)
+        self.assertEqual(
+            pb.ProcessingResponse.FromString(wait_longer(250)).override_message_timeout.nanos, 250_000_000
+        )
 
     def test_the_streams_own_timeout_binds(self) -> None:
         proxy = Proxy(self)
@@ -367,8 +441,11 @@
         proxy = Proxy(self)
         good = proxy.ask(1)
         for prefix, message, status in (
-                (None, b"\xff\xff\xff", None), (struct.pack("!BI", 1, 2), b"xx", "12"),
-                (struct.pack("!BI", 0, 10_485_760), b"x", "8"), (None, b"", None)):
+            (None, b"\xff\xff\xff", None),
+            (struct.pack("!BI", 1, 2), b"xx", "12"),
+            (struct.pack("!BI", 0, 10_485_760), b"x", "8"),
+            (None, b"", None),
+        ):
             stream = proxy.open()
             proxy.say(stream, message, prefix=prefix)
             proxy.push()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -153,8 +153,15 @@
         return ladder
 
     @staticmethod
-    def seen(lease: bool = True, behind: int = 0, source: float = 0.0, others: tuple[str, ...] = (),
-             size: int = 12, clock: float = 0.0, twin: bool = False) -> Seen:
+    def seen(
+        lease: bool = True,
+        behind: int = 0,
+        source: float = 0.0,
+        others: tuple[str, ...] = (),
+        size: int = 12,
+        clock: float = 0.0,
+        twin: bool = False,
+    ) -> Seen:
         return Seen(lease, behind, source, lambda: others, size, True, clock, twin)
 
     def test_who_hears_only_the_name_service_lapses_and_no_more(self) -> None:
@@ -238,8 +245,9 @@
         world = self.world()
         world.kill("d2")
         rest = [node.fleet for node in world.nodes.values() if node.name != "d2"]
-        self.assertIsNotNone(world.run_until(
-            lambda: all(fleet.stopped(world.now, "d2") for fleet in rest), 6000.0))
+        self.assertIsNotNone(
+            world.run_until(lambda: all(fleet.stopped(world.now, "d2") for fleet in rest), 6000.0)
+        )
         world.restart("d2")
         self.all_current(world, 6, 4000.0)
 
@@ -274,8 +282,9 @@
         world.cut(set(names[:7]), set(names[7:]))
         world.run(8000.0)
         self.assertNotIn("SHUT", world.standings())
-        self.assertEqual(7, sum(world.nodes[name].fleet.ladder.standing is Standing.CURRENT
-                                for name in names[:7]))
+        self.assertEqual(
+            7, sum(world.nodes[name].fleet.ladder.standing is Standing.CURRENT for name in names[:7])
+        )
         world.release(2)
         world.cuts.clear()
         self.all_current(world, 12, 20_000.0)
@@ -286,8 +295,9 @@
         for node in list(world.nodes.values())[:3]:
             node.source_old = world.newest
         version = world.release(4)
-        self.assertIsNotNone(world.run_until(
-            lambda: all(version in node.had for node in world.nodes.values()), 3000.0))
+        self.assertIsNotNone(
+            world.run_until(lambda: all(version in node.had for node in world.nodes.values()), 3000.0)
+        )
         self.all_current(world, 6, 3000.0)
 
     def test_one_straggler_brings_up_another(self) -> None:
@@ -297,8 +307,9 @@
             world.nodes[name].source = False
         world.cut({names[0]}, set(names[2:]))  # only the second hears the first
         version = world.release(4)
-        self.assertIsNotNone(world.run_until(
-            lambda: all(version in node.had for node in world.nodes.values()), 4000.0))
+        self.assertIsNotNone(
+            world.run_until(lambda: all(version in node.had for node in world.nodes.values()), 4000.0)
+        )
 
     def test_the_second_process_of_a_name_gives_way(self) -> None:
         world = self.world()
@@ -343,8 +354,10 @@
         for number in (3, 100, 10_000_000):
             liar.book.force[Line.LIST] = Version(0, number, "00" * 8)
             world.run(4000.0)
-            self.assertEqual({"CURRENT"}, {node.fleet.ladder.standing.name
-                                           for node in world.nodes.values() if node.name != "d4"})
+            self.assertEqual(
+                {"CURRENT"},
+                {node.fleet.ladder.standing.name for node in world.nodes.values() if node.name != "d4"},
+            )
         self.assertTrue(any(node.fleet.book.implausible for node in world.nodes.values()))
 
     def test_a_list_that_drops_every_engine_needs_more_than_one_witness(self) -> None:
@@ -392,8 +405,9 @@
         world.run(15_000.0)
         self.assertGreaterEqual(world.standings()["CURRENT"], 7)
         version = world.release(1)
-        self.assertIsNotNone(world.run_until(
-            lambda: all(version in node.had for node in world.nodes.values()), 3000.0))
+        self.assertIsNotNone(
+            world.run_until(lambda: all(version in node.had for node in world.nodes.values()), 3000.0)
+        )
 
     def test_the_same_seed_gives_the_same_bytes(self) -> None:
         traces = []
@@ -412,8 +426,13 @@
         standing, table = fleet.ladder.standing, dict(fleet.members.others)
         for number in range(4000):
             good = bytearray(chance.choice(old))
-            spoilt = (bytes(good[:chance.randrange(len(good))]), self.flipped(good, chance), bytes(good),
-                      chance.randbytes(number % 1400), forged.write(0.0, {"k": "p", "q": number}))[number % 5]
+            spoilt = (
+                bytes(good[: chance.randrange(len(good))]),
+                self.flipped(good, chance),
+                bytes(good),
+                chance.randbytes(number % 1400),
+                forged.write(0.0, {"k": "p", "q": number}),
+            )[number % 5]
             fleet.take(world.now, world.unix(None), ("127.8.0.2", 7114), spoilt)
         dropped = sum(count - came[name] for name, count in fleet.counts.items() if name.startswith("drop_"))
         self.assertEqual(4000, fleet.counts["came"] - before)
@@ -424,8 +443,9 @@
         world = self.world(3)
         fleet, chance = world.nodes["d0"].fleet, random.Random(6)
         session = world.nodes["d1"].fleet.sessions["d0"]
-        whole = world.nodes["d1"].fleet.body(world.unix(None), {
-            "k": "p", "q": 1, "n": [], "l": [[1, ["d0"]], None]})
+        whole = world.nodes["d1"].fleet.body(
+            world.unix(None), {"k": "p", "q": 1, "n": [], "l": [[1, ["d0"]], None]}
+        )
         values: list[object] = [None, -1, 1e400, "x" * 80, [], {}, [[]], True, 1 << 70, float("nan"), "\x00"]
         for kind in "parnyjJwWfF?":
             for key in ("k", "q", "h", "v", "s", "n", "l", "on", "i", "of", "t", "want", "have", "b", "who"):
@@ -449,6 +469,7 @@
             if node is world.nodes[name]:
                 found.extend(each for each in fleet.out if each[0] == target)
             send(node)  # type: ignore[arg-type]
+
         world.sent = sent  # type: ignore[method-assign]
         world.run(1000.0)
         world.sent = send  # type: ignore[method-assign]
@@ -463,8 +484,17 @@
         self.assertIs(Standing.CURRENT, fleet.ladder.standing)
 
     def test_one_whose_seeds_are_silent_does_not_believe_that_it_is_the_fleet(self) -> None:
-        fleet = Fleet("d0", ("127.0.0.1", 1), {"d1": ("127.0.0.2", 1)}, Terms(), KEYS, random.Random(1),
-                      lambda *_: None, 0.0, 0.0)
+        fleet = Fleet(
+            "d0",
+            ("127.0.0.1", 1),
+            {"d1": ("127.0.0.2", 1)},
+            Terms(),
+            KEYS,
+            random.Random(1),
+            lambda *_: None,
+            0.0,
+            0.0,
+        )
         fleet.in_force(Line.LIST, Version(0, 1, "a"), {})
         for at in range(20, 3000, 20):
             fleet.tick(float(at), float(at))
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -51,14 +51,16 @@
 
         def stop() -> None:
             self.closed += 1
+
         return SimpleNamespace(stopListening=stop)
 
 
 class Holders(unittest.TestCase):
     def test_commands_run_one_after_the_other_as_plain_words_and_end_in_time(self) -> None:
         reactor, counters = Spawner(), Counters()
-        commands = Commands(reactor, ["/bin/take", "{address}; rm"], ["/bin/leave", "{address}"], 500.0,
-                            counters, SILENT)
+        commands = Commands(
+            reactor, ["/bin/take", "{address}; rm"], ["/bin/leave", "{address}"], 500.0, counters, SILENT
+        )
         commands.take(1, [ADDRESS])
         commands.leave(1, [ADDRESS])
         self.assertEqual([words for _, words in reactor.ran], [["/bin/take", "127.0.7.1; rm"]])
@@ -68,8 +70,9 @@
         self.assertEqual((counters.sums["commands_run"], counters.sums["commands_failed"]), (1, 1))
         for _ in range(3 * MOST_COMMANDS):
             commands.take(1, [ADDRESS])
-        self.assertEqual((len(commands.queue), counters.sums["commands_dropped"]),
-                         (MOST_COMMANDS, 2 * MOST_COMMANDS - 1))
+        self.assertEqual(
+            (len(commands.queue), counters.sums["commands_dropped"]), (MOST_COMMANDS, 2 * MOST_COMMANDS - 1)
+        )
 
     def test_a_port_in_use_is_tried_again_while_the_address_is_held(self) -> None:
         reactor, counters, drained = Spawner(), Counters(), list[str]()
@@ -95,10 +98,12 @@
         busy.post(1)
         peer = world.peer().up()
         world.service.clients.drain("127.0.7.1")
-        self.assertEqual([busy.pipe.disconnecting, idle.pipe.disconnecting, elsewhere.pipe.disconnecting],
-                         [False, True, False])
+        self.assertEqual(
+            [busy.pipe.disconnecting, idle.pipe.disconnecting, elsewhere.pipe.disconnecting],
+            [False, True, False],
+        )
         peer.say(1, "200", "parts=1", b"a\t1\tx\n")
-        (status, fields, _), = busy.answers()
+        ((status, fields, _),) = busy.answers()
         self.assertEqual((status, fields["Connection"], busy.pipe.disconnecting), (200, "close", True))
 
 
@@ -119,15 +124,23 @@
 class Processes(unittest.TestCase):
     def start(self, name: str, text: str | None = None) -> subprocess.Popen[str]:
         other = "n2" if name == "n1" else "n1"
-        plan = PLAN.format(name=name, other=other, host=HOSTS[name], far=HOSTS[other], key="ab" * 16,
-                           priority={"n1": 200, "n2": 100}[name])
+        plan = PLAN.format(
+            name=name,
+            other=other,
+            host=HOSTS[name],
+            far=HOSTS[other],
+            key="ab" * 16,
+            priority={"n1": 200, "n2": 100}[name],
+        )
         told = configuration(0, name=name, listen=f"{HOSTS[name]}:7302", nameserver="127.0.61.9:5300")
         (self.folder / f"{name}.yaml").write_text(plan if text is None else text)
         (self.folder / f"{name}.json").write_text(json.dumps(told))
         child = subprocess.Popen(
             [sys.executable, "-O", "-m", "spurdeal", "run", "--settings", str(self.folder / f"{name}.yaml")],
-            stderr=subprocess.PIPE, text=True,
-            env=os.environ | {"ROUTER_CONFIG": str(self.folder / f"{name}.json")})
+            stderr=subprocess.PIPE,
+            text=True,
+            env=os.environ | {"ROUTER_CONFIG": str(self.folder / f"{name}.json")},
+        )
         self.addCleanup(child.kill)
         return child
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -53,19 +53,31 @@
         known.unlink(missing_ok=True)
         if lines:
             known.write_text("\n".join(lines) + "\n")
-        done = subprocess.run([sys.executable, "-m", "unittest", "suite"], cwd=self.folder, text=True,
-                              capture_output=True, check=False)
+        done = subprocess.run(
+            [sys.executable, "-m", "unittest", "suite"],
+            cwd=self.folder,
+            text=True,
+            capture_output=True,
+            check=False,
+        )
         code, said = self.tool.judge(self.tool.read(known), done.stderr, done.returncode)
         return code, "\n".join(said)
 
     def test_just_these_are_passed_over_and_printed(self) -> None:
         code, said = self.run_suite(RED, PARTS)
-        self.assertEqual((code, said.splitlines()),
-                         (0, [f"known red, and failed: {RED}", f"known red, and failed: {PARTS}"]))
+        self.assertEqual(
+            (code, said.splitlines()),
+            (0, [f"known red, and failed: {RED}", f"known red, and failed: {PARTS}"]),
+        )
 
     def test_any_other_failure_fails_the_run(self) -> None:
-        for lines, other in (((), "pass"), ((RED,), "pass"), ((RED, PARTS), "self.fail()"),
-                             ((RED, PARTS), "raise SystemExit(1)"), ((RED, PARTS), "import os; os._exit(1)")):
+        for lines, other in (
+            ((), "pass"),
+            ((RED,), "pass"),
+            ((RED, PARTS), "self.fail()"),
+            ((RED, PARTS), "raise SystemExit(1)"),
+            ((RED, PARTS), "import os; os._exit(1)"),
+        ):
             with self.subTest(lines=lines, other=other):
                 self.assertNotEqual(self.run_suite(*lines, other=other)[0], 0)
 
@@ -77,19 +89,34 @@
     def test_files_that_cannot_be_used(self) -> None:
         path = self.folder / "KNOWN-RED.txt"
         here = f"{self.id()} | a cause | issue 1"
-        cases = ["", "\n", f"{RED}\n" * 2, "\n".join(f"a.b{n} | c | issue 1" for n in range(4)),
-                 "suite.Red.test_red", "suite.Red.test_red | a cause", "suite.Red.test_red | | issue 7",
-                 "suite.Red.test_red | a cause | 7", " | a cause | issue 7"]
+        cases = [
+            "",
+            "\n",
+            f"{RED}\n" * 2,
+            "\n".join(f"a.b{n} | c | issue 1" for n in range(4)),
+            "suite.Red.test_red",
+            "suite.Red.test_red | a cause",
+            "suite.Red.test_red | | issue 7",
+            "suite.Red.test_red | a cause | 7",
+            " | a cause | issue 7",
+        ]
         for text in cases:
             with self.subTest(text):
                 path.write_text(text)
                 self.assertRaises(self.tool.Unusable, self.tool.read, path)
-        for text, usable in ((here, True), (here.replace("test_files", "test_no_files"), False),
-                             ("tests.test_known_red.KnownRed | a class | issue 1", False)):
+        for text, usable in (
+            (here, True),
+            (here.replace("test_files", "test_no_files"), False),
+            ("tests.test_known_red.KnownRed | a class | issue 1", False),
+        ):
             with self.subTest(text):
                 path.write_text(text)
-                done = subprocess.run([sys.executable, str(TOOL), "check", str(path)], cwd=ROOT, check=False,
-                                      capture_output=True)
+                done = subprocess.run(
+                    [sys.executable, str(TOOL), "check", str(path)],
+                    cwd=ROOT,
+                    check=False,
+                    capture_output=True,
+                )
                 self.assertEqual(done.returncode, 0 if usable else 1, done.stderr)
         path.unlink()
         self.assertEqual(self.tool.read(path), {})
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -25,7 +25,7 @@
 
 class Net(unittest.TestCase):
     def outcome(self, caller: Caller) -> tuple[int, object]:
-        (status, _, value), = caller.answers()
+        ((status, _, value),) = caller.answers()
         return status, value.get("fault", value.get("result"))
 
     def test_a_result_of_three_pages_in_any_order(self) -> None:
@@ -34,8 +34,9 @@
         caller.post(0xAB, wait="1500", body=b"SELECT a FROM s_3.t", Req_Cost="820.0", X_Est_Mb="96")
         peer = world.peer().up()
         self.assertEqual((peer.host, peer.port, peer.timeout), ("127.0.9.0", 7001, 0.25))
-        self.assertEqual(peer.heard(), [["serve", f"{0xAB:016x}", "class=lookup,wait=1460,rank=3",
-                                         "SELECT a FROM s_3.t"]])
+        self.assertEqual(
+            peer.heard(), [["serve", f"{0xAB:016x}", "class=lookup,wait=1460,rank=3", "SELECT a FROM s_3.t"]]
+        )
         peer.say(0xAB, "200", "parts=3", "a\t1\té\n".encode())
         self.assertEqual(peer.heard(), [["read", f"{0xAB:016x}", "1"], ["read", f"{0xAB:016x}", "2"]])
         peer.say(0xAB, "chunk", "part_no=2", b'"\t\\\t\r\n')
@@ -54,8 +55,9 @@
         peer.say(1, "200", "parts=1", ROW)
         self.assertEqual([said[1] for said in peer.heard()], [f"{2:016x}"])
         peer.say(2, "200")
-        self.assertEqual([value for _, _, value in caller.answers()],
-                         [{"result": [["a", "1", "x"]]}, {"result": []}])
+        self.assertEqual(
+            [value for _, _, value in caller.answers()], [{"result": [["a", "1", "x"]]}, {"result": []}]
+        )
 
     def test_what_proves_that_nothing_ran(self) -> None:
         """Refused, never up, full and over let an irreversible one go again; all else breaks it off."""
@@ -72,8 +74,17 @@
                 else:
                     peer.up().say(1, proof)
                 self.assertEqual(world.peer(1).up().heard()[0][:2], ["serve", f"{1:016x}"])
-        for doubt in ("500", "reset", "page lost", "reset after page 0", "no array", "bad fields", "bad rows",
-                      "an unasked page", "a changed end"):
+        for doubt in (
+            "500",
+            "reset",
+            "page lost",
+            "reset after page 0",
+            "no array",
+            "bad fields",
+            "bad rows",
+            "an unasked page",
+            "a changed end",
+        ):
             with self.subTest(doubt):
                 world = World(self, engines=2)
                 caller = Caller(world)
@@ -156,8 +167,14 @@
         good = Caller(world)
         good.post(1)
         peer = world.peer().up()
-        changes = {"Req-Id": ["12", "x" * 16, f"{1:016x}"], "Req-Wait-Ms": ["soon", "0"], "Req-Cost": ["-5"],
-                   "X-Est-Mb": ["nan"], "Content-Length": ["x"], "workload": ["other"]}
+        changes = {
+            "Req-Id": ["12", "x" * 16, f"{1:016x}"],
+            "Req-Wait-Ms": ["soon", "0"],
+            "Req-Cost": ["-5"],
+            "X-Est-Mb": ["nan"],
+            "Content-Length": ["x"],
+            "workload": ["other"],
+        }
         for name, values in changes.items():
             for text in values:
                 with self.subTest(name, text=text):
@@ -172,8 +189,12 @@
     def test_other_calls(self) -> None:
         world = World(self)
         caller = Caller(world)
-        for text, status in ((b"GET /alive", 200), (b"GET /counters", 200), (b"GET /else", 404),
-                             (b"PUT /a", 405)):
+        for text, status in (
+            (b"GET /alive", 200),
+            (b"GET /counters", 200),
+            (b"GET /else", 404),
+            (b"PUT /a", 405),
+        ):
             caller.say(text + b" HTTP/1.1\r\n\r\n")
             self.assertEqual(caller.answers()[0][0], status)
         self.assertFalse(caller.pipe.disconnecting)
@@ -301,6 +322,7 @@
             peer.factory.clientConnectionLost(connector, None)
             self.assertIsNone(connector.transport)
             world.reactor.tcpClients.clear()
+
         one_round()
         left = [thing for thing in gc.get_objects() if isinstance(thing, (Submission, Connection))]
         self.assertEqual(left, [])
@@ -327,6 +349,7 @@
         def must(holds: object, what: str) -> bool:
             faults.extend([] if holds else [what])
             return bool(holds)
+
         link.counters.must = must  # type: ignore[method-assign]
         link.rules.submitted = lambda *_: None  # type: ignore[method-assign]
         caller = Caller(world)
@@ -367,6 +390,7 @@
 
         def at(number: int, priority: int = 0, started: int = 0) -> tuple[str, str, int, str]:
             return (seat[0].format(number), seat[1].format(number), priority, seat[3].format(started))
+
         world.list(0, at(0))  # overtaken by what is known
         self.assertEqual(set(world.service.link.seats), {"s-0", "s-1"})
         world.list(3, at(0, priority=1), at(1))
@@ -433,7 +457,6 @@
         self.assertEqual(len(world.done), 1)
         self.assertIn("event=counters", world.log.getvalue())
 
-
     def test_a_new_configuration_moves_the_name_service_and_goes_on(self) -> None:
         world = World(self)
         caller = Caller(world)
@@ -449,6 +472,7 @@
 
         def unusable() -> Told:
             return told_by("/nowhere/config.json")
+
         world.service.read_again(unusable)
         self.assertIn("event=configuration_kept", world.log.getvalue())
         self.assertEqual(world.service.names.address, ("127.0.8.10", 5301))
@@ -471,33 +495,45 @@
         out = io.StringIO()
         log = logger("n", out)
         log.info("ready", extra={"figures": {"a": 1.25, "b": 'x "y"\n', "c": ""}})
-        self.assertEqual(out.getvalue().split(" ", 1)[1],
-                         'level=info event=ready a=1.2 b="x \\"y\\"\\n" c=""\n')
+        self.assertEqual(
+            out.getvalue().split(" ", 1)[1], 'level=info event=ready a=1.2 b="x \\"y\\"\\n" c=""\n'
+        )
 
     def test_what_must_hold_is_asserted_or_counted(self) -> None:
         text = "from spurdeal.net.counters import Counters as C; c = C(); print(c.must(0, 'it'), c.figures())"
-        said = [subprocess.run([sys.executable, *flags, "-c", text], capture_output=True, text=True,
-                               check=False) for flags in ([], ["-O"])]
+        said = [
+            subprocess.run([sys.executable, *flags, "-c", text], capture_output=True, text=True, check=False)
+            for flags in ([], ["-O"])
+        ]
         self.assertIn("AssertionError: it", said[0].stderr)
         self.assertEqual(said[1].stdout, "False {'must_it': 1}\n")
 
 
 class Start(unittest.TestCase):
     def test_a_configuration_that_cannot_be_used_ends_with_one_line(self) -> None:
-        cases = [("", "ROUTER_CONFIG is not set"), ("{", "configuration: "), ("[]", "not a JSON object"),
-                 (json.dumps(configuration(listen="nowhere")), "no address"),
-                 (json.dumps(configuration(settings={})), "'grades' is missing"),
-                 (json.dumps(configuration(known={"items": [{}]})), "'no' is missing"),
-                 (json.dumps(configuration(seed="xyz")), "invalid literal"),
-                 (json.dumps(configuration(listen="192.0.2.1:7001")), "cannot listen")]
+        cases = [
+            ("", "ROUTER_CONFIG is not set"),
+            ("{", "configuration: "),
+            ("[]", "not a JSON object"),
+            (json.dumps(configuration(listen="nowhere")), "no address"),
+            (json.dumps(configuration(settings={})), "'grades' is missing"),
+            (json.dumps(configuration(known={"items": [{}]})), "'no' is missing"),
+            (json.dumps(configuration(seed="xyz")), "invalid literal"),
+            (json.dumps(configuration(listen="192.0.2.1:7001")), "cannot listen"),
+        ]
         with tempfile.TemporaryDirectory() as folder:
             for text, words in cases:
                 with self.subTest(words):
                     path = Path(folder) / "config.json"
                     path.write_text(text)
-                    done = subprocess.run([sys.executable, "-m", "spurdeal"], capture_output=True, text=True,
-                                          timeout=60, env={"ROUTER_CONFIG": str(path) if text else ""},
-                                          check=False)
+                    done = subprocess.run(
+                        [sys.executable, "-m", "spurdeal"],
+                        capture_output=True,
+                        text=True,
+                        timeout=60,
+                        env={"ROUTER_CONFIG": str(path) if text else ""},
+                        check=False,
+                    )
                     self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
                     self.assertIn(words, done.stderr)
 
@@ -505,12 +541,19 @@
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
             path.write_text(json.dumps(configuration(listen="127.0.8.1:7099")))
-            with subprocess.Popen([sys.executable, "-m", "spurdeal"], stderr=subprocess.PIPE, text=True,
-                                  env={"ROUTER_CONFIG": str(path)}) as process:
+            with subprocess.Popen(
+                [sys.executable, "-m", "spurdeal"],
+                stderr=subprocess.PIPE,
+                text=True,
+                env={"ROUTER_CONFIG": str(path)},
+            ) as process:
                 assert process.stderr is not None
-                for text, sent, wanted in ((None, None, "event=ready"), ("{", SIGHUP, "configuration_kept"),
-                                           (json.dumps(configuration()), SIGHUP, "configuration_read"),
-                                           (None, SIGTERM, "event=stopped")):
+                for text, sent, wanted in (
+                    (None, None, "event=ready"),
+                    ("{", SIGHUP, "configuration_kept"),
+                    (json.dumps(configuration()), SIGHUP, "configuration_read"),
+                    (None, SIGTERM, "event=stopped"),
+                ):
                     path.write_text(text or path.read_text())
                     if sent is not None:
                         process.send_signal(sent)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -30,24 +30,31 @@
     def test_byte_by_byte(self) -> None:
         parser, found = RequestParser(), 0
         for place in range(len(POST)):
-            parser.feed(POST[place:place + 1])
+            parser.feed(POST[place : place + 1])
             found += parser.take() is not None
         self.assertEqual((found, parser.left()), (1, 0))
 
     def test_what_cannot_be_used(self) -> None:
         for text, status in (
-                (b"GET /a\r\n\r\n", 400), (b"GET  / HTTP/1.1\r\n\r\n", 400), (b"G(T / HTTP/1.1\r\n\r\n", 400),
-                (b"GET a HTTP/1.1\r\n\r\n", 400), (b"GET / HTTP/2\r\n\r\n", 400), (b"\0\1\2\r\n\r\n", 400),
-                (b"GET / HTTP/1.1\r\nA b: c\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA\r\n\r\n", 400),
-                (b"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA: b\nc\r\n\r\n", 400),
-                (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
-                (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400),
-                (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
-                (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (LARGEST_BODY + 1), 413),
-                (b"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 413),
-                (b"GET / HTTP/1.1\r\nA: " + b"a" * LARGEST_HEAD + b"\r\n\r\n", 431),
-                (b"a" * LARGEST_HEAD, 431),
-                (b"GET / HTTP/1.1\r\nA:" + b" \t" * 4000 + b"\0\r\n\r\n", 400)):
+            (b"GET /a\r\n\r\n", 400),
+            (b"GET  / HTTP/1.1\r\n\r\n", 400),
+            (b"G(T / HTTP/1.1\r\n\r\n", 400),
+            (b"GET a HTTP/1.1\r\n\r\n", 400),
+            (b"GET / HTTP/2\r\n\r\n", 400),
+            (b"\0\1\2\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nA b: c\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nA\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nA: b\nc\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400),
+            (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (LARGEST_BODY + 1), 413),
+            (b"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 413),
+            (b"GET / HTTP/1.1\r\nA: " + b"a" * LARGEST_HEAD + b"\r\n\r\n", 431),
+            (b"a" * LARGEST_HEAD, 431),
+            (b"GET / HTTP/1.1\r\nA:" + b" \t" * 4000 + b"\0\r\n\r\n", 400),
+        ):
             with self.subTest(text[:40]):
                 parser = RequestParser()
                 parser.feed(text)
@@ -79,14 +86,24 @@
     def test_byte_by_byte_nothing_is_left(self) -> None:
         parser, found, text = ArrayParser(), 0, command(b"a", b"bc") * 3
         for place in range(len(text)):
-            parser.feed(text[place:place + 1])
+            parser.feed(text[place : place + 1])
             found += parser.take() is not None
         self.assertEqual(found, 3)
 
     def test_what_cannot_be_used(self) -> None:
-        for text in (b"+OK\r\n", b"*x\r\n", b"*-1\r\n", b"*%d\r\n" % (MOST_PARTS + 1), b"*1\r\n:5\r\n",
-                     b"*1\r\n$-1\r\n", b"*1\r\n$%d\r\n" % (LARGEST_PART + 1), b"*1\r\n$2\r\nabc\r\n",
-                     b"*" + b"1" * 20, b"*1\r\n$" + b"0" * 20, b"* 1\r\n"):
+        for text in (
+            b"+OK\r\n",
+            b"*x\r\n",
+            b"*-1\r\n",
+            b"*%d\r\n" % (MOST_PARTS + 1),
+            b"*1\r\n:5\r\n",
+            b"*1\r\n$-1\r\n",
+            b"*1\r\n$%d\r\n" % (LARGEST_PART + 1),
+            b"*1\r\n$2\r\nabc\r\n",
+            b"*" + b"1" * 20,
+            b"*1\r\n$" + b"0" * 20,
+            b"* 1\r\n",
+        ):
             with self.subTest(text[:30]):
                 parser = ArrayParser()
                 parser.feed(text)
@@ -96,17 +113,24 @@
 
 class Dns(unittest.TestCase):
     ASKED = dns.question(7, "_api._tcp.svc.local", dns.SRV)
-    SEATS = (("s-1.east.hosts", "10.1.0.9:7001", 0, "kind=std cell=2 started=0"),
-             ("s-2.east.hosts", "10.1.0.8:7002", 1, "kind=std cell=3 started=9"))
+    SEATS = (
+        ("s-1.east.hosts", "10.1.0.9:7001", 0, "kind=std cell=2 started=0"),
+        ("s-2.east.hosts", "10.1.0.8:7002", 1, "kind=std cell=3 started=9"),
+    )
 
     def read(self, datagram: bytes, ident: int = 7) -> object:
         return dns.read_answer(datagram, ident, "_api._tcp.svc.local", dns.SRV)
 
     def test_compressed_or_not(self) -> None:
-        wanted = (41, [(0, 40, 7001, "s-1.east.hosts"), (1, 40, 7002, "s-2.east.hosts")],
-                  {"s-1.east.hosts": "10.1.0.9", "s-2.east.hosts": "10.1.0.8"},
-                  {"s-1.east.hosts": ["kind=std", "cell=2", "started=0"],
-                   "s-2.east.hosts": ["kind=std", "cell=3", "started=9"]})
+        wanted = (
+            41,
+            [(0, 40, 7001, "s-1.east.hosts"), (1, 40, 7002, "s-2.east.hosts")],
+            {"s-1.east.hosts": "10.1.0.9", "s-2.east.hosts": "10.1.0.8"},
+            {
+                "s-1.east.hosts": ["kind=std", "cell=2", "started=0"],
+                "s-2.east.hosts": ["kind=std", "cell=3", "started=9"],
+            },
+        )
         sizes = set()
         for compressed in (True, False):
             datagram = name_answer(self.ASKED, 41, *self.SEATS, compressed=compressed)
@@ -115,8 +139,10 @@
         self.assertEqual(len(sizes), 2)
 
     def test_an_answer_of_8000_bytes(self) -> None:
-        seats = [(f"s-{n}.east.hosts", f"10.1.{n >> 8}.{n & 255}:7001", 0, "kind=std cell=2 started=0")
-                 for n in range(75)]
+        seats = [
+            (f"s-{n}.east.hosts", f"10.1.{n >> 8}.{n & 255}:7001", 0, "kind=std cell=2 started=0")
+            for n in range(75)
+        ]
         datagram = name_answer(self.ASKED, 41, *seats, compressed=False)
         self.assertGreater(len(datagram), 7800)
         answer = self.read(datagram)
@@ -131,7 +157,7 @@
                 with self.assertRaises(dns.BadDatagram):
                     self.read(datagram[:place])
             for byte in (0x00, 0x3F, 0xC0, 0xFF):
-                changed = datagram[:place] + bytes([byte]) + datagram[place + 1:]
+                changed = datagram[:place] + bytes([byte]) + datagram[place + 1 :]
                 for text in (datagram[:place], changed):
                     try:
                         self.read(text)
@@ -155,29 +181,45 @@
 class Statement(unittest.TestCase):
     def test_groups(self) -> None:
         for text, group in (
-                ("SELECT day FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day", 17),
-                ("select 'from a_1.b' from c_2.d", 2), ("select 'it''s from a_1.b' , 1 from c_2.d", 2),
-                ("select E'\\' from a_1.b' from c_2.d", 2), ("select $$from a_1.b$$ from c_2.d", 2),
-                ("select $t$ from a_1.b $$ $t$ from c_2.d", 2), ("-- from a_1.b\nselect * from c_2.d", 2),
-                ("/* from a_1.b /* nested */ from a_1.b */ select * from c_2.d", 2),
-                ("insert into staging.x_9 select * from c_2.d", 2),
-                ("insert into c_2.d select * from staging.x_9 join e_3.f on true", 2),
-                ("update c_2.d set a = 1", 2), ("delete from c_2.d", 2), ("copy c_2.d from stdin", 2),
-                ('select * from "my_2"."d"', 2), ('select * from "a_1.b", c_2.d', 2),
-                ("select * from `my_2`.`d`", 2), ("select x_1.a from sales_2.orders x_1", 2),
-                ("select f(x_1.a), (select max(y_3.a) from c_2.d y_3) from e_4.f x_1", 2),
-                ("select * from plain, c_2.d", 2), ("select * from only c_2 . d", 2),
-                ("select * from base.c_2.d", 2), ("truncate c_2.d", 2), ("call c_2.work()", 2),
-                ("select * from a_b_12.d", 12), ("SELECT * FROM SALES_3.ORDERS", 3),
-                ("select extract(day from o_1.d), (Select 1 from e_4.f) from c_2.d o_1", 4),
-                ("select trim(both 'x' from o_1.d) from c_2.d where a is distinct from o_1.d", 2),
-                ("delete from staging.x where extract(day from o_1.d) = any (select d from c_2.d)", 2),
-                ("with w as (select * from c_2.d) select id, sum(n) from w group by id", 2),
-                ("merge into c_2.d d using staging.x_9 s on d.id = s.id when matched then delete", 2),
-                ("select * from staging.d", NO_GROUP), ("select 1", NO_GROUP), ("", NO_GROUP),
-                ("select 'never closed from a_1.b", NO_GROUP), ("/* never closed from a_1.b", NO_GROUP),
-                ("select * from c_2x.d", NO_GROUP), ("select * from c_2", NO_GROUP),
-                ("\xff\0;..,", NO_GROUP)):
+            ("SELECT day FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day", 17),
+            ("select 'from a_1.b' from c_2.d", 2),
+            ("select 'it''s from a_1.b' , 1 from c_2.d", 2),
+            ("select E'\\' from a_1.b' from c_2.d", 2),
+            ("select $$from a_1.b$$ from c_2.d", 2),
+            ("select $t$ from a_1.b $$ $t$ from c_2.d", 2),
+            ("-- from a_1.b\nselect * from c_2.d", 2),
+            ("/* from a_1.b /* nested */ from a_1.b */ select * from c_2.d", 2),
+            ("insert into staging.x_9 select * from c_2.d", 2),
+            ("insert into c_2.d select * from staging.x_9 join e_3.f on true", 2),
+            ("update c_2.d set a = 1", 2),
+            ("delete from c_2.d", 2),
+            ("copy c_2.d from stdin", 2),
+            ('select * from "my_2"."d"', 2),
+            ('select * from "a_1.b", c_2.d', 2),
+            ("select * from `my_2`.`d`", 2),
+            ("select x_1.a from sales_2.orders x_1", 2),
+            ("select f(x_1.a), (select max(y_3.a) from c_2.d y_3) from e_4.f x_1", 2),
+            ("select * from plain, c_2.d", 2),
+            ("select * from only c_2 . d", 2),
+            ("select * from base.c_2.d", 2),
+            ("truncate c_2.d", 2),
+            ("call c_2.work()", 2),
+            ("select * from a_b_12.d", 12),
+            ("SELECT * FROM SALES_3.ORDERS", 3),
+            ("select extract(day from o_1.d), (Select 1 from e_4.f) from c_2.d o_1", 4),
+            ("select trim(both 'x' from o_1.d) from c_2.d where a is distinct from o_1.d", 2),
+            ("delete from staging.x where extract(day from o_1.d) = any (select d from c_2.d)", 2),
+            ("with w as (select * from c_2.d) select id, sum(n) from w group by id", 2),
+            ("merge into c_2.d d using staging.x_9 s on d.id = s.id when matched then delete", 2),
+            ("select * from staging.d", NO_GROUP),
+            ("select 1", NO_GROUP),
+            ("", NO_GROUP),
+            ("select 'never closed from a_1.b", NO_GROUP),
+            ("/* never closed from a_1.b", NO_GROUP),
+            ("select * from c_2x.d", NO_GROUP),
+            ("select * from c_2", NO_GROUP),
+            ("\xff\0;..,", NO_GROUP),
+        ):
             with self.subTest(text):
                 self.assertEqual(group_of(text.encode()), group)
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -9,14 +9,27 @@
 from spurdeal.fleet.fleet import Fleet
 from spurdeal.lab.fleet_model import IN_FLEETS, IN_THE_LEASE, Kinds, Stops, stops_walked, walks
 
-ZERO = ("answers_missing", "answers_double", "irreversible_run_twice", "decisions_unaccounted",
-        "sent_against_own_version", "sent_after_lease", "shut_out_wrongly", "log_problems")
+ZERO = (
+    "answers_missing",
+    "answers_double",
+    "irreversible_run_twice",
+    "decisions_unaccounted",
+    "sent_against_own_version",
+    "sent_after_lease",
+    "shut_out_wrongly",
+    "log_problems",
+)
 
 
 class Processes(unittest.TestCase):
     def test_four_under_a_kill_a_deaf_one_a_pause_and_a_clash(self) -> None:
-        done = subprocess.run([sys.executable, "-m", "spurdeal.lab.audited", "fleet", "small", "5"],
-                              capture_output=True, text=True, timeout=120, cwd=Path(__file__).parent.parent)
+        done = subprocess.run(
+            [sys.executable, "-m", "spurdeal.lab.audited", "fleet", "small", "5"],
+            capture_output=True,
+            text=True,
+            timeout=120,
+            cwd=Path(__file__).parent.parent,
+        )
         self.assertEqual(0, done.returncode, done.stderr)
         found = json.loads(done.stdout.splitlines()[-1])
         self.assertEqual(dict.fromkeys(ZERO, 0), {key: found.get(key) for key in ZERO}, found)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,11 +10,32 @@
 
 FOLDER = Path(__file__).parent / "scenarios"
 SITE: dict[str, Any] = dict(
-    index=0, dispatchers=1, location=0, quotas=(), over_share_utility=1.0, cores=(8,), memory_mb=(8192.0,),
-    in_hand=None, list_pushed=True, may_call_off=True, may_probe=False, may_tell=False, second_copies=False,
-    most_trips=3, most_come_back=500.0, grants=False, priorities=False, pages=False, largest_grant=0.4,
-    notes_every=0.0, drain_grace=500.0, cold_for=15000.0, cold_share=0.3, cold_multiple=3.0,
-    cold_window=2000.0)
+    index=0,
+    dispatchers=1,
+    location=0,
+    quotas=(),
+    over_share_utility=1.0,
+    cores=(8,),
+    memory_mb=(8192.0,),
+    in_hand=None,
+    list_pushed=True,
+    may_call_off=True,
+    may_probe=False,
+    may_tell=False,
+    second_copies=False,
+    most_trips=3,
+    most_come_back=500.0,
+    grants=False,
+    priorities=False,
+    pages=False,
+    largest_grant=0.4,
+    notes_every=0.0,
+    drain_grace=500.0,
+    cold_for=15000.0,
+    cold_share=0.3,
+    cold_multiple=3.0,
+    cold_window=2000.0,
+)
 LINE = Listed(0, 0, 0, 0, Life.READY, 1.0, 0.0)
 KINDS: tuple[Any, ...] = (Effect, Ending, Life, Reach, Word)
 WORDS: dict[str, Any] = {word.name.lower(): word for kind in KINDS for word in kind}
@@ -89,8 +110,14 @@
         self.site |= given
 
     def do_workload(self, **given: Any) -> None:
-        self.workloads.append(Workload(**({"agreed": 1000.0, "stretch": 2.0, "expiry": 5000.0, "utility": 1.0,
-                                           "late_utility": 0.0} | given)))
+        self.workloads.append(
+            Workload(
+                **(
+                    {"agreed": 1000.0, "stretch": 2.0, "expiry": 5000.0, "utility": 1.0, "late_utility": 0.0}
+                    | given
+                )
+            )
+        )
 
     def do_engines(self, count: str, **given: Any) -> None:
         for engine in range(int(count)):
@@ -121,15 +148,24 @@
             self.rules.turn(self.now)
         self.now = float(when)
 
-    def do_submit(self, *numbers: str, kind: int = 0, cost: float = 100.0, life: float = 5000.0, key: int = 0,
-                  group: int = 0, customer: int = 0) -> None:
+    def do_submit(
+        self,
+        *numbers: str,
+        kind: int = 0,
+        cost: float = 100.0,
+        life: float = 5000.0,
+        key: int = 0,
+        group: int = 0,
+        customer: int = 0,
+    ) -> None:
         for number in numbers:
             expiry = self.now + life
             self.rules.submitted(self.now, int(number), kind, customer, key, expiry, cost, 0.0, group)
         self.rules.turn(self.now)
 
-    def do_end(self, *trips: str, ending: Ending = Ending.DELIVERED, took: float = 100.0,
-               report: float = 0.0) -> None:
+    def do_end(
+        self, *trips: str, ending: Ending = Ending.DELIVERED, took: float = 100.0, report: float = 0.0
+    ) -> None:
         for name in trips:
             number, _, trip = name.partition(".")
             which = int(number), int(trip or 0)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -17,8 +17,13 @@
 
 
 def call(*words: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "spurdeal", *words], capture_output=True, text=True,
-                          timeout=60, cwd=EXAMPLE.parent.parent)
+    return subprocess.run(
+        [sys.executable, "-m", "spurdeal", *words],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        cwd=EXAMPLE.parent.parent,
+    )
 
 
 class Files(unittest.TestCase):
@@ -31,17 +36,18 @@
     def test_each_fault_names_its_line_and_key(self) -> None:
         line = {text.strip(): number for number, text in enumerate(TEXT.split("\n"), 1)}
         for old, new, at, said in (
-                ("priority: 200", "rank: 200", "priority: 200", "groups[0].rank: this key is not known"),
-                ("priority: 200", "priority: 300", "priority: 200", "vrrp.groups[0].priority: "),
-                ("interval: 100ms", "interval: 100", "interval: 100ms", "is no duration"),
-                ("interval: 100ms", "interval: 101ms", "- group: 1", "no whole number of 10ms"),
-                ("127.0.7.1]", "127.0.7.1, \"::1\"]", "- group: 1", "of both kinds"),
-                ("kind: listen", "kind: magic", "holder:", "vrrp.holder"),
-                ("port: 7001", "prot: 7001", "holder:", "vrrp.holder.port: this key is missing"),
-                ("adverts: 127.0.8.2:7112", "adverts: x", "adverts: 127.0.8.2:7112", "no address with"),
-                ("name: n2", "name: n1", "name: n1", "two dispatchers have one name"),
-                ("ahead: true", "ahead: true\n  ahead: false", "ahead: true", "duplicate key"),
-                ("name: n1", "name: [", "peers:", "")):
+            ("priority: 200", "rank: 200", "priority: 200", "groups[0].rank: this key is not known"),
+            ("priority: 200", "priority: 300", "priority: 200", "vrrp.groups[0].priority: "),
+            ("interval: 100ms", "interval: 100", "interval: 100ms", "is no duration"),
+            ("interval: 100ms", "interval: 101ms", "- group: 1", "no whole number of 10ms"),
+            ("127.0.7.1]", '127.0.7.1, "::1"]', "- group: 1", "of both kinds"),
+            ("kind: listen", "kind: magic", "holder:", "vrrp.holder"),
+            ("port: 7001", "prot: 7001", "holder:", "vrrp.holder.port: this key is missing"),
+            ("adverts: 127.0.8.2:7112", "adverts: x", "adverts: 127.0.8.2:7112", "no address with"),
+            ("name: n2", "name: n1", "name: n1", "two dispatchers have one name"),
+            ("ahead: true", "ahead: true\n  ahead: false", "ahead: true", "duplicate key"),
+            ("name: n1", "name: [", "peers:", ""),
+        ):
             with self.subTest(new), self.assertRaises(Unusable) as caught:
                 read_text("f.yaml", TEXT.replace(old, new, 1).encode())
             first = str(caught.exception).splitlines()[0]
@@ -73,19 +79,27 @@
     def test_an_advertisement_is_shown_and_read_back(self) -> None:
         shown = call("vrrp", "advert", str(EXAMPLE), "--group", "1", "--hex")
         told = json.loads(call("vrrp", "dump", shown.stdout.strip(), "--json").stdout)
-        self.assertEqual((told["group"], told["priority"], told["interval_ms"], told["addresses"]),
-                         (1, 200, 100.0, ["127.0.7.1"]))
+        self.assertEqual(
+            (told["group"], told["priority"], told["interval_ms"], told["addresses"]),
+            (1, 200, 100.0, ["127.0.7.1"]),
+        )
         self.assertNotIn("dropped", told)
-        self.assertIn("checksum", json.loads(call("vrrp", "dump", shown.stdout.strip()[:-1] + "0",
-                                                  "--json").stdout)["dropped"])
+        self.assertIn(
+            "checksum",
+            json.loads(call("vrrp", "dump", shown.stdout.strip()[:-1] + "0", "--json").stdout)["dropped"],
+        )
         self.assertEqual(call("vrrp", "dump", "xyz").returncode, 2)
         self.assertEqual(call("vrrp", "advert", str(EXAMPLE), "--group", "9").returncode, 2)
 
     def test_without_a_sub_command_none_of_the_extras_is_imported(self) -> None:
-        lean = "import sys, spurdeal.net.start, spurdeal.__main__\n" \
-               "print([n for n in 'click pydantic ruamel structlog minicheck'.split() if n in sys.modules])"
-        self.assertEqual(subprocess.run([sys.executable, "-c", lean], capture_output=True, text=True,
-                                        timeout=60).stdout, "[]\n")
+        lean = (
+            "import sys, spurdeal.net.start, spurdeal.__main__\n"
+            "print([n for n in 'click pydantic ruamel structlog minicheck'.split() if n in sys.modules])"
+        )
+        self.assertEqual(
+            subprocess.run([sys.executable, "-c", lean], capture_output=True, text=True, timeout=60).stdout,
+            "[]\n",
+        )
 
     def test_lines_through_structlog_are_those_of_the_plain_logger(self) -> None:
         lines = []
@@ -106,8 +120,12 @@
     def test_a_step_is_followed_slowly(self) -> None:
         unix, mono = [1e12], [0.0]
         steady = Steady(lambda: unix[0], lambda: mono[0])
-        for step, passed, least, most in ((0, 1000, 1000, 1000), (3_600_000, 1000, 1000, 1005),
-                                          (0, 1000, 1000, 1005), (-7_200_000, 1000, 995, 1000)):
+        for step, passed, least, most in (
+            (0, 1000, 1000, 1000),
+            (3_600_000, 1000, 1000, 1005),
+            (0, 1000, 1000, 1005),
+            (-7_200_000, 1000, 995, 1000),
+        ):
             before = steady.now()
             unix[0] += passed + step
             mono[0] += passed
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -117,8 +117,10 @@
         pair.names.silent = False
         pair.go(1000)
         self.assertEqual([one.holds(), pair.sides["n2"].holds()], [True, False])
-        cold = {ident: rules.engines[place].warm_at > pair.unix()
-                for ident, place in one.service.link.places.items()}
+        cold = {
+            ident: rules.engines[place].warm_at > pair.unix()
+            for ident, place in one.service.link.places.items()
+        }
         self.assertEqual(cold, {"s-1": False, "s-9": True})
 
     def test_without_list_and_peer_it_takes_its_address_back_after_the_stated_time(self) -> None:
@@ -128,8 +130,9 @@
         pair.go(600)
         names = ("127.0.8.9", 5300)
         handover = (HOSTS["n2"], 7113)
-        pair.ether.drops = lambda source, target: (target == names and source[0] == HOSTS["n1"]) \
-            or source == handover
+        pair.ether.drops = lambda source, target: (
+            (target == names and source[0] == HOSTS["n1"]) or source == handover
+        )
         one = pair.again("n1")
         pair.go(2900)
         self.assertFalse(one.holds())
@@ -155,7 +158,7 @@
                 if uses:
                     tenure.used(now)
             seen.append(parts)
-            seen = seen[-window // 5:]
+            seen = seen[-window // 5 :]
             together = sum(max(column) for column in zip(*seen, strict=True))
             most = max(most, together)
             pair.ether.drops = lambda source, target: source[0] in pair.dead or chance.random() < 0.2
@@ -299,16 +302,21 @@
         pair = Pair(self)
         pair.go(3500)
         two, chance = pair.sides["n2"], random.Random(8)
-        good = advert.write(1, 200, 100, [ip_address("127.0.7.1")], *map(ip_address,
-                                                                                HOSTS.values()))
+        good = advert.write(1, 200, 100, [ip_address("127.0.7.1")], *map(ip_address, HOSTS.values()))
         handover = [text for source, target, text in pair.ether.carried if target == (HOSTS["n2"], 7113)]
         forged = Session("n1", "n2", 1, Keys({1: b"x" * 16}))
         station = two.station
         assert station.handover is not None
         session = station.handover.sessions["n1"]
         machine = station.groups.machines[1]
-        before = (dict(vars(machine)), session.peer_boot, session.newest, dict(station.handover.marks.known),
-                  dict(station.tenure.loans), two.holds())
+        before = (
+            dict(vars(machine)),
+            session.peer_boot,
+            session.newest,
+            dict(station.handover.marks.known),
+            dict(station.tenure.loans),
+            two.holds(),
+        )
         drops = self.dropped(two)
         for number in range(100_000):
             text = bytearray(good)
@@ -320,14 +328,20 @@
                 spoilt[chance.randrange(len(spoilt))] ^= 1 << chance.randrange(8)
                 text = spoilt
             elif sort == 1:
-                text = bytearray(handover[-1 - number % 50])[:chance.randrange(90)]
+                text = bytearray(handover[-1 - number % 50])[: chance.randrange(90)]
             elif sort == 2:
                 text = bytearray(handover[-1 - number % 50])  # whole and replayed
             else:
                 text = bytearray(forged.write(0.0, {"list": 9}))
             station.handover_came(bytes(text), (HOSTS["n1"], 7113))
-        after = (dict(vars(machine)), session.peer_boot, session.newest, dict(station.handover.marks.known),
-                 dict(station.tenure.loans), two.holds())
+        after = (
+            dict(vars(machine)),
+            session.peer_boot,
+            session.newest,
+            dict(station.handover.marks.known),
+            dict(station.tenure.loans),
+            two.holds(),
+        )
         self.assertEqual(before, after)
         self.assertEqual(self.dropped(two) - drops, 200_000)
 
@@ -338,13 +352,17 @@
     def test_strangers_and_unknown_groups_are_counted(self) -> None:
         pair = Pair(self)
         station = pair.sides["n2"].station
-        good = advert.write(9, 200, 100, [ip_address("127.0.7.1")], *map(ip_address,
-                                                                                HOSTS.values()))
+        good = advert.write(9, 200, 100, [ip_address("127.0.7.1")], *map(ip_address, HOSTS.values()))
         for sender in (HOSTS["n1"], "127.9.9.9"):
             station.advert_came(good, sender)
         station.handover_came(b"x", ("127.9.9.9", 7113))
-        self.assertEqual([pair.sides["n2"].count(name) for name in
-                          ("vrrp_drop_group", "vrrp_drop_sender", "handover_drop_sender")], [1, 1, 1])
+        self.assertEqual(
+            [
+                pair.sides["n2"].count(name)
+                for name in ("vrrp_drop_group", "vrrp_drop_sender", "handover_drop_sender")
+            ],
+            [1, 1, 1],
+        )
 
     def test_keys_change_in_service_and_a_bad_file_keeps_the_old(self) -> None:
         pair = Pair(self)
@@ -353,8 +371,15 @@
         for keys in ([(1, KEY), (2, new)], [(2, new), (1, KEY)], [(2, new)]):
             for name, side in pair.sides.items():
                 other = "n2" if name == "n1" else "n1"
-                text = PLAN.format(name=name, other=other, host=HOSTS[name], far=HOSTS[other], key=KEY,
-                                   priority=pair.priorities[name], interval="100ms")
+                text = PLAN.format(
+                    name=name,
+                    other=other,
+                    host=HOSTS[name],
+                    far=HOSTS[other],
+                    key=KEY,
+                    priority=pair.priorities[name],
+                    interval="100ms",
+                )
                 told = ", ".join(f"{{id: {ident}, hex: {key}}}" for ident, key in keys)
                 text = text.replace(f"[{{id: 1, hex: {KEY}}}]", f"[{told}]")
                 side.station.read_again(read_text("plan", text.encode()))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -27,7 +27,7 @@
     def write(self, file: int, data: Any) -> int:
         if not self.room:
             raise OSError(errno.ENOSPC, "full")
-        part = data[:min(len(data), self.room, 7)]  # as if the system took only some of it at a time
+        part = data[: min(len(data), self.room, 7)]  # as if the system took only some of it at a time
         self.room -= len(part)
         return os.write(file, part)
 
@@ -76,7 +76,7 @@
             spoilt = bytearray(data)
             spoilt[chance.randrange(len(data))] ^= 1 << chance.randrange(8)
             found = [record for record, _ in read(bytes(spoilt))]
-            self.assertEqual(found, whole[:len(found)])
+            self.assertEqual(found, whole[: len(found)])
             self.assertLess(len(found), 20)
 
     def test_a_full_disk_refuses_before_anything_is_sent_and_recovers(self) -> None:
