--- a/tests/test_vrrp.py
+++ b/tests/test_vrrp.py
@@ -51,11 +51,18 @@
             text = bytearray(good)
             text[at] = value
             return bytes(text)
+
         for reason, text, ttl in (
-                ("ttl", good, 254), ("short", good[:7], None), ("version", spoilt(0, 0x21), None),
-                ("type", spoilt(0, 0x32), None), ("length", good + b"\0", None),
-                ("length", spoilt(3, 2), None), ("length", spoilt(3, 0), None),
-                ("interval", good[:4] + b"\0\0" + good[6:], None), ("checksum", spoilt(2, 199), None)):
+            ("ttl", good, 254),
+            ("short", good[:7], None),
+            ("version", spoilt(0, 0x21), None),
+            ("type", spoilt(0, 0x32), None),
+            ("length", good + b"\0", None),
+            ("length", spoilt(3, 2), None),
+            ("length", spoilt(3, 0), None),
+            ("interval", good[:4] + b"\0\0" + good[6:], None),
+            ("checksum", spoilt(2, 199), None),
+        ):
             with self.subTest(reason), self.assertRaises(Dropped) as caught:
                 advert.read(text, ONE, TWO, ttl)
             self.assertEqual(caught.exception.reason, reason)
@@ -105,8 +112,12 @@
         self.assertEqual(machine.due, 20 + skew_time(100, 2000.0))
 
     def test_preemption_waits_for_its_delay_and_for_the_bar(self) -> None:
-        for preempt, delay, barred, taken_at in ((True, 0, False, 3218.75), (True, 5000, False, 8418.75),
-                                                 (False, 0, False, None), (True, 0, True, None)):
+        for preempt, delay, barred, taken_at in (
+            (True, 0, False, 3218.75),
+            (True, 5000, False, 8418.75),
+            (False, 0, False, None),
+            (True, 0, True, None),
+        ):
             with self.subTest(preempt=preempt, delay=delay, barred=barred):
                 machine = Machine(terms(200, preempt=preempt, preempt_delay=float(delay)))
                 machine.start(0, barred)
@@ -121,11 +132,12 @@
                     self.assertLess(abs(taken - taken_at), 250)
 
     def test_equal_priorities_go_by_address_and_a_lower_one_is_told_at_once(self) -> None:
-        for sender, priority, acts, state in ((TWO, 200, [Act.LEAVE], State.BACKUP),
-                                              (ip_address("127.0.0.9"), 200, [Act.ADVERTISE, Act.HOLD],
-                                               State.ACTIVE),
-                                              (TWO, 199, [Act.ADVERTISE, Act.HOLD], State.ACTIVE),
-                                              (TWO, 0, [Act.ADVERTISE], State.ACTIVE)):
+        for sender, priority, acts, state in (
+            (TWO, 200, [Act.LEAVE], State.BACKUP),
+            (ip_address("127.0.0.9"), 200, [Act.ADVERTISE, Act.HOLD], State.ACTIVE),
+            (TWO, 199, [Act.ADVERTISE, Act.HOLD], State.ACTIVE),
+            (TWO, 0, [Act.ADVERTISE], State.ACTIVE),
+        ):
             machine = Machine(terms(200))
             machine.start(0)
             machine.tick(4000)
@@ -251,7 +263,7 @@
         for _ in range(5000):
             text = bytearray(good)
             text[chance.randrange(len(text))] ^= 1 << chance.randrange(8)
-            for spoilt in (bytes(text), good[:chance.randrange(len(good))], chance.randbytes(60)):
+            for spoilt in (bytes(text), good[: chance.randrange(len(good))], chance.randbytes(60)):
                 with self.assertRaises(Refused):
                     two.read(61, spoilt)
         forged = Session("one", "two", 11, Keys({1: b"x" * 16}))
@@ -301,8 +313,10 @@
         one.before(20, b"x", 5000, "a")
         two.before(20, b"x", 5000, "b")
         verdicts = self.talk(one, two, 25)
-        self.assertEqual(sorted(str(each) for each in verdicts),
-                         ["Verdict(token='a', go=None)", "Verdict(token='b', go=None)"])
+        self.assertEqual(
+            sorted(str(each) for each in verdicts),
+            ["Verdict(token='a', go=None)", "Verdict(token='b', go=None)"],
+        )
 
     def test_without_the_peers_word_it_is_not_sent(self) -> None:
         one, two = self.make("one", "two", 1), self.make("two", "one", 2)
@@ -341,12 +355,24 @@
         one, two = self.make("one", "two", 1), self.make("two", "one", 2)
         self.talk(one, two, 10)
         known = two.known["one"]
-        for body in ({"list": -1}, {"list": "3"}, {"list": 1, "held": 4},
-                     {"tell": [["x"]]}, {"reply": 3},
-                     {"tell": [[1, 2, 3]]}, {"lend": [2.0, 0]}, {"lend": [0.5]},
-                     {"marks": [["x", float("inf")]]},
-                     {"page": [1]}, {"need": True}, {"left": None}, {"list": 1, "cold": [["s", 1, "2"]]},
-                     {"list": 1, "aside": [["s" * 65, 1]]}, {"clear": [[""]]}, {"marks": [["x", 1]] * 65}):
+        for body in (
+            {"list": -1},
+            {"list": "3"},
+            {"list": 1, "held": 4},
+            {"tell": [["x"]]},
+            {"reply": 3},
+            {"tell": [[1, 2, 3]]},
+            {"lend": [2.0, 0]},
+            {"lend": [0.5]},
+            {"marks": [["x", float("inf")]]},
+            {"page": [1]},
+            {"need": True},
+            {"left": None},
+            {"list": 1, "cold": [["s", 1, "2"]]},
+            {"list": 1, "aside": [["s" * 65, 1]]},
+            {"clear": [[""]]},
+            {"marks": [["x", 1]] * 65},
+        ):
             with self.subTest(body), self.assertRaisesRegex(Refused, "body"):
                 two.take(20, "one", one.sessions["two"].write(20, body))
         self.assertEqual((two.known["one"], two.marks.known), (known, {}))
