--- /dev/null
+++ b/spurdeal/net/client.py
@@ -0,0 +1,290 @@
+"""One client's connection: HTTP/1.1 calls taken off it, and answers written."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections import deque
+from collections.abc import Mapping
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from .http import BadMessage, RequestParser, response
+from .link import Answer, BrokenOff, Delivered, Shed
+from .pending import pending
+from .statement import group_of
+
+if TYPE_CHECKING:
+    from .clients import Clients
+
+IDENT = re.compile(rb"[0-9a-fA-F]{16}")
+MARK = re.compile(rb"[0-9a-zA-Z_.-]{1,64}")  # it goes on as it is, among fields parted by commas
+NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,12})?")
+LONGEST_SILENT, LONGEST_UNFINISHED = 2000.0, 2000.0  # ms; one who never says all is owed an end within 3 s
+LONGEST_IDLE, LONGEST_UNREAD = 5000.0, 10_000.0  # ms; clients close after 4 s, but some keep theirs for good
+LONGEST_LINGER, MOST_DROPPED = 1000.0, 262_144  # ms and bytes that are read and dropped after our last answer
+MOST_ARRIVALS = 32  # times kept of what one connection has sent ahead
+MOST_IN_A_ROW = 16  # calls that one connection may have handled before others have their turn
+
+
+def number(fields: Mapping[bytes, memoryview], name: bytes, default: float | None = None) -> float:
+    if name not in fields and default is not None:
+        return default
+    text = fields.get(name, b"")
+    if not NUMBER.fullmatch(text):
+        raise BadMessage(400, f"{name.decode()} is missing or no number")
+    return float(text)
+
+
+def key_of(text: bytes | memoryview) -> int:
+    """A number for a key, the same at any time; 0 for none. Nothing need be kept of keys."""
+    return int.from_bytes(blake2b(text, digest_size=8).digest(), "big") | 1 if text else 0
+
+
+def rows_of(pages: tuple[bytes, ...]) -> list[list[str]]:
+    text = b"".join(pages).decode("utf-8")
+    return [row.split("\t") for row in text.split("\n")[:-1]]
+
+
+@implementer(IPushProducer, IHalfCloseableProtocol)
+class Client(Protocol):
+    """One client's connection: one call at a time, each with one answer.
+
+    Ours to end, it lingers: closed over unread bytes, the system would reset it, and the last answer with it.
+    So its write side is shut behind that answer, and what still comes is dropped until the client ends it."""
+
+    transport: Any
+
+    def __init__(self, clients: Clients) -> None:
+        self.clients, self.parser = clients, RequestParser()
+        self.call: Deferred[Answer] | None = None
+        self.closing = self.clogged = self.brought = self.leaving = self.written = False
+        self.since, self.received, self.dropped = clients.clock(), 0, 0
+        self.arrivals = deque[tuple[int, float]]()  # bytes received by then
+        self.advancing: Any = None
+
+    # Twisted's calls.
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.clients.came(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.closing:
+            self.dropped += len(data)
+            if self.dropped > MOST_DROPPED:
+                self.transport.abortConnection()
+            return
+        if not self.parser.left():
+            self.since = self.clients.clock()
+        self.parser.feed(data)
+        self.received += len(data)
+        if len(self.arrivals) >= MOST_ARRIVALS:  # in ever smaller pieces: the last counts from its first
+            self.arrivals[-1] = (self.received, self.arrivals[-1][1])
+        else:
+            self.arrivals.append((self.received, self.clients.clock()))
+        if self.call is not None and self.parser.left() > self.clients.ahead:
+            self.clients.counters.add("client_ran_ahead")
+            self.transport.abortConnection()
+            return
+        self.advance()
+
+    def readConnectionLost(self) -> None:
+        """Its end, or that of its sending: it has left, also where an answer is still on its way."""
+        self.left()
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        self.written, self.since = True, self.clients.clock()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.left()
+        if self.advancing is not None and self.advancing.active():
+            self.advancing.cancel()
+        self.clients.went(self)
+
+    def left(self) -> None:
+        """No answer is owed any more."""
+        self.closing = True
+        call, self.call = self.call, None
+        if call is not None:
+            call.cancel()
+
+    def is_here(self) -> bool:
+        """Whether it has not ended the connection, as far as has arrived."""
+        return not self.closing and pending(self.transport) != b""
+
+    def pauseProducing(self) -> None:
+        """Its answers go unread: nothing more is taken from it until they are."""
+        self.clogged, self.since = True, self.clients.clock()
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        self.clogged = False
+        self.transport.resumeProducing()
+        self.advance()
+
+    def stopProducing(self) -> None:
+        self.closing = True
+
+    # Calls and answers.
+
+    def advance(self) -> None:
+        """Takes what has come whole. One that sends many at once waits for the loop's next round between."""
+        handled = 0
+        while self.call is None and not self.closing and not self.clogged:
+            if handled >= MOST_IN_A_ROW:
+                if self.advancing is None or not self.advancing.active():
+                    self.advancing = self.clients.link.reactor.callLater(0, self.advance)
+                return
+            handled += 1
+            try:
+                taken = self.parser.take()
+                while self.arrivals and self.arrivals[0][0] < self.received - self.parser.left():
+                    self.arrivals.popleft()
+                if taken is None:
+                    return
+                self.since = self.clients.clock()
+                self.handle(*taken)
+            except BadMessage as fault:
+                self.clients.counters.add("client_bad_messages")
+                self.answer(fault.status, {"fault": str(fault)}, False)
+
+    def handle(
+        self, method: bytes, target: bytes, fields: dict[bytes, memoryview], body: memoryview, keep: bool
+    ) -> None:
+        path = target.partition(b"?")[0]
+        last = path.rpartition(b"/")[2]
+        if method == b"POST":
+            self.submit(path, fields, body, keep)
+        elif method == b"DELETE":
+            found = self.clients.link.withdraw(last)
+            self.answer(200 if found else 404, {}, keep)
+        elif method == b"GET" and last == b"alive":
+            self.answer(200 if self.clients.ready else 503, {}, keep)
+        elif method == b"GET" and last == b"counters":
+            self.answer(200, self.clients.counters.figures(), keep)
+        elif method == b"GET" and last == b"fleet" and self.clients.fleet is not None:
+            self.answer(200, self.clients.fleet(), keep)
+        else:
+            self.answer(404 if method == b"GET" else 405, {"fault": "NotKnown"}, keep)
+
+    def submit(self, path: bytes, fields: dict[bytes, memoryview], body: memoryview, keep: bool) -> None:
+        kind = self.clients.workload_of(path)
+        if kind is None:
+            raise BadMessage(404, "the workload is not known")
+        ident, wait = bytes(fields.get(b"req-id", b"")), number(fields, b"req-wait-ms")
+        cost, memory = number(fields, b"req-cost", 0.0), number(fields, b"x-est-mb", 0.0)
+        if not IDENT.fullmatch(ident) or wait <= 0:
+            raise BadMessage(400, "req-id or req-wait-ms cannot be used")
+        statement = bytes(body)  # outlives the buffer: further trips may need it
+        owner, mark = (bytes(fields.get(name, b"")) for name in (b"req-owner", b"req-token"))
+        if mark and not MARK.fullmatch(mark):
+            raise BadMessage(400, "req-token cannot be used")
+        waited = max(0.0, self.clients.clock() - self.arrivals[0][1]) if self.arrivals else 0.0
+        call = self.clients.link.take(
+            ident,
+            self.clients.names[kind],
+            kind,
+            wait - waited,
+            cost,
+            memory,
+            group_of(statement),
+            statement,
+            here=self.is_here,
+            customer=self.clients.customers.get(owner),
+            key=key_of(fields.get(b"req-key", b"")),
+            mark=mark,
+        )
+        if call is None:
+            raise BadMessage(400, "a submission with this id is open")
+        self.call, self.brought = call, True
+        call.addCallbacks(self.concluded, self.withdrawn, (keep,))
+
+    def leave(self) -> None:
+        """Its address is held elsewhere now: what is open is answered, and nothing more is taken."""
+        self.leaving = True
+        self.close_if_idle()
+
+    def concluded(self, answer: Answer, keep: bool) -> None:
+        if not self.clients.counters.must(self.call is not None and not self.closing, "answer_to_a_call"):
+            return
+        self.call = None
+        match answer:
+            case Delivered(pages):
+                self.answer(200, {"result": rows_of(pages)}, keep)
+            case Shed(come_back):
+                wait = (("Srv-Wait-Ms", f"{come_back:.0f}"),) if come_back > 0 else ()
+                self.answer(503, {"fault": "TryLater"}, keep, wait)
+            case BrokenOff():
+                self.answer(500, {"fault": "Aborted"}, keep)
+        self.advance()
+
+    def withdrawn(self, failure: Failure) -> None:
+        if not isinstance(failure.value, CancelledError):
+            failure.raiseException()
+        self.call = None
+        if not self.closing:
+            self.close()
+
+    def answer(self, status: int, value: object, keep: bool, extra: tuple[tuple[str, str], ...] = ()) -> None:
+        self.clients.counters.add(f"answers_{status}")
+        self.since, keep = self.clients.clock(), keep and not self.leaving and not self.clients.ending
+        body = json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode()
+        self.transport.write(response(status, body, keep, extra))
+        if not keep:
+            self.close()
+
+    def close(self) -> None:
+        """Lingers: see above; what it has not read yet leaves first."""
+        self.closing, self.since = True, self.clients.clock()
+        self.arrivals.clear()
+        self.transport.unregisterProducer()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+
+    def close_if_idle(self) -> bool:
+        """A call whose bytes have come and were not read yet is not closed over."""
+        idle = self.is_idle() and pending(self.transport) is None
+        if idle:
+            self.close()
+        return idle
+
+    def timed_out(self, now: float) -> bool:
+        """Unread answers, unfinished messages, silence and idleness each hold a descriptor for nothing."""
+        if self.call is not None:
+            return False
+        longest = (
+            LONGEST_LINGER
+            if self.written
+            else LONGEST_UNREAD
+            if self.clogged or self.closing
+            else LONGEST_UNFINISHED
+            if self.parser.left()
+            else LONGEST_IDLE
+            if self.brought
+            else LONGEST_SILENT
+        )
+        return now - self.since > longest
+
+    def expire(self) -> None:
+        """What waits for nothing is closed; what does not read is cut."""
+        if self.written:
+            self.transport.loseConnection()
+        elif self.clogged or self.closing:
+            self.transport.abortConnection()
+        elif self.parser.left():
+            self.answer(408, {"fault": "Unfinished"}, False)
+        else:
+            self.close_if_idle()
+
+    def is_idle(self) -> bool:
+        return self.call is None and not self.closing and not self.clogged and not self.parser.left()
