--- /dev/null
+++ b/spurdeal/cli/demo.py
@@ -0,0 +1,31 @@
+"""The demo's sub-command: runs it, and prints its table or one JSON object."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import click
+
+from ..lab.demo import DemoFailed, DemoInterrupted, run_demo
+from ..lab.demo_cluster import DispatcherFailed
+from ..lab.demo_report import render, summarise
+
+LARGEST_SEED = 2**32 - 1
+EXIT_FAILED, EXIT_INTERRUPTED = 1, 130
+
+
+def demo(as_json: bool, seconds: float, seed: int | None) -> int:
+    """One run; without a seed one is drawn, and printed with the result. Returns the exit code."""
+    chosen = random.SystemRandom().randint(0, LARGEST_SEED) if seed is None else seed
+    try:
+        run = run_demo(seconds, chosen, lambda text: click.echo(text, err=True))
+    except DemoInterrupted:
+        click.echo("spurdeal: the demo was interrupted", err=True)
+        return EXIT_INTERRUPTED
+    except (DemoFailed, DispatcherFailed, OSError) as fault:
+        click.echo(f"spurdeal: the demo could not run: {fault}", err=True)
+        return EXIT_FAILED
+    summary = summarise(run)
+    click.echo(json.dumps(summary.as_json()) if as_json else render(summary))
+    return 0
--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -232,11 +232,18 @@
 
 
 @spurdeal.command(help="A proof of the project's own, with real processes on loopback.")
-@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate", "audit"]))
+@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate", "audit", "demo"]))
 @click.option("--json", "as_json", is_flag=True, help="one JSON object as the last line")
 @click.option("--quick", is_flag=True, help="a part of it, under a minute")
-@click.option("--seed", type=int, default=None, help="of audit's faults: the one printed brings them back")
-def lab(name: str, as_json: bool, quick: bool, seed: int | None) -> None:
+@click.option("--seed", type=int, default=None, help="of audit's faults or demo's load, as a run prints it")
+@click.option("--seconds", type=click.FloatRange(2, 120), default=None, help="how long demo's load lasts")
+def lab(name: str, as_json: bool, quick: bool, seed: int | None, seconds: float | None) -> None:
+    if name == "demo":
+        from .demo import demo
+
+        sys.exit(demo(as_json, seconds if seconds is not None else 5.0 if quick else 20.0, seed))
+    if seconds is not None:
+        refuse(f"lab {name}: it takes no seconds")
     if seed is not None and name != "audit":
         refuse(f"lab {name}: it takes no seed")
     more = {} if seed is None else {"seed": seed}
--- /dev/null
+++ b/spurdeal/lab/demo_cluster.py
@@ -0,0 +1,208 @@
+"""What the demo runs: stand-in engines, a stand-in name service, and a real dispatcher process."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from contextlib import closing
+from http.client import HTTPConnection
+from pathlib import Path
+from typing import Any
+
+from .demo_load import RequestClass
+from .engines import Engine, Fleet
+from .names import Names, Seat
+
+CORES = 2
+ENGINES = 8
+COLD_FOR, COLD_SHARE, COLD_MULTIPLE, COLD_WINDOW = 2000.0, 0.3, 2.0, 1500.0  # ms and shares
+DRAIN_GRACE = 250.0  # ms after the list tells of a drain, until nothing more may reach that engine
+SOCKETS, MEMORY_MB = 1024, 192
+STOP_TIMEOUT = 5.0  # s from SIGTERM until the dispatcher is killed
+COUNTERS_TIMEOUT = 2.0  # s
+LAST_LOG_LINES = 5
+
+
+class DispatcherFailed(Exception):
+    """The dispatcher process ended by itself; the text holds its last log lines."""
+
+
+def free_address() -> tuple[str, int]:
+    """A loopback address that nobody listens on; systems that know just one host of 127/8 get that one."""
+    chance = random.SystemRandom()
+    hosts = (f"127.0.{chance.randrange(100, 250)}.{chance.randrange(1, 250)}", "127.0.0.1")
+    for host in hosts:
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, 0))
+            except OSError:
+                continue
+            port: int = probe.getsockname()[1]
+            return host, port
+    raise OSError("no loopback address to listen on")
+
+
+class RecordingNames(Names):
+    """A name service that notes when each version of its list was first told."""
+
+    def __init__(self, seats: Sequence[Seat], clock: Callable[[], float]) -> None:
+        super().__init__(seats)
+        self.clock = clock
+        self.first_told: dict[int, float] = {}
+
+    def datagramReceived(self, datagram: bytes, address: Any) -> None:
+        """One question."""
+        self.first_told.setdefault(self.serial, self.clock())
+        super().datagramReceived(datagram, address)
+
+
+class Cluster:
+    """Stand-in engines and their name service in this process, on a loopback host of their own."""
+
+    def __init__(self, reactor: Any, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.host, _ = free_address()
+        self.fleet = Fleet(reactor, CORES, COLD_FOR, COLD_SHARE, COLD_MULTIPLE, COLD_WINDOW)
+        self.names = RecordingNames([self.start_engine(cold=False) for _ in range(ENGINES)], clock)
+        port = reactor.listenUDP(0, self.names, interface=self.host, maxPacketSize=65_535)
+        self.name_server = f"{self.host}:{port.getHost().port}"
+
+    def start_engine(self, cold: bool) -> Seat:
+        """One more engine; the name service does not tell of it yet."""
+        engine = self.fleet.start(f"engine-{len(self.fleet.engines) + 1}", self.host, 0, cold)
+        engine.port = engine.listening.getHost().port
+        return Seat(engine.ident, self.host, engine.port, started=int(time.time() * 1000) if cold else 0)
+
+    def kill(self, ident: str) -> None:
+        """Its connections are reset and new ones refused; the name service goes on naming it."""
+        self.engine(ident).stop()
+
+    def drain(self, ident: str) -> int:
+        """The name service says so from now on; returns the version of the list that does."""
+        self.names.change([seat._replace(draining=seat.ident == ident) for seat in self.names.seats])
+        return self.names.serial
+
+    def join(self) -> str:
+        """A new engine, cold, which the name service tells of; returns its name."""
+        seat = self.start_engine(cold=True)
+        self.names.change([*self.names.seats, seat])
+        return seat.ident
+
+    def engine(self, ident: str) -> Engine:
+        """By its name."""
+        return next(engine for engine in self.fleet.engines if engine.ident == ident)
+
+
+class DispatcherProcess:
+    """The real program, `python -O -m spurdeal`, with a configuration in a temporary folder."""
+
+    def __init__(self, cluster: Cluster, classes: Sequence[RequestClass], seed: int) -> None:
+        self.host, self.port = self.address = free_address()
+        self.folder = tempfile.TemporaryDirectory(prefix="spurdeal-demo-")
+        self.log = Path(self.folder.name) / "dispatcher.log"
+        self.told = Path(self.folder.name) / "config.json"
+        self.told.write_text(json.dumps(self.configuration(cluster, classes, seed)))
+        self.child: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Starts it; it is ready a little later."""
+        with open(self.log, "wb") as log:
+            self.child = subprocess.Popen(
+                [sys.executable, "-O", "-m", "spurdeal"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"ROUTER_CONFIG": str(self.told)},
+                start_new_session=True,  # Ctrl-C is for the demo, which then ends it
+            )
+
+    def configuration(
+        self, cluster: Cluster, classes: Sequence[RequestClass], seed: int
+    ) -> dict[str, object]:
+        """As README.md describes it."""
+        return {
+            "name": "demo",
+            "listen": f"{self.host}:{self.port}",
+            "seed": f"{abs(seed):x}",
+            "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
+            "nameserver": cluster.name_server,
+            "known": cluster.names.known(),
+            "settings": {
+                "zones": ["east"],
+                "models": ["std"],
+                "extra": {"cpu_of_kind": [CORES]},
+                "grades": [
+                    {
+                        "name": each.name,
+                        "aim": each.objective,
+                        "deadline": each.deadline,
+                        "late_worth": 0.5,
+                        "effect": "once" if each.at_most_once else "repeatable",
+                    }
+                    for each in classes
+                ],
+                "limits": {
+                    "cancelling": True,
+                    "send_cap": 3,
+                    "streams_per_conn": 4,
+                    "retry_after": True,
+                    "max_retry_after": 500,
+                },
+                "rules": {
+                    "drain_grace": DRAIN_GRACE,
+                    "cold": COLD_FOR,
+                    "cold_share": COLD_SHARE,
+                    "fall_multiple": COLD_MULTIPLE,
+                    "tip_after": COLD_WINDOW,
+                },
+            },
+        }
+
+    @property
+    def pid(self) -> int | None:
+        """Its process id, once it is started."""
+        return None if self.child is None else self.child.pid
+
+    def is_ready(self) -> bool:
+        """Whether it accepts requests; DispatcherFailed where it never will."""
+        text = self.log.read_text("utf-8", "replace")
+        if self.child is None or self.child.poll() is not None:
+            raise DispatcherFailed("\n".join(text.splitlines()[-LAST_LOG_LINES:]))
+        return "event=ready" in text
+
+    def counters(self) -> dict[str, int]:
+        """Its own counters."""
+        connection = HTTPConnection(self.host, self.port, timeout=COUNTERS_TIMEOUT)
+        with closing(connection):
+            connection.request("GET", "/counters")
+            found: dict[str, int] = json.load(connection.getresponse())
+        return found
+
+    def stop(self, graceful: bool) -> int | None:
+        """Ends it, by SIGTERM first where graceful, and removes its folder; its exit code."""
+        try:
+            return self.end_child(self.child, graceful) if self.child is not None else None
+        finally:
+            self.folder.cleanup()
+
+    @staticmethod
+    def end_child(child: subprocess.Popen[bytes], graceful: bool) -> int:
+        """SIGKILL where SIGTERM was not enough or not asked for."""
+        try:
+            if graceful:
+                child.terminate()
+                child.wait(STOP_TIMEOUT)
+        except subprocess.TimeoutExpired:
+            pass
+        finally:
+            if child.poll() is None:
+                child.kill()
+                child.wait()
+        return child.returncode
--- /dev/null
+++ b/spurdeal/lab/demo_load.py
@@ -0,0 +1,207 @@
+"""Open-loop load on one dispatcher: Poisson arrivals of several request classes, each answer recorded."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+MOST_OPEN = 300  # requests open at once; an arrival beyond that is counted and not sent
+CONNECT_TIMEOUT = 1.0  # s
+ANSWER_MARGIN = 0.25  # s after its deadline at which a request without an answer counts as unanswered
+LARGEST_ANSWER = 65_536  # bytes
+
+
+class RequestClass(NamedTuple):
+    """One class of requests: its share of all arrivals, its mean work in core-ms and its terms in ms."""
+
+    name: str
+    share: float
+    work: float
+    objective: float
+    deadline: float
+    at_most_once: bool = False
+
+
+class Status(StrEnum):
+    """What became of a request, as its client saw it."""
+
+    SUCCEEDED = "succeeded"
+    REJECTED = "rejected"
+    FAILED = "failed"
+    UNANSWERED = "unanswered"
+
+
+STATUS_OF_CODE = {200: Status.SUCCEEDED, 503: Status.REJECTED}  # all others: FAILED
+
+
+@dataclass(slots=True)
+class Request:
+    """One request and its answer; times are seconds since the load began."""
+
+    request_class: RequestClass
+    ident: str
+    work: float
+    sent_at: float
+    answered_at: float | None = None
+    status: Status = Status.UNANSWERED
+    answer: str = "no answer"
+
+    def latency(self) -> float | None:
+        """From the arrival to the whole answer, in ms."""
+        return None if self.answered_at is None else (self.answered_at - self.sent_at) * 1000
+
+
+class LoadGenerator:
+    """Sends requests at `rate` per second until stopped. All chance comes from the seed."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Callable[[], float],
+        address: tuple[str, int],
+        classes: Sequence[RequestClass],
+        rate: float,
+        seed: int,
+    ) -> None:
+        self.reactor, self.clock, self.address = reactor, clock, address
+        self.classes, self.rate, self.chance = classes, rate, random.Random(seed)
+        self.requests: list[Request] = []
+        self.open = self.skipped = 0
+        self.next_at = 0.0
+        self.running = False
+
+    def start(self) -> None:
+        """The first arrival comes one interval from now."""
+        self.running = True
+        self.next_at = self.clock()
+        self.schedule()
+
+    def stop(self) -> None:
+        """No more arrivals; what is open is still waited for."""
+        self.running = False
+
+    def schedule(self) -> None:
+        self.next_at += self.chance.expovariate(self.rate)
+        self.reactor.callLater(max(0.0, self.next_at - self.clock()), self.arrive)
+
+    def arrive(self) -> None:
+        if not self.running:
+            return
+        self.schedule()
+        request = self.draw()
+        if self.open >= MOST_OPEN:
+            self.skipped += 1
+            return
+        self.requests.append(request)
+        self.open += 1
+        self.reactor.connectTCP(*self.address, Caller(self, request), timeout=CONNECT_TIMEOUT)
+
+    def draw(self) -> Request:
+        (request_class,) = self.chance.choices(self.classes, [each.share for each in self.classes])
+        work = request_class.work * self.chance.uniform(0.5, 1.5)
+        return Request(request_class, f"{self.chance.getrandbits(64):016x}", work, self.clock())
+
+    def closed(self, request: Request, answer: Answer | None) -> None:
+        """A request's connection has ended, with an answer or without."""
+        self.open -= 1
+        if answer is not None:
+            request.answered_at = answer.came_at
+            request.status = STATUS_OF_CODE.get(answer.code, Status.FAILED)
+            request.answer = answer.text
+
+
+class Answer(NamedTuple):
+    """One HTTP answer: its code, a text for people, and when it was whole."""
+
+    code: int
+    text: str
+    came_at: float
+
+
+def read_answer(data: bytes, now: float) -> Answer | None:
+    """The answer that these bytes hold; None while some of it is still to come."""
+    head, separator, body = data.partition(b"\r\n\r\n")
+    if not separator:
+        return None
+    status_line, *lines = head.decode("latin-1").split("\r\n")
+    fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+    if len(body) < int(fields["content-length"]):
+        return None
+    code = int(status_line.split()[1])
+    fault = "" if code == 200 else str(json.loads(body).get("fault", ""))
+    return Answer(code, f"{code} {fault}".strip(), now)
+
+
+class Caller(ClientFactory):
+    """Connects for one request."""
+
+    noisy = False
+
+    def __init__(self, load: LoadGenerator, request: Request) -> None:
+        self.load, self.request = load, request
+
+    def buildProtocol(self, addr: Any) -> Call:
+        """The connection is there."""
+        return Call(self.load, self.request)
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """Nothing was sent: the request has no answer."""
+        self.request.answer = f"no connection: {reason.getErrorMessage()}"
+        self.load.closed(self.request, None)
+
+
+class Call(Protocol):
+    """One request on one connection."""
+
+    transport: Any
+
+    def __init__(self, load: LoadGenerator, request: Request) -> None:
+        self.load, self.request = load, request
+        self.received = b""
+        self.answer: Answer | None = None
+        self.timeout: Any = None
+
+    def connectionMade(self) -> None:
+        """Sends the request, with what is left of its time."""
+        request, terms = self.request, self.request.request_class
+        left = terms.deadline / 1000 - (self.load.clock() - request.sent_at)
+        body = f"SELECT a FROM sales.orders /* cost={request.work:.2f} */"
+        head = (
+            f"POST /demo/{terms.name} HTTP/1.1",
+            "Host: demo",
+            f"Req-Id: {request.ident}",
+            f"Req-Wait-Ms: {max(1.0, left * 1000):.0f}",
+            f"Req-Cost: {request.work:.2f}",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+        )
+        self.transport.setTcpNoDelay(True)
+        self.transport.write("\r\n".join((*head, "", body)).encode())
+        self.timeout = self.load.reactor.callLater(max(0.0, left) + ANSWER_MARGIN, self.give_up)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Collects the answer; the connection is of no more use once it is whole."""
+        self.received += data
+        if self.answer is None:
+            self.answer = read_answer(self.received, self.load.clock())
+        if self.answer is not None:
+            self.transport.loseConnection()
+        elif len(self.received) > LARGEST_ANSWER:
+            self.give_up()
+
+    def give_up(self) -> None:
+        """No answer in time."""
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Hands over what came."""
+        if self.timeout.active():
+            self.timeout.cancel()
+        self.load.closed(self.request, self.answer)
