--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -32,6 +32,7 @@
     command -v "$PYTHON" >/dev/null || fail "Python 3.11 or newer is missing: there is no $PYTHON on the PATH"
     found=$(version_of "$PYTHON")
     is_new_enough "$found" || fail "Python 3.11 or newer is missing: $PYTHON is $found"
+    echo "Setting up .venv with the pinned packages; this is done once."
     "$PYTHON" -m venv .venv >"$log" 2>&1 ||
         fail "Python's venv or ensurepip module is missing: $PYTHON -m venv failed: $(tail -n 1 "$log")"
 }
