--- a/spurdeal/cli/demo.py
+++ b/spurdeal/cli/demo.py
@@ -7,8 +7,8 @@
 
 import click
 
-from ..lab.demo import DemoFailed, DemoInterrupted, run_demo
-from ..lab.demo_cluster import DispatcherFailed
+from ..lab.demo import DemoError, DemoInterruptedError, run_demo
+from ..lab.demo_cluster import DispatcherError
 from ..lab.demo_report import render, summarise
 
 LARGEST_SEED = 2**32 - 1
@@ -20,10 +20,10 @@
     chosen = random.SystemRandom().randint(0, LARGEST_SEED) if seed is None else seed
     try:
         run = run_demo(seconds, chosen, lambda text: click.echo(text, err=True))
-    except DemoInterrupted:
+    except DemoInterruptedError:
         click.echo("spurdeal: the demo was interrupted", err=True)
         return EXIT_INTERRUPTED
-    except (DemoFailed, DispatcherFailed, OSError) as fault:
+    except (DemoError, DispatcherError, OSError) as fault:
         click.echo(f"spurdeal: the demo could not run: {fault}", err=True)
         return EXIT_FAILED
     summary = summarise(run)
--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -6,10 +6,14 @@
 import os
 import signal
 import sys
-from typing import Any, NoReturn
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, NoReturn
 
 import click
 
+if TYPE_CHECKING:
+    from ..settings.installation import Installation
+
 
 @click.group(help="A query gateway: what runs, on which engine, when, and with how much memory.")
 def spurdeal() -> None:
@@ -22,18 +26,20 @@
     sys.exit(2)
 
 
-def installation(path: str) -> Any:
-    from ..settings.reading import Unusable, read
+def installation(path: str) -> Installation:
+    """The operator's file; what cannot be used is told, and ends the process."""
+    from ..settings.reading import SettingsError, read
 
     try:
         return read(path)
-    except Unusable as fault:
+    except SettingsError as fault:
         refuse(fault)
 
 
 @spurdeal.command(help="One dispatcher from ROUTER_CONFIG, with an operator's file where one is named.")
 @click.option("--settings", type=click.Path(), help="an operator's YAML file")
 def run(settings: str | None) -> None:
+    """One dispatcher from ROUTER_CONFIG."""
     from ..net.start import main
 
     if settings is None:
@@ -46,6 +52,7 @@
 @spurdeal.command(help="Checks an operator's file: file, line and key of each fault, exit code 2.")
 @click.argument("file", type=click.Path())
 def check(file: str) -> None:
+    """Checks an operator's file."""
     found = installation(file)
     parts = [
         part
@@ -57,6 +64,7 @@
 
 @spurdeal.command(help="Every key of an operator's file, its default and its meaning.")
 def keys() -> None:
+    """Prints every key."""
     from ..settings.reading import keys as all_keys
 
     for key, default, meaning in all_keys():
@@ -73,12 +81,13 @@
 @click.option("--group", "number", type=int, required=True, help="the VRID")
 @click.option("--hex", "as_hex", is_flag=True, help="as hex digits only")
 def advert(file: str, number: int, as_hex: bool) -> None:
+    """Prints an advertisement."""
     from ..vrrp import advert as adverts
 
     found = installation(file)
     groups = found.vrrp.groups if found.vrrp is not None else []
     group = next((group for group in groups if group.group == number), None)
-    if group is None:
+    if found.vrrp is None or group is None:
         refuse(f"{file}: no group {number}")
     for peer in found.peers[:1] if as_hex else found.peers:
         source, target = found.vrrp.listen[0], peer.adverts[0]
@@ -92,6 +101,7 @@
 @click.option("--source", default="127.0.0.1", help="the datagram's sender, for the checksum")
 @click.option("--target", default="127.0.0.1", help="where it was sent, for the checksum")
 def dump(digits: str, as_json: bool, source: str, target: str) -> None:
+    """Prints the fields of a datagram."""
     from ipaddress import ip_address
 
     from ..vrrp.advert import fields
@@ -115,6 +125,7 @@
 @extproc.command(help="A dispatcher that other proxies ask, as the file's `extproc` says.")
 @click.option("--settings", type=click.Path(), required=True, help="an operator's YAML file")
 def serve(settings: str) -> None:
+    """Runs the external processor."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if installation(settings).extproc is None:
         refuse(f"{settings}: extproc: this key is missing")
@@ -132,6 +143,7 @@
 @click.option("--at", required=True, help="a dispatcher's address for clients, as 127.0.0.1:7001")
 @click.option("--json", "as_json", is_flag=True)
 def status(at: str, as_json: bool) -> None:
+    """Prints one dispatcher's view of the fleet."""
     from urllib.error import URLError
     from urllib.request import urlopen
 
@@ -149,6 +161,7 @@
 
 
 def logs_of(folders: tuple[str, ...], strict: bool) -> list[Any]:
+    """Reads audit logs; one that cannot be read is told, and ends the process."""
     from pathlib import Path
 
     from ..fleet.asking import Unreadable, read_log
@@ -176,6 +189,7 @@
     between: tuple[float, float] | None,
     as_json: bool,
 ) -> None:
+    """Prints entries of audit logs."""
     from ..fleet.asking import Asked, chosen, merged
 
     since, until = between or (0.0, float("inf"))
@@ -189,6 +203,7 @@
 @click.option("--grace", default="250ms", help="after a version is told, until it must be kept")
 @click.option("--json", "as_json", is_flag=True, help="a JSON object a line")
 def check_logs(folders: tuple[str, ...], grace: str, as_json: bool) -> None:
+    """Prints what went against the versions."""
     from ..fleet.asking import check as check_all
     from ..settings.units import milliseconds
 
@@ -209,7 +224,8 @@
     sys.exit(1 if findings else 0)
 
 
-def proofs(name: str) -> Any:
+def proofs(name: str) -> Callable[..., dict[str, Any]]:
+    """The function that returns the figures of a proof."""
     if name == "audit":
         from ..lab.audited import figures as audited
 
@@ -238,6 +254,7 @@
 @click.option("--seed", type=int, default=None, help="of audit's faults or demo's load, as a run prints it")
 @click.option("--seconds", type=click.FloatRange(2, 120), default=None, help="how long demo's load lasts")
 def lab(name: str, as_json: bool, quick: bool, seed: int | None, seconds: float | None) -> None:
+    """Runs a proof, or the demo."""
     if name == "demo":
         from .demo import demo
 
--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, TextIO, cast
+from typing import TYPE_CHECKING, Any, NamedTuple, TextIO, cast
 
 import structlog
 from twisted.internet.error import CannotListenError
@@ -17,18 +17,25 @@
 
 from ..net import start
 from ..net.logs import pair
-from ..settings.reading import Unusable, read
+from ..settings.reading import SettingsError, read
 from ..steady import Steady
 
 if TYPE_CHECKING:
+    from structlog.typing import EventDict
+    from twisted.internet.epollreactor import EPollReactor
+
+    from ..extproc.server import Server
+    from ..extproc.tls import Context
     from ..fleet.station import FleetStation
     from ..settings.installation import ExtprocPart, FleetPart, HandoverPart, Installation, LedgerPart
     from ..store.ledger import Ledger
     from ..vrrp.sealed import Keys
     from ..vrrp.station import Station
 
+CLOCK_FILE_EVERY = 50.0  # ms between two looks at a file that shifts the clock
 
-def key_value(_: object, __: str, event: Any) -> str:
+
+def key_value(_: object, __: str, event: EventDict) -> str:
     """One line of pairs, as `net.logs` writes them: what on-call staff look for stays."""
     record = event.pop("_record", None)
     for inner in ("_from_structlog", "exc_info"):
@@ -37,14 +44,14 @@
         "t": f"{record.created if record else time.time():.3f}",
         "level": event.pop("level", "info"),
         "event": event.pop("event", ""),
-    } | event
+    } | dict(event)
     return " ".join(pair(key, value) for key, value in pairs.items())
 
 
-def figures(_: object, __: str, event: Any) -> Any:
+def figures(_: object, __: str, event: EventDict) -> EventDict:
     """What stdlib callers hand over under `figures`, and the trace of an exception."""
     record = event.get("_record")
-    event |= getattr(record, "figures", {})
+    event.update(getattr(record, "figures", {}))
     if record is not None and record.exc_info:
         event["trace"] = logging.Formatter().formatException(record.exc_info)
     return event
@@ -65,21 +72,24 @@
     return log
 
 
-def steady_reactor() -> Any:
-    """Twisted's reactor on the monotonic clock: its own counts Unix time, and a step back would stop each
-    timer."""
+def steady_reactor() -> EPollReactor:
+    """Twisted's reactor on the monotonic clock.
+
+    Its own counts Unix time, and a step back would stop each timer.
+    """
     from twisted.internet.epollreactor import EPollReactor
     from twisted.internet.main import installReactor
 
     class SteadyReactor(EPollReactor):
         seconds = staticmethod(time.monotonic)
 
-    reactor = cast(Any, SteadyReactor)()
+    reactor: EPollReactor = cast(Any, SteadyReactor)()
     cast(Any, installReactor)(reactor)
     return reactor
 
 
 def monotonic_ms() -> float:
+    """Ms that never step back."""
     return time.monotonic() * 1000
 
 
@@ -89,7 +99,7 @@
 
     def unix() -> float:
         nonlocal looked, shift
-        if monotonic_ms() - looked >= 50.0:
+        if monotonic_ms() - looked >= CLOCK_FILE_EVERY:
             looked = monotonic_ms()
             try:
                 shift = float(Path(path).read_text("ascii"))
@@ -101,25 +111,32 @@
 
 
 def read_keys(path: str, name: str, part: FleetPart | HandoverPart) -> Keys:
-    """Keys from the file or the files that it names; Unusable where there are none."""
+    """Keys from the file or the files that it names; SettingsError where there are none."""
     from ..vrrp.station import keys_of
 
     try:
         return keys_of(part)
     except (OSError, ValueError) as fault:
-        raise Unusable(f"{path}: {name}.keys: {fault}") from None
+        raise SettingsError(f"{path}: {name}.keys: {fault}") from None
 
 
 def run_with(environment: Mapping[str, str], path: str) -> int:
     """Runs until it is stopped; 2 where configuration or file cannot be used."""
     try:
         serve(environment.get("ROUTER_CONFIG", ""), path)
-    except (Unusable, start.Unusable) as fault:
+    except (SettingsError, start.Unusable) as fault:
         print(f"spurdeal: {fault}", file=sys.stderr)
         return 2
     return 0
 
 
+class Files(NamedTuple):
+    """Paths of the operator's file and of the dispatcher's configuration."""
+
+    settings: str
+    configuration: str
+
+
 class Installed:
     """A dispatcher with all that an operator's file adds, started and stopped together."""
 
@@ -127,19 +144,19 @@
         self,
         service: start.Service,
         plan: Installation,
-        loop: Any,
-        path: str,
-        configuration: str,
+        loop: EPollReactor,
+        files: Files,
         unix: Callable[[], float],
     ) -> None:
-        self.service, self.plan, self.loop, self.path = service, plan, loop, path
-        self.configuration, self.unix = configuration, unix
+        self.service, self.plan, self.unix = service, plan, unix
+        self.loop: Any = loop  # Twisted's reactor has no types of its own
+        self.path, self.configuration = files
         self.link, self.log, self.counters = service.link, service.log, service.counters
         self.station: Station | None = None
         self.ledger: Ledger | None = None
         self.fleet: FleetStation | None = None
-        self.server: Any = None
-        self.context: Any = None
+        self.server: Server | None = None
+        self.context: Context | None = None
         if plan.vrrp is not None:
             from ..vrrp.station import Station
 
@@ -152,6 +169,7 @@
             self.server = self.make_server(plan.extproc)
 
     def make_fleet(self) -> FleetStation:
+        """The part that takes part in the fleet."""
         from ..fleet.station import FleetStation
 
         assert self.plan.fleet is not None
@@ -172,27 +190,28 @@
             )
         except OSError as fault:
             where = audit.path if audit is not None else self.configuration
-            raise Unusable(f"{self.path}: fleet.audit.path: {fault.strerror}: {where}") from None
+            raise SettingsError(f"{self.path}: fleet.audit.path: {fault.strerror}: {where}") from None
 
     def open_ledger(self, part: LedgerPart) -> Ledger:
+        """The durable record, recovered from its disk."""
         from ..store.ledger import Ledger
 
         try:
             return Ledger(Path(part.path), start.unix_ms, part.flush, part.ids, part.bytes)
         except OSError as fault:
-            raise Unusable(f"{self.path}: ledger.path: {fault.strerror}: {part.path}") from None
+            raise SettingsError(f"{self.path}: ledger.path: {fault.strerror}: {part.path}") from None
 
-    def make_server(self, part: ExtprocPart) -> Any:
+    def make_server(self, part: ExtprocPart) -> Server:
+        """The external processor."""
         from ..extproc.bounds import Bounds
         from ..extproc.calls import Terms
         from ..extproc.server import Server
 
         site, told = self.service.told.site, self.service.told
         if site.drain_grace and part.use_within >= site.drain_grace:
-            raise Unusable(
+            raise SettingsError(
                 f"{self.path}: extproc.use_within: {part.use_within:.0f} ms is not under the "
-                f"drain "
-                f"rule's grace of {site.drain_grace:.0f} ms"
+                f"drain rule's grace of {site.drain_grace:.0f} ms"
             )
         if part.tls is not None:
             from ..extproc.tls import Context
@@ -200,7 +219,7 @@
             try:
                 self.context = Context(part.tls.certificate, part.tls.key)
             except (OSError, ValueError) as fault:
-                raise Unusable(f"{self.path}: extproc.tls: {fault}") from None
+                raise SettingsError(f"{self.path}: extproc.tls: {fault}") from None
         terms = Terms(
             part.message_timeout,
             part.most_timeout,
@@ -275,8 +294,10 @@
             self.sweep()
 
     def sweep(self) -> None:
+        """Bounds of the external processor, and the ledger's figures, again and again."""
         self.loop.callLater(start.SWEEP_EVERY, self.sweep)
-        self.server.sweep()
+        if self.server is not None:
+            self.server.sweep()
         if self.ledger is not None:
             for name in ("appended", "torn", "recovered", "failures", "rewritten", "bytes_most"):
                 self.counters.sums["ledger_" + name] = getattr(self.ledger, name)
@@ -291,7 +312,7 @@
                 self.fleet.read_again(
                     Path(self.configuration).read_bytes(), plan, read_keys(self.path, "fleet", plan.fleet)
                 )
-        except (Unusable, OSError, ValueError) as fault:
+        except (SettingsError, OSError, ValueError) as fault:
             self.counters.add("installations_unusable")
             self.log.error("installation_kept", extra={"figures": {"why": str(fault)}})
             return
@@ -300,6 +321,7 @@
         self.counters.add("installations_read")
 
     def stop(self) -> None:
+        """SIGTERM: all parts begin their graceful shutdown."""
         if self.fleet is not None:
             self.fleet.stop()
         if self.station is not None:
@@ -309,6 +331,7 @@
         self.service.stop()
 
     def done(self) -> None:
+        """All is answered: files are closed, the loop ends."""
         if self.fleet is not None:
             self.fleet.close()
         if self.ledger is not None:
@@ -317,6 +340,7 @@
 
 
 def serve(configuration: str, path: str) -> None:
+    """Runs until it is stopped."""
     plan = read(path)
     if plan.handover is not None:
         read_keys(path, "handover", plan.handover)
@@ -328,8 +352,8 @@
     unix = shifted(file) if file is not None else start.unix_ms
     clock = Steady(unix, monotonic_ms)
     log = logger(told.name or "spurdeal", sys.stderr)
-    service = start.Service(told, loop, clock.now, log, lambda: installed.done())
-    installed = Installed(service, plan, loop, path, configuration, unix)
+    service = start.Service(told, loop, clock.now, log, lambda: installed.done())  # noqa: PLW0108 - not bound yet
+    installed = Installed(service, plan, loop, Files(path, configuration), unix)
 
     def again() -> None:
         service.read_again(lambda: start.told_by(configuration))
--- a/spurdeal/lab/demo.py
+++ b/spurdeal/lab/demo.py
@@ -5,10 +5,11 @@
 import signal
 import time
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import cast
 
 from .demo_cluster import CORES, DRAIN_GRACE, ENGINES, Cluster, DispatcherProcess
-from .demo_load import LoadGenerator, RequestClass
+from .demo_load import LoadGenerator, LoadProfile, RequestClass
+from .demo_reactor import Reactor
 from .demo_report import EngineRecord, Phase, Run
 
 CLASSES = (
@@ -27,18 +28,18 @@
 TIMER_CHECK = 0.01  # s
 
 
-class DemoFailed(Exception):
+class DemoError(Exception):
     """The demo could not run; the text says why."""
 
 
-class DemoInterrupted(Exception):
+class DemoInterruptedError(Exception):
     """A signal ended the demo before its end."""
 
 
 class Demo:
     """One run: its processes, its timeline and what was measured."""
 
-    def __init__(self, reactor: Any, seconds: float, seed: int, say: Callable[[str], None]) -> None:
+    def __init__(self, reactor: Reactor, seconds: float, seed: int, say: Callable[[str], None]) -> None:
         self.reactor, self.seconds, self.seed, self.say = reactor, seconds, seed, say
         self.began = time.time()
         self.cluster = Cluster(reactor, self.now)
@@ -46,7 +47,9 @@
         mean_work = sum(each.share * each.work for each in CLASSES)
         self.capacity = float(ENGINES * CORES)
         rate = LOAD * self.capacity * 1000 / mean_work
-        self.load = LoadGenerator(reactor, self.now, self.dispatcher.address, CLASSES, rate, seed)
+        self.load = LoadGenerator(
+            reactor, self.now, self.dispatcher.address, LoadProfile(CLASSES, rate, seed)
+        )
         self.events: dict[str, str] = {}  # by engine
         self.killed_at = 0.0
         self.drain_version = 0
@@ -85,7 +88,7 @@
         patience = time.monotonic() + START_TIMEOUT
         while not self.dispatcher.is_ready():
             if time.monotonic() > patience:
-                raise DemoFailed(f"the dispatcher was not ready within {START_TIMEOUT:.0f} s")
+                raise DemoError(f"the dispatcher was not ready within {START_TIMEOUT:.0f} s")
             yield LOOK_EVERY
         host, port = self.dispatcher.address
         self.say(f"dispatcher process {self.dispatcher.pid} listens on {host}:{port}")
@@ -188,7 +191,7 @@
     """Runs once in this process, whose reactor it uses up. The dispatcher is ended whatever happens."""
     from twisted.internet import reactor
 
-    loop: Any = reactor
+    loop = cast(Reactor, reactor)
     demo = Demo(loop, seconds, seed, say)
     finished: list[BaseException | None] = []
     timeline = demo.timeline()
@@ -213,7 +216,7 @@
     finally:
         exit_code = demo.dispatcher.stop(graceful=finished == [None])
     if not finished:
-        raise DemoInterrupted
+        raise DemoInterruptedError
     if finished[0] is not None:
         raise finished[0]
     return demo.measured(exit_code)
--- a/spurdeal/lab/demo_cluster.py
+++ b/spurdeal/lab/demo_cluster.py
@@ -14,9 +14,9 @@
 from contextlib import closing
 from http.client import HTTPConnection
 from pathlib import Path
-from typing import Any
 
 from .demo_load import RequestClass
+from .demo_reactor import Reactor
 from .engines import Engine, Fleet
 from .names import Names, Seat
 
@@ -30,7 +30,7 @@
 LAST_LOG_LINES = 5
 
 
-class DispatcherFailed(Exception):
+class DispatcherError(Exception):
     """The dispatcher process ended by itself; the text holds its last log lines."""
 
 
@@ -57,7 +57,7 @@
         self.clock = clock
         self.first_told: dict[int, float] = {}
 
-    def datagramReceived(self, datagram: bytes, address: Any) -> None:
+    def datagramReceived(self, datagram: bytes, address: tuple[str, int]) -> None:
         """One question."""
         self.first_told.setdefault(self.serial, self.clock())
         super().datagramReceived(datagram, address)
@@ -66,7 +66,7 @@
 class Cluster:
     """Stand-in engines and their name service in this process, on a loopback host of their own."""
 
-    def __init__(self, reactor: Any, clock: Callable[[], float]) -> None:
+    def __init__(self, reactor: Reactor, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.host, _ = free_address()
         self.fleet = Fleet(reactor, CORES, COLD_FOR, COLD_SHARE, COLD_MULTIPLE, COLD_WINDOW)
@@ -171,10 +171,10 @@
         return None if self.child is None else self.child.pid
 
     def is_ready(self) -> bool:
-        """Whether it accepts requests; DispatcherFailed where it never will."""
+        """Whether it accepts requests; DispatcherError where it never will."""
         text = self.log.read_text("utf-8", "replace")
         if self.child is None or self.child.poll() is not None:
-            raise DispatcherFailed("\n".join(text.splitlines()[-LAST_LOG_LINES:]))
+            raise DispatcherError("\n".join(text.splitlines()[-LAST_LOG_LINES:]))
         return "event=ready" in text
 
     def counters(self) -> dict[str, int]:
--- a/spurdeal/lab/demo_load.py
+++ b/spurdeal/lab/demo_load.py
@@ -9,9 +9,12 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
+from twisted.internet.interfaces import IAddress, IConnector
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from .demo_reactor import Reactor, Timer
+
 MOST_OPEN = 300  # requests open at once; an arrival beyond that is counted and not sent
 CONNECT_TIMEOUT = 1.0  # s
 ANSWER_MARGIN = 0.25  # s after its deadline at which a request without an answer counts as unanswered
@@ -38,7 +41,8 @@
     UNANSWERED = "unanswered"
 
 
-STATUS_OF_CODE = {200: Status.SUCCEEDED, 503: Status.REJECTED}  # all others: FAILED
+OK = 200
+STATUS_OF_CODE = {OK: Status.SUCCEEDED, 503: Status.REJECTED}  # all others: FAILED
 
 
 @dataclass(slots=True)
@@ -58,20 +62,26 @@
         return None if self.answered_at is None else (self.answered_at - self.sent_at) * 1000
 
 
+class LoadProfile(NamedTuple):
+    """What is to be sent: classes, requests per second, and the seed of all chance."""
+
+    classes: Sequence[RequestClass]
+    rate: float
+    seed: int
+
+
 class LoadGenerator:
     """Sends requests at `rate` per second until stopped. All chance comes from the seed."""
 
     def __init__(
         self,
-        reactor: Any,
+        reactor: Reactor,
         clock: Callable[[], float],
         address: tuple[str, int],
-        classes: Sequence[RequestClass],
-        rate: float,
-        seed: int,
+        profile: LoadProfile,
     ) -> None:
         self.reactor, self.clock, self.address = reactor, clock, address
-        self.classes, self.rate, self.chance = classes, rate, random.Random(seed)
+        self.classes, self.rate, self.chance = profile.classes, profile.rate, random.Random(profile.seed)
         self.requests: list[Request] = []
         self.open = self.skipped = 0
         self.next_at = 0.0
@@ -88,10 +98,12 @@
         self.running = False
 
     def schedule(self) -> None:
+        """The next arrival, an exponential interval after the last."""
         self.next_at += self.chance.expovariate(self.rate)
         self.reactor.callLater(max(0.0, self.next_at - self.clock()), self.arrive)
 
     def arrive(self) -> None:
+        """One arrival: a request on a connection of its own."""
         if not self.running:
             return
         self.schedule()
@@ -104,6 +116,7 @@
         self.reactor.connectTCP(*self.address, Caller(self, request), timeout=CONNECT_TIMEOUT)
 
     def draw(self) -> Request:
+        """A request of a class by the classes' shares, its work within half of its class's mean."""
         (request_class,) = self.chance.choices(self.classes, [each.share for each in self.classes])
         work = request_class.work * self.chance.uniform(0.5, 1.5)
         return Request(request_class, f"{self.chance.getrandbits(64):016x}", work, self.clock())
@@ -135,7 +148,7 @@
     if len(body) < int(fields["content-length"]):
         return None
     code = int(status_line.split()[1])
-    fault = "" if code == 200 else str(json.loads(body).get("fault", ""))
+    fault = "" if code == OK else str(json.loads(body).get("fault", ""))
     return Answer(code, f"{code} {fault}".strip(), now)
 
 
@@ -147,11 +160,11 @@
     def __init__(self, load: LoadGenerator, request: Request) -> None:
         self.load, self.request = load, request
 
-    def buildProtocol(self, addr: Any) -> Call:
+    def buildProtocol(self, addr: IAddress | None) -> Call:
         """The connection is there."""
         return Call(self.load, self.request)
 
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+    def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
         """Nothing was sent: the request has no answer."""
         self.request.answer = f"no connection: {reason.getErrorMessage()}"
         self.load.closed(self.request, None)
@@ -166,7 +179,7 @@
         self.load, self.request = load, request
         self.received = b""
         self.answer: Answer | None = None
-        self.timeout: Any = None
+        self.timeout: Timer | None = None
 
     def connectionMade(self) -> None:
         """Sends the request, with what is left of its time."""
@@ -202,6 +215,6 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Hands over what came."""
-        if self.timeout.active():
+        if self.timeout is not None and self.timeout.active():
             self.timeout.cancel()
         self.load.closed(self.request, self.answer)
--- a/spurdeal/lab/demo_report.py
+++ b/spurdeal/lab/demo_report.py
@@ -42,7 +42,8 @@
 class EngineRecord:
     """What one engine received. Nothing should come after `quiet_from`, where that is set.
 
-    A cold engine bears only so much work in a time, its budget: the greatest share of it that came."""
+    A cold engine bears only so much work in a time, its budget: the greatest share of it that came.
+    """
 
     name: str
     event: str
--- a/spurdeal/settings/installation.py
+++ b/spurdeal/settings/installation.py
@@ -1,25 +1,27 @@
-"""What an operator's file may say: every key with its type, default and meaning. `spurdeal keys` prints
-them."""
+"""What an operator's file may say: every key with its type, default and meaning.
+
+`spurdeal keys` prints them.
+"""
 
 from __future__ import annotations
 
-from ipaddress import IPv4Address, IPv6Address
+from ipaddress import IPv4Address, IPv6Address, ip_address
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, model_validator
 
 from .units import Duration
 
+LARGEST_PORT = 65_535
+
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,32}$")]
 Address = IPv4Address | IPv6Address
 
 
 def socket_address(text: object) -> tuple[Address, int]:
     """An IP address and a port as 127.0.0.1:7112 or [::1]:7112."""
-    from ipaddress import ip_address
-
     host, colon, port = str(text).rpartition(":")
-    if not colon or not port.isdigit() or not 0 < int(port) < 65536:
+    if not colon or not port.isdigit() or not 0 < int(port) <= LARGEST_PORT:
         raise ValueError(f"{text!r} is no address with a port, as 127.0.0.1:7112")
     return ip_address(host.strip("[]")), int(port)
 
@@ -80,6 +82,7 @@
 
     @model_validator(mode="after")
     def one_kind(self) -> Group:
+        """Addresses of one kind, and an interval that an advertisement can tell."""
         if len({address.version for address in self.addresses}) != 1:
             raise ValueError("addresses are of both kinds; one group holds one kind")
         if self.interval % 10:
@@ -109,6 +112,7 @@
 
     @model_validator(mode="after")
     def bundles_are_known(self) -> Vrrp:
+        """Each group once, and each in one bundle at most."""
         numbers = [group.group for group in self.groups]
         if len(set(numbers)) != len(numbers):
             raise ValueError("a group is told twice")
@@ -127,6 +131,7 @@
 
     @model_validator(mode="after")
     def one_source(self) -> Key:
+        """Digits here or in a file, not both."""
         if (self.hex is None) == (self.file is None):
             raise ValueError("a key has either hex or file")
         return self
@@ -201,6 +206,7 @@
 
     @model_validator(mode="after")
     def times_agree(self) -> ExtprocPart:
+        """An answer can leave before the callers' time is up."""
         if self.margin >= self.message_timeout:
             raise ValueError("margin is not under message_timeout: no answer would be in time")
         return self
@@ -248,6 +254,7 @@
 
     @model_validator(mode="after")
     def times_agree(self) -> FleetPart:
+        """A lease outlasts probes, and nothing is told twice."""
         if self.lease < 3 * self.period:
             raise ValueError("lease is under three times period: it would end between two probes")
         if len({key.id for key in self.keys}) != len(self.keys):
@@ -271,6 +278,7 @@
 
     @model_validator(mode="after")
     def parts_agree(self) -> Installation:
+        """What the parts say of each other."""
         names = [peer.name for peer in self.peers] + [self.name]
         if len(set(names)) != len(names):
             raise ValueError("two dispatchers have one name")
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -8,12 +8,13 @@
 import tempfile
 import unittest
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 from click.testing import CliRunner
+from twisted.internet.testing import MemoryReactorClock
 
 from spurdeal.cli.main import spurdeal
-from spurdeal.lab.demo_load import LoadGenerator, Request, RequestClass, Status, read_answer
+from spurdeal.lab.demo_load import LoadGenerator, LoadProfile, Request, RequestClass, Status, read_answer
 from spurdeal.lab.demo_report import EngineRecord, Phase, Run, percentile, render, summarise
 
 ROOT = Path(__file__).parent.parent
@@ -211,7 +212,7 @@
 
     def test_many_causes_and_engines_stay_within_the_page(self) -> None:
         run = fixed_run()
-        phases = tuple(Phase(f"phase {n}", n, n + 1) for n in range(5)) + (Phase("last", 5, float("inf")),)
+        phases = (*(Phase(f"phase {n}", n, n + 1) for n in range(5)), Phase("last", 5, float("inf")))
         requests = [request(FAST, 0.5, 4.0, Status.FAILED, f"500 Fault{n}") for n in range(30)]
         engines = [EngineRecord(f"engine-{n}", "", []) for n in range(9)]
         large = Run(
@@ -243,7 +244,12 @@
 
     def test_the_seed_decides_arrivals(self) -> None:
         def drawn(seed: int) -> list[tuple[str, str, float]]:
-            load = LoadGenerator(None, lambda: 0.0, ("127.0.0.1", 1), (FAST, SLOW), 100.0, seed)
+            load = LoadGenerator(
+                cast(Any, MemoryReactorClock()),
+                lambda: 0.0,
+                ("127.0.0.1", 1),
+                LoadProfile((FAST, SLOW), 100.0, seed),
+            )
             requests = [load.draw() for _ in range(50)]
             return [(each.request_class.name, each.ident, each.work) for each in requests]
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,7 @@
 
 from spurdeal.cli.running import logger as structured
 from spurdeal.net.logs import logger as plain
-from spurdeal.settings.reading import Unusable, keys, read, read_text
+from spurdeal.settings.reading import SettingsError, keys, read, read_text
 from spurdeal.steady import Steady
 
 EXAMPLE = Path(__file__).parent.parent / "deploy" / "installation-n1.yaml"
@@ -48,7 +48,7 @@
             ("ahead: true", "ahead: true\n  ahead: false", "ahead: true", "duplicate key"),
             ("name: n1", "name: [", "peers:", ""),
         ):
-            with self.subTest(new), self.assertRaises(Unusable) as caught:
+            with self.subTest(new), self.assertRaises(SettingsError) as caught:
                 read_text("f.yaml", TEXT.replace(old, new, 1).encode())
             first = str(caught.exception).splitlines()[0]
             self.assertIn(said, str(caught.exception))
@@ -57,9 +57,9 @@
 
     def test_what_is_no_file_of_ours(self) -> None:
         for text in (b"", b"- a", b"\xff\xfe", b"a: *b", b"x" * 2_000_000, b"[" * 5000):
-            with self.assertRaises(Unusable):
+            with self.assertRaises(SettingsError):
                 read_text("f.yaml", text)
-        with self.assertRaises(Unusable):
+        with self.assertRaises(SettingsError):
             read("/nowhere/at/all.yaml")
 
     def test_every_key_is_documented(self) -> None:
