--- a/spurdeal/lab/demo_report.py
+++ b/spurdeal/lab/demo_report.py
@@ -131,6 +131,7 @@
     classes: list[Row]
     causes: list[Cause]
     engines: list[EngineRow]
+    late_answers: int
     skipped: int
     attempts: int
     attempts_by_outcome: dict[str, int]
@@ -247,6 +248,7 @@
         ],
         causes=causes_of(run.requests, run.phases),
         engines=[engine_row(record, run.phases) for record in run.engines],
+        late_answers=sum(request.late() for request in run.requests),
         skipped=run.skipped,
         attempts=sum(outcomes.values()),
         attempts_by_outcome=outcomes,
@@ -346,6 +348,7 @@
             "",
             f"{summary.attempts} attempts for {summary.total.sent} requests: {outcomes}",
             f"dispatcher: {summary.dispatcher_faults} internal faults, exit code {exit_code}",
-            f"clients: {summary.skipped} requests held back, timers late by up to {lateness:.0f} ms",
+            f"clients: {summary.late_answers} answers after their deadline, "
+            f"{summary.skipped} requests held back, timers late by up to {lateness:.0f} ms",
         )
     )
