--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -3,25 +3,22 @@
 from __future__ import annotations
 
 import gc
-import logging
 import secrets
 import sys
-import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, NamedTuple, TextIO, cast
+from typing import TYPE_CHECKING, Any, NamedTuple, cast
 
-import structlog
 from twisted.internet.error import CannotListenError
 from twisted.logger import globalLogBeginner
 
 from ..net import start
-from ..net.logs import pair
 from ..settings.reading import SettingsError, read
 from ..steady import Steady
+from .clocks import monotonic_ms, shifted_unix_ms, steady_reactor
+from .structured_logs import logger
 
 if TYPE_CHECKING:
-    from structlog.typing import EventDict
     from twisted.internet.epollreactor import EPollReactor
 
     from ..extproc.server import Server
@@ -32,83 +29,6 @@
     from ..vrrp.sealed import Keys
     from ..vrrp.station import Station
 
-CLOCK_FILE_EVERY = 50.0  # ms between two looks at a file that shifts the clock
-
-
-def key_value(_: object, __: str, event: EventDict) -> str:
-    """One line of pairs, as `net.logs` writes them: what on-call staff look for stays."""
-    record = event.pop("_record", None)
-    for inner in ("_from_structlog", "exc_info"):
-        event.pop(inner, None)
-    pairs = {
-        "t": f"{record.created if record else time.time():.3f}",
-        "level": event.pop("level", "info"),
-        "event": event.pop("event", ""),
-    } | dict(event)
-    return " ".join(pair(key, value) for key, value in pairs.items())
-
-
-def figures(_: object, __: str, event: EventDict) -> EventDict:
-    """What stdlib callers hand over under `figures`, and the trace of an exception."""
-    record = event.get("_record")
-    event.update(getattr(record, "figures", {}))
-    if record is not None and record.exc_info:
-        event["trace"] = logging.Formatter().formatException(record.exc_info)
-    return event
-
-
-def logger(name: str, stream: TextIO) -> logging.Logger:
-    """A logger of its own that renders through structlog, over the logging module."""
-    handler = logging.StreamHandler(stream)
-    handler.setFormatter(
-        structlog.stdlib.ProcessorFormatter(
-            foreign_pre_chain=[structlog.stdlib.add_log_level, figures],
-            processors=[key_value],
-            keep_exc_info=False,
-        )
-    )
-    log = logging.Logger(name, logging.INFO)
-    log.addHandler(handler)
-    return log
-
-
-def steady_reactor() -> EPollReactor:
-    """Twisted's reactor on the monotonic clock.
-
-    Its own counts Unix time, and a step back would stop each timer.
-    """
-    from twisted.internet.epollreactor import EPollReactor
-    from twisted.internet.main import installReactor
-
-    class SteadyReactor(EPollReactor):
-        seconds = staticmethod(time.monotonic)
-
-    reactor: EPollReactor = cast(Any, SteadyReactor)()
-    cast(Any, installReactor)(reactor)
-    return reactor
-
-
-def monotonic_ms() -> float:
-    """Ms that never step back."""
-    return time.monotonic() * 1000
-
-
-def shifted(path: str) -> Callable[[], float]:
-    """For tests: Unix time with the ms added that a file holds; it is looked at every 50 ms."""
-    looked, shift = float("-inf"), 0.0
-
-    def unix() -> float:
-        nonlocal looked, shift
-        if monotonic_ms() - looked >= CLOCK_FILE_EVERY:
-            looked = monotonic_ms()
-            try:
-                shift = float(Path(path).read_text("ascii"))
-            except (OSError, ValueError):
-                shift = 0.0
-        return start.unix_ms() + shift
-
-    return unix
-
 
 def read_keys(path: str, name: str, part: FleetPart | HandoverPart) -> Keys:
     """Keys from the file or the files that it names; SettingsError where there are none."""
@@ -255,43 +175,43 @@
         if self.station is not None:
             self.station.start()
         if self.ledger is not None and self.plan.ledger is not None:
-            from ..net.link import at_most_once
-            from ..store.guard import LedgerGuard
-
-            site = self.service.told.site
-            self.link.guard = LedgerGuard(
-                self.ledger,
-                at_most_once(site),
-                self.plan.ledger.keep,
-                site.most_come_back,
-                self.loop,
-                self.counters,
-                self.log,
-                self.link.guard,
-            )
-            if self.station is not None:
-                self.station.recall(self.ledger.ends)
-            self.log.info(
-                "ledger",
-                extra={
-                    "figures": {
-                        "recovered": self.ledger.recovered,
-                        "torn_tails": self.ledger.torn,
-                        "bytes": self.ledger.bytes,
-                    }
-                },
-            )
+            self.guard_with_ledger(self.ledger, self.plan.ledger)
         if self.fleet is not None:
             self.fleet.start()
             if self.station is not None:
                 self.station.shut_out = self.fleet.lowers
         if self.server is not None and self.plan.extproc is not None:
-            host, port = self.plan.extproc.listen
-            if self.context is not None:
-                self.loop.listenSSL(port, self.server, self.context, interface=str(host))
-            else:
-                self.loop.listenTCP(port, self.server, interface=str(host))
-            self.sweep()
+            self.listen_for_callers(self.server, self.plan.extproc)
+
+    def guard_with_ledger(self, ledger: Ledger, part: LedgerPart) -> None:
+        """What must not run twice is on the disk before it is sent."""
+        from ..net.link import at_most_once
+        from ..store.guard import LedgerGuard
+
+        site = self.service.told.site
+        self.link.guard = LedgerGuard(
+            ledger,
+            at_most_once(site),
+            part.keep,
+            site.most_come_back,
+            self.loop,
+            self.counters,
+            self.log,
+            self.link.guard,
+        )
+        if self.station is not None:
+            self.station.recall(ledger.ends)
+        figures = {"recovered": ledger.recovered, "torn_tails": ledger.torn, "bytes": ledger.bytes}
+        self.log.info("ledger", extra={"figures": figures})
+
+    def listen_for_callers(self, server: Server, part: ExtprocPart) -> None:
+        """The external processor accepts connections, with TLS where the file says so."""
+        host, port = part.listen
+        if self.context is not None:
+            self.loop.listenSSL(port, server, self.context, interface=str(host))
+        else:
+            self.loop.listenTCP(port, server, interface=str(host))
+        self.sweep()
 
     def sweep(self) -> None:
         """Bounds of the external processor, and the ledger's figures, again and again."""
@@ -349,7 +269,7 @@
     told = start.told_by(configuration)
     loop = steady_reactor()
     file = plan.fleet.clock_file if plan.fleet is not None else None
-    unix = shifted(file) if file is not None else start.unix_ms
+    unix = shifted_unix_ms(file) if file is not None else start.unix_ms
     clock = Steady(unix, monotonic_ms)
     log = logger(told.name or "spurdeal", sys.stderr)
     service = start.Service(told, loop, clock.now, log, lambda: installed.done())  # noqa: PLW0108 - not bound yet
--- /dev/null
+++ b/spurdeal/cli/structured_logs.py
@@ -0,0 +1,51 @@
+"""Log lines through structlog, alike to those of plain `run`."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING, TextIO
+
+import structlog
+
+from ..net.logs import pair
+
+if TYPE_CHECKING:
+    from structlog.typing import EventDict
+
+
+def key_value(_: object, __: str, event: EventDict) -> str:
+    """One line of pairs, as `net.logs` writes them: what on-call staff look for stays."""
+    record = event.pop("_record", None)
+    for inner in ("_from_structlog", "exc_info"):
+        event.pop(inner, None)
+    pairs = {
+        "t": f"{record.created if record else time.time():.3f}",
+        "level": event.pop("level", "info"),
+        "event": event.pop("event", ""),
+    } | dict(event)
+    return " ".join(pair(key, value) for key, value in pairs.items())
+
+
+def figures(_: object, __: str, event: EventDict) -> EventDict:
+    """What stdlib callers hand over under `figures`, and the trace of an exception."""
+    record = event.get("_record")
+    event.update(getattr(record, "figures", {}))
+    if record is not None and record.exc_info:
+        event["trace"] = logging.Formatter().formatException(record.exc_info)
+    return event
+
+
+def logger(name: str, stream: TextIO) -> logging.Logger:
+    """A logger of its own that renders through structlog, over the logging module."""
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=[structlog.stdlib.add_log_level, figures],
+            processors=[key_value],
+            keep_exc_info=False,
+        )
+    )
+    log = logging.Logger(name, logging.INFO)
+    log.addHandler(handler)
+    return log
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-from spurdeal.cli.running import logger as structured
+from spurdeal.cli.structured_logs import logger as structured
 from spurdeal.net.logs import logger as plain
 from spurdeal.settings.reading import SettingsError, keys, read, read_text
 from spurdeal.steady import Steady
