Fleet in modules by job: messages, requests, lease renewal, list and table sync, fencing

Requests, relays, list pieces and sealed audit pages are typed in place of bare tuples and strings; the fleet's errors have one root, FleetError.

--- a/spurdeal/fleet/asking.py
+++ b/spurdeal/fleet/asking.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from .audit import COLD, DOUBTFUL, Broken, Kind, Record, head_of, read
+from .errors import FleetError
 from .hybrid import Stamp
 from .versions import WITNESSES, Line
 
@@ -16,7 +17,7 @@
 LINES = tuple(line.name.lower() for line in Line)
 
 
-class Unreadable(Exception):
+class Unreadable(FleetError):
     """A log that cannot be used: file, offset and reason."""
 
 
--- a/spurdeal/fleet/audit.py
+++ b/spurdeal/fleet/audit.py
@@ -22,6 +22,7 @@
 from enum import IntEnum
 from typing import Any, NamedTuple
 
+from .errors import FleetError
 from .hybrid import Stamp
 
 MAGIC = b"SPA1\n"
@@ -74,7 +75,15 @@
     told: dict[str, Any] = {}
 
 
-class Broken(Exception):
+class SealedPage(NamedTuple):
+    """A page of an audit log that its seal has closed. records: how many the log has up to it."""
+
+    number: int
+    digest: str
+    records: int
+
+
+class Broken(FleetError):
     """A log that cannot be used from some place on; the text says why."""
 
     def __init__(self, offset: int, why: str) -> None:
@@ -147,9 +156,9 @@
         )
         return FRAME.pack(len(body), zlib.crc32(body)) + body
 
-    def sealed(self) -> tuple[int, str, int]:
-        """The seal is written: the page's number, digest and count of records, as others are told."""
-        told = self.page, self.unsealed.hexdigest(), self.count
+    def sealed(self) -> SealedPage:
+        """The seal is written: the page, as others are told of it."""
+        told = SealedPage(self.page, self.unsealed.hexdigest(), self.count)
         self.close()
         return told
 
--- a/spurdeal/fleet/bringing.py
+++ b/spurdeal/fleet/bringing.py
@@ -16,6 +16,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
+from .errors import FleetError
 from .versions import Row, Version
 
 PIECE = 600  # bytes of packed text in one datagram
@@ -30,7 +31,7 @@
 Rows = dict[str, Row]
 
 
-class Spoilt(Exception):
+class Spoilt(FleetError):
     """What has come cannot be used; the text says why."""
 
 
@@ -71,6 +72,16 @@
         raise Spoilt(f"no list: {fault!r}") from None
 
 
+class Piece(NamedTuple):
+    """One piece of a packed list, and how many there are."""
+
+    total: int
+    data: bytes
+
+
+BUSY = Piece(0, b"")
+
+
 class Shelf:
     """Our newest lists, for those who are behind."""
 
@@ -86,15 +97,15 @@
             self.lists.popitem(last=False)
         self.packed.clear()
 
-    def piece(self, now: float, have: Version, want: Version, place: int) -> tuple[int, bytes] | None:
-        """How many pieces there are, and this one; (0, b"") when busy; None for a list that we have not."""
+    def piece(self, now: float, have: Version, want: Version, place: int) -> Piece | None:
+        """The piece at a place; BUSY when busy; None for a list that we have not."""
         if want not in self.lists:
             return None
         if now - self.since >= self.period:
             self.since, self.served = now, 0
         if self.served >= SERVED:
             self.busy += 1
-            return 0, b""
+            return BUSY
         if (have, want) not in self.packed:
             told: dict[str, Any] = {"rows": [list(row) for _, row in sorted(self.lists[want].items())]}
             if have in self.lists:
@@ -107,7 +118,7 @@
         if place >= len(pieces) or len(pieces) > MOST_PIECES:
             return None
         self.served += 1
-        return len(pieces), pieces[place]
+        return Piece(len(pieces), pieces[place])
 
 
 class Ask(NamedTuple):
--- /dev/null
+++ b/spurdeal/fleet/handlers.py
@@ -0,0 +1,260 @@
+"""One handler for each kind of fleet message.
+
+A handler reads what its kind holds, and gives what is to be done once all of the message has been read. It
+raises Refused where a field has not its form; nothing has changed then but that an open request is closed."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from . import wire
+from .lease import Term
+from .members import Address, Life
+from .messenger import Relay, Request, RequestKind
+
+if TYPE_CHECKING:
+    from .fleet import Fleet
+
+MAX_OFFSET = 4096  # records of a table, or pieces of a list
+MAX_PORT = 65_535
+MAX_PIECE_TEXT = 1000  # characters of base64
+PAGE_RESERVE = 16  # bytes of JSON around a table's page
+
+Act = Callable[[], None]
+
+
+class Message(NamedTuple):
+    """A message whose seal and number are right. now: monotonic ms; unix: Unix ms."""
+
+    now: float
+    unix: float
+    source: Address
+    name: str
+    body: Mapping[str, Any]
+
+
+Handler = Callable[["Fleet", Message], Act]
+
+
+def on_ping(fleet: Fleet, message: Message) -> Act:
+    """A probe; it may ask us to grant its sender's lease."""
+    now, unix, source, name, body = message
+    sequence = wire.whole(body.get("q"))
+    terms: tuple[Term, Term | None] | None = None
+    if "l" in body:
+        row = wire.items(body["l"], 2, 2)
+        terms = wire.term(row[0]), wire.term(row[1]) if row[1] is not None else None
+
+    def act() -> None:
+        fields: dict[str, Any] = {"k": "a", "q": sequence}
+        if terms is not None:
+            fields["g"] = grant(fleet, now, name, *terms)
+        fleet.messenger.send(now, unix, name, fields, source)
+
+    return act
+
+
+def grant(fleet: Fleet, now: float, name: str, term: Term, following: Term | None) -> list[int]:
+    """Our answer to one who asks for its lease: the newest of its terms heard of, and whether we grant."""
+    boot = fleet.sessions[name].peer_boot
+    record = fleet.members.others.get(name)
+    if record is not None and record.boot == boot and record.life is Life.GONE:
+        fleet.wards.refuse(name, boot)
+    if fleet.leaving or fleet.twin:
+        return [0, int(False)]
+    heard_of, granted = fleet.wards.ask(now, name, boot, term, following)
+    return [heard_of, int(granted)]
+
+
+def on_ack(fleet: Fleet, message: Message) -> Act:
+    """The answer to a ping of ours, perhaps with a grant of our lease."""
+    now, unix, _, name, body = message
+    row = wire.items(body["g"], 2, 2) if "g" in body else None
+    granted = (wire.whole(row[0]), wire.whole(row[1], 1) == 1) if row is not None else None
+    answers = RequestKind.PING, RequestKind.RENEW, RequestKind.RELAY
+    found = fleet.messenger.answered(body, name, *answers)
+
+    def act() -> None:
+        if found is None:
+            return
+        if found.kind is RequestKind.RENEW and granted is not None:
+            fleet.lease.answered(now, name, found.sent, *granted)
+        if found.relay is not None:
+            to, address, sequence = found.relay
+            fleet.messenger.send(now, unix, to, {"k": "y", "q": sequence}, address)
+
+    return act
+
+
+def on_through(fleet: Fleet, message: Message) -> Act:
+    """The sender cannot reach a member: we ping it on its behalf."""
+    now, unix, source, name, body = message
+    sequence, row = wire.whole(body.get("q")), wire.items(body.get("on"), 3, 3)
+    target, address = wire.text(row[0]), (wire.host(row[1]), wire.whole(row[2], MAX_PORT))
+
+    def act() -> None:
+        messenger = fleet.messenger
+        if target not in (fleet.name, name):
+            relay = Relay(name, source, sequence)
+            own = messenger.opened(Request(target, now, RequestKind.RELAY, relay))
+            messenger.send(now, unix, target, {"k": "p", "q": own}, address)
+        messenger.send(now, unix, name, {"k": "n", "q": sequence}, source, news=False)
+
+    return act
+
+
+def on_nack(fleet: Fleet, message: Message) -> Act:
+    """The helper hears us: if no more comes, it is not we who are deaf."""
+    sequence = wire.whole(message.body.get("q"))
+    found = fleet.messenger.open.get(sequence)
+
+    def act() -> None:
+        if found is not None and found.to == message.name and found.kind is RequestKind.THROUGH:
+            fleet.members.nacked()
+
+    return act
+
+
+def on_relayed_ack(fleet: Fleet, message: Message) -> Act:
+    """A helper has had an answer from the member that we could not reach."""
+    found = fleet.messenger.answered(message.body, message.name, RequestKind.THROUGH)
+
+    def act() -> None:
+        probe = fleet.members.probe
+        if found is not None and probe is not None:
+            fleet.members.answered(message.now, probe.name)
+
+    return act
+
+
+def on_table_request(fleet: Fleet, message: Message) -> Act:
+    """The sender pulls our member table from a place on."""
+    now, unix, source, name, body = message
+    sequence, offset = wire.whole(body.get("q")), wire.whole(body.get("i"), MAX_OFFSET)
+
+    def act() -> None:
+        table = sorted(fleet.members.table())
+        fields = {"k": "J", "q": sequence, "i": offset, "of": len(table)}
+        left, rows = wire.room(fleet.name, fleet.body(unix, fields)) - PAGE_RESERVE, list[list[Any]]()
+        for record in table[offset : offset + wire.MOST_RECORDS]:
+            row = wire.written(fleet.members.as_told(record))
+            left -= len(str(row)) + 1
+            if left < 0:
+                break
+            rows.append(row)
+        fleet.messenger.send(now, unix, name, fields | {"n": rows}, source, news=False)
+
+    return act
+
+
+def on_table_page(fleet: Fleet, message: Message) -> Act:
+    """A page of the member table that we pull. Its records are read as news."""
+    now, unix, _, name, body = message
+    offset, total = wire.whole(body.get("i"), MAX_OFFSET), wire.whole(body.get("of"), MAX_OFFSET)
+    count = len(wire.items(body.get("n"), 0, wire.MOST_RECORDS))
+    found = fleet.messenger.answered(body, name, RequestKind.PULL)
+
+    def act() -> None:
+        if found is not None:
+            fleet.table_sync.page_arrived(now, unix, name, offset, count, total)
+
+    return act
+
+
+def on_word_request(fleet: Fleet, message: Message) -> Act:
+    """The sender wants to rely on a member's stop: what we know of its lease, as one of its grantors."""
+    now, unix, source, name, body = message
+    sequence, subject = wire.whole(body.get("q")), wire.text(body.get("who"))
+    boot = wire.whole(body.get("boot"))
+
+    def act() -> None:
+        word = fleet.wards.word(now, subject, boot)
+        if word is None:
+            return
+        term, following, refused, left = word
+        fields = {
+            "k": "W",
+            "q": sequence,
+            "who": subject,
+            "boot": boot,
+            "r": int(refused),
+            "left": left,
+            "t": wire.term_written(term),
+            "f": wire.term_written(following) if following is not None else None,
+        }
+        fleet.messenger.send(now, unix, name, fields, source, news=False)
+
+    return act
+
+
+def on_word(fleet: Fleet, message: Message) -> Act:
+    """What a grantor knows of a member that is gone."""
+    name, body = message.name, message.body
+    subject, boot = wire.text(body.get("who")), wire.whole(body.get("boot"))
+    refused, left = wire.whole(body.get("r"), 1), wire.figure(body.get("left"))
+    term = wire.term(body.get("t"))
+    following = wire.term(body["f"]) if body.get("f") is not None else None
+    found = fleet.messenger.answered(body, name, RequestKind.WORD)
+
+    def act() -> None:
+        inquiry = fleet.stops.inquiries.get(subject)
+        if found is not None and inquiry is not None and inquiry.boot == boot:
+            inquiry.word(message.now, found.sent, name, term, following, bool(refused), left)
+
+    return act
+
+
+def on_piece_request(fleet: Fleet, message: Message) -> Act:
+    """The sender asks for a piece of a list that we may hold."""
+    now, unix, source, name, body = message
+    sequence, place = wire.whole(body.get("q")), wire.whole(body.get("i"), MAX_OFFSET)
+    have, want = wire.version(body.get("have")), wire.version(body.get("want"))
+
+    def act() -> None:
+        piece = fleet.shelf.piece(now, have, want, place)
+        if piece is None:
+            return
+        fleet.counts["pieces_served"] += 1
+        fields = {
+            "k": "F",
+            "q": sequence,
+            "want": list(want),
+            "i": place,
+            "of": piece.total,
+            "b": base64.b64encode(piece.data).decode(),
+        }
+        fleet.messenger.send(now, unix, name, fields, source, news=False)
+
+    return act
+
+
+def on_piece(fleet: Fleet, message: Message) -> Act:
+    """A piece of the list that we fetch."""
+    now, unix, _, name, body = message
+    want, place = wire.version(body.get("want")), wire.whole(body.get("i"), MAX_OFFSET)
+    count = wire.whole(body.get("of"), MAX_OFFSET)
+    data = wire.text(body["b"], MAX_PIECE_TEXT) if body.get("b") else ""
+    found = fleet.messenger.answered(body, name, RequestKind.FETCH)
+
+    def act() -> None:
+        if found is not None:
+            fleet.list_sync.piece_arrived(now, unix, name, want, place, count, data)
+
+    return act
+
+
+HANDLERS: Mapping[str, Handler] = {
+    "p": on_ping,
+    "a": on_ack,
+    "r": on_through,
+    "n": on_nack,
+    "y": on_relayed_ack,
+    "j": on_table_request,
+    "J": on_table_page,
+    "w": on_word_request,
+    "W": on_word,
+    "f": on_piece_request,
+    "F": on_piece,
+}
--- a/spurdeal/fleet/journal.py
+++ b/spurdeal/fleet/journal.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from .audit import MAGIC, Broken, Kind, Pages, Read, read
+from .audit import MAGIC, Broken, Kind, Pages, Read, SealedPage, read
 from .hybrid import Stamp
 
 FILES = 8  # of which the oldest goes when the bytes are used up
@@ -174,7 +174,7 @@
                 self.system.close(self.file)
             self.file = -1
 
-    def seal(self) -> tuple[int, str, int] | None:
+    def seal(self) -> SealedPage | None:
         """Ends the page, for others to be told; None where nothing was written, or it cannot be."""
         self.flush()
         data = self.pages.seal(self.stamp(), self.index)
--- /dev/null
+++ b/spurdeal/fleet/list_sync.py
@@ -0,0 +1,106 @@
+"""Catching up with a newer engine list that other members hold, and serving ours to those behind."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..interface import Life as EngineLife
+from .bringing import ONE_WITNESS_DROPS, Ask, Fetch, Rows, Shelf, Spoilt, applied, drops, unpack
+from .messenger import RequestKind
+from .terms import Told
+from .versions import ROW, WITNESSES, Line, Version, list_digest
+
+if TYPE_CHECKING:
+    from .fleet import Fleet
+
+READY = int(EngineLife.READY)
+SOURCE_FIRST = 450.0  # ms that our own name service has, where it answers, before a peer is asked
+OFFERS_EVERY = 60.0  # ms between two looks at who has a newer list
+NAMED_HOLDERS = 3  # in the event
+
+
+class ListSync:
+    """Fetches newer engine lists from peers. It outlives the member's restarts. Times are ms."""
+
+    def __init__(self, fleet: Fleet, now: float) -> None:
+        self.fleet = fleet
+        self.shelf, self.fetch = Shelf(fleet.terms.period, now), Fetch(fleet.chance)
+        self.source_at, self.next_offers = now, now
+        self.max_single_drop = ONE_WITNESS_DROPS
+        self.offered: dict[Version, float] = {}  # since when a version beyond ours is claimed
+
+    def tick(self, now: float, unix: float) -> None:
+        """Ask for the next piece where a newer list is known."""
+        have = self.fleet.book.force.get(Line.LIST)
+        if have is None or (self.fetch.want is None and now < self.next_offers):
+            return
+        self.next_offers = now + OFFERS_EVERY
+        ask = self.fetch.tick(now, have, self.offers(now))
+        if ask is not None:
+            self.request_piece(now, unix, ask)
+
+    def offers(self, now: float) -> list[tuple[Version, list[str]]]:
+        """Versions beyond ours that may be asked for by now, newest first, and who holds them.
+
+        Our own source comes first, where it answers: one that is told what others are not must not lead them
+        all.
+        """
+        fleet = self.fleet
+        offers = fleet.book.offers() if self.fetch.want is None else []
+        for version, holders in offers:
+            if version not in self.offered:
+                figures = {"list": str(version), "at": " ".join(holders[:NAMED_HOLDERS])}
+                fleet.told.append(Told("newer_seen", figures))
+        self.offered = {version: self.offered.get(version, now) for version, _ in offers}
+        patience = SOURCE_FIRST if now - self.source_at < SOURCE_FIRST else 0.0
+        return [
+            (version, [name for name in holders if name in fleet.heard])
+            for version, holders in offers
+            if now - self.offered[version] >= patience
+        ]
+
+    def request_piece(self, now: float, unix: float, ask: Ask) -> None:
+        """Send a request for one piece of a list."""
+        fields = {"k": "f", "have": list(ask.have), "want": list(ask.want), "i": ask.place}
+        self.fleet.messenger.request(now, unix, ask.to, RequestKind.FETCH, fields)
+
+    def piece_arrived(
+        self, now: float, unix: float, name: str, want: Version, place: int, count: int, data: str
+    ) -> None:
+        """A piece has come, in base64: the next is asked for, or the whole list is checked and applied."""
+        step = self.fetch.came(now, name, want, place, count, data)
+        if isinstance(step, Ask):
+            self.request_piece(now, unix, step)
+        elif step is not None:
+            self.apply(now, name, want, step)
+
+    def apply(self, now: float, name: str, want: Version, pieces: list[bytes]) -> None:
+        """Put a fetched list in force, if it is what was claimed and may be acted on."""
+        fleet = self.fleet
+        try:
+            rows = self.unpacked(want, pieces)
+        except (Spoilt, TypeError) as fault:
+            self.fetch.fail(now, True)
+            fleet.told.append(Told("bring_up_failed", {"from": name, "why": str(fault)}))
+            return
+        dropped = drops(fleet.rows, rows, READY)
+        if dropped > self.max_single_drop and len(fleet.book.holders(Line.LIST, want)) < WITNESSES:
+            self.fetch.refuse(now)
+            figures = {"from": name, "drops": round(dropped, 2), "list": str(want)}
+            fleet.told.append(Told("list_refused", figures))
+            return
+        self.fetch.end(now, 0.0)
+        if fleet.in_force(Line.LIST, want, rows, by_source=False):
+            fleet.told.append(Told("brought_up", {"from": name, "list": str(want)}))
+            fleet.bring(want, rows)
+
+    def unpacked(self, want: Version, pieces: list[bytes]) -> Rows:
+        """The list in these pieces.
+
+        Raises:
+            Spoilt: It is not the list that was claimed.
+        """
+        rows = applied(self.fleet.rows, unpack(pieces))
+        if any(len(row) != ROW for row in rows.values()) or list_digest(rows) != want.digest:
+            raise Spoilt("not what was claimed")
+        return rows
--- /dev/null
+++ b/spurdeal/fleet/messenger.py
@@ -0,0 +1,198 @@
+"""Outgoing datagrams of one fleet member: sealed sessions, and requests whose answers are awaited."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from ..vrrp.sealed import Session
+from . import wire
+from .members import Address
+
+if TYPE_CHECKING:
+    from .fleet import Fleet
+
+MAX_OPEN_REQUESTS = 512
+MAX_GREETINGS = 2000  # a second: an unproven datagram draws one answer, and a flood must not draw a flood
+GREETING_WINDOW = 1000.0  # ms
+MAX_REPEATED = 4  # requests sent again once the peer knows our start
+NEWS_RESERVE = 8  # bytes of JSON around the news
+RECORD_SIZE = 100  # bytes of a record in JSON, roughly
+
+
+class RequestKind(StrEnum):
+    """What a request asks for."""
+
+    PING = "ping"
+    RENEW = "renew"  # a ping that also asks for the lease
+    THROUGH = "through"  # a helper is to ping whom we cannot reach
+    RELAY = "relay"  # a ping of ours on another's behalf
+    PULL = "pull"  # a page of the member table
+    WORD = "word"  # what a grantor knows of a member that is gone
+    FETCH = "fetch"  # a piece of a list
+
+
+class Relay(NamedTuple):
+    """Whom the answer to a relayed ping is passed on to: its name, address and the number of its request."""
+
+    name: str
+    address: Address
+    sequence: int
+
+
+class Request(NamedTuple):
+    """A request that has not been answered yet. sent: ms."""
+
+    to: str
+    sent: float
+    kind: RequestKind
+    relay: Relay | None = None
+
+
+class Messenger:
+    """Seals and queues a member's datagrams, and matches answers to its requests.
+
+    One lives as long as one start of the member. `unix` is Unix time in ms throughout.
+    """
+
+    def __init__(self, fleet: Fleet, now: float) -> None:
+        self.fleet = fleet
+        self.sessions: dict[str, Session] = {}
+        self.open: OrderedDict[int, Request] = OrderedDict()
+        self.sequence = 0
+        self.greeted, self.greeted_since = 0, now
+
+    def session(self, name: str) -> Session:
+        """The sealed session with a member; it is begun where there is none."""
+        if name not in self.sessions:
+            self.sessions[name] = self.new_session(name)
+        return self.sessions[name]
+
+    def new_session(self, name: str) -> Session:
+        """A session that is not kept yet: nothing is kept for a name that nobody with a key has used."""
+        return Session(self.fleet.name, name, self.fleet.boot, self.fleet.keys)
+
+    def send(
+        self,
+        now: float,
+        unix: float,
+        name: str,
+        fields: Mapping[str, Any],
+        address: Address | None = None,
+        news: bool = True,
+    ) -> None:
+        """Queue a message, with as much membership news as fits. Dropped where no address is known."""
+        fleet = self.fleet
+        address = address or self.address_of(name)
+        if address is None:
+            return
+        body = fleet.body(unix, fields)
+        if news:
+            self.add_news(body, name)
+        datagram = self.session(name).write(now, body)
+        fleet.out.append((address, datagram))
+        fleet.counts["sent"] += 1
+        fleet.counts["sent_bytes"] += len(datagram)
+
+    def address_of(self, name: str) -> Address | None:
+        """Where a member, or else a seed, is reached."""
+        record = self.fleet.members.others.get(name)
+        return record.address if record is not None else self.fleet.seeds.get(name)
+
+    def add_news(self, body: dict[str, Any], name: str) -> None:
+        """Fill the rest of a datagram with news of members, and the checksum of our table."""
+        members = self.fleet.members
+        body["e"] = members.print()
+        left, rows = wire.room(self.fleet.name, body) - NEWS_RESERVE, list[list[Any]]()
+        boot = self.sessions[name].peer_boot if name in self.sessions else 0
+        for record in members.tell(min(wire.MOST_RECORDS, max(1, left // RECORD_SIZE)), name, boot):
+            row = wire.written(record)
+            left -= len(str(row)) + 1
+            if left < 0:
+                break
+            rows.append(row)
+        body["n"] = rows
+
+    def request(
+        self,
+        now: float,
+        unix: float,
+        name: str,
+        kind: RequestKind,
+        fields: Mapping[str, Any],
+        relay: Relay | None = None,
+        news: bool = False,
+    ) -> None:
+        """Send a request and await its answer; the oldest is given up where too many are open."""
+        sequence = self.opened(Request(name, now, kind, relay))
+        while len(self.open) > MAX_OPEN_REQUESTS:
+            self.open.popitem(last=False)
+        address = relay.address if relay is not None else None
+        self.send(now, unix, name, {"q": sequence} | dict(fields), address, news)
+
+    def opened(self, request: Request) -> int:
+        """Await the answer to a request; its number."""
+        self.sequence += 1
+        self.open[self.sequence] = request
+        return self.sequence
+
+    def ping(
+        self,
+        now: float,
+        unix: float,
+        name: str,
+        kind: RequestKind = RequestKind.PING,
+        relay: Relay | None = None,
+    ) -> None:
+        """Probe a member; with RENEW, ask it to grant our lease too."""
+        fields: dict[str, Any] = {"k": "p"}
+        if kind is RequestKind.RENEW:
+            lease = self.fleet.lease
+            proposed = wire.term_written(lease.next) if lease.next is not None else None
+            fields["l"] = [wire.term_written(lease.term), proposed]
+            if self.fleet.page is not None:
+                fields["d"] = list(self.fleet.page)
+        self.request(now, unix, name, kind, fields, relay, news=True)
+
+    def ping_through(self, now: float, unix: float, helper: str) -> None:
+        """Ask a helper to ping the member that we are probing."""
+        probe = self.fleet.members.probe
+        record = self.fleet.members.others.get(probe.name) if probe is not None else None
+        if record is not None:
+            target = [record.name, record.host, record.port]
+            self.request(now, unix, helper, RequestKind.THROUGH, {"k": "r", "on": target})
+
+    def greet(self, now: float, source: Address, session: Session, datagram: bytes) -> None:
+        """Answer one who does not know our start with it, as long as the rate allows."""
+        if now - self.greeted_since >= GREETING_WINDOW:
+            self.greeted, self.greeted_since = 0, now
+        if self.greeted < MAX_GREETINGS:
+            self.greeted += 1
+            self.fleet.out.append((source, session.greet(now, datagram)))
+
+    def greeted_back(self, now: float, unix: float, name: str, asked: float | None) -> None:
+        """A peer knows our start from here on: what it could not read is sent again.
+
+        Args:
+            asked: When we sent what it could not read, in ms; None where nothing is to be repeated.
+        """
+        if asked is None:
+            return
+        again = [(seq, each) for seq, each in self.open.items() if each.to == name and each.sent >= asked]
+        for sequence, request in again[:MAX_REPEATED]:
+            del self.open[sequence]
+            if request.kind in (RequestKind.PING, RequestKind.RENEW):
+                self.ping(now, unix, name, request.kind, request.relay)
+            elif request.kind is RequestKind.PULL:
+                self.fleet.table_sync.repeat(now, unix, name)
+
+    def answered(self, body: Mapping[str, Any], name: str, *kinds: RequestKind) -> Request | None:
+        """The request that a message answers; None where it is not open any more."""
+        sequence = wire.whole(body.get("q"))
+        found = self.open.get(sequence)
+        if found is None or found.to != name or found.kind not in kinds:
+            return None
+        del self.open[sequence]
+        return found
--- /dev/null
+++ b/spurdeal/fleet/name_conflict.py
@@ -0,0 +1,59 @@
+"""Two processes under one name: which of them goes on."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from .members import Record
+from .standing import Standing
+from .terms import Told
+
+if TYPE_CHECKING:
+    from .fleet import Fleet
+
+MAX_RAISES = 3  # incarnations raised against another start of our name, before it counts as alive
+
+
+class NameConflict:
+    """Settles who keeps our name where another start of it is heard of.
+
+    Who holds a lease stays; one that lapsed meanwhile, or is answered again and again, gives way. One that is
+    not there any more answers nothing: a new start gets past its last incarnation.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.own_boots: set[int] = set()
+        self.yielded = False
+        self.raised_against: Counter[int] = Counter()
+
+    def begin(self, boot: int) -> None:
+        """A new start of ours."""
+        self.own_boots.add(boot)
+        self.yielded = False
+        self.raised_against.clear()
+
+    def settle(self, now: float) -> None:
+        """Decide on the other start that was heard of, if there is one."""
+        members = self.fleet.members
+        other, members.contested = members.contested, None
+        if other is None or self.yielded:
+            return
+        standing = self.fleet.ladder.standing
+        lapsed = standing in (Standing.LAPSED, Standing.SHUT)
+        if other.boot in self.own_boots:
+            members.raise_turn(other.turn)
+        elif standing in (Standing.CURRENT, Standing.BEHIND) and self.fleet.lease.holds(now):
+            self.keep(other)
+        elif lapsed or self.raised_against[other.boot] >= MAX_RAISES:
+            self.yielded = True
+            self.fleet.told.append(Told("name_yielded", {"other": f"{other.boot:016x}"}))
+        else:
+            self.raised_against[other.boot] += 1
+            members.raise_turn(other.turn)
+
+    def keep(self, other: Record) -> None:
+        """The name stays ours."""
+        self.fleet.members.raise_turn(other.turn)
+        self.fleet.tell_once(f"name {other.boot}", "name_kept", {"other": f"{other.boot:016x}"})
--- /dev/null
+++ b/spurdeal/fleet/receiver.py
@@ -0,0 +1,153 @@
+"""Incoming datagrams of one fleet member: checked, read whole, and only then acted on."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from ..vrrp.sealed import Refused, Session
+from . import wire
+from .audit import SealedPage
+from .handlers import HANDLERS, Message
+from .hybrid import Stamp
+from .members import MOST_MEMBERS, Address, Life, Record
+from .standing import Standing
+from .terms import Told
+from .versions import Line, Version
+
+if TYPE_CHECKING:
+    from .fleet import Fleet
+
+MAX_UNIX = 1 << 48  # ms
+
+
+class Heard(NamedTuple):
+    """A member's last word about itself. at: ms; clock: its Unix time less ours, in ms."""
+
+    at: float
+    standing: Standing
+    page: SealedPage | None
+    clock: float
+
+
+class Header(NamedTuple):
+    """What every message says of its sender."""
+
+    stamp: Stamp
+    claims: dict[Line, Version]
+    standing: Standing
+    news: list[Record]
+    page: SealedPage | None
+    kind: str
+    unix: int
+
+
+def read_header(body: Mapping[str, Any]) -> Header:
+    """Read the fields that all messages have.
+
+    Raises:
+        Refused: One of them has not its form.
+    """
+    return Header(
+        wire.stamp(body),
+        wire.versions(body),
+        wire.standing(body),
+        wire.records(body),
+        wire.page(body),
+        wire.text(body.get("k"), 2),
+        wire.whole(body.get("u"), MAX_UNIX),
+    )
+
+
+class Receiver:
+    """Takes in datagrams. What cannot be used is counted by its reason, and changes nothing."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+
+    def take(self, now: float, unix: float, source: Address, datagram: bytes) -> None:
+        """Check, read and act on one datagram. Raises nothing."""
+        fleet = self.fleet
+        fleet.counts["came"] += 1
+        try:
+            name = wire.name_of(datagram)
+            if name == fleet.name and name not in fleet.sessions:
+                raise Refused("own_name")
+            body, asked = self.opened(now, source, name, datagram)
+            if body:
+                self.act_on(Message(now, unix, source, name, body))
+            else:
+                fleet.messenger.greeted_back(now, unix, name, asked)
+        except Refused as fault:
+            fleet.counts["drop_" + fault.reason] += 1
+
+    def opened(
+        self, now: float, source: Address, name: str, datagram: bytes
+    ) -> tuple[dict[str, Any], float | None]:
+        """The body of a datagram, as `Session.read` gives it.
+
+        Raises:
+            Refused: Its seal or number is not right, or there is no room for one more member.
+        """
+        messenger = self.fleet.messenger
+        session = messenger.sessions.get(name)
+        try:
+            if session is None:
+                session = self.first_session(name)
+                session.open(datagram)
+                messenger.sessions[name] = session
+            return session.read(now, datagram)
+        except Refused as fault:
+            if fault.reason == "unproven" and session is not None:
+                messenger.greet(now, source, session, datagram)
+            raise
+
+    def first_session(self, name: str) -> Session:
+        """A session for a name that we have none with.
+
+        Raises:
+            Refused: There is no room for one more member.
+        """
+        others = self.fleet.members.others
+        if name not in others and len(others) >= MOST_MEMBERS:
+            raise Refused("full")
+        return self.fleet.messenger.new_session(name)
+
+    def act_on(self, message: Message) -> None:
+        """All is read before anything counts."""
+        fleet, name = self.fleet, message.name
+        header = read_header(message.body)
+        handler = HANDLERS.get(header.kind)
+        if handler is None:
+            raise Refused("kind")
+        act = handler(fleet, message)
+        boot = fleet.sessions[name].peer_boot
+        if not fleet.hybrid.seen(message.unix, header.stamp):
+            fleet.counts["stamp_ahead"] += 1
+        self.note_sender(message, header, boot)
+        for clash in fleet.book.claim(name, header.claims):
+            fleet.tell_clash(clash)
+        fleet.members.answered(message.now, name)
+        for record in header.news:
+            fleet.members.hear(message.now, record, name)
+        if name not in fleet.members.others:  # no news of the sender has come yet
+            record = Record(name, *message.source, boot, 0, Life.ALIVE)
+            fleet.members.hear(message.now, record, name)
+        fleet.table_sync.compare(message.now, message.unix, name, message.body.get("e"))
+        act()
+
+    def note_sender(self, message: Message, header: Header, boot: int) -> None:
+        """Keep what the sender has said of itself; a newly sealed page of its audit log is an event."""
+        fleet, name, page = self.fleet, message.name, header.page
+        before = fleet.heard[name].page if name in fleet.heard else None
+        if page is not None and page != before:
+            figures = {
+                "name": name,
+                "boot": f"{boot:016x}",
+                "page": page.number,
+                "digest": page.digest,
+                "records": page.records,
+            }
+            fleet.told.append(Told("page", figures))
+        apart = header.unix - message.unix - fleet.skew
+        fleet.heard[name] = Heard(message.now, header.standing, page or before, apart)
--- /dev/null
+++ b/spurdeal/fleet/status.py
@@ -0,0 +1,67 @@
+"""What one member knows of its fleet, as `spurdeal fleet status` and the clients' interface show it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from .versions import Line
+
+if TYPE_CHECKING:
+    from .fleet import Fleet
+
+
+def fleet_status(fleet: Fleet, now: float) -> dict[str, Any]:
+    """All that is known here of the fleet, ready for JSON. Times in it are ms."""
+    return own_status(fleet, now) | {
+        "members": [member_status(fleet, now, name) for name in sorted(fleet.members.others)],
+        "clashes": [str(clash) for clash in fleet.book.clashes.values()],
+        "implausible": dict(fleet.book.implausible),
+        "counts": dict(sorted(fleet.counts.items())),
+    }
+
+
+def own_status(fleet: Fleet, now: float) -> dict[str, Any]:
+    """What concerns the member itself."""
+    newest = fleet.book.newest(Line.LIST)
+    versions = {line.name.lower(): str(each) for line, each in sorted(fleet.book.force.items())}
+    return {
+        "name": fleet.name,
+        "boot": f"{fleet.boot:016x}",
+        "why": fleet.ladder.why,
+        "standing": fleet.ladder.standing.name.lower(),
+        "for_ms": round(now - fleet.ladder.since),
+        "lease": fleet.lease.holds(now),
+        "term": fleet.lease.term.number,
+        "wardens": list(fleet.lease.term.wardens),
+        "versions": versions,
+        "newest_list": str(newest) if newest is not None else None,
+        "behind": fleet.book.behind(),
+        "clock_shift_ms": round(fleet.clock_shift),
+        "size": fleet.members.size(),
+        "health": fleet.members.health,
+    }
+
+
+def member_status(fleet: Fleet, now: float, name: str) -> dict[str, Any]:
+    """What is known here of one other member."""
+    record, heard = fleet.members.others[name], fleet.heard.get(name)
+    claims = fleet.book.claims.get(name, {})
+    newest = fleet.book.newest(Line.LIST)
+    found: dict[str, Any] = {
+        "name": name,
+        "life": record.life.name.lower(),
+        "boot": f"{record.boot:016x}",
+        "for_ms": round(now - fleet.members.since[name]),
+        "at": f"{record.host}:{record.port}",
+        "stopped": fleet.stopped(now, name),
+    }
+    if heard is not None:
+        found |= {
+            "standing": heard.standing.name.lower(),
+            "heard_ms_ago": round(now - heard.at),
+            "page": heard.page.number if heard.page is not None else None,
+        }
+    if Line.LIST in claims and newest is not None:
+        told = claims[Line.LIST]
+        found |= {"list": str(told), "behind": max(0, newest.number - told.number)}
+    return found
--- /dev/null
+++ b/spurdeal/fleet/stop_inquiries.py
@@ -0,0 +1,79 @@
+"""Fencing: members that are gone are asked after, at their lease grantors, until they are known to have
+stopped.
+
+The inquiry goes on after that, so that the grantors' promises go on to count."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from .lease import WARDENS, Inquiry
+from .members import Life, rendezvous
+from .messenger import RequestKind
+from .terms import Told
+
+if TYPE_CHECKING:
+    from .fleet import Fleet
+
+ASK_EVERY = 500.0  # ms between two questions to the grantors of a member that is gone
+MAX_INQUIRIES = 64
+
+
+class StopInquiries:
+    """Inquiries into members that are gone, and which of them are relied on as stopped."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.inquiries: dict[str, Inquiry] = {}
+        self.asked_at: dict[str, float] = {}
+        self.relied: set[tuple[str, int]] = set()  # name and start
+
+    def stopped(self, now: float, name: str) -> bool:
+        """Whether that member, gone as we see it, is known by our clock alone to hold no lease."""
+        found = self.inquiries.get(name)
+        return found is not None and found.stopped(now)
+
+    def begin(self, name: str, boot: int) -> None:
+        """Ask after one start of a member, unless too many are asked after."""
+        if len(self.inquiries) < MAX_INQUIRIES:
+            terms = self.fleet.terms
+            self.inquiries[name] = Inquiry(name, boot, terms.part, terms.lease)
+
+    def tick(self, now: float, unix: float) -> None:
+        """Ask the grantors again where it is time, and report what has changed."""
+        self.drop_finished()
+        for name, inquiry in self.inquiries.items():
+            if now - self.asked_at.get(name, -math.inf) >= ASK_EVERY:
+                self.asked_at[name] = now
+                self.ask_grantors(now, unix, name, inquiry)
+        if self.inquiries or self.relied:
+            self.report(now)
+
+    def drop_finished(self) -> None:
+        """Forget inquiries into members that are not gone any more, or have started anew."""
+        for name, inquiry in list(self.inquiries.items()):
+            record = self.fleet.members.others.get(name)
+            if record is None or record.life is not Life.GONE or record.boot != inquiry.boot:
+                del self.inquiries[name]
+                self.asked_at.pop(name, None)
+
+    def ask_grantors(self, now: float, unix: float, name: str, inquiry: Inquiry) -> None:
+        """Ask all grantors of that member, ourselves included."""
+        fleet = self.fleet
+        word = fleet.wards.word(now, name, inquiry.boot)
+        if word is not None:
+            inquiry.word(now, now, fleet.name, *word)
+        known = (other for other in fleet.members.known() if other != name)
+        fields = {"k": "w", "who": name, "boot": inquiry.boot}
+        for grantor in inquiry.whom() or rendezvous(name, known, WARDENS):
+            if grantor != fleet.name:
+                fleet.messenger.request(now, unix, grantor, RequestKind.WORD, fields)
+
+    def report(self, now: float) -> None:
+        """Events for whom we rely on as stopped, and from when we do so no more."""
+        stopped = {(name, each.boot) for name, each in self.inquiries.items() if each.stopped(now)}
+        for what, starts in (("stopped", stopped - self.relied), ("stopped_over", self.relied - stopped)):
+            for name, boot in sorted(starts):
+                self.fleet.told.append(Told(what, {"name": name, "boot": f"{boot:016x}"}))
+        self.relied = stopped
--- a/spurdeal/fleet/wire.py
+++ b/spurdeal/fleet/wire.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from ..vrrp.sealed import HEAD, SEAL, Refused
+from .audit import SealedPage
 from .hybrid import Stamp
 from .lease import WARDENS, Term
 from .members import RAISED_MOST, Life, Record
@@ -139,9 +140,9 @@
     return Standing(whole(body.get("s"), len(Standing) - 1))
 
 
-def page(body: Mapping[str, Any]) -> tuple[int, str, int] | None:
-    """The newest sealed page of the sender's audit log: its number, digest, and how many records up to it."""
+def page(body: Mapping[str, Any]) -> SealedPage | None:
+    """The newest sealed page of the sender's audit log."""
     if "d" not in body:
         return None
     row = items(body["d"], 3, 3)
-    return whole(row[0], 1 << 48), text(row[1], 32), whole(row[2], 1 << 48)
+    return SealedPage(whole(row[0], 1 << 48), text(row[1], 32), whole(row[2], 1 << 48))
--- a/spurdeal/lab/audited.py
+++ b/spurdeal/lab/audited.py
@@ -29,6 +29,7 @@
 from ..fleet.asking import Entry, Log, check, merged, read_log
 from ..fleet.audit import FRAME, MAGIC, SEAL, TIME, Kind, Pages, digest_after, frame_at
 from ..fleet.hybrid import Hybrid
+from ..fleet.messenger import RequestKind
 from ..vrrp.sealed import Session
 from .fleet_world import KEYS, World
 from .rig import GRACE, PORT, WAIT, Crowd, Process, Rig
@@ -742,7 +743,7 @@
     fleet, peer, chance = world.nodes["d0"].fleet, world.nodes["d1"].fleet, random.Random(9)
     good: list[bytes] = []
     for _ in range(40):
-        peer.ping(world.now, world.unix(None), "d0", "renew")
+        peer.messenger.ping(world.now, world.unix(None), "d0", RequestKind.RENEW)
         address, datagram = peer.out[-1]
         good.append(datagram)
         fleet.take(world.now, world.unix(None), peer.address, datagram)
--- a/spurdeal/lab/fleet_model.py
+++ b/spurdeal/lab/fleet_model.py
@@ -18,6 +18,7 @@
 
 from ..fleet.fleet import Fleet
 from ..fleet.lease import NEVER, Inquiry, Lease, Term, Ward, Wards
+from ..fleet.list_sync import ListSync
 from ..fleet.members import Life, Members, Record
 from ..fleet.standing import Allowed, Standing
 from ..fleet.versions import Book, Line, Version, list_digest
@@ -369,7 +370,7 @@
             if not fleet.allowed(world.now).doubtful:
                 continue
             for other in live.values():
-                found = other.inquiries.get(name)
+                found = other.stops.inquiries.get(name)
                 if found is not None and found.boot == fleet.boot and other.stopped(world.now, name):
                     self.broken["acts while another relies on its stop"] += 1
         for fleet in live.values():
@@ -473,24 +474,30 @@
 
     def begin(self, now: float) -> None:
         super().begin(now)
-        self.one_drops = 2.0
+        self.list_sync.max_single_drop = 2.0
 
 
 class NeverJoinsAgain(Fleet):
     """Whoever has lapsed stays so."""
 
-    def stand(self, now: float, unix: float) -> None:
+    def stand(self, now: float) -> None:
         before = self.ladder.standing
-        super().stand(now, unix)
+        super().stand(now)
         if before in (Standing.LAPSED, Standing.SHUT):
             self.ladder.standing = before
 
 
+class IdleListSync(ListSync):
+    def tick(self, now: float, unix: float) -> None:
+        return
+
+
 class AsksNobody(Fleet):
     """Nobody is brought up by a peer, and its name service may never answer: found where it stays away."""
 
-    def bring_up(self, now: float, unix: float) -> None:
-        return
+    def begin(self, now: float) -> None:
+        super().begin(now)
+        self.list_sync = IdleListSync(self, now)
 
 
 class Deaf(Members):
