The audit's proof as a package; proofs share running a script, processes and settings

A run that gives no figures is RunFailed, also where the processor's proof fails, which was CalledProcessError.

--- a/spurdeal/lab/asking.py
+++ b/spurdeal/lab/asking.py
@@ -23,14 +23,17 @@
 
 from .engines import Fleet
 from .names import Names, Seat
+from .platform_settings import Platform
+from .processes import cpu_seconds, run_module, start_dispatcher
 from .proxy import Asked, Proxy
-from .takeover import spread
+from .spread import spread
 
 NET = 28
 HOST, PORT, ASK, NAMES = f"127.0.{NET}.1", 7001, 7443, (f"127.0.{NET}.9", 5300)
 ENGINES, CORES, WAIT, COST, HEAVY = 4, 8, 2500.0, 6.0, 0.3
 MESSAGE_TIMEOUT, MOST_TIMEOUT = 200.0, 1000.0
 RETRIES, PAUSE, RATE = 4, 0.05, 250.0
+RUN_TIMEOUT = 600.0  # seconds
 SIZES = {"tiny": (100, 700, 1), "quick": (800, 2400, 2), "full": (3000, 9000, 2)}  # clean, chaotic, kills
 
 
@@ -47,39 +50,9 @@
 
 
 def configuration(known: dict[str, Any]) -> dict[str, Any]:
-    return {
-        "name": "n1",
-        "listen": f"{HOST}:{PORT}",
-        "seed": "8c1f",
-        "nameserver": f"{NAMES[0]}:{NAMES[1]}",
-        "limits": {"sockets": 4096, "memory_mb": 192},
-        "known": known,
-        "settings": {
-            "balancers": 1,
-            "zones": ["east"],
-            "models": ["std"],
-            "grades": [
-                {"name": "lookup", "aim": 800, "deadline": WAIT, "late_worth": 0.5},
-                {"name": "load", "aim": 1500, "deadline": WAIT, "effect": "once", "late_worth": 0.5},
-            ],
-            "extra": {"cpu_of_kind": [CORES], "priorities": True},
-            "limits": {
-                "cancelling": True,
-                "dial_timeout": 250,
-                "send_cap": 3,
-                "retry_after": True,
-                "max_retry_after": 500,
-                "streams_per_conn": 4,
-            },
-            "rules": {
-                "drain_grace": 250,
-                "cold": 8000,
-                "cold_share": 0.3,
-                "fall_multiple": 2,
-                "tip_after": 1500,
-            },
-        },
-    }
+    """What the platform tells the dispatcher."""
+    platform = Platform(1, WAIT, CORES, 250, 8000, 0.3, 2, 1500, sockets=4096, extra={"priorities": True})
+    return platform.configuration("n1", f"{HOST}:{PORT}", "8c1f", f"{NAMES[0]}:{NAMES[1]}", known)
 
 
 class Dispatcher:
@@ -94,22 +67,9 @@
 
     def start(self, ledger: bool = True) -> None:
         (self.folder / "n1.yaml").write_text(settings(self.folder, ledger))
-        with open(self.folder / "n1.log", "ab") as log:
-            self.child = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-O",
-                    "-m",
-                    "spurdeal",
-                    "extproc",
-                    "serve",
-                    "--settings",
-                    str(self.folder / "n1.yaml"),
-                ],
-                stderr=log,
-                stdin=subprocess.DEVNULL,
-                env=os.environ | {"ROUTER_CONFIG": str(self.folder / "n1.json")},
-            )
+        self.child = start_dispatcher(
+            self.folder / "n1.yaml", self.folder / "n1.json", self.folder / "n1.log", ("extproc", "serve")
+        )
 
     def counters(self) -> dict[str, int]:
         with urlopen(f"http://{HOST}:{PORT}/counters", timeout=5) as answer:
@@ -157,8 +117,7 @@
     def cpu(self) -> float:
         """User and system seconds so far."""
         assert self.child is not None
-        fields = Path(f"/proc/{self.child.pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+        return cpu_seconds(self.child.pid)
 
 
 def seats() -> list[Seat]:
@@ -388,17 +347,7 @@
 
 def figures(quick: bool, say: Callable[[str], None]) -> dict[str, Any]:
     """All that `spurdeal lab extproc --json` prints."""
-    done = subprocess.run(
-        [sys.executable, "-m", "spurdeal.lab.asking", "quick" if quick else "full"],
-        stdout=subprocess.PIPE,
-        timeout=600,
-        check=True,
-    )
-    *lines, last = done.stdout.decode().strip().splitlines()
-    for line in lines:
-        say(line)
-    found: dict[str, Any] = json.loads(last)
-    return found
+    return run_module("spurdeal.lab.asking", ["quick" if quick else "full"], RUN_TIMEOUT, say)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/spurdeal/lab/processes.py
@@ -0,0 +1,70 @@
+"""Processes of the laboratory: dispatchers of the real program, and modules that print figures."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+
+class RunFailed(RuntimeError):
+    """A module that was run for its figures gave none."""
+
+
+def start_dispatcher(
+    settings: Path, configuration: Path, log: Path, command: Sequence[str] = ("run",)
+) -> subprocess.Popen[bytes]:
+    """Start a dispatcher; its standard error is appended to `log`.
+
+    Args:
+        settings: The operator's file.
+        configuration: What the platform tells it, by ROUTER_CONFIG.
+        command: The sub-command of `spurdeal`.
+    """
+    with open(log, "ab") as out:
+        return subprocess.Popen(
+            [sys.executable, "-O", "-m", "spurdeal", *command, "--settings", str(settings)],
+            stderr=out,
+            stdin=subprocess.DEVNULL,
+            env=os.environ | {"ROUTER_CONFIG": str(configuration)},
+        )
+
+
+def cpu_seconds(pid: int) -> float:
+    """User and system seconds that a process has used.
+
+    Raises:
+        OSError: There is no such process.
+    """
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def run_module(
+    module: str, arguments: Sequence[str], timeout: float, say: Callable[[str], None]
+) -> dict[str, Any]:
+    """Run a module in a process of its own, as Twisted's reactor runs once.
+
+    Args:
+        timeout: Seconds until it is killed.
+        say: Called with each line that it printed before its figures.
+
+    Returns:
+        The figures: its last line, an object in JSON.
+
+    Raises:
+        RunFailed: It ended with another code than 0, without figures, or with a "fault" among them.
+        subprocess.TimeoutExpired: It took too long.
+    """
+    done = subprocess.run([sys.executable, "-m", module, *arguments], stdout=subprocess.PIPE, timeout=timeout)
+    lines = done.stdout.decode().strip().splitlines()
+    for line in lines[:-1]:
+        say(line)
+    found: dict[str, Any] = json.loads(lines[-1]) if lines else {"fault": f"code {done.returncode}"}
+    if done.returncode or "fault" in found:
+        raise RunFailed(f"the run ended with {found.get('fault', done.returncode)}")
+    return found
--- a/spurdeal/lab/rig.py
+++ b/spurdeal/lab/rig.py
@@ -9,12 +9,10 @@
 from __future__ import annotations
 
 import json
-import os
 import random
 import shutil
 import signal
 import subprocess
-import sys
 import time
 import zlib
 from collections.abc import Mapping, Sequence
@@ -28,6 +26,8 @@
 from .engines import Engine, Fleet
 from .front import AGAIN, Asked, Dial, Front
 from .names import Names, Seat
+from .platform_settings import Platform
+from .processes import cpu_seconds, start_dispatcher
 
 PORT, FLEET, CABLE, NAMES = 7001, 7114, 7214, 5300
 CORES, COLD_FOR, COLD_SHARE, MULTIPLE, WINDOW = 4, 6000, 0.3, 2.0, 1500
@@ -148,10 +148,9 @@
         if self.child is None:
             return 0.0
         try:
-            fields = Path(f"/proc/{self.child.pid}/stat").read_text().rpartition(")")[2].split()
+            return cpu_seconds(self.child.pid)
         except OSError:
             return 0.0
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 class Crowd(Front):
@@ -301,40 +300,25 @@
 """
 
     def configuration(self, process: Process) -> dict[str, Any]:
-        return {
-            "name": process.name,
-            "listen": f"{process.host}:{PORT}",
-            "seed": f"{zlib.crc32(f'{process.name} {self.seed}'.encode()):08x}",
-            "limits": {"sockets": 1024, "memory_mb": 192},
-            "nameserver": f"{process.host}:{NAMES}",
-            "known": self.known_first,
-            "settings": {
-                "balancers": self.count,
-                "index": process.number,
-                "zones": ["east"],
-                "models": ["std"],
-                "grades": [
-                    {"name": "lookup", "aim": 800, "deadline": WAIT, "late_worth": 0.5},
-                    {"name": "load", "aim": 1500, "deadline": WAIT, "effect": "once", "late_worth": 0.5},
-                ],
-                "extra": {"cpu_of_kind": [CORES]},
-                "limits": {
-                    "cancelling": True,
-                    "dial_timeout": 250,
-                    "send_cap": 3,
-                    "retry_after": True,
-                    "max_retry_after": 500,
-                    "streams_per_conn": 4,
-                },
-                "rules": {
-                    "drain_grace": GRACE,
-                    "cold": COLD_FOR,
-                    "cold_share": COLD_SHARE,
-                    "fall_multiple": MULTIPLE,
-                    "tip_after": WINDOW,
-                },
-            },
-        }
+        """What the platform tells that dispatcher."""
+        platform = Platform(
+            self.count,
+            WAIT,
+            CORES,
+            GRACE,
+            COLD_FOR,
+            COLD_SHARE,
+            MULTIPLE,
+            WINDOW,
+            index=process.number,
+        )
+        return platform.configuration(
+            process.name,
+            f"{process.host}:{PORT}",
+            f"{zlib.crc32(f'{process.name} {self.seed}'.encode()):08x}",
+            f"{process.host}:{NAMES}",
+            self.known_first,
+        )
 
     def start(self, name: str) -> None:
         process = self.processes[name]
@@ -347,13 +331,7 @@
         self.dead_since.pop(name, None)
 
     def launch(self, process: Process, told: Path, file: Path, log: Path) -> None:
-        with open(log, "ab") as out:
-            process.child = subprocess.Popen(
-                [sys.executable, "-O", "-m", "spurdeal", "run", "--settings", str(file)],
-                stderr=out,
-                stdin=subprocess.DEVNULL,
-                env=os.environ | {"ROUTER_CONFIG": str(told)},
-            )
+        process.child = start_dispatcher(file, told, log)
 
     def kill(self, name: str) -> None:
         process = self.processes[name]
--- /dev/null
+++ b/spurdeal/lab/takeover_process.py
@@ -0,0 +1,151 @@
+"""One of the two real dispatchers of the takeover proof: its files, its starts and its ends."""
+
+from __future__ import annotations
+
+import json
+import re
+import signal
+import subprocess
+import time
+import zlib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from .platform_settings import Platform
+from .processes import start_dispatcher
+
+PORT, ADVERTS, HANDOVER, SHIFT = 7001, 7112, 7113, 100
+PRIORITIES = {"n1": 200, "n2": 100}
+INTERVAL = 100.0  # ms
+CORES, COLD_FOR, COLD_SHARE, MULTIPLE, WINDOW = 4, 8000, 0.3, 2.0, 1500
+WAIT, DRAIN_GRACE = 2500.0, 250  # ms
+KEY = "5f" * 32
+LINE = re.compile(r"t=([0-9.]+) .*event=(address_taken|address_left|ready|stopped)\b")
+
+
+class Net:
+    """Loopback addresses of one run, so that two can go on side by side."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.hosts = {"n1": f"127.0.{number}.1", "n2": f"127.0.{number}.2"}
+        self.names, self.switch = (f"127.0.{number}.9", 5300), (f"127.0.{number}.9", 5400)
+        self.address = f"127.0.{number}.100"
+
+    def engine(self, number: int) -> str:
+        return f"127.0.{self.number + 1}.{number % 250 + 1}"
+
+
+def installation(net: Net, name: str, guarded: bool) -> str:
+    """The operator's file, with the cables' ends in place of the peer's own ports."""
+    other = "n2" if name == "n1" else "n1"
+    host, far = net.hosts[name], net.hosts[other]
+    handover = (
+        f"""
+handover:
+  listen: {host}:{HANDOVER}
+  keys: [{{id: 1, hex: {KEY}}}]
+  every: 50ms
+  ahead: true
+  ahead_wait: 40ms
+  alone: send
+  alone_after: 400ms
+"""
+        if guarded
+        else ""
+    )
+    return f"""
+name: {name}
+peers:
+  - name: {other}
+    adverts: {far}:{ADVERTS + SHIFT}
+    handover: {far}:{HANDOVER + SHIFT}
+vrrp:
+  listen: {host}:{ADVERTS}
+  groups:
+    - group: 1
+      priority: {PRIORITIES[name]}
+      interval: {INTERVAL:.0f}ms
+      addresses: [{net.address}]
+      preempt_delay: 500ms
+      tracks: [{{condition: list_stale, lowers: 150}}, {{condition: no_engine, lowers: 150}}]
+  holder: {{kind: announce, switch: "{net.switch[0]}:{net.switch[1]}"}}
+  bar: 3s
+{handover}
+tenure: {{on: {"true" if guarded else "false"}, lease: 500ms}}
+"""
+
+
+def configuration(net: Net, name: str, known: dict[str, Any]) -> dict[str, Any]:
+    """What the platform tells that dispatcher."""
+    index = int(name[1:]) - 1
+    platform = Platform(2, WAIT, CORES, DRAIN_GRACE, COLD_FOR, COLD_SHARE, MULTIPLE, WINDOW, index=index)
+    return platform.configuration(
+        name,
+        f"{net.hosts[name]}:{PORT}",
+        f"{zlib.crc32(name.encode()):08x}",
+        f"{net.names[0]}:{net.names[1]}",
+        known,
+    )
+
+
+class Process:
+    """One real dispatcher, its starts and its ends."""
+
+    def __init__(self, net: Net, name: str, folder: Path, known: dict[str, Any], guarded: bool) -> None:
+        self.net, self.name, self.folder, self.known, self.guarded = net, name, folder, known, guarded
+        self.place = (net.hosts[name], PORT)
+        self.child: subprocess.Popen[bytes] | None = None
+        self.log = folder / f"{name}.log"
+        self.away: list[tuple[float, float]] = []  # Unix s: killed, or standing still, from and until
+        self.still = False
+
+    def start(self) -> None:
+        told, file = self.folder / f"{self.name}.json", self.folder / f"{self.name}.yaml"
+        told.write_text(json.dumps(configuration(self.net, self.name, self.known)))
+        file.write_text(installation(self.net, self.name, self.guarded))
+        self.child = start_dispatcher(file, told, self.log)
+
+    def signal(self, number: int) -> None:
+        assert self.child is not None
+        self.child.send_signal(number)
+        if number in (signal.SIGKILL, signal.SIGSTOP):
+            self.away.append((time.time(), float("inf")))
+        elif number == signal.SIGCONT:
+            self.back()
+        self.still = number == signal.SIGSTOP
+
+    def back(self) -> None:
+        if self.away and self.away[-1][1] == float("inf"):
+            self.away[-1] = (self.away[-1][0], time.time())
+
+    def ended(self) -> bool:
+        return self.child is None or self.child.poll() is not None
+
+    def end(self) -> None:
+        if self.child is not None and self.child.poll() is None:
+            self.child.kill()
+            self.child.wait()
+
+    def was_away(self, began: float, ended: float) -> bool:
+        return any(start < ended and began < end for start, end in self.away)
+
+    def held(self) -> Iterator[tuple[float, float]]:
+        """From when to when it believed that it held the address, as its own lines tell; Unix s."""
+        since, cuts = None, [start for start, _ in self.away]
+        for line in self.log.read_text().splitlines():
+            found = LINE.search(line)
+            if found is None:
+                continue
+            at, event = float(found[1]), found[2]
+            if event == "ready" and since is not None:  # a new start: the one before was killed
+                yield since, next((cut for cut in cuts if since < cut <= at), at)
+                since = None
+            elif event == "address_taken":
+                since = since if since is not None else at
+            elif since is not None and event in ("address_left", "stopped"):
+                yield since, at
+                since = None
+        if since is not None:
+            yield since, next((cut for cut in cuts if cut > since), time.time())
