--- a/spurdeal/lab/fleet_model.py
+++ b/spurdeal/lab/fleet_model.py
@@ -23,7 +23,7 @@
 from ..fleet.standing import Allowed, Standing
 from ..fleet.versions import Book, Line, Version, list_digest
 from .fleet_world import World
-from .model import check
+from .model_check import check
 
 State = tuple[Any, ...]
 STEP, LEASE, PART = 100.0, 300.0, 0.5
