--- /dev/null
+++ b/spurdeal/lab/lease_faults.py
@@ -0,0 +1,110 @@
+"""Faults planted in the lease and the inquiry: each must be found by the model."""
+
+from __future__ import annotations
+
+from ..fleet.lease import NEVER, Inquiry, Lease, Term, Wards
+from .lease_model import FAR, Kinds
+
+
+class CountsFromTheAnswer(Lease):
+    def answered(self, now: float, name: str, asked: float, heard_of: int, granted: bool) -> None:
+        super().answered(now, name, max(asked, now), heard_of, granted)
+
+
+class TellsNobody(Lease):
+    """A new term counts though the old wardens do not know of it."""
+
+    def answered(self, now: float, name: str, asked: float, heard_of: int, granted: bool) -> None:
+        if self.next is not None and heard_of >= self.next.number:
+            self.next_told |= set(self.term.wardens)
+        super().answered(now, name, asked, heard_of, granted)
+
+
+class AnswersThoughBarred(Wards):
+    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
+        if name in self.wards:
+            self.wards[name] = self.wards[name]._replace(barred=NEVER)
+        return super().ask(now, name, boot, term, following)
+
+
+class ForgetsItsRest(Wards):
+    """A new start answers at once, whatever the one before has said."""
+
+    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
+        self.rests_until = NEVER
+        return super().ask(now, name, boot, term, following)
+
+
+class SaysNothingLeft(Wards):
+    """Its answers may still count, and it does not say so."""
+
+    def word(self, now: float, name: str, boot: int) -> tuple[Term, Term | None, bool, float] | None:
+        found = super().word(now, name, boot)
+        return None if found is None else (*found[:3], 0.0)
+
+
+class RefusesNothing(Wards):
+    """Says that it refuses, and goes on to answer."""
+
+    def refuse(self, name: str, boot: int) -> None:
+        super().refuse(name, boot)
+        self.lying = True
+
+    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
+        if name in self.wards:
+            known = self.wards[name]
+            heard, _ = super().ask(now, name, boot, term, following)
+            self.wards[name] = known._replace(until=now + self.lease)
+            return heard, True
+        return super().ask(now, name, boot, term, following)
+
+
+class OneWordIsEnough(Inquiry):
+    def stopped(self, now: float) -> bool:
+        return any(ends <= now < until for ends, until in self.words.values())
+
+
+class ForgetsNoWord(Inquiry):
+    """A word counts for ever."""
+
+    def word(
+        self,
+        now: float,
+        asked: float,
+        name: str,
+        term: Term,
+        following: Term | None,
+        refused: bool,
+        left: float,
+    ) -> None:
+        super().word(now, asked, name, term, following, refused, left)
+        self.words = {each: (ends, 10 * FAR) for each, (ends, _) in self.words.items()}
+
+
+class KeepsToTheOldTerm(Inquiry):
+    """It is not led on to newer wardens."""
+
+    def begin(self, term: Term, following: Term | None = None) -> None:
+        if not self.terms:
+            super().begin(term)
+
+
+class BelievesWhatIsProposed(Inquiry):
+    """A term that was proposed counts as in force, as ours did until the walks found it."""
+
+    def begin(self, term: Term, following: Term | None = None) -> None:
+        super().begin(following or term)
+
+
+IN_THE_LEASE = (
+    Kinds(lease=CountsFromTheAnswer),
+    Kinds(lease=TellsNobody),
+    Kinds(wards=AnswersThoughBarred),
+    Kinds(wards=ForgetsItsRest),
+    Kinds(wards=SaysNothingLeft),
+    Kinds(wards=RefusesNothing),
+    Kinds(inquiry=OneWordIsEnough),
+    Kinds(inquiry=ForgetsNoWord),
+    Kinds(inquiry=KeepsToTheOldTerm),
+    Kinds(inquiry=BelievesWhatIsProposed),
+)
