VRRP station in modules: advertising, exchange, guard, setup; handover's messages read apart

vrrp/station.py had 500 lines and was timers, two kinds of datagrams, holders and the link's Guard in one class. Station and keys_of stay importable from it.

--- /dev/null
+++ b/spurdeal/vrrp/advertising.py
@@ -0,0 +1,137 @@
+"""VRRP beside one dispatcher: advertisements and timers in, advertisements and addresses out.
+
+It decides nothing: `groups` does."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from ipaddress import ip_address
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+from ..net.counters import Counters
+from . import advert
+from .advert import Address, Dropped
+from .groups import Done, Groups
+from .machine import Act
+from .setup import Holder
+
+if TYPE_CHECKING:
+    from ..settings.installation import Installation, Vrrp
+
+
+class Adverts(DatagramProtocol):
+    """Datagrams of the peers' advertisements."""
+
+    transport: Any
+
+    def __init__(self, advertising: Advertising) -> None:
+        self.advertising = advertising
+
+    def datagramReceived(self, datagram: bytes, address: tuple[Any, ...]) -> None:
+        self.advertising.came(datagram, str(address[0]))
+
+
+class Advertising:
+    """The dispatcher's VRRP groups on the network.
+
+    Args:
+        taken: Called with a group and why its addresses were taken, once they are.
+        barred: Whether the dispatcher may not take addresses back yet.
+    """
+
+    def __init__(
+        self,
+        plan: Installation,
+        vrrp: Vrrp,
+        groups: Groups,
+        holder: Holder,
+        reactor: Any,
+        monotonic: Callable[[], float],
+        counters: Counters,
+        log: logging.Logger,
+        taken: Callable[[int, str], None],
+        barred: Callable[[], bool],
+    ) -> None:
+        self.peers, self.groups, self.holder = plan.peers, groups, holder
+        self.reactor, self.monotonic, self.counters, self.log = reactor, monotonic, counters, log
+        self.taken, self.barred = taken, barred
+        self.own: Address = vrrp.listen[0]
+        self.by_sender = {peer.adverts[0]: peer.name for peer in plan.peers}
+        self.addresses = {each.group: tuple(each.addresses) for each in vrrp.groups}
+        self.accepting = {each.group: each.accept for each in vrrp.groups}
+        self.adverts = Adverts(self)
+        self.ticking: Any = None
+
+    def came(self, datagram: bytes, sender: str) -> None:
+        """An advertisement, checked (RFC 9568, section 7.1) and counted by what it fails."""
+        try:
+            source = ip_address(sender)
+            if source not in self.by_sender:
+                raise Dropped("sender")
+            group, priority, interval, addresses = advert.read(datagram, source, self.own)
+            if group not in self.groups.machines:
+                raise Dropped("group")
+            if self.groups.machines[group].terms.priority == advert.OWNER and not self.barred():
+                raise Dropped("owner")  # section 7.1: who owns the addresses listens to nobody
+        except Dropped as fault:
+            self.counters.add("vrrp_drop_" + fault.reason)
+            return
+        self.counters.add("vrrp_adverts")
+        if set(addresses) != set(self.addresses[group]):
+            self.counters.add("vrrp_addresses_differ")
+        self.do(self.groups.heard(self.monotonic(), group, priority, interval, source))
+        self.rearm()
+
+    def rearm(self) -> None:
+        """Set the timer to when the groups are due next."""
+        if self.ticking is not None and self.ticking.active():
+            self.ticking.cancel()
+        due = self.groups.due
+        if due != float("inf"):
+            self.ticking = self.reactor.callLater(max(0.0, due - self.monotonic()) / 1000, self.tick)
+
+    def tick(self) -> None:
+        """The groups are due."""
+        self.do(self.groups.tick(self.monotonic()))
+        self.rearm()
+
+    def do(self, done: Done) -> None:
+        """Carry out what the groups have decided."""
+        for group, act in done:
+            machine = self.groups.machines[group]
+            if act is Act.ADVERTISE:
+                self.advertise(group, machine.priority)
+            elif act is Act.RESIGN:
+                self.advertise(group, advert.STOPPING)
+            elif act is Act.HOLD:
+                self.take(group, machine.why)
+            else:
+                self.leave(group, machine.why)
+
+    def advertise(self, group: int, priority: int) -> None:
+        """To each peer."""
+        interval = self.groups.machines[group].terms.interval
+        for peer in self.peers:
+            host, port = peer.adverts
+            text = advert.write(group, priority, interval, self.addresses[group], self.own, host)
+            try:
+                self.adverts.transport.write(text, (str(host), port))
+                self.counters.add("vrrp_sent")
+            except OSError:
+                self.counters.add("vrrp_not_sent")
+
+    def take(self, group: int, why: str) -> None:
+        """Take the addresses of a group."""
+        if self.accepting[group]:
+            self.holder.take(group, self.addresses[group])
+        self.counters.add("addresses_taken")
+        self.taken(group, why)
+
+    def leave(self, group: int, why: str) -> None:
+        """Leave the addresses of a group."""
+        self.holder.leave(group, self.addresses[group])
+        self.counters.add("addresses_left")
+        self.log.info("address_left", extra={"figures": {"group": group, "why": why}})
--- /dev/null
+++ b/spurdeal/vrrp/exchange.py
@@ -0,0 +1,126 @@
+"""Handover datagrams between one dispatcher and its peers, and the verdicts that submissions wait for.
+
+It decides nothing: `handover` does."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+from ..net.counters import Counters
+from .handover import Facts, Handover, Verdict
+from .sealed import Refused
+
+if TYPE_CHECKING:
+    from ..settings.installation import Installation
+
+MAX_GREETINGS = 20  # a second: an unproven datagram draws one answer, and a flood must not draw a flood
+GREETING_WINDOW = 1000.0  # ms
+REPEATS = 4  # within the time that a verdict may take: a datagram or its answer may be lost
+
+
+class Telling(DatagramProtocol):
+    """Handover datagrams of the peers."""
+
+    transport: Any
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+
+    def datagramReceived(self, datagram: bytes, address: tuple[Any, ...]) -> None:
+        self.exchange.came(datagram, (str(address[0]), int(address[1])))
+
+
+class Exchange:
+    """Sends and takes handover datagrams; nothing happens where there is no handover."""
+
+    def __init__(
+        self,
+        plan: Installation,
+        handover: Handover | None,
+        reactor: Any,
+        monotonic: Callable[[], float],
+        counters: Counters,
+    ) -> None:
+        self.handover, self.reactor, self.monotonic, self.counters = handover, reactor, monotonic, counters
+        self.places = {peer.name: (str(peer.handover[0]), peer.handover[1]) for peer in plan.peers}
+        self.by_address = {place: name for name, place in self.places.items()}
+        self.telling = Telling(self)
+        self.going: dict[object, Callable[[bool | None], None]] = {}  # what waits for its verdict
+        self.flushing = False
+        self.greeted, self.greeted_since = 0, monotonic()
+
+    def tell_all(self, facts: Facts, idle: bool) -> None:
+        """Tell each peer how we are. idle: our part of cold budgets may be lent."""
+        if self.handover is None:
+            return
+        now = self.monotonic()
+        for peer in self.places:
+            self.send(peer, self.handover.compose(now, peer, facts, idle))
+        self.conclude(self.handover.tick(now))
+
+    def flush(self) -> None:
+        """What waits for the peers' word goes out at once, all of one turn together."""
+        self.flushing = False
+        if self.handover is None:
+            return
+        now = self.monotonic()
+        for peer in self.places:
+            datagram = self.handover.compose_told(now, peer)
+            if datagram is not None:
+                self.send(peer, datagram)
+        self.conclude(self.handover.tick(now))
+        if self.handover.waiting:
+            self.flush_soon(self.handover.ahead_wait / REPEATS)
+
+    def flush_soon(self, delay: float = 0.0) -> None:
+        """Flush after so many ms, unless that is to happen already."""
+        if not self.flushing:
+            self.flushing = True
+            self.reactor.callLater(delay / 1000, self.flush)
+
+    def send(self, peer: str, datagram: bytes) -> None:
+        """To that peer, as far as the system takes it."""
+        try:
+            self.telling.transport.write(datagram, self.places[peer])
+            self.counters.add("handover_sent")
+        except OSError:
+            self.counters.add("handover_not_sent")
+
+    def came(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """A datagram; what cannot be used is counted by its reason."""
+        peer = self.by_address.get(address)
+        if peer is None or self.handover is None:
+            self.counters.add("handover_drop_sender")
+            return
+        now = self.monotonic()
+        try:
+            verdicts = self.handover.take(now, peer, datagram)
+        except Refused as fault:
+            self.counters.add("handover_drop_" + fault.reason)
+            if fault.reason == "unproven":
+                self.greet(self.handover, now, peer, datagram)
+            return
+        self.counters.add("handover_taken")
+        self.conclude(verdicts)
+        if self.handover.replies[peer]:
+            self.flush_soon()
+
+    def greet(self, handover: Handover, now: float, peer: str, datagram: bytes) -> None:
+        """Answer one who does not know our start with it, as long as the rate allows."""
+        if now - self.greeted_since >= GREETING_WINDOW:
+            self.greeted, self.greeted_since = 0, now
+        if self.greeted < MAX_GREETINGS:
+            self.greeted += 1
+            self.send(peer, handover.sessions[peer].greet(now, datagram))
+
+    def conclude(self, verdicts: Sequence[Verdict]) -> None:
+        """Tell what waits for these verdicts."""
+        for token, go in verdicts:
+            call = self.going.pop(token, None)
+            if call is not None:
+                ending = "sent" if go else "not_sent" if go is False else "ran_elsewhere"
+                self.counters.add("ahead_" + ending)
+                call(go)
--- /dev/null
+++ b/spurdeal/vrrp/guard.py
@@ -0,0 +1,172 @@
+"""The link's Guard where dispatchers stand in for one another: handover's verdicts, and tenure's parts.
+
+It decides nothing: `handover` and `tenure` do."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..net.link import Answer, BrokenOff, Shed, SocketLink, Taken
+from ..net.names import Seat
+from ..net.start import Service
+from .exchange import Exchange
+from .handover import Facts
+from .marks import Door
+from .tenure import Tenure
+
+
+class ColdSend(NamedTuple):
+    """Something was sent to a cold engine. at: ms."""
+
+    at: float
+    work: float
+
+
+class HandoverGuard:
+    """Asked by the link about each submission and each send.
+
+    Args:
+        share: Whether cold budgets are shared by tenure.
+        guarded: By kind of workload, whether it must not run twice.
+        assumed_cold: Whether each engine counts as started just now.
+    """
+
+    def __init__(
+        self,
+        service: Service,
+        exchange: Exchange,
+        tenure: Tenure,
+        share: bool,
+        guarded: tuple[bool, ...],
+        assumed_cold: Callable[[], bool],
+    ) -> None:
+        self.link: SocketLink = service.link
+        self.counters, self.come_back = service.counters, service.told.site.most_come_back
+        self.exchange, self.handover, self.monotonic = exchange, exchange.handover, exchange.monotonic
+        self.tenure, self.share = tenure, share
+        self.guarded, self.assumed_cold = guarded, assumed_cold
+        own = 1.0 / service.told.site.dispatchers
+        self.parts = own, own
+        self.sent_cold: dict[int, list[ColdSend]] = {}  # by engine, within a window
+
+    # The link's Guard.
+
+    def turning(self, now: float) -> None:
+        """Tell the rules our parts of cold budgets, where they have changed."""
+        if not self.share or self.handover is None:
+            return
+        mono = self.monotonic()
+        parts = self.tenure.part(mono), self.tenure.start(mono)
+        if parts != self.parts:
+            self.parts = parts
+            self.link.rules.tenured(now, *parts)
+            self.counters.add("tenure_changes")
+
+    def door(self, kind: int, ident: bytes) -> Answer | None:
+        """An answer at once, where the submission may have run at a peer or cannot be guarded."""
+        if self.handover is None or not self.guarded[kind]:
+            return None
+        found = self.handover.door(self.monotonic(), ident.lower())
+        if found is Door.OPEN:
+            return None
+        self.counters.add("door_" + found.value)
+        return BrokenOff() if found is Door.RAN else Shed(self.come_back)
+
+    def before(self, taken: Taken, trip: int, go: Callable[[bool | None], None]) -> bool:
+        """Whether a trip may leave now; False where `go` is called with the peers' verdict, later."""
+        if self.handover is None or not self.guarded[taken.kind]:
+            return True
+        now, token = self.monotonic(), (taken.number, trip)
+        expiry = now + max(0.0, taken.expiry - self.link.clock())
+        verdict = self.handover.before(now, taken.ident.lower(), expiry, token)
+        if verdict is not None and verdict.go:
+            return True
+        self.exchange.going[token] = go
+        if verdict is None:
+            self.exchange.flush_soon()
+        else:
+            self.exchange.reactor.callLater(0, self.exchange.conclude, [verdict])
+        return False
+
+    def given_up(self, number: int, trip: int) -> None:
+        """A trip that waits for its verdict is not to be sent any more."""
+        self.exchange.going.pop((number, trip), None)
+        if self.handover is not None:
+            self.handover.give_up((number, trip))
+
+    def answered(self, taken: Taken, answer: Answer | None) -> None:
+        """The answer has left, or the client (None)."""
+        if self.handover is not None and self.guarded[taken.kind]:
+            self.handover.over(taken.ident.lower(), isinstance(answer, Shed))
+
+    def never_ran(self, taken: Taken) -> None:
+        """It was granted, and the caller has shown that nothing ran."""
+        if self.handover is not None and self.guarded[taken.kind]:
+            self.handover.over(taken.ident.lower(), never_ran=True)
+
+    def called_off(self, taken: Taken, trip: int) -> None:
+        """Nothing follows of it here."""
+
+    def said(self, line: str) -> None:
+        """Nothing follows of it here."""
+
+    def turned(self) -> None:
+        """Nothing follows of it here."""
+
+    def departs(self, taken: Taken, trip: int, engine: int) -> bool:
+        """Whether something may go there now: a cold engine's budget may have been lent since the rules
+        chose."""
+        if not self.share or self.handover is None or not self.is_cold(engine):
+            return True
+        now = self.monotonic()
+        if self.tenure.part(now) <= 0.0:
+            self.counters.add("cold_withheld")
+            return False
+        self.tenure.used(now)
+        self.sent_cold[engine] = [*self.recent(engine, now), ColdSend(now, 1.0)]
+        return True
+
+    def seat(self, seat: Seat) -> Seat:
+        """The seat with its engine's latest start that a peer tells; until the list is known to be fresh,
+        each engine may have been started anew, and counts as cold."""
+        if self.assumed_cold():
+            return seat._replace(started=self.link.clock())
+        told = [
+            started
+            for known in (self.handover.known.values() if self.handover else ())
+            for ident, started, _ in known.cold
+            if ident == seat.ident
+        ]
+        return seat._replace(started=max(seat.started, *told)) if told else seat
+
+    # Cold engines.
+
+    def is_cold(self, engine: int) -> bool:
+        """Whether that engine is in the list, and not warm yet."""
+        found = self.link.rules.engines.get(engine)
+        return found is not None and found.warm_at > self.link.clock()
+
+    def recent(self, engine: int, now: float) -> list[ColdSend]:
+        """What we have sent to a cold engine within a window."""
+        return [row for row in self.sent_cold.get(engine, ()) if row.at > now - self.tenure.window]
+
+    def facts(self, now: float, number: int, held: list[int]) -> Facts:
+        """What the peers are told of us.
+
+        Args:
+            number: Of the list in force.
+            held: The groups whose addresses we hold.
+        """
+        unix, rules = self.link.clock(), self.link.rules
+        cold, aside = [], []
+        for ident, place in self.link.places.items():
+            engine = rules.engines.get(place)
+            if engine is None:
+                continue
+            if engine.warm_at > unix and ident in self.link.seats:
+                work = sum(row.work for row in self.recent(place, now))
+                cold.append((ident, self.link.seats[ident].started, work))
+            if engine.aside_until > unix:
+                aside.append((ident, engine.aside_until - unix))
+        return Facts(number, held, cold, aside)
--- a/spurdeal/vrrp/handover.py
+++ b/spurdeal/vrrp/handover.py
@@ -8,18 +8,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
-from math import isfinite
+from collections.abc import Iterable, Sequence
 from typing import Any, NamedTuple
 
 from .marks import Door, Marks
-from .sealed import Keys, Refused, Session
+from .message import MOST_ENGINES, MOST_TOLD, PAGE, Known, Message, Page, read_message
+from .sealed import Keys, Session
 from .tenure import Tenure
 
-PAGE, MOST_TOLD, MOST_ENGINES = 64, 48, 64  # entries in one datagram: all of them fit in sealed.LARGEST
 SAY_CLEAR = 3  # datagrams in a row in which a mark taken back is told: one or two may be lost
-MOST_PAGES = 4096
-LONGEST_LEFT = 3_600_000.0  # ms; nothing told lasts longer
 
 
 class Facts(NamedTuple):
@@ -46,44 +43,6 @@
     missing: frozenset[str]
 
 
-class Known(NamedTuple):
-    """What was last heard of a peer."""
-
-    at: float
-    list_number: int
-    held: tuple[int, ...]
-    cold: tuple[tuple[str, float, float], ...]
-    aside: tuple[tuple[str, float], ...]
-
-
-def number(value: Any, most: float = LONGEST_LEFT) -> float:
-    if (
-        not isinstance(value, (int, float))
-        or isinstance(value, bool)
-        or not isfinite(value)
-        or not 0 <= value <= most
-    ):
-        raise Refused("body")
-    return float(value)
-
-
-def ident_of(value: Any) -> bytes:
-    if not isinstance(value, str) or not 1 <= len(value) <= 64 or not value.isascii():
-        raise Refused("body")
-    return value.encode()
-
-
-def rows(body: Mapping[str, Any], name: str, width: int, most: int) -> list[list[Any]]:
-    found = body.get(name, [])
-    if (
-        not isinstance(found, list)
-        or len(found) > most
-        or not all(isinstance(row, list) and len(row) == width for row in found)
-    ):
-        raise Refused("body")
-    return found
-
-
 class Handover:
     """One dispatcher's side towards its peers.
 
@@ -216,48 +175,64 @@
         }
 
     def take(self, now: float, peer: str, datagram: bytes) -> list[Verdict]:
-        """Refused where it cannot be used; nothing has changed then but what Session counts as seen."""
+        """A datagram of that peer. now: ms.
+
+        Raises:
+            Refused: It cannot be used; nothing has changed then but what Session counts as seen.
+        """
         session = self.sessions[peer]
         boots = session.boots
         body, asked = session.read(now, datagram)
-        told = [
-            (ident_of(ident), number(left), number(turn, 1e15))
-            for ident, left, turn in rows(body, "tell", 3, MOST_TOLD)
-        ]
-        replies = [(number(turn, 1e15), ok is True) for turn, ok in rows(body, "reply", 2, MOST_TOLD)]
-        clears = [(ident_of(ident), number(turn, 1e15)) for ident, turn in rows(body, "clear", 2, MOST_TOLD)]
-        marks = [(ident_of(ident), number(left)) for ident, left in rows(body, "marks", 2, PAGE)]
-        known = self.read_known(now, body)
-        lend, left, need, page = self.read_rest(body)
+        message = read_message(now, body)
         # All is read: nothing above has changed anything.
         if session.boots != boots:
             self.restarted(peer)
+        self.take_known(now, peer, message.known)
+        if asked is not None:
+            self.take_tenure(now, peer, message, asked)
+        for ident, turn in message.clears:
+            self.marks.peer_clears(peer, ident, turn)
+        for told in message.told:
+            marked = self.marks.peer_marks(now, peer, told.ident, told.left, told.turn)
+            self.replies[peer].append((told.turn, marked))
+            del self.replies[peer][: -4 * MOST_TOLD]
+        self.take_need(now, peer, message.need)
+        if message.page is not None:
+            self.take_page(now, peer, message.page, message.marks)
+        return self.answered(peer, message.replies)
+
+    def take_known(self, now: float, peer: str, known: Known | None) -> None:
+        """What the peer tells of itself; None where this datagram only shows that it is there."""
         if known is not None:
             self.known[peer] = known
         elif peer in self.known:
             self.known[peer] = self.known[peer]._replace(at=now)
-        if lend is not None and asked is not None:
-            self.tenure.borrow(now, peer, lend[0], lend[1], asked)
-        if left is not None and asked is not None:
-            self.left[peer] = left
+
+    def take_tenure(self, now: float, peer: str, message: Message, asked: float) -> None:
+        """What the peer lends, and what is left of what it lent, as it answers what we sent at `asked`."""
+        if message.lend is not None:
+            self.tenure.borrow(now, peer, message.lend.part, message.lend.wait, asked)
+        if message.left is not None:
+            self.left[peer] = message.left
             self.tenure.told_left(now, self.left, len(self.sessions))
-        for ident, turn in clears:
-            self.marks.peer_clears(peer, ident, turn)
-        for ident, ms, turn in told:
-            self.replies[peer].append((turn, self.marks.peer_marks(now, peer, ident, ms, turn)))
-            del self.replies[peer][: -4 * MOST_TOLD]
-        if need is not None:
-            if peer not in self.pages_of:
-                self.pages_of[peer] = list(self.marks.pages(now, PAGE))
-            self.pages_asked[peer] = int(need)
-        else:
+
+    def take_need(self, now: float, peer: str, need: int | None) -> None:
+        """The page of our marks that the peer needs next; None where it has them all."""
+        if need is None:
             self.pages_of.pop(peer, None)
-        if page is not None and peer not in self.synced and page[0] == self.pages_got.get(peer, 0):
-            self.marks.learn(now, peer, marks)
-            self.pages_got[peer] = page[0] + 1
-            if page[0] + 1 >= page[1]:
-                self.synced.add(peer)
-        return self.answered(peer, replies)
+            return
+        if peer not in self.pages_of:
+            self.pages_of[peer] = list(self.marks.pages(now, PAGE))
+        self.pages_asked[peer] = need
+
+    def take_page(self, now: float, peer: str, page: Page, marks: list[tuple[bytes, float]]) -> None:
+        """A page of the peer's marks, where it is the one that we need."""
+        if peer in self.synced or page.at != self.pages_got.get(peer, 0):
+            return
+        self.marks.learn(now, peer, marks)
+        self.pages_got[peer] = page.at + 1
+        if page.at + 1 >= page.of:
+            self.synced.add(peer)
 
     def restarted(self, peer: str) -> None:
         """A new start of the peer: it knows nothing, and what it had told us stands as marks."""
@@ -281,40 +256,3 @@
                     self.marks.sent(waiting.ident)
                     verdicts.append(Verdict(token, True))
         return verdicts
-
-    # Reading a body.
-
-    def read_known(self, now: float, body: Mapping[str, Any]) -> Known | None:
-        if "list" not in body:
-            return None
-        cold = tuple(
-            (ident_of(ident).decode(), number(started, 1e15), number(sent, 1e12))
-            for ident, started, sent in rows(body, "cold", 3, MOST_ENGINES)
-        )
-        aside = tuple(
-            (ident_of(ident).decode(), number(left)) for ident, left in rows(body, "aside", 2, MOST_ENGINES)
-        )
-        held = body.get("held", [])
-        if not isinstance(held, list) or len(held) > 255:
-            raise Refused("body")
-        return Known(
-            now,
-            int(number(body["list"], 1e12)),
-            tuple(int(number(group, 255)) for group in held),
-            cold,
-            aside,
-        )
-
-    def read_rest(
-        self, body: Mapping[str, Any]
-    ) -> tuple[tuple[float, float] | None, float | None, float | None, tuple[int, int] | None]:
-        lend = page = None
-        if "lend" in body:
-            ((part, wait),) = rows({"lend": [body["lend"]]}, "lend", 2, 1)
-            lend = number(part, 1.0), number(wait)
-        if "page" in body:
-            ((at, of),) = rows({"page": [body["page"]]}, "page", 2, 1)
-            page = int(number(at, MOST_PAGES)), int(number(of, MOST_PAGES))
-        left = number(body["left"]) if "left" in body else None
-        need = number(body["need"], MOST_PAGES) if "need" in body else None
-        return lend, left, need, page
