--- a/spurdeal/extproc/connection.py
+++ b/spurdeal/extproc/connection.py
@@ -55,7 +55,7 @@
         self.highest = 0
 
     def now(self) -> float:
-        """ms of the link's clock."""
+        """Tell the link's clock, in ms."""
         return self.server.clock()
 
     # Twisted's calls.
--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -135,6 +135,8 @@
         """Note what this dispatcher acts on from now on.
 
         Args:
+            line: Which of the versioned things it is: engine list, configuration, program, keys.
+            version: The one that is acted on now.
             rows: The engine list itself, where `line` is LIST.
             by_source: Whether our own source told it, and not a peer.
 
--- a/spurdeal/fleet/messenger.py
+++ b/spurdeal/fleet/messenger.py
@@ -176,6 +176,9 @@
         """A peer knows our start from here on: what it could not read is sent again.
 
         Args:
+            now: Monotonic clock, in ms.
+            unix: Unix clock, in ms.
+            name: Of the peer.
             asked: When we sent what it could not read, in ms; None where nothing is to be repeated.
         """
         if asked is None:
--- a/spurdeal/lab/audited/one_run.py
+++ b/spurdeal/lab/audited/one_run.py
@@ -21,6 +21,7 @@
     Args:
         fleet: Whether the subsystem is on.
         size: One of SIZES.
+        seed: Of the faults that are drawn.
         say: Called with a line for each fault.
 
     Returns:
--- a/spurdeal/lab/audited/shut_out.py
+++ b/spurdeal/lab/audited/shut_out.py
@@ -21,6 +21,7 @@
     """How many were shut out, how many without need, and the greatest share of the fleet at one moment.
 
     Args:
+        rig: The processes whose logs are read.
         allowed: When a dispatcher may be out.
     """
     moments = [
--- a/spurdeal/lab/model_check.py
+++ b/spurdeal/lab/model_check.py
@@ -77,7 +77,11 @@
     """Search breadth first, up to the first violation: one is enough, and its trace is a shortest one.
 
     Args:
+        name: Of the model, in its report.
         fields: Names of a state's parts; invariants get them as a dictionary.
+        initial: Where the search begins.
+        steps: Labels and successors of a state.
+        invariants: By name, what holds in every state.
         most: States at which the search ends, though there are more.
     """
     search = Search(initial, steps, invariants)
--- a/spurdeal/lab/platform_settings.py
+++ b/spurdeal/lab/platform_settings.py
@@ -38,6 +38,9 @@
         """The whole, ready for JSON.
 
         Args:
+            name: Of the dispatcher.
+            listen: Its address for clients, with the port.
+            nameserver: The name service's address, with the port.
             seed: Of its chance, in hexadecimal digits.
             known: The list of engines that it starts with.
         """
--- a/spurdeal/lab/processes.py
+++ b/spurdeal/lab/processes.py
@@ -23,6 +23,7 @@
     Args:
         settings: The operator's file.
         configuration: What the platform tells it, by ROUTER_CONFIG.
+        log: The file for its standard error.
         command: The sub-command of `spurdeal`.
     """
     with open(log, "ab") as out:
@@ -50,6 +51,8 @@
     """Run a module in a process of its own, as Twisted's reactor runs once.
 
     Args:
+        module: Its dotted name.
+        arguments: What it gets on its command line.
         timeout: Seconds until it is killed.
         say: Called with each line that it printed before its figures.
 
--- a/spurdeal/vrrp/guard.py
+++ b/spurdeal/vrrp/guard.py
@@ -155,6 +155,7 @@
         """What the peers are told of us.
 
         Args:
+            now: Monotonic clock, in ms.
             number: Of the list in force.
             held: The groups whose addresses we hold.
         """
