--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -187,7 +187,7 @@
         from ..extproc.calls import Terms
         from ..extproc.server import Server
 
-        site, told = self.service.told.site, self.service.told
+        site, configured = self.service.configuration.site, self.service.configuration
         if site.drain_grace and part.use_within >= site.drain_grace:
             raise Unusable(
                 f"{self.path}: extproc.use_within: {part.use_within:.0f} ms is not under the "
@@ -220,7 +220,7 @@
         return Server(
             self.link,
             self.service.engines,
-            told.workloads,
+            configured.workloads,
             terms,
             bounds,
             longest,
@@ -239,7 +239,7 @@
             from ..net.link import at_most_once
             from ..store.guard import LedgerGuard
 
-            site = self.service.told.site
+            site = self.service.configuration.site
             self.link.guard = LedgerGuard(
                 self.ledger,
                 at_most_once(site),
@@ -322,17 +322,17 @@
         read_keys(path, "handover", plan.handover)
     if not configuration:
         raise start.Unusable("ROUTER_CONFIG is not set")
-    told = start.told_by(configuration)
+    configured = start.load_configuration(configuration)
     loop = steady_reactor()
     file = plan.fleet.clock_file if plan.fleet is not None else None
     unix = shifted(file) if file is not None else start.unix_ms
     clock = Steady(unix, monotonic_ms)
-    log = logger(told.name or "spurdeal", sys.stderr)
-    service = start.Service(told, loop, clock.now, log, lambda: installed.done())
+    log = logger(configured.name or "spurdeal", sys.stderr)
+    service = start.Service(configured, loop, clock.now, log, lambda: installed.done())
     installed = Installed(service, plan, loop, path, configuration, unix)
 
     def again() -> None:
-        service.read_again(lambda: start.told_by(configuration))
+        service.read_again(lambda: start.load_configuration(configuration))
         installed.read_again()
 
     start.on_signals(loop, again, installed.stop)
--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -18,7 +18,7 @@
 from ..interface import Life
 from ..net.link import Answer, BrokenOff, Delivered, Granted, Guard, Shed, Taken, at_most_once
 from ..net.names import Seat
-from ..net.start import Service
+from ..net.service import Service
 from ..vrrp.sealed import Keys
 from .audit import COLD, DOUBTFUL, Kind
 from .fleet import READY, TICK, Fleet, Terms, Told
@@ -98,7 +98,7 @@
         self.service, self.plan, self.reactor = service, plan, reactor
         self.monotonic, self.unix, self.raw, self.log = monotonic, unix, raw, log
         self.link, self.counters = service.link, service.counters
-        part, site = plan.fleet, service.told.site
+        part, site = plan.fleet, service.configuration.site
         self.guarded = at_most_once(site)
         self.come_back, self.share = site.most_come_back, 1.0 / site.dispatchers
         self.inner: Guard | None = None
--- /dev/null
+++ b/spurdeal/net/service.py
@@ -0,0 +1,175 @@
+"""One dispatcher: its parts put together, started, configured again, and stopped."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from .clients import Clients
+from .configuration import Configuration, Unusable
+from .counters import Counters
+from .engines import Engines
+from .link import SocketLink
+from .names import NameService
+
+BACKLOG = 1024
+SWEEP_EVERY = 0.25  # seconds
+CLIENTS_PART, ENGINES_PART = 0.5, 0.4  # of the descriptors
+KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
+STOP_NOT_BEFORE = 900.0  # ms after SIGTERM; new connections and calls on open ones come until 600
+OVERTIME = 200.0  # ms in which the last answers may still be written
+LOOK_EVERY = 0.05  # s
+RETRY_FIRST, RETRIES = 0.1, 6  # s until an unusable configuration is read again, then twice that, and so on
+
+
+class Service:
+    """One dispatcher: its parts, started and stopped together."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        reactor: Any,
+        clock: Callable[[], float],
+        log: logging.Logger,
+        done: Callable[[], None],
+    ) -> None:
+        self.configuration, self.reactor, self.clock = configuration, reactor, clock
+        self.log, self.done = log, done
+        self.counters = Counters()
+        self.engines = Engines(reactor, clock, configuration.report_fields, self.counters, log)
+        self.link = SocketLink(
+            configuration.site,
+            configuration.seed,
+            configuration.locations,
+            configuration.kinds,
+            self.engines,
+            reactor,
+            clock,
+            self.counters,
+            log,
+        )
+        self.clients = Clients(
+            self.link, configuration.workloads, configuration.customers, clock, self.counters, log
+        )
+        self.bound(configuration)
+        number, seats = configuration.known
+        self.names = NameService(
+            reactor, configuration.nameserver, number, self.link.listed, self.counters, log
+        )
+        self.seats = seats
+        self.retry: Any = None
+        self.sweeping = LoopingCall(self.sweep)
+        self.sweeping.clock = reactor
+        self.stopped_at = 0.0
+        longest = min(KILL_MOST, max(workload.expiry for workload in configuration.site.workloads))
+        self.stop_within = longest + KILL_AFTER - KILL_MARGIN
+
+    def bound(self, configuration: Configuration) -> None:
+        """All that follows from the limits of a configuration."""
+        self.engines.bound(
+            configuration.connect_within,
+            configuration.idle_after,
+            configuration.trips_a_connection,
+            int(configuration.sockets * ENGINES_PART),
+            configuration.site.drain_grace,
+        )
+        self.clients.bound(int(configuration.sockets * CLIENTS_PART), configuration.memory_mb)
+
+    def read_again(self, read: Callable[[], Configuration], tries: int = 0) -> None:
+        """SIGHUP: another name service, newer events and limits are in force at once, the rest at a start.
+
+        One that cannot be used may be half written: it is read again some times, at growing distances."""
+        if self.retry is not None and self.retry.active():
+            self.retry.cancel()
+        try:
+            configuration = read()
+        except Unusable as fault:
+            if not tries:
+                self.counters.add("configurations_unusable")
+                self.log.error("configuration_kept", extra={"figures": {"why": str(fault)}})
+            if tries < RETRIES and not self.stopped_at:
+                self.retry = self.reactor.callLater(RETRY_FIRST * 2**tries, self.read_again, read, tries + 1)
+            return
+        self.counters.add("configurations_read")
+        self.bound(configuration)
+        number, seats = configuration.known
+        if number > self.names.number:
+            self.names.number = number
+            self.link.listed(seats)
+        if configuration.nameserver != self.names.address:
+            self.names.move(configuration.nameserver)
+        host, port = configuration.nameserver
+        later = configuration.rest_differs(self.configuration)
+        self.log.info(
+            "configuration_read",
+            extra={
+                "figures": {
+                    "nameserver": f"{host}:{port}",
+                    "sockets": configuration.sockets,
+                    "rest_at_a_start": later,
+                }
+            },
+        )
+
+    def start(self) -> None:
+        self.clients.port = self.reactor.listenTCP(
+            self.configuration.port, self.clients, backlog=BACKLOG, interface=self.configuration.host
+        )
+        self.reactor.listenUDP(0, self.names, interface=self.configuration.host, maxPacketSize=65535)
+        self.link.listed(self.seats)
+        self.clients.ready = True
+        self.sweeping.start(SWEEP_EVERY, now=False)
+        self.log.info(
+            "ready",
+            extra={
+                "figures": {
+                    "name": self.configuration.name,
+                    "listen": self.configuration.host,
+                    "port": self.configuration.port,
+                    "engines": len(self.seats),
+                }
+            },
+        )
+
+    def unhandled(self, event: Mapping[str, Any]) -> None:
+        """A fault that a protocol let through: Twisted ends its connection, and the log tells why."""
+        if "log_failure" in event:
+            self.counters.add("unhandled")
+            self.log.error("unhandled", extra={"figures": {"trace": event["log_failure"].getTraceback()}})
+
+    def sweep(self) -> None:
+        self.clients.sweep()
+        self.engines.sweep()
+
+    def stop(self) -> None:
+        """Goes on accepting, answers all that it has taken, then ends."""
+        if not self.stopped_at:
+            self.stopped_at = self.clock()
+            self.log.info("stopping", extra={"figures": {"open": len(self.link.by_ident)}})
+            self.link.stop(self.stopped_at + self.stop_within)
+            self.clients.ending = True
+            self.leave()
+
+    def leave(self) -> None:
+        """Ends once all is answered and no more can come; answers on their way out are written first."""
+        passed = self.clock() - self.stopped_at
+        over = passed >= self.stop_within + OVERTIME
+        if not over and (
+            passed < STOP_NOT_BEFORE
+            or self.link.by_ident
+            or self.clients.close_idle()
+            or self.clients.stop_accepting()
+        ):
+            self.reactor.callLater(LOOK_EVERY, self.leave)
+            return
+        if self.retry is not None and self.retry.active():
+            self.retry.cancel()
+        self.counters.must(not self.link.by_ident, "all_answered_at_exit")
+        self.sweeping.stop()
+        self.engines.close()
+        self.log.info("counters", extra={"figures": self.counters.figures()})
+        self.log.info("stopped", extra={"figures": {"after_ms": passed}})
+        self.done()
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -15,7 +15,7 @@
 
 from ..net.link import Answer, BrokenOff, Shed, Taken, at_most_once
 from ..net.names import Seat
-from ..net.start import Service
+from ..net.service import Service
 from . import advert
 from .address import Announcer, Commands, Listener
 from .advert import Address, Dropped
@@ -86,7 +86,7 @@
         assert plan.vrrp is not None
         self.vrrp = plan.vrrp
         self.own: Address = self.vrrp.listen[0]
-        now, site = monotonic(), service.told.site
+        now, site = monotonic(), service.configuration.site
         self.by_sender = {peer.adverts[0]: peer.name for peer in plan.peers}
         self.by_address = {(str(peer.handover[0]), peer.handover[1]): peer.name for peer in plan.peers}
         terms = [
@@ -140,7 +140,7 @@
             return Announcer(
                 self.reactor,
                 (str(told.switch[0]), told.switch[1]),
-                (self.service.told.host, self.service.told.port),
+                (self.service.configuration.host, self.service.configuration.port),
                 self.counters,
             )
         if told.kind == "listen":
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from spurdeal.lab import names
-from spurdeal.net.start import Told, Unusable, read_configuration
+from spurdeal.net.start import Configuration, Unusable, read_configuration
 from tests.helpers import SETTINGS, Caller, World, configuration
 from tests.steps import Steps, Talk, settings
 
@@ -574,7 +574,7 @@
         world, reads = World(self), list[float]()
         told = read_configuration(json.dumps(configuration(1, nameserver="127.0.8.10:5301")))
 
-        def read() -> Told:
+        def read() -> Configuration:
             reads.append(world.now())
             if len(reads) < 3:
                 raise Unusable("configuration: half of it")
@@ -590,7 +590,7 @@
     def test_one_that_stays_unusable_is_let_be(self) -> None:
         world, reads = World(self), list[float]()
 
-        def read() -> Told:
+        def read() -> Configuration:
             reads.append(world.now())
             raise Unusable("configuration: nothing")
 
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -238,7 +238,7 @@
         self.server = Server(
             service.link,
             service.engines,
-            service.told.workloads,
+            service.configuration.workloads,
             terms,
             self.bounds,
             20_000,
@@ -255,7 +255,7 @@
         self.addCleanup(made.close)
         service.link.guard = LedgerGuard(
             made,
-            at_most_once(service.told.site),
+            at_most_once(service.configuration.site),
             60_000,
             500.0,
             self.world.reactor,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,7 +15,7 @@
 
 from spurdeal.net.engines import Connection
 from spurdeal.net.logs import logger
-from spurdeal.net.start import Told, read_configuration, told_by
+from spurdeal.net.start import Configuration, load_configuration, read_configuration
 from spurdeal.state import Submission
 from tests.helpers import BASE, SETTINGS, Caller, World, configuration
 
@@ -470,8 +470,8 @@
         world.list(2, seat, source=("127.0.8.10", 5301))
         self.assertEqual(set(world.service.link.seats), {"s-1"})
 
-        def unusable() -> Told:
-            return told_by("/nowhere/config.json")
+        def unusable() -> Configuration:
+            return load_configuration("/nowhere/config.json")
 
         world.service.read_again(unusable)
         self.assertIn("event=configuration_kept", world.log.getvalue())
