Working clients are served while idle ones fill the descriptors

Causes: Twisted accepts up to 100 connections a round and 20 more each time, so that clients overran their half and accept met EMFILE, where Twisted closes the whole backlog unread; one connection was evicted for each accepted one, and counted as free before its descriptor was; half a head was never evicted but held its descriptor for 2 s.

Change: the limit is shared out by DescriptorBudget (what the process holds already is reserved, and the system's limit counts where it is lower); the port accepts no more in a round than there is room for; connections are given up in batches, by rank (eviction.py), those with part of a call by 503 TryLater, new ones not before 25 ms; a keep-alive client that worked stays while others can go. most_descriptors is counted and logged at the exit.

--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -16,6 +16,7 @@
 from twisted.logger import globalLogBeginner
 
 from ..net import start
+from ..net.descriptors import ProcessDescriptors
 from ..net.logs import pair
 from ..settings.reading import Unusable, read
 from ..steady import Steady
@@ -328,7 +329,9 @@
     unix = shifted(file) if file is not None else start.unix_ms
     clock = Steady(unix, monotonic_ms)
     log = logger(configured.name or "spurdeal", sys.stderr)
-    service = start.Service(configured, loop, clock.now, log, lambda: installed.done())
+    service = start.Service(
+        configured, loop, clock.now, log, lambda: installed.done(), ProcessDescriptors.of_this_process()
+    )
     installed = Installed(service, plan, loop, path, configuration, unix)
 
     def again() -> None:
--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -227,6 +227,7 @@
             case BrokenOff():
                 self.answer(500, {"fault": "Aborted"}, keep)
         self.advance()
+        self.clients.call_ended()
 
     def withdrawn(self, failure: Failure) -> None:
         if not isinstance(failure.value, CancelledError):
@@ -286,5 +287,10 @@
         else:
             self.close_if_idle()
 
+    def refuse_unfinished(self) -> None:
+        """Its descriptor is needed: what has come of a call is dropped, and it may come again."""
+        self.clients.counters.add("unfinished_refused")
+        self.answer(503, {"fault": "TryLater"}, False)
+
     def is_idle(self) -> bool:
         return self.call is None and not self.closing and not self.clogged and not self.parser.left()
--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -11,11 +11,13 @@
 
 from .client import Client
 from .counters import Counters
+from .eviction import LEAST_AGE, evict
 from .link import SocketLink
 
 LEAST_AHEAD, MOST_AHEAD = 16_384, 131_072  # bytes that a client may send ahead of its answer
 MEMORY_PART = 0.25  # of the memory, for what clients send ahead
 MOST_WAITING = 4096  # connections taken in at the end, at most: four times what may wait at the door
+LEAST_BETWEEN_LINES = 1000.0  # ms between two log lines of a paused accept
 
 
 class Clients(ServerFactory):
@@ -32,19 +34,26 @@
         counters: Counters,
         log: logging.Logger,
     ) -> None:
-        self.link, self.workloads, self.most, self.ahead = link, workloads, 0, MOST_AHEAD
+        self.link, self.workloads = link, workloads
+        self.most, self.accepts, self.ahead = 0, 1, MOST_AHEAD
         self.names = {kind: name for name, kind in workloads.items()}
         self.customers, self.slashes = customers, max(name.count(b"/") for name in workloads)
         self.clock, self.counters, self.log = clock, counters, log
         self.connections: dict[Client, None] = {}
         self.port: Any = None
+        self.settling: Any = None  # the delayed call
+        self.held_elsewhere: Callable[[], int] = lambda: 0  # descriptors that are not clients'
         self.fleet: Callable[[], object] | None = None  # what is known of the fleet, where there is one
+        self.pause_logged_at = float("-inf")
         self.ready = self.paused = self.ending = self.accept_ended = False
 
-    def bound(self, most: int, memory_mb: float) -> None:
-        self.most = max(8, most)
+    def bound(self, most: int, accepts: int, memory_mb: float) -> None:
+        """Sets how many connections there may be, how many are accepted a round, and the memory for all."""
+        self.most, self.accepts = most, accepts
         ahead = MEMORY_PART * memory_mb * 1_048_576 / self.most
         self.ahead = int(min(MOST_AHEAD, max(LEAST_AHEAD, ahead)))
+        if self.port is not None:
+            self.settle_soon()
 
     def workload_of(self, path: bytes) -> int | None:
         """The last part of a path names it, as it is or escaped; a name with slashes is several parts,
@@ -64,38 +73,71 @@
         self.connections[client] = None
         self.counters.add("client_connections")
         self.counters.most("most_client_connections", len(self.connections))
-        if (
-            len(self.connections) >= self.most
-            and not self.evict_idle(client)
-            and not self.paused
-            and not self.accept_ended
-        ):
-            self.paused = True  # further ones wait at the machine's door
-            self.counters.add("accept_paused")
-            self.log.warning("accept_paused", extra={"figures": {"connections": len(self.connections)}})
-            self.port.stopReading()
-
-    def evict_idle(self, newest: Client | None = None) -> bool:
-        """Lets go of one that lingers, else closes the one idle for longest, the newest excepted; first one
-        that has brought nothing."""
-        waiting = [
-            client
-            for client in self.connections
-            if client is not newest and (client.written or client.is_idle())
-        ]
-        for client in sorted(waiting, key=lambda client: (not client.written, client.brought, client.since)):
-            if client.written:
-                client.expire()
-                return True
-            if client.close_if_idle():
-                return True
-        return False
+        self.settle_soon()
 
     def went(self, client: Client) -> None:
         self.connections.pop(client, None)
-        if self.paused and len(self.connections) < self.most and not self.accept_ended:
-            self.paused = False
-            self.port.startReading()
+        if self.paused:
+            self.settle_soon()
+
+    def call_ended(self) -> None:
+        """Its connection may be idle now, and another may be waiting for a descriptor."""
+        if self.paused:
+            self.settle_soon()
+
+    def settle_soon(self) -> None:
+        """Once a round: connections have come or gone, so what the next round may accept has changed."""
+        self.settle_within(0.0)
+
+    def settle_within(self, seconds: float) -> None:
+        """Lets `settle` run by then; it may be due earlier already."""
+        reactor = self.link.reactor
+        if self.settling is None:
+            self.settling = reactor.callLater(seconds, self.settle)
+        elif self.settling.getTime() > reactor.seconds() + seconds:
+            self.settling.reset(seconds)
+
+    def settle(self) -> None:
+        """Keeps room for the next round's connections by eviction; accepts no more than there is room for.
+
+        Left alone, Twisted accepts ever more a round; past the limit it closes all that wait in the backlog,
+        unread, and whole calls with them."""
+        self.settling = None
+        self.note_descriptors()
+        excess = len(self.connections) + self.accepts - self.most
+        if excess > 0 and self.evict_idle(excess) < excess:
+            self.settle_within(LEAST_AGE / 1000)  # what is too new to be given up will not be then
+        self.admit()
+
+    def evict_idle(self, count: int = 1) -> int:
+        evicted = evict(self.connections, count, self.clock())
+        self.counters.add("clients_evicted", evicted)
+        return evicted
+
+    def note_descriptors(self) -> None:
+        self.counters.most("most_descriptors", len(self.connections) + self.held_elsewhere())
+
+    def admit(self) -> None:
+        """Sets how many connections the next round accepts; with no room, others wait in the backlog."""
+        room = self.most - len(self.connections)
+        if self.accept_ended or self.port is None:
+            return
+        if room > 0:
+            self.port.numberAccepts = min(room, self.accepts)
+            if self.paused:
+                self.paused = False
+                self.port.startReading()
+        elif not self.paused:
+            self.pause_accepting()
+
+    def pause_accepting(self) -> None:
+        self.paused = True
+        self.port.stopReading()
+        self.counters.add("accept_paused")
+        now = self.clock()
+        if now - self.pause_logged_at >= LEAST_BETWEEN_LINES:
+            self.pause_logged_at = now
+            self.log.warning("accept_paused", extra={"figures": {"connections": len(self.connections)}})
 
     def drain(self, host: str) -> None:
         """Lets those go who came to an address that was left; what they have open is answered first."""
@@ -123,15 +165,19 @@
     def drain_backlog(self) -> None:
         came = self.counters.sums["client_connections"]
         for _ in range(MOST_WAITING if self.port.connected else 0):
+            if (room := self.most - len(self.connections)) <= 0:
+                break
+            self.port.numberAccepts = room
             self.port.doRead()
             if came == (came := self.counters.sums["client_connections"]):
                 break
 
     def sweep(self) -> None:
+        self.note_descriptors()
         now = self.clock()
         for client in list(self.connections):
             if client.timed_out(now):
                 self.counters.add("client_timed_out")
                 client.expire()
         if self.paused:
-            self.evict_idle()
+            self.settle_soon()
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -11,18 +11,19 @@
 from .clients import Clients
 from .configuration import Configuration, Unusable
 from .counters import Counters
+from .descriptors import OPENED_AT_START, DescriptorBudget, ProcessDescriptors
 from .engines import Engines
 from .link import SocketLink
 from .names import NameService
 
 BACKLOG = 1024
 SWEEP_EVERY = 0.25  # seconds
-CLIENTS_PART, ENGINES_PART = 0.5, 0.4  # of the descriptors
 KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
 STOP_NOT_BEFORE = 900.0  # ms after SIGTERM; new connections and calls on open ones come until 600
 OVERTIME = 200.0  # ms in which the last answers may still be written
 LOOK_EVERY = 0.05  # s
 RETRY_FIRST, RETRIES = 0.1, 6  # s until an unusable configuration is read again, then twice that, and so on
+UNKNOWN_PROCESS = ProcessDescriptors()
 
 
 class Service:
@@ -35,8 +36,10 @@
         clock: Callable[[], float],
         log: logging.Logger,
         done: Callable[[], None],
+        process: ProcessDescriptors = UNKNOWN_PROCESS,
     ) -> None:
         self.configuration, self.reactor, self.clock = configuration, reactor, clock
+        self.process = process
         self.log, self.done = log, done
         self.counters = Counters()
         self.engines = Engines(reactor, clock, configuration.report_fields, self.counters, log)
@@ -54,6 +57,7 @@
         self.clients = Clients(
             self.link, configuration.workloads, configuration.customers, clock, self.counters, log
         )
+        self.clients.held_elsewhere = self.held_elsewhere
         self.bound(configuration)
         number, seats = configuration.known
         self.names = NameService(
@@ -67,16 +71,21 @@
         longest = min(KILL_MOST, max(workload.expiry for workload in configuration.site.workloads))
         self.stop_within = longest + KILL_AFTER - KILL_MARGIN
 
+    def held_elsewhere(self) -> int:
+        """How many descriptors are held for other than clients."""
+        return self.process.held + OPENED_AT_START + self.engines.connections
+
     def bound(self, configuration: Configuration) -> None:
         """All that follows from the limits of a configuration."""
+        self.budget = DescriptorBudget.from_limit(configuration.sockets, self.process)
         self.engines.bound(
             configuration.connect_within,
             configuration.idle_after,
             configuration.trips_a_connection,
-            int(configuration.sockets * ENGINES_PART),
+            self.budget.engines,
             configuration.site.drain_grace,
         )
-        self.clients.bound(int(configuration.sockets * CLIENTS_PART), configuration.memory_mb)
+        self.clients.bound(self.budget.clients, self.budget.accepts, configuration.memory_mb)
 
     def read_again(self, read: Callable[[], Configuration], tries: int = 0) -> None:
         """SIGHUP: another name service, newer events and limits are in force at once, the rest at a start.
@@ -94,6 +103,7 @@
                 self.retry = self.reactor.callLater(RETRY_FIRST * 2**tries, self.read_again, read, tries + 1)
             return
         self.counters.add("configurations_read")
+        self.clients.held_elsewhere = self.held_elsewhere
         self.bound(configuration)
         number, seats = configuration.known
         if number > self.names.number:
@@ -118,6 +128,7 @@
         self.clients.port = self.reactor.listenTCP(
             self.configuration.port, self.clients, backlog=BACKLOG, interface=self.configuration.host
         )
+        self.clients.admit()
         self.reactor.listenUDP(0, self.names, interface=self.configuration.host, maxPacketSize=65535)
         self.link.listed(self.seats)
         self.clients.ready = True
@@ -130,6 +141,8 @@
                     "listen": self.configuration.host,
                     "port": self.configuration.port,
                     "engines": len(self.seats),
+                    "clients_most": self.budget.clients,
+                    "engine_connections_most": self.budget.engines,
                 }
             },
         )
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -14,6 +14,7 @@
 
 from ..early import SIGNALS
 from .configuration import Configuration, Unusable, load_configuration, read_configuration
+from .descriptors import ProcessDescriptors
 from .logs import logger
 from .service import SWEEP_EVERY, Service
 
@@ -56,9 +57,8 @@
     from twisted.internet import reactor
 
     loop: Any = reactor
-    service = Service(
-        configuration, loop, unix_ms, logger(configuration.name or "spurdeal", sys.stderr), loop.stop
-    )
+    log = logger(configuration.name or "spurdeal", sys.stderr)
+    service = Service(configuration, loop, unix_ms, log, loop.stop, ProcessDescriptors.of_this_process())
     on_signals(loop, lambda: service.read_again(lambda: load_configuration(path)), service.stop)
     globalLogBeginner.beginLoggingTo([cast(Any, service.unhandled)], redirectStandardIO=False)
     try:
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,130 @@
+"""A dispatcher as its operators start it, in a process of its own, and the sides it talks to."""
+
+import json
+import os
+import resource
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+from urllib.request import urlopen
+
+from tests.helpers import configuration, instance
+
+ROOT = Path(__file__).parent.parent
+ENGINES, FIRST_ENGINE_PORT, NAMES_PORT = 2, 7001, 5300
+READY_WITHIN = 30.0  # seconds, on a busy machine
+STAND_INS = """
+import sys
+from twisted.internet import reactor
+from spurdeal.lab.engines import Fleet
+from spurdeal.lab.names import Names, Seat
+engine_host, names_host, first_port, engines, names_port = sys.argv[1:]
+seats = [Seat(f"s-{n}", engine_host, int(first_port) + n) for n in range(int(engines))]
+fleet = Fleet(reactor, 8, 1000.0, 0.3, 2.0, 1500.0)
+for seat in seats:
+    fleet.start(seat.ident, seat.host, seat.port, cold=False)
+reactor.listenUDP(int(names_port), Names(seats), interface=names_host)
+reactor.callWhenRunning(print, "ready", flush=True)
+reactor.callLater(120, reactor.stop)
+reactor.run()
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """Where the dispatcher of one test module and its sides are; each module has a network of its own."""
+
+    dispatcher: str
+    names: str
+    engines: str
+    port: int = 7001
+
+    @classmethod
+    def in_network(cls, number: int) -> "Addresses":
+        return cls(f"127.0.{number}.1", f"127.0.{number}.9", f"127.0.{number}.20")
+
+    def configuration(self, **more: Any) -> dict[str, Any]:
+        instances = [
+            instance(number, hostPort=f"{self.engines}:{FIRST_ENGINE_PORT + number}")
+            for number in range(ENGINES)
+        ]
+        roster = {"generation": 1, "reset": True, "instances": instances}
+        return configuration(
+            listen=f"{self.dispatcher}:{self.port}",
+            nameserver=f"{self.names}:{NAMES_PORT}",
+            known={"no": 1, "items": [{"no": 1, "roster": roster}]},
+            **more,
+        )
+
+
+class ProcessCase(unittest.TestCase):
+    """A test with processes; those still running at its end are killed."""
+
+    addresses: Addresses
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.configured = Path(folder.name) / "config.json"
+
+    def configure(self, **more: Any) -> None:
+        self.configured.write_text(json.dumps(self.addresses.configuration(**more)))
+
+    def start(self, *command: str, descriptors: int | None = None) -> subprocess.Popen[str]:
+        """Starts a command at the root, held by the kernel to so many descriptors if given."""
+
+        def limit() -> None:
+            if descriptors is not None:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
+        child = subprocess.Popen(
+            command,
+            text=True,
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            env=os.environ | {"ROUTER_CONFIG": str(self.configured)},
+            preexec_fn=limit,
+        )
+        self.addCleanup(child.communicate)
+        self.addCleanup(child.kill)
+        return child
+
+    def start_dispatcher(self, descriptors: int | None = None) -> subprocess.Popen[str]:
+        return self.start(sys.executable, "-O", "-m", "spurdeal", descriptors=descriptors)
+
+    def start_stand_ins(self) -> None:
+        where = self.addresses
+        figures = (FIRST_ENGINE_PORT, ENGINES, NAMES_PORT)
+        arguments = (where.engines, where.names, *(str(figure) for figure in figures))
+        stand_ins = self.start(sys.executable, "-c", STAND_INS, *arguments)
+        assert stand_ins.stdout is not None
+        self.assertEqual(stand_ins.stdout.readline(), "ready\n")
+
+    def url(self, path: str) -> str:
+        return f"http://{self.addresses.dispatcher}:{self.addresses.port}{path}"
+
+    def await_ready(self, child: subprocess.Popen[str]) -> None:
+        """Returns once the dispatcher answers GET /alive with 200."""
+        until = time.monotonic() + READY_WITHIN
+        while True:
+            try:
+                with urlopen(self.url("/alive"), timeout=1) as answer:
+                    self.assertEqual(answer.status, 200)
+                return
+            except OSError:
+                if child.poll() is not None or time.monotonic() > until:
+                    self.fail(f"exit {child.poll()}: {child.communicate()[1] if child.poll() else ''}")
+                time.sleep(0.05)
+
+
+def counters_at_exit(log: str) -> dict[str, int]:
+    """The counters that a dispatcher logged as it ended."""
+    line = next(line for line in log.splitlines() if "event=counters" in line)
+    pairs = dict(pair.split("=", 1) for pair in line.split())
+    return {name: int(value) for name, value in pairs.items() if value.isdigit()}
--- a/tests/test_confined.py
+++ b/tests/test_confined.py
@@ -1,36 +1,18 @@
 """One process by exec, which does nothing that the operators' fleet test refuses; on running dispatchers."""
 
 import json
-import os
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
-import time
 import tomllib
-import unittest
 from http.client import HTTPConnection
 from pathlib import Path
 from urllib.request import urlopen
 
-from tests.helpers import configuration, instance
+from tests.processes import ROOT, Addresses, ProcessCase
 
-ROOT = Path(__file__).parent.parent
-HOST, PORT, NAMES, ENGINE = "127.0.62.1", 7001, "127.0.62.9", "127.0.62.20"
-STAND_INS = f"""
-from twisted.internet import reactor
-from spurdeal.lab.engines import Fleet
-from spurdeal.lab.names import Names, Seat
-seats = [Seat(f"s-{{n}}", "{ENGINE}", 7001 + n) for n in range(2)]
-fleet = Fleet(reactor, 8, 1000.0, 0.3, 2.0, 1500.0)
-for seat in seats:
-    fleet.start(seat.ident, seat.host, seat.port, cold=False)
-reactor.listenUDP(5300, Names(seats), interface="{NAMES}")
-reactor.callWhenRunning(print, "ready", flush=True)
-reactor.callLater(60, reactor.stop)
-reactor.run()
-"""
 PLANTED = {
     "a fork": "import os; os.fork()",
     "another program": "import subprocess; subprocess.run(['true'])",
@@ -48,55 +30,17 @@
 )
 
 
-class Confined(unittest.TestCase):
-    def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.told = Path(folder.name) / "config.json"
-        roster = {
-            "generation": 1,
-            "reset": True,
-            "instances": [instance(n, hostPort=f"{ENGINE}:{7001 + n}") for n in range(2)],
-        }
-        self.told.write_text(
-            json.dumps(
-                configuration(
-                    listen=f"{HOST}:{PORT}",
-                    nameserver=f"{NAMES}:5300",
-                    known={"no": 1, "items": [{"no": 1, "roster": roster}]},
-                )
-            )
-        )
+class Confined(ProcessCase):
+    addresses = Addresses.in_network(62)
 
-    def start(self, *command: str) -> subprocess.Popen[str]:
-        child = subprocess.Popen(
-            command,
-            text=True,
-            cwd=ROOT,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE,
-            env=os.environ | {"ROUTER_CONFIG": str(self.told)},
-        )
-        self.addCleanup(child.communicate)
-        self.addCleanup(child.kill)
-        return child
-
-    def alive(self, child: subprocess.Popen[str]) -> None:
-        until = time.monotonic() + 30
-        while True:
-            try:
-                with urlopen(f"http://{HOST}:{PORT}/alive", timeout=1) as answer:
-                    self.assertEqual(answer.status, 200)
-                return
-            except OSError:
-                if child.poll() is not None or time.monotonic() > until:
-                    self.fail(f"exit {child.poll()}: {child.communicate()[1] if child.poll() else ''}")
-                time.sleep(0.05)
+    def setUp(self) -> None:
+        super().setUp()
+        self.configure()
 
     def test_run_ends_in_one_process_by_exec_linked_against_the_c_library(self) -> None:
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         child = self.start("/bin/sh", "-c", run)
-        self.alive(child)
+        self.await_ready(child)
         about = Path("/proc") / str(child.pid)
         self.assertIn(b"spurdeal", (about / "cmdline").read_bytes())
         self.assertNotIn(b"sh\0-c", (about / "cmdline").read_bytes())
@@ -106,12 +50,10 @@
         self.assertEqual(child.wait(30), 0)
 
     def test_a_running_dispatcher_does_nothing_that_is_refused(self) -> None:
-        sides = self.start(sys.executable, "-c", STAND_INS)
-        assert sides.stdout is not None
-        self.assertEqual(sides.stdout.readline(), "ready\n")
+        self.start_stand_ins()
         child = self.start(sys.executable, "-O", "tests/confined.py", "spurdeal")
-        self.alive(child)
-        client = HTTPConnection(HOST, PORT, timeout=10)
+        self.await_ready(child)
+        client = HTTPConnection(self.addresses.dispatcher, self.addresses.port, timeout=10)
         for number in range(40):
             path = "/ops/load" if number % 8 == 0 else "/ops/lookup"
             client.request(
@@ -124,9 +66,11 @@
             self.assertEqual((answer.status, b'"result"' in answer.read()), (200, True))
             if number == 20:
                 child.send_signal(signal.SIGHUP)
-        with socket.create_connection((HOST, PORT)) as rude:
+        with socket.create_connection((self.addresses.dispatcher, self.addresses.port)) as rude:
             rude.sendall(b"\0\xffnothing that can be read\r\n\r\n")
-        with urlopen(f"http://{HOST}:{PORT}/counters", timeout=5) as found:
+        with urlopen(
+            f"http://{self.addresses.dispatcher}:{self.addresses.port}/counters", timeout=5
+        ) as found:
             counters = json.load(found)
         client.close()
         self.assertEqual((counters["delivered"], counters["configurations_read"]), (40, 1))
@@ -135,7 +79,7 @@
         self.assertEqual(child.returncode, 0, said)
 
     def test_a_configuration_that_cannot_be_used_ends_it_the_same_way(self) -> None:
-        self.told.write_text("{")
+        self.configured.write_text("{")
         child = self.start(sys.executable, "-O", "tests/confined.py", "spurdeal")
         said = child.communicate(timeout=30)[1]
         self.assertEqual((child.returncode, said.count("\n")), (2, 1), said)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -227,6 +227,7 @@
 
     def test_a_full_door_closes_and_opens(self) -> None:
         world = World(self)
+        world.service.clients.bound(most=33, accepts=2, memory_mb=64.0)  # eviction begins at 32
         served = Caller(world)
         served.post(98)
         world.peer().up().say(98, "200", "parts=1", ROW)
@@ -234,6 +235,7 @@
         callers = [Caller(world) for _ in range(30)]
         for ident, caller in enumerate(callers[1:]):
             caller.post(ident)
+        world.go(30)
         Caller(world).post(99)  # one that has brought nothing makes room
         self.assertTrue(callers[0].pipe.disconnecting and world.door.open)
         self.assertFalse(served.pipe.disconnecting)
@@ -242,6 +244,8 @@
         self.assertTrue(served.pipe.disconnecting and world.door.open)
         served.leave()
         Caller(world).post(101)
+        self.assertTrue(world.door.open)
+        Caller(world).post(102)  # all are busy
         self.assertFalse(world.door.open)
         callers[1].leave()
         self.assertTrue(world.door.open)
