A start waits five seconds for an address that its predecessor still holds

Need: a dispatcher started while the one before it still listens ended at once with exit code 2, and was not ready at all. The wait is bounded (5 s; a predecessor told to end is gone 3.7 s later) and ends at SIGTERM; other faults of listening still end it at once.

--- a/spurdeal/early.py
+++ b/spurdeal/early.py
@@ -17,6 +17,10 @@
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda number, _: self.act(number))
 
+    def end_asked(self) -> bool:
+        """Whether one of those kept asks the process to end."""
+        return any(number != signal.SIGHUP for number in self.kept)
+
     def hand_over(self, act: Callable[[int], object]) -> None:
         """From here on each goes to `act`, those kept first."""
         self.catch()
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import signal
 import sys
@@ -31,6 +32,9 @@
     "unix_ms",
 ]
 
+BIND_WITHIN = 5.0  # seconds; a predecessor told to end is gone, or killed, 3.7 s later at the latest
+BIND_EVERY = 0.05  # seconds
+
 
 def unix_ms() -> float:
     return time.time() * 1000
@@ -59,13 +63,43 @@
     loop: Any = reactor
     log = logger(configuration.name or "spurdeal", sys.stderr)
     service = Service(configuration, loop, unix_ms, log, loop.stop, ProcessDescriptors.of_this_process())
-    on_signals(loop, lambda: service.read_again(lambda: load_configuration(path)), service.stop)
     globalLogBeginner.beginLoggingTo([cast(Any, service.unhandled)], redirectStandardIO=False)
     try:
-        service.start()
+        if not start_within(BIND_WITHIN, service, SIGNALS.end_asked):
+            return
     except CannotListenError as fault:
         where = f"{configuration.host}:{configuration.port}"
         raise Unusable(f"configuration: cannot listen on {where}: {fault.socketError}") from None
+    on_signals(loop, lambda: service.read_again(lambda: load_configuration(path)), service.stop)
     gc.collect()
     gc.freeze()
     loop.run(installSignalHandlers=False)
+
+
+def start_within(seconds: float, service: Service, end_asked: Callable[[], bool]) -> bool:
+    """Starts the service, trying again while its address is in use.
+
+    A predecessor that was killed holds the address until the system has closed its sockets, one that was told
+    to end until it has answered its last call.
+
+    Returns:
+        False where the process was asked to end before the address was free.
+
+    Raises:
+        CannotListenError: The address cannot be listened on, or was still in use when the time was over.
+    """
+    until = time.monotonic() + seconds
+    logged = False
+    while True:
+        try:
+            service.start()
+            return True
+        except CannotListenError as fault:
+            if fault.socketError.errno != errno.EADDRINUSE or time.monotonic() >= until:
+                raise
+        if end_asked():
+            return False
+        if not logged:
+            logged = True
+            service.log.warning("address_in_use", extra={"figures": {"retried_for_s": seconds}})
+        time.sleep(BIND_EVERY)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -28,7 +28,8 @@
 fleet = Fleet(reactor, 8, 1000.0, 0.3, 2.0, 1500.0)
 for seat in seats:
     fleet.start(seat.ident, seat.host, seat.port, cold=False)
-reactor.listenUDP(int(names_port), Names(seats), interface=names_host)
+if int(names_port):
+    reactor.listenUDP(int(names_port), Names(seats), interface=names_host)
 reactor.callWhenRunning(print, "ready", flush=True)
 reactor.callLater(120, reactor.stop)
 reactor.run()
@@ -98,9 +99,10 @@
     def start_dispatcher(self, descriptors: int | None = None) -> subprocess.Popen[str]:
         return self.start(sys.executable, "-O", "-m", "spurdeal", descriptors=descriptors)
 
-    def start_stand_ins(self) -> None:
+    def start_stand_ins(self, with_names: bool = True) -> None:
+        """Starts the engines, and the name service unless the test has its own."""
         where = self.addresses
-        figures = (FIRST_ENGINE_PORT, ENGINES, NAMES_PORT)
+        figures = (FIRST_ENGINE_PORT, ENGINES, NAMES_PORT if with_names else 0)
         arguments = (where.engines, where.names, *(str(figure) for figure in figures))
         stand_ins = self.start(sys.executable, "-c", STAND_INS, *arguments)
         assert stand_ins.stdout is not None
--- /dev/null
+++ b/tests/test_readiness.py
@@ -0,0 +1,214 @@
+"""What a start waits for, and what it does not; on running dispatchers."""
+
+import errno
+import json
+import signal
+import socket
+import subprocess
+import sys
+import unittest
+from collections.abc import Callable
+from http.client import HTTPConnection
+from typing import Any, cast
+
+from twisted.internet.error import CannotListenError
+
+from spurdeal.net.logs import logger
+from spurdeal.net.start import start_within
+from tests.processes import NAMES_PORT, ROOT, Addresses, ProcessCase
+
+NEVER_NEEDED = (  # by a dispatcher without an operator's file
+    "spurdeal.benchlink",
+    "spurdeal.cli",
+    "spurdeal.extproc",
+    "spurdeal.fleet",
+    "spurdeal.lab",
+    "spurdeal.settings",
+    "spurdeal.store",
+    "spurdeal.vrrp",
+    "multiprocessing",
+    "sqlite3",
+    "twisted.names",
+    "twisted.trial",
+    "twisted.web",
+    "unittest",
+    "xml",
+)
+STARTED = """
+import json, sys
+from spurdeal import __main__
+from spurdeal.net import start
+from twisted.internet import reactor
+print(json.dumps(sorted(sys.modules)))
+"""
+WITHOUT_EXTRAS = """
+import sys
+ABSENT = "OpenSSL cryptography service_identity h2 click pydantic structlog".split()
+class Absent:
+    def find_spec(self, name, *_):
+        if name.partition(".")[0] in ABSENT:
+            raise ModuleNotFoundError(name)
+sys.meta_path.insert(0, Absent())
+"""
+
+
+class Imports(unittest.TestCase):
+    def modules(self, text: str) -> list[str]:
+        done = subprocess.run(
+            [sys.executable, "-O", "-c", text],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            cwd=ROOT,
+            check=True,
+        )
+        return cast(list[str], json.loads(done.stdout))
+
+    def test_nothing_of_the_other_parts_is_imported(self) -> None:
+        found = self.modules(STARTED)
+        self.assertIn("spurdeal.net.service", found)
+        packages = tuple(f"{name}." for name in NEVER_NEEDED)
+        self.assertEqual([name for name in found if name in NEVER_NEEDED or name.startswith(packages)], [])
+
+    def test_it_starts_where_the_extras_are_not_installed(self) -> None:
+        self.assertIn("twisted.internet.tcp", self.modules(WITHOUT_EXTRAS + STARTED))
+
+
+class Discovery(ProcessCase):
+    """`known` is all that a start needs of the list."""
+
+    addresses = Addresses.in_network(66)
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.configure()
+
+    def serves(self) -> None:
+        """It becomes ready, and answers a call by an engine of `known`."""
+        child = self.start_dispatcher()
+        self.await_ready(child)
+        client = HTTPConnection(self.addresses.dispatcher, self.addresses.port, timeout=10)
+        self.addCleanup(client.close)
+        fields = {"Req-Id": f"{1:016x}", "Req-Wait-Ms": "5000"}
+        client.request("POST", "/ops/lookup", "SELECT a FROM s_1.t -- cost=5", fields)
+        self.assertEqual(client.getresponse().status, 200)
+
+    def name_service(self) -> socket.socket:
+        """The name service's socket, which the test holds."""
+        names = socket.socket(type=socket.SOCK_DGRAM)
+        self.addCleanup(names.close)
+        names.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        names.bind((self.addresses.names, NAMES_PORT))
+        names.settimeout(10)
+        return names
+
+    def test_nobody_at_the_name_services_address(self) -> None:
+        self.start_stand_ins(with_names=False)
+        self.serves()
+
+    def test_a_name_service_that_never_answers(self) -> None:
+        self.start_stand_ins(with_names=False)
+        names = self.name_service()
+        self.serves()
+        self.assertGreater(len(names.recv(512)), 0)
+
+    def test_a_name_service_whose_answers_are_cut_short(self) -> None:
+        self.start_stand_ins(with_names=False)
+        names = self.name_service()
+        child = self.start_dispatcher()
+        for _ in range(3):
+            question, asked = names.recvfrom(512)
+            names.sendto(question[:2] + b"\x84\x00" + question[4:14], asked)
+        self.await_ready(child)
+        child.send_signal(signal.SIGTERM)
+        said = child.communicate(timeout=30)[1]
+        self.assertIn("event=bad_datagram", said)
+        self.assertEqual(child.returncode, 0, said)
+
+
+class AddressInUse(ProcessCase):
+    """The predecessor's listener, held by the test."""
+
+    addresses = Addresses.in_network(67)
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.configure()
+        self.predecessor = socket.socket()
+        self.addCleanup(self.predecessor.close)
+        self.predecessor.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.predecessor.bind((self.addresses.dispatcher, self.addresses.port))
+        self.predecessor.listen(16)
+
+    def start_and_wait(self) -> subprocess.Popen[str]:
+        """A dispatcher that has found its address in use."""
+        child = self.start_dispatcher()
+        assert child.stderr is not None
+        self.assertIn("event=address_in_use", child.stderr.readline())
+        return child
+
+    def test_it_is_ready_once_the_address_is_free(self) -> None:
+        child = self.start_and_wait()
+        self.predecessor.close()
+        self.await_ready(child)
+
+    def test_told_to_end_while_it_waits(self) -> None:
+        child = self.start_and_wait()
+        child.send_signal(signal.SIGTERM)
+        self.assertEqual(child.wait(30), 0)
+
+    def test_ready_again_after_a_kill_amid_open_connections(self) -> None:
+        self.predecessor.close()
+        first = self.start_dispatcher()
+        self.await_ready(first)
+        clients = [
+            socket.create_connection((self.addresses.dispatcher, self.addresses.port)) for _ in range(20)
+        ]
+        for client in clients:
+            self.addCleanup(client.close)
+            client.sendall(b"GET /alive HTTP/1.1\r\n\r\n")
+        first.kill()
+        self.await_ready(self.start_dispatcher())
+
+
+class StubService:
+    """Raises what it is given at each start, then starts."""
+
+    def __init__(self, *faults: int) -> None:
+        self.faults = list(faults)
+        self.log = logger("n1", sys.stderr)
+        self.log.disabled = True
+        self.starts = 0
+
+    def start(self) -> None:
+        self.starts += 1
+        if self.faults:
+            raise CannotListenError("127.0.0.1", 7001, OSError(self.faults.pop(0), "stub"))
+
+
+class StartWithin(unittest.TestCase):
+    def run_with(
+        self, *faults: int, seconds: float = 10.0, end_asked: Callable[[], bool] = lambda: False
+    ) -> tuple[StubService, bool]:
+        stub = StubService(*faults)
+        return stub, start_within(seconds, cast(Any, stub), end_asked)
+
+    def test_an_address_in_use_is_tried_again(self) -> None:
+        stub, started = self.run_with(errno.EADDRINUSE, errno.EADDRINUSE)
+        self.assertEqual((stub.starts, started), (3, True))
+
+    def test_only_so_long(self) -> None:
+        with self.assertRaises(CannotListenError):
+            self.run_with(errno.EADDRINUSE, seconds=0.0)
+
+    def test_another_fault_is_not_tried_again(self) -> None:
+        with self.assertRaises(CannotListenError):
+            self.run_with(errno.EADDRNOTAVAIL)
+
+    def test_not_once_it_is_asked_to_end(self) -> None:
+        stub, started = self.run_with(errno.EADDRINUSE, end_asked=lambda: True)
+        self.assertEqual((stub.starts, started), (1, False))
+
+
+if __name__ == "__main__":
+    unittest.main()
