--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -199,7 +199,7 @@
         self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, (soft, hard))
         self.most_descriptors = self.call_number = 0
 
-    def start_all(self, configured: int = CROWDED_LIMIT, allowed: int = CROWDED_LIMIT) -> None:
+    def start_all(self, configured: int = CROWDED_LIMIT, allowed: int | None = CROWDED_LIMIT) -> None:
         self.configure(limits={"sockets": configured})
         self.start_stand_ins()
         self.dispatcher = self.start_dispatcher(allowed)
@@ -282,6 +282,10 @@
         self.start_all()
         self.serve_beside(Habit(trickles=True, reconnects=True))
 
+    def test_the_system_enforces_no_limit(self) -> None:
+        self.start_all(allowed=None)
+        self.serve_beside(Habit(reconnects=True))
+
     def test_the_system_allows_less_than_is_configured(self) -> None:
         self.start_all(configured=1024, allowed=TIGHT_LIMIT)
         self.serve_beside(Habit(reconnects=True), SMALL_CROWD)
