--- a/spurdeal/vrrp/guard.py
+++ b/spurdeal/vrrp/guard.py
@@ -42,11 +42,11 @@
         assumed_cold: Callable[[], bool],
     ) -> None:
         self.link: SocketLink = service.link
-        self.counters, self.come_back = service.counters, service.told.site.most_come_back
+        self.counters, self.come_back = service.counters, service.configuration.site.most_come_back
         self.exchange, self.handover, self.monotonic = exchange, exchange.handover, exchange.monotonic
         self.tenure, self.share = tenure, share
         self.guarded, self.assumed_cold = guarded, assumed_cold
-        own = 1.0 / service.told.site.dispatchers
+        own = 1.0 / service.configuration.site.dispatchers
         self.parts = own, own
         self.sent_cold: dict[int, list[ColdSend]] = {}  # by engine, within a window
 
--- a/spurdeal/vrrp/setup.py
+++ b/spurdeal/vrrp/setup.py
@@ -79,7 +79,8 @@
     """What takes and leaves the addresses."""
     told, counters = vrrp.holder, service.counters
     if told.kind == "announce":
-        switch, place = (str(told.switch[0]), told.switch[1]), (service.told.host, service.told.port)
+        switch = (str(told.switch[0]), told.switch[1])
+        place = (service.configuration.host, service.configuration.port)
         return Announcer(reactor, switch, place, counters)
     if told.kind == "listen":
         clients = service.clients
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..net.link import at_most_once
-from ..net.start import Service
+from ..net.service import Service
 from . import advert
 from .address import Announcer
 from .advertising import Advertising
@@ -53,7 +53,7 @@
         assert plan.vrrp is not None
         self.service, self.plan, self.reactor, self.monotonic = service, plan, reactor, monotonic
         self.link, self.counters, self.log, self.vrrp = service.link, service.counters, log, plan.vrrp
-        now, site = monotonic(), service.told.site
+        now, site = monotonic(), service.configuration.site
         self.began, self.fresh, self.barred, self.stopping = now, False, True, False
         self.shut_out: Callable[[], bool] = lambda: False  # by the fleet, where there is one
         self.groups = make_groups(self.vrrp)
