A begun answer is bounded by its own trip's time; the last look peeks at one connection

Shared connections. The answer's id, its first part, now says whose time counts; until it has come, that of the trip with most time. The timer follows when the id comes.

One was at each resting connection of the engine, of which only one is chosen: now only the chosen one is looked at, and the next if it has ended.

--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -132,8 +132,8 @@
                 self.answered(parts)
         except (BadAnswer, ValueError) as fault:
             self.cut(str(fault))
-        if self.up and self.parser.left() and self.bounding is None:
-            self.bounding = self.engines.reactor.callLater(self.patience() / 1000, self.stall)
+        if self.up and self.parser.left():
+            self.bound_answer()
 
     def cut(self, why: str) -> None:
         """Spoilt: what is out here has run or runs, and nothing more can be read of it."""
@@ -143,12 +143,26 @@
         self.lost()
 
     def patience(self) -> float:
-        """ms that the answer which has begun may still take, counted from its first byte. What its trips
-        still have bounds it too, or none of them could go again elsewhere."""
-        least = min((trip.expiry for trip in self.trips.values()), default=float("inf")) - self.begun
-        longest = min(max(STALL_LEAST, STALL * self.engines.connect_within), STALL_PART * least)
+        """ms that the answer which has begun may still take, counted from its first byte.
+
+        Half of what its own trip still had bounds it too, or that could not go again elsewhere. Other trips'
+        time does not: a cut ends them all. Until its id has come it may be the one with most time."""
+        begun = self.parser.first_part()
+        own = self.trips.get(begun) if begun is not None else None
+        trips = (own,) if own is not None else self.trips.values()
+        expiry = max((trip.expiry for trip in trips), default=float("inf"))
+        longest = max(STALL_LEAST, STALL * self.engines.connect_within)
+        longest = min(longest, STALL_PART * (expiry - self.begun))
         return max(0.0, self.begun + longest - self.engines.clock())
 
+    def bound_answer(self) -> None:
+        """An answer has begun; the timer that ends it follows when its id comes."""
+        patience = self.patience() / 1000
+        if self.bounding is None:
+            self.bounding = self.engines.reactor.callLater(patience, self.stall)
+        elif self.bounding.getTime() > self.engines.reactor.seconds() + patience:
+            self.bounding.reset(patience)
+
     def stall(self) -> None:
         """An answer has begun and does not end: the rest is lost or trickles, or its length was wrong."""
         self.bounding = None
@@ -254,6 +268,19 @@
             self.transport.abortConnection()
             self.lost()
 
+    def takes(self, trip: Trip) -> bool:
+        """Whether this one may carry it, as far as is known."""
+        return (
+            not self.closing
+            and not self.ended
+            and trip.ident not in self.trips
+            and trip.ident not in self.past
+        )
+
+    def has_ended(self) -> bool:
+        """It rests, and its far side's end has come, which was not read yet."""
+        return self.up and not self.trips and pending(self.transport) == b""
+
     def finish(self, trip: Trip, outcome: Outcome, given_up: bool = False) -> None:
         if not self.engines.counters.must(self.trips.pop(trip.ident, None) is trip, "trip_ends_once"):
             return
@@ -392,50 +419,42 @@
                     connection.lost(Ending.MOOT)  # dialled for, at what it no longer is
 
     def connection_for(self, trip: Trip, at_most_once: bool) -> Connection | None:
-        """The one with fewest trips, or a new one while it has any: what spoils one takes its trips along.
+        """An open one, or a new one. An end of the chosen one that was not read yet is seen on its socket."""
+        while (found := self.emptiest(trip, at_most_once)) is not None and found.has_ended():
+            found.ended = True  # that is to be read next
+        if found is not None or self.engines.full():
+            return found
+        connection = Connection(self)
+        self.connections.append(connection)
+        self.engines.connections += 1
+        self.engines.dial(self.seat.host, self.seat.port, Dial(connection))
+        return connection
+
+    def emptiest(self, trip: Trip, at_most_once: bool) -> Connection | None:
+        """The open one with fewest trips; None where a new one is better: what spoils one takes its trips
+        along.
 
         at_most_once: where engines were seen to close idle ones early, a trip that crosses that would be in
         doubt, so one long unused is not taken while another can be had."""
         engines = self.engines
-        for connection in self.connections:
-            if (
-                connection.up
-                and not connection.closing
-                and not connection.trips
-                and pending(connection.transport) == b""
-            ):
-                connection.ended = True  # that is to be read next
-        open_here = [
-            connection
-            for connection in self.connections
-            if not connection.closing
-            and not connection.ended
-            and trip.ident not in connection.trips
-            and trip.ident not in connection.past
-        ]
+        usable = [connection for connection in self.connections if connection.takes(trip)]
         since = engines.clock() - IDLE_PART * engines.closes_after
         fresh = [
             connection
-            for connection in open_here
+            for connection in usable
             if not at_most_once or connection.trips or max(connection.used, connection.heard) > since
         ]
-        if fresh or engines.connections < engines.most_connections:
-            open_here = fresh
-        emptiest = min(open_here, key=lambda connection: len(connection.trips), default=None)
-        full = engines.connections >= engines.most_connections
+        full = engines.full()
+        if fresh or not full:
+            usable = fresh
+        found = min(usable, key=lambda connection: len(connection.trips), default=None)
         if (
-            emptiest is not None
-            and len(emptiest.trips) < engines.trips_a_connection
-            and (not emptiest.trips or full or len(self.connections) >= engines.share())
+            found is not None
+            and len(found.trips) < engines.trips_a_connection
+            and (not found.trips or full or len(self.connections) >= engines.share())
         ):
-            return emptiest
-        if full:
-            return None
-        connection = Connection(self)
-        self.connections.append(connection)
-        engines.connections += 1
-        engines.dial(self.seat.host, self.seat.port, Dial(connection))
-        return connection
+            return found
+        return None
 
     def sweep(self, idle_since: float) -> None:
         for connection in list(self.connections):
@@ -501,6 +520,10 @@
         if engine.seat.life == Life.GONE and not engine.connections:
             self.engines.pop(engine.number, None)
 
+    def full(self) -> bool:
+        """No further connection may be opened."""
+        return self.connections >= self.most_connections
+
     def share(self) -> int:
         """How many connections one engine may have, so that there are some for each."""
         return max(1, self.most_connections // max(1, len(self.engines)))
--- a/spurdeal/net/resp.py
+++ b/spurdeal/net/resp.py
@@ -34,6 +34,16 @@
         self.took(at)
         return parts
 
+    def first_part(self) -> bytes | None:
+        """The first part of an array that has begun, once that part is whole."""
+        head = self.length(self.at, b"*", MOST_PARTS)
+        sized = self.length(head[1], b"$", LARGEST_PART) if head is not None else None
+        if sized is None:
+            return None
+        size, at = sized
+        part = self.buffer[at : at + size]
+        return part if len(part) == size else None
+
     def length(self, at: int, mark: bytes, most: int) -> tuple[int, int] | None:
         """The number of a line that starts with this mark, and where the next begins."""
         if at >= len(self.buffer):
