After a stall a request's time counts from the poll before it; a turn's work is bounded

Their time counted from the reading, however long they had waited unread.

Change: a watch on the loop (net/watch.py) times each poll. After a gap over 100 ms, what is read counts from the poll before: its bytes were not there then. A new connection counts from when the backlog was last seen empty, one that waited while accepting was paused from the last accept before, one whose answers clogged it from the clogging. Costs two comparisons a poll. The gap is counted (poll_gaps, longest_poll_gap_ms) and logged over 200 ms, once a second at most. A turn hands over 128 events at most.

The cause of the lost requests is not a stall of ours, as far as is known now.

On the way: a workload without slashes is found by one look-up, and an answered connection with nothing unread is not parsed again.

--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -19,6 +19,7 @@
 from .link import Answer, BrokenOff, Delivered, Shed
 from .pending import pending
 from .statement import group_of
+from .watch import Unpolled
 
 if TYPE_CHECKING:
     from .clients import Clients
@@ -68,6 +69,7 @@
         self.since, self.received, self.dropped = clients.clock(), 0, 0
         self.arrivals = deque[tuple[int, float]]()  # bytes received by then
         self.advancing: Any = None
+        self.unpolled = clients.accepted()
 
     # Twisted's calls.
 
@@ -89,7 +91,7 @@
         if len(self.arrivals) >= MOST_ARRIVALS:  # in ever smaller pieces: the last counts from its first
             self.arrivals[-1] = (self.received, self.arrivals[-1][1])
         else:
-            self.arrivals.append((self.received, self.clients.clock()))
+            self.arrivals.append((self.received, self.clients.link.loop.arrival(self.unpolled)))
         if self.call is not None and self.parser.left() > self.clients.ahead:
             self.clients.counters.add("client_ran_ahead")
             self.transport.abortConnection()
@@ -129,6 +131,7 @@
 
     def resumeProducing(self) -> None:
         self.clogged = False
+        self.unpolled = Unpolled(self.since, self.clients.link.loop.round + 1)
         self.transport.resumeProducing()
         self.advance()
 
@@ -186,7 +189,7 @@
         if not IDENT.fullmatch(ident) or wait <= 0:
             raise BadMessage(400, "req-id or req-wait-ms cannot be used")
         statement = bytes(body)  # outlives the buffer: further trips may need it
-        owner, mark = (bytes(fields.get(name, b"")) for name in (b"req-owner", b"req-token"))
+        owner, mark = bytes(fields.get(b"req-owner", b"")), bytes(fields.get(b"req-token", b""))
         if mark and not MARK.fullmatch(mark):
             raise BadMessage(400, "req-token cannot be used")
         waited = max(0.0, self.clients.clock() - self.arrivals[0][1]) if self.arrivals else 0.0
@@ -226,7 +229,8 @@
                 self.answer(503, {"fault": "TryLater"}, keep, wait)
             case BrokenOff():
                 self.answer(500, {"fault": "Aborted"}, keep)
-        self.advance()
+        if self.parser.left():
+            self.advance()
 
     def withdrawn(self, failure: Failure) -> None:
         if not isinstance(failure.value, CancelledError):
--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -12,6 +12,7 @@
 from .client import Client
 from .counters import Counters
 from .link import SocketLink
+from .watch import AcceptWatch, Unpolled
 
 LEAST_AHEAD, MOST_AHEAD = 16_384, 131_072  # bytes that a client may send ahead of its answer
 MEMORY_PART = 0.25  # of the memory, for what clients send ahead
@@ -40,6 +41,7 @@
         self.port: Any = None
         self.fleet: Callable[[], object] | None = None  # what is known of the fleet, where there is one
         self.ready = self.paused = self.ending = self.accept_ended = False
+        self.accepting = AcceptWatch(link.loop)
 
     def bound(self, most: int, memory_mb: float) -> None:
         self.most = max(8, most)
@@ -49,6 +51,8 @@
     def workload_of(self, path: bytes) -> int | None:
         """The last part of a path names it, as it is or escaped; a name with slashes is several parts,
         and the longest that is known counts."""
+        if (kind := self.workloads.get(path.rpartition(b"/")[2])) is not None and not self.slashes:
+            return kind
         parts = path.rsplit(b"/", self.slashes + 1)[1:]
         for first in range(len(parts)):
             name = b"/".join(parts[first:])
@@ -60,6 +64,9 @@
     def buildProtocol(self, addr: Any) -> Client:
         return Client(self)
 
+    def accepted(self) -> Unpolled:
+        return self.accepting.accepted(getattr(self.port, "numberAccepts", 0))
+
     def came(self, client: Client) -> None:
         self.connections[client] = None
         self.counters.add("client_connections")
@@ -95,6 +102,7 @@
         self.connections.pop(client, None)
         if self.paused and len(self.connections) < self.most and not self.accept_ended:
             self.paused = False
+            self.accepting.resumed()
             self.port.startReading()
 
     def drain(self, host: str) -> None:
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -16,10 +16,12 @@
 from .counters import Counters
 from .engines import Engines, Outcome, SendTerms
 from .names import Seat
+from .watch import LoopWatch
 
 ANSWER_WAY = 40.0  # ms kept of a client's time for the answer's way back
 OVERDUE = 20.0  # ms after a submission's time at which the rules must have answered
 LATE = 50.0  # ms; a turn later than that is counted
+MOST_EVENTS = 128  # in one turn; the rest waits for the next, and sockets are polled between them
 MOST_EARLY, EARLY_KEPT = 256, 5000.0  # ids withdrawn before their call came, and ms for which it may come
 
 
@@ -172,6 +174,8 @@
         self.asked: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self.alarms: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.in_turn = False
+        self.loop = LoopWatch(clock, counters, log)
+        self.loop.install(reactor)
         self.guard: Guard | None = None
         self.turning: Any = None
         self.alarm: Any = None
@@ -353,7 +357,8 @@
             self.counters.most("latest_turn_ms", began - due)
             self.counters.add("turns_late", began - due > LATE)
             self.guarded(call, *words)
-        events, self.inbox = self.inbox, []
+        events = self.inbox[:MOST_EVENTS]
+        del self.inbox[:MOST_EVENTS]
         self.counters.add("turns")
         self.counters.add("events", len(events))
         for event, words in events:
@@ -364,7 +369,9 @@
             self.guarded(act, *words)
         if self.guard is not None:
             self.guarded(self.guard.turned)
-        self.counters.most("longest_turn_ms", self.clock() - began)
+        took = self.clock() - began
+        self.counters.most("longest_turn_ms", took)
+        self.loop.turned(took, len(events))
         self.in_turn = False
         if self.inbox:
             self.turning = self.reactor.callLater(0, self.turn)
--- /dev/null
+++ b/spurdeal/net/watch.py
@@ -0,0 +1,110 @@
+"""Watches the event loop: how long it went without polling its sockets, and since when what it now reads may
+have waited there.
+
+Level-triggered polling reports each readable socket each time. So bytes that one round of the loop reads were
+not there when the poll of the round before returned."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from .counters import Counters
+
+COUNTED_GAP = 100.0  # ms between two polls from which on waiting bytes are dated back; timers come every 50
+LOGGED_GAP = 200.0  # ms
+LOG_INTERVAL = 1000.0  # ms between two log lines
+
+
+class Unpolled(NamedTuple):
+    """A socket was not polled from this time on; it is first read in this round of the loop, or was empty."""
+
+    since: float
+    last_round: int
+
+
+class LoopWatch:
+    """Dates what is read. Without an instrumented reactor, bytes count as come when they are read."""
+
+    def __init__(self, clock: Callable[[], float], counters: Counters, log: logging.Logger) -> None:
+        self.clock, self.counters, self.log = clock, counters, log
+        self.installed, self.round = False, 0
+        self.polled_at = self.readable_since = clock()
+        self.next_log = 0.0
+        self.turn_time, self.turn_events = 0.0, 0  # of the turns since the last poll
+
+    def install(self, reactor: Any) -> None:
+        """Times each poll of Twisted's epoll reactor; others are left as they are."""
+        if hasattr(reactor, "_poller"):
+            reactor._poller = TimedPoller(reactor._poller, self)
+            self.installed, self.polled_at = True, self.clock()
+
+    def polled(self) -> None:
+        """A poll has returned."""
+        now = self.clock()
+        gap = now - self.polled_at
+        self.readable_since = self.polled_at if gap > COUNTED_GAP else now
+        self.polled_at = now
+        self.round += 1
+        if gap > COUNTED_GAP:
+            self.report(now, gap)
+        self.turn_time, self.turn_events = 0.0, 0
+
+    def turned(self, took: float, events: int) -> None:
+        """A turn of the dispatcher is over."""
+        self.turn_time += took
+        self.turn_events += events
+
+    def report(self, now: float, gap: float) -> None:
+        self.counters.add("poll_gaps")
+        self.counters.most("longest_poll_gap_ms", gap)
+        if gap > LOGGED_GAP and now >= self.next_log:
+            self.next_log = now + LOG_INTERVAL
+            figures = {"ms": gap, "turns_ms": self.turn_time, "events": self.turn_events}
+            self.log.warning("poll_gap", extra={"figures": figures})
+
+    def arrival(self, unpolled: Unpolled | None = None) -> float:
+        """The earliest time at which bytes that are read now can have come, on a socket that was not always
+        polled before."""
+        if not self.installed:
+            return self.clock()
+        if unpolled is not None and self.round <= unpolled.last_round:
+            return min(unpolled.since, self.readable_since)
+        return self.readable_since
+
+
+class TimedPoller:
+    """A reactor's poller that tells the watch when it was asked."""
+
+    def __init__(self, poller: Any, watch: LoopWatch) -> None:
+        self.poller, self.watch = poller, watch
+        self.register, self.modify = poller.register, poller.modify
+        self.unregister, self.close = poller.unregister, poller.close
+
+    def poll(self, timeout: float, most: int) -> list[tuple[int, int]]:
+        found: list[tuple[int, int]] = self.poller.poll(timeout, most)
+        self.watch.polled()
+        return found
+
+
+class AcceptWatch:
+    """Dates connections: since when one that is accepted now may have waited, with bytes of its own."""
+
+    def __init__(self, loop: LoopWatch) -> None:
+        self.loop, self.round, self.since = loop, -1, 0.0
+        self.count, self.most = 0, 0  # accepted in that round, and how many could be
+
+    def accepted(self, most: int) -> Unpolled:
+        """One more, of so many at most in this round."""
+        if self.loop.round != self.round:
+            emptied = self.loop.round > self.round + 1 or self.count < self.most
+            if emptied:
+                self.since = self.loop.arrival()
+            self.round, self.count, self.most = self.loop.round, 0, most
+        self.count += 1
+        return Unpolled(self.since, self.round + 1)
+
+    def resumed(self) -> None:
+        """Accepting goes on after a pause: what waits may have done so since the last was accepted."""
+        self.round, self.count, self.most = self.loop.round, 0, 0
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -311,7 +311,7 @@
             if s.over or (not stuck[s.kind] and self.pass_on(s, self.chain.index(self.choice_stage))):
                 continue
             kept.append(s)
-            stuck[s.kind] |= not s.key and not s.made
+            stuck[s.kind] |= not s.made and self.in_turn(s)
             if not ripe and now - s.taken > RIPE and self.in_turn(s):
                 ripe = True
                 wide = [e for e in self.allowed(s) if e.bound >= s.workload.threads]
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,8 +1,169 @@
-"""Shared connections and what one turn may cost: each forced, on a clock moved by hand."""
+"""Stalls, shared connections, and what one turn may cost: each forced, on a clock moved by hand."""
 
 import unittest
+from typing import Any
 
 from tests.helpers import Caller, World
+from tests.steps import Steps, Talk, settings
+
+STALL = 800.0  # ms
+ANSWER_WAY = 40  # ms that the dispatcher keeps for the way back
+
+
+def stall(steps: Steps, ms: float = STALL) -> None:
+    """The whole process stands still, as on a machine that is out of processor time."""
+    steps.reactor.now += ms / 1000
+
+
+def wait_told(talk: Talk) -> list[int]:
+    """The time that engines were told, of each trip that has come on this connection."""
+    return [
+        int(dict(pair.split("=") for pair in said[2].split(","))["wait"])
+        for said in talk.heard()
+        if said[0] == "serve"
+    ]
+
+
+class Stalls(unittest.TestCase):
+    """What is read after a stall may have come at its beginning: its time counts from there."""
+
+    def resting(self, **more: Any) -> tuple[Steps, Talk, Talk]:
+        """A dispatcher, a client's connection and an engine's, both in use before."""
+        steps = Steps(self, **more)
+        client = steps.served(1)
+        return steps, client, steps.engines[0].talks[0]
+
+    def test_on_an_open_connection(self) -> None:
+        steps, client, engine = self.resting()
+        client.post(2, wait=2000)
+        stall(steps)
+        steps.go()
+        self.assertEqual(wait_told(engine), [2000 - int(STALL) - ANSWER_WAY])
+
+    def test_on_a_connection_in_the_backlog(self) -> None:
+        steps, _, engine = self.resting()
+        steps.client().post(2, wait=2000)
+        stall(steps)
+        steps.go()
+        self.assertEqual(wait_told(engine), [2000 - int(STALL) - ANSWER_WAY])
+
+    def test_behind_another_in_the_backlog(self) -> None:
+        """Where one round accepts so many and no more, the next ones were there before it too."""
+        steps, _, _ = self.resting()
+        for ident in (2, 3, 4):
+            steps.client().post(ident, wait=2000)
+        steps.service.clients.port.numberAccepts = 1
+        stall(steps)
+        steps.go()
+        expiries = {taken.expiry for taken in steps.service.link.taken.values()}
+        self.assertEqual((len(steps.service.link.taken), len(expiries)), (3, 1))
+        self.assertAlmostEqual(expiries.pop() - steps.clock(), 2000 - STALL - ANSWER_WAY, places=3)
+
+    def test_in_a_turn(self) -> None:
+        steps, client, engine = self.resting()
+        rules = steps.service.link.rules
+        usual = rules.turn
+
+        def slow_turn(now: float) -> None:
+            rules.turn = usual  # type: ignore[method-assign]
+            client.post(2, wait=2000)
+            stall(steps)
+            usual(now)
+
+        rules.turn = slow_turn  # type: ignore[method-assign]
+        steps.go(50)
+        self.assertEqual(wait_told(engine), [2000 - 10 - int(STALL) - ANSWER_WAY])  # polled 10 ms before it
+
+    def test_what_has_no_time_left_is_shed_at_once(self) -> None:
+        steps, client, engine = self.resting()
+        client.post(2, wait=600)
+        stall(steps)
+        steps.go()
+        self.assertEqual((client.status(), wait_told(engine)), (503, []))
+
+    def test_at_a_closed_door(self) -> None:
+        """Accepting was paused; the one that waited there was first read after that."""
+        steps = Steps(self)
+        clients = steps.service.clients
+        open_ones = [steps.client() for _ in range(clients.most)]
+        for ident, client in enumerate(open_ones, 1):
+            client.post(ident, wait=4000)
+        steps.go()
+        self.assertTrue(clients.paused)
+        steps.client().post(99, wait=2000)
+        steps.go(500)
+        open_ones[0].socket.close()
+        steps.go()
+        self.assertFalse(clients.paused)
+        expiry = steps.service.link.by_ident[b"%016x" % 99].expiry
+        self.assertAlmostEqual(expiry - steps.clock(), 2000 - 500 - ANSWER_WAY, places=3)
+
+    def test_without_a_stall_the_time_is_that_of_the_reading(self) -> None:
+        steps, client, engine = self.resting()
+        for ident, pause in ((2, 0), (3, 30), (4, 700)):
+            steps.go(pause)
+            client.post(ident, wait=2000)
+            steps.go()
+            self.assertEqual(wait_told(engine), [2000 - ANSWER_WAY])
+            engine.say(ident)
+            self.assertEqual(steps.until(client.status), 200)
+
+    def test_a_stall_is_over_when_the_sockets_were_polled(self) -> None:
+        steps, client, engine = self.resting()
+        newcomer = steps.client()
+        stall(steps)
+        steps.go()
+        for ident, talk in ((2, client), (3, newcomer)):
+            talk.post(ident, wait=2000)
+            steps.go()
+            self.assertEqual(wait_told(engine), [2000 - ANSWER_WAY])
+            engine.say(ident)
+            self.assertEqual(steps.until(talk.status), 200)
+
+    def test_gaps_are_counted_and_logged_once_a_second(self) -> None:
+        steps, _, _ = self.resting()
+        for _ in range(3):
+            stall(steps, 250)
+            steps.go()
+        log = steps.service.log.handlers[0].stream.getvalue()  # type: ignore[attr-defined]
+        sums = steps.service.counters.sums
+        self.assertEqual(
+            (sums["longest_poll_gap_ms"], sums["poll_gaps"], log.count("event=poll_gap")), (250, 3, 1)
+        )
+
+
+class Turns(unittest.TestCase):
+    """The work of one turn is bounded."""
+
+    def test_many_events_are_handed_over_in_several_turns_in_their_order(self) -> None:
+        world = World(self)
+        link, handed, turns = world.service.link, list[int](), world.count("turns")
+
+        def event(_: float, place: int) -> None:
+            handed.append(place)
+
+        for place in range(300):
+            link.gather(event, place)
+        link.turn()
+        self.assertEqual(handed, list(range(128)))
+        world.go()
+        self.assertEqual((handed, world.count("turns") - turns), (list(range(300)), 3))
+
+    def test_held_ones_with_keys_are_not_weighed_one_by_one(self) -> None:
+        """One that could go and finds no engine speaks for its kind; one behind another of its key is not
+        weighed at all."""
+        grades = [{"name": "load", "aim": 3000, "deadline": 20000, "effect": "once", "serial_by_key": True}]
+        world = World(self, limits={"sockets": 1024}, settings=settings() | {"grades": grades})
+        rules, weighed = world.service.link.rules, list[int]()
+        rules.admits = lambda *_: False  # type: ignore[method-assign]
+        callers = [Caller(world) for _ in range(60)]
+        for ident, caller in enumerate(callers, 1):
+            caller.post(ident, "load", Req_Key=f"k{ident % 20}")
+        self.assertEqual((len(rules.held), len(rules.lines)), (60, 20))
+        usual = rules.allowed
+        rules.allowed = lambda s: weighed.append(s.number) or usual(s)  # type: ignore[method-assign, func-returns-value]
+        rules.turn(world.now())
+        self.assertEqual(weighed, [0])
 
 
 class SharedConnections(unittest.TestCase):
