--- /dev/null
+++ b/spurdeal/net/connection.py
@@ -0,0 +1,340 @@
+"""One connection to an engine: trips go out on it, answers and pages of their results come back.
+
+What is to be written waits in a connection's own line and goes to its transport a message at a time, as the
+engine reads: what still waits there has not begun to leave, which a hang with its window full, a drain or a
+client's leaving may still stop."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.interfaces import IPullProducer
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from ..interface import Ending
+from .pending import pending
+from .resp import ArrayParser, BadAnswer, command
+from .trips import Outcome, SendTerms, Trip
+
+if TYPE_CHECKING:
+    from .engines import Engine
+
+ENDINGS = {b"503": Ending.FULL, b"500": Ending.ERROR, b"504": Ending.MOOT}
+MOST_PAGES, LARGEST_RESULT, COLUMNS = 256, 96_000, 3
+MOST_PAST = 16  # trips remembered on a connection: more than can cross
+STALL, STALL_LEAST, STALL_PART = 2.0, 200.0, 0.5  # for one answer: times the time to connect, ms, and of what
+# its trip still has
+DRAIN_PART = 0.5  # of the drain's grace: bytes that the system has not taken by then are cut off
+
+
+def read_fields(text: memoryview) -> dict[str, str]:
+    words = bytes(text).decode("utf-8")
+    if words == "-":
+        return {}
+    pairs = [pair.partition("=") for pair in words.split(",")]
+    if not all(mark for _, mark, _ in pairs):
+        raise BadAnswer("fields cannot be read")
+    return {name: value for name, _, value in pairs}
+
+
+@implementer(IPullProducer)
+class Connection(Protocol):
+    """One connection to an engine: trips go out on it, answers come back in any order."""
+
+    transport: Any
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine, self.engines, self.parser = engine, engine.engines, ArrayParser()
+        self.trips: dict[bytes | memoryview, Trip] = {}
+        self.past: dict[bytes, bool] = {}  # ids that were out here, and whether they were given up
+        self.write_queue = deque[bytes | Trip]()
+        self.bounding: Any = None
+        self.leaving: Trip | None = None  # whose first bytes the transport may still hold
+        self.up = self.closing = self.silent = self.sending = self.ended = False
+        self.opened = self.used = self.heard = self.begun = self.engines.clock()
+
+    # Twisted's calls.
+
+    def connectionMade(self) -> None:
+        self.up, self.opened = True, self.engines.clock()
+        self.used = self.opened
+        self.transport.setTcpNoDelay(True)
+        self.engines.counters.add("engine_connections")
+        self.flush()
+        self.close_if_done()
+
+    def dataReceived(self, data: bytes) -> None:
+        self.heard = self.engine.heard = self.engines.clock()
+        if not self.parser.left():
+            self.begun = self.heard
+        self.parser.feed(data)
+        try:
+            while (parts := self.parser.take()) is not None:
+                self.begun = self.heard
+                self.answered(parts)
+        except (BadAnswer, ValueError) as fault:
+            self.cut(str(fault))
+        if self.up and self.parser.left():
+            self.bound_answer()
+
+    def cut(self, why: str) -> None:
+        """Spoilt: what is out here has run or runs, and nothing more can be read of it."""
+        self.engines.counters.add("engine_bad_answers")
+        self.engine.say("bad_answer", why=why, trips=len(self.trips))
+        self.transport.abortConnection()
+        self.lost()
+
+    def patience(self) -> float:
+        """ms that the answer which has begun may still take, counted from its first byte.
+
+        Half of what its own trip still had bounds it too, or that could not go again elsewhere. Other trips'
+        time does not: a cut ends them all. Until its id has come it may be the one with most time."""
+        begun = self.parser.first_part()
+        own = self.trips.get(begun) if begun is not None else None
+        trips = (own,) if own is not None else self.trips.values()
+        expiry = max((trip.expiry for trip in trips), default=float("inf"))
+        longest = max(STALL_LEAST, STALL * self.engines.connect_within)
+        longest = min(longest, STALL_PART * (expiry - self.begun))
+        return max(0.0, self.begun + longest - self.engines.clock())
+
+    def bound_answer(self) -> None:
+        """An answer has begun; the timer that ends it follows when its id comes."""
+        patience = self.patience() / 1000
+        if self.bounding is None:
+            self.bounding = self.engines.reactor.callLater(patience, self.stall)
+        elif self.bounding.getTime() > self.engines.reactor.seconds() + patience:
+            self.bounding.reset(patience)
+
+    def stall(self) -> None:
+        """An answer has begun and does not end: the rest is lost or trickles, or its length was wrong."""
+        self.bounding = None
+        if self.up and self.parser.left() and self.patience() > 0.0:  # another one by now
+            self.bounding = self.engines.reactor.callLater(self.patience() / 1000, self.stall)
+        elif self.up and self.parser.left():
+            self.cut("an answer stopped short")
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if self.up and not self.closing and not self.trips and isinstance(reason.value, ConnectionDone):
+            self.engines.closed_idle(self.engines.clock() - max(self.used, self.heard))
+        self.lost()
+        self.transport = None
+
+    # What is written.
+
+    def write(self, *parts: bytes | memoryview) -> None:
+        if self.up:
+            self.write_queue.append(command(*parts))
+            self.flush()
+
+    def carry(self, trip: Trip) -> None:
+        self.trips[trip.ident], trip.connection = trip, self
+        self.write_queue.append(trip)
+        self.flush()
+
+    def flush(self) -> None:
+        if self.up and self.write_queue and not self.sending:
+            self.sending = True
+            self.transport.registerProducer(self, False)  # which asks at once
+
+    def resumeProducing(self) -> None:
+        """Nothing of ours is left in the transport: the next messages leave, up to and with one trip."""
+        ready = list[bytes]()
+        self.leaving = None
+        while self.write_queue:
+            message = self.write_queue.popleft()
+            if not isinstance(message, Trip):
+                ready.append(message)
+            elif (terms := message.at_send()) is None:
+                self.finish(message, Outcome(Ending.MOOT))
+            else:
+                ready.append(self.serve(message, terms))
+                self.leaving = message
+                break
+        if ready:
+            self.used = self.engines.clock()
+            self.transport.write(b"".join(ready))
+        else:
+            self.sending = False
+            self.transport.unregisterProducer()
+            self.close_if_done()
+
+    def stopProducing(self) -> None:
+        self.sending = False
+
+    def serve(self, trip: Trip, terms: SendTerms) -> bytes:
+        self.engines.counters.add("trips_written")
+        trip.sent, trip.written = self.engines.clock(), True
+        fields = b"class=%b,wait=%d" % (trip.workload, max(1, int(terms.wait)))
+        if terms.rank is not None:
+            fields += b",rank=%d" % terms.rank
+        if terms.mark:
+            fields += b",once=%b" % terms.mark
+        return command(b"serve", trip.ident, fields, trip.statement)
+
+    def give_up(self, trip: Trip, ending: Ending) -> None:
+        """Nothing more is wanted of it: it is cancelled while it may run, and its pages let go after that."""
+        if not trip.written:
+            self.withdraw(trip)
+            return
+        self.write(b"release" if trip.parts else b"cancel", trip.ident)
+        quiet = self.engines.clock() - trip.sent > self.engines.connect_within
+        if self.up and quiet and self.heard <= trip.sent and not self.silent:
+            # A machine cut off leaves its connections open, and nobody knows if what goes out on one runs. A
+            # new connection that never comes up proves that nothing ran. Also: a hang, packets lost for long.
+            self.engines.counters.add("silent_connections")
+            if self.engine.heard <= trip.sent:
+                self.engine.say("silent_engine", trips=len(self.trips))
+            self.closing = self.silent = True
+        self.finish(trip, Outcome(ending), given_up=True)
+
+    def withdraw(self, trip: Trip) -> None:
+        """It has not begun to leave: nothing of it has run, nor will."""
+        if trip in self.write_queue:
+            self.write_queue.remove(trip)
+        self.finish(trip, Outcome(Ending.MOOT))
+
+    def withhold(self) -> None:
+        """Its engine drains or is gone, is elsewhere or was started anew: what has not left stays here. What
+        the system has not taken by the time of DRAIN_PART would come too late, and is cut off."""
+        for trip in [trip for trip in self.trips.values() if not trip.written]:
+            self.withdraw(trip)
+        if self.leaving is not None and self.up:
+            self.engines.reactor.callLater(
+                DRAIN_PART * self.engines.drain_grace / 1000, self.cut_off, self.leaving
+            )
+
+    def cut_off(self, trip: Trip) -> None:
+        """Covers a hang with its window full. A cut link whose bytes the system holds is not seen here."""
+        if self.up and self.leaving is trip:
+            self.engines.counters.add("unsent_cut_off")
+            self.transport.abortConnection()
+            self.lost()
+
+    def takes(self, trip: Trip) -> bool:
+        """Whether this one may carry it, as far as is known."""
+        return (
+            not self.closing
+            and not self.ended
+            and trip.ident not in self.trips
+            and trip.ident not in self.past
+        )
+
+    def has_ended(self) -> bool:
+        """It rests, and its far side's end has come, which was not read yet."""
+        return self.up and not self.trips and pending(self.transport) == b""
+
+    def finish(self, trip: Trip, outcome: Outcome, given_up: bool = False) -> None:
+        if not self.engines.counters.must(self.trips.pop(trip.ident, None) is trip, "trip_ends_once"):
+            return
+        if trip.written:
+            self.past[trip.ident] = given_up  # an answer may cross or come twice: the id comes here no more
+        if len(self.past) > MOST_PAST:
+            del self.past[next(iter(self.past))]
+        trip.connection = None
+        self.close_if_done()
+        trip.done.callback(outcome)
+
+    def retire(self) -> None:
+        """No further trips: it ends with those that are out."""
+        self.closing = True
+        self.close_if_done()
+
+    def close_if_done(self) -> None:
+        """A silent one is cut: the system would go on sending what it holds once a cut link heals."""
+        if self.closing and not self.trips and self.up and self.silent:
+            self.transport.abortConnection()
+        elif self.closing and not self.trips and self.up and not self.sending:
+            self.transport.loseConnection()
+
+    def lost(self, ending: Ending = Ending.RESET) -> None:
+        self.up, self.closing = False, True
+        self.write_queue.clear()
+        if self.bounding is not None:
+            self.bounding.cancel()
+            self.bounding = None
+        if self in self.engine.connections:
+            self.engine.connections.remove(self)
+            self.engines.connections -= 1
+            self.engines.forget(self.engine)
+        for trip in list(self.trips.values()):
+            self.finish(trip, Outcome(Ending.MOOT if ending == Ending.RESET and not trip.written else ending))
+
+    # What is read.
+
+    def answered(self, parts: list[memoryview]) -> None:
+        if len(parts) != 4:
+            raise BadAnswer(f"{len(parts)} parts where 4 were expected")
+        ident, word, fields = parts[0], bytes(parts[1]), read_fields(parts[2])
+        if word not in (b"200", b"chunk", *ENDINGS):
+            raise BadAnswer("an answer with an unknown word")
+        pages = int(fields.get("parts", "1")) if word == b"200" else 1
+        if not 1 <= pages <= MOST_PAGES:
+            raise BadAnswer("a result has no usable number of pages")
+        trip = self.trips.get(ident)
+        if trip is None or (word == b"200" and trip.parts):
+            # It answers what was given up meanwhile, whose further pages are let go; or says 200 twice, or
+            # more than was asked: good but too much.
+            self.engines.counters.add("answers_crossed")
+            if trip is None and pages > 1 and self.past.get(bytes(ident)):
+                self.write(b"release", ident)
+        elif word == b"200":
+            trip.parts, trip.report = pages, self.engines.report(fields.get("stats", ""))
+            for page in range(1, pages):
+                self.write(b"read", ident, b"%d" % page)
+            self.page(trip, 0, parts[3])
+        elif word == b"chunk":
+            number = int(fields.get("part_no", "-1"))
+            if not 0 < number < trip.parts:
+                raise BadAnswer("a page that was not asked for")
+            if number in trip.pages:  # a second copy: good but too much
+                self.engines.counters.add("answers_crossed")
+            else:
+                self.page(trip, number, parts[3])
+        else:
+            # Once it was delivered, whatever else is said of it only tells that its pages are lost.
+            ending = Ending.ERROR if trip.parts else ENDINGS[word]
+            if trip.parts:
+                self.engines.counters.add("pages_lost")
+                self.write(b"release", ident)
+            self.finish(trip, Outcome(ending, (), self.engines.report(fields.get("stats", ""))))
+
+    def page(self, trip: Trip, number: int, text: memoryview) -> None:
+        trip.size += len(text)
+        if trip.size > LARGEST_RESULT:
+            raise BadAnswer("a result is too large")
+        page = bytes(text)  # it outlives the buffer: the others are still to come
+        if page and (
+            not page.endswith(b"\n") or any(row.count(b"\t") != COLUMNS - 1 for row in page[:-1].split(b"\n"))
+        ):
+            raise BadAnswer("a page does not hold whole rows")
+        page.decode("utf-8")
+        trip.pages[number] = page
+        if len(trip.pages) == trip.parts:
+            if trip.parts > 1:
+                self.write(b"release", trip.ident)
+            pages = tuple(trip.pages[place] for place in range(trip.parts))
+            self.finish(trip, Outcome(Ending.DELIVERED, pages, trip.report))
+
+
+class Dial(ClientFactory):
+    noisy = False
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def buildProtocol(self, addr: Any) -> Connection:
+        return self.connection
+
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        """Twisted's connector and transport hold each other; parted, they need no collector."""
+        connector.transport = None
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """Refused or never up: either way not a byte of a trip has left."""
+        refused = isinstance(reason.value, ConnectionRefusedError)
+        self.connection.engines.counters.add("dials_refused" if refused else "dials_not_up")
+        self.connection.lost(Ending.UNREACHED)
--- /dev/null
+++ b/spurdeal/net/trips.py
@@ -0,0 +1,63 @@
+"""What is sent to an engine for a submission, and how that ended."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from ..interface import Ending
+
+if TYPE_CHECKING:
+    from .connection import Connection
+
+
+class Outcome(NamedTuple):
+    ending: Ending
+    pages: tuple[bytes, ...] = ()
+    report: tuple[float, ...] = ()
+
+
+class SendTerms(NamedTuple):
+    """On which a trip leaves: the engine may work on it for so many ms, its priority, and its mark against
+    repeats, where its client gave one."""
+
+    wait: float
+    rank: int | None
+    mark: bytes = b""
+
+
+class Trip:
+    """One trip from its sending to its outcome, which its Deferred brings exactly once."""
+
+    __slots__ = (
+        "at_send",
+        "connection",
+        "done",
+        "expiry",
+        "ident",
+        "pages",
+        "parts",
+        "report",
+        "sent",
+        "size",
+        "statement",
+        "workload",
+        "written",
+    )
+
+    def __init__(
+        self,
+        ident: bytes,
+        workload: bytes,
+        statement: bytes,
+        expiry: float,
+        at_send: Callable[[], SendTerms | None],
+    ) -> None:
+        self.ident, self.workload, self.statement = ident, workload, statement
+        self.expiry, self.at_send, self.written = expiry, at_send, False
+        self.done: Deferred[Outcome] = Deferred()
+        self.connection: Connection | None = None
+        self.parts, self.size, self.sent, self.pages = 0, 0, 0.0, dict[int, bytes]()
+        self.report: tuple[float, ...] = ()
