--- /dev/null
+++ b/spurdeal/net/answers.py
@@ -0,0 +1,28 @@
+"""How a submission is answered."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..interface import Ending
+
+
+class Delivered(NamedTuple):
+    pages: tuple[bytes, ...]
+
+
+class Shed(NamedTuple):
+    come_back: float
+
+
+class BrokenOff(NamedTuple):
+    pass
+
+
+class Granted(NamedTuple):
+    """A caller carries it from here on; its trip's outcome comes later, or never."""
+
+
+Answer = Delivered | Shed | BrokenOff | Granted
+COUNTED = {Delivered: "delivered", Shed: "shed", BrokenOff: "broken_off", Granted: "granted"}
+PROVE = (Ending.FULL, Ending.UNREACHED, Ending.MOOT)  # that nothing ran
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -2,146 +2,30 @@
 
 from __future__ import annotations
 
-import heapq
 import logging
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
 from itertools import count
-from typing import Any, NamedTuple, Protocol
+from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred, fail, succeed
 
-from ..interface import Deployment, Effect, Ending, Life, Listed, Reach
+from ..interface import Deployment, Ending, Life, Listed
 from ..rules import Dispatcher
+from .answers import COUNTED, PROVE, Answer, BrokenOff, Delivered, Granted, Shed
 from .counters import Counters
-from .engines import Engines, Outcome, SendTerms
+from .engines import Engines
 from .names import Seat
-from .watch import LoopWatch
+from .submissions import Carrier, EarlyWithdrawals, Guard, Taken, at_most_once
+from .trips import Outcome, SendTerms
+from .turns import Turns
+
+__all__ = ["Answer", "BrokenOff", "Delivered", "Granted", "Guard", "Shed", "Taken", "at_most_once"]
 
 ANSWER_WAY = 40.0  # ms kept of a client's time for the answer's way back
 OVERDUE = 20.0  # ms after a submission's time at which the rules must have answered
-LATE = 50.0  # ms; a turn later than that is counted
-MOST_EVENTS = 128  # in one turn; the rest waits for the next, and sockets are polled between them
-MOST_EARLY, EARLY_KEPT = 256, 5000.0  # ids withdrawn before their call came, and ms for which it may come
-
-
-class Delivered(NamedTuple):
-    pages: tuple[bytes, ...]
-
-
-class Shed(NamedTuple):
-    come_back: float
-
-
-class BrokenOff(NamedTuple):
-    pass
-
-
-class Granted(NamedTuple):
-    """A caller carries it from here on; its trip's outcome comes later, or never."""
-
-
-Answer = Delivered | Shed | BrokenOff | Granted
-COUNTED = {Delivered: "delivered", Shed: "shed", BrokenOff: "broken_off", Granted: "granted"}
-PROVE = (Ending.FULL, Ending.UNREACHED, Ending.MOOT)  # that nothing ran
-
-
-class Carried(Protocol):
-    """One trip in a carrier's hands; its Deferred brings the outcome exactly once."""
-
-    done: Deferred[Outcome]
-
-
-class Carrier(Protocol):
-    """Who carries trips: our own connections to the engines, or callers that are told where to send."""
-
-    def ready(self, engine: int) -> bool: ...
-
-    def send(
-        self,
-        engine: int,
-        ident: bytes,
-        workload: bytes,
-        statement: bytes,
-        expiry: float,
-        at_most_once: bool,
-        at_send: Callable[[], SendTerms | None],
-    ) -> Carried:
-        """at_most_once: a doubtful end would be final. at_send is asked once, as the first byte is about to
-        leave; with None nothing leaves, and the trip ends as MOOT."""
-
-    def weigh(self, trip: Any, rank: int) -> None: ...
-    def give_up(self, trip: Any, ending: Ending) -> None: ...
-
 
-def at_most_once(site: Deployment) -> tuple[bool, ...]:
-    """By workload: whether it must not run twice, also where it comes again by another way."""
-    return tuple(
-        w.effect == Effect.IRREVERSIBLE or (w.effect == Effect.LABELLED and w.reach != Reach.ALL)
-        for w in site.workloads
-    )
 
-
-class Guard(Protocol):
-    """What stands beside the link where dispatchers stand in for one another; without one nothing is
-    asked."""
-
-    def turning(self, now: float) -> None:
-        """A turn begins: what has lapsed since the last, also in a pause, is said to the rules first."""
-
-    def door(self, kind: int, ident: bytes) -> Answer | None:
-        """An answer at once, where the submission may have run elsewhere or cannot be guarded."""
-
-    def before(self, taken: Taken, trip: int, go: Callable[[bool | None], None]) -> bool:
-        """A trip is about to be sent. False: go() is called with the verdict, later."""
-
-    def never_ran(self, taken: Taken) -> None:
-        """It was granted, and the caller has shown that nothing ran."""
-
-    def given_up(self, number: int, trip: int) -> None:
-        """A trip that waits for its verdict is not to be sent any more."""
-
-    def answered(self, taken: Taken, answer: Answer | None) -> None:
-        """The answer has left, or the client (None)."""
-
-    def departs(self, taken: Taken, trip: int, engine: int) -> bool:
-        """A trip is about to be sent to an engine; False: not now, and nothing of it has run."""
-
-    def called_off(self, taken: Taken, trip: int) -> None:
-        """A trip that is out is being called off."""
-
-    def said(self, line: str) -> None:
-        """The rules have changed a mode."""
-
-    def turned(self) -> None:
-        """A turn is over; what it has sent leaves after this."""
-
-    def seat(self, seat: Seat) -> Seat:
-        """The seat as the rules are to see it."""
-
-
-@dataclass(slots=True, eq=False)
-class Taken:
-    """A submission as the link carries it, until it is answered and none of its trips is out."""
-
-    number: int
-    kind: int
-    ident: bytes
-    workload: bytes
-    statement: bytes
-    expiry: float
-    answer: Deferred[Answer]
-    carrier: Carrier
-    here: Callable[[], bool]  # whether its client's connection is still open, where that can be seen
-    mark: bytes  # by which engines know a repeat
-    answered: bool = False
-    rank: int | None = None
-    made: int = 0
-    trips: dict[int, Carried] = field(default_factory=dict)
-    waiting: dict[int, int] = field(default_factory=dict)  # trips with no verdict yet, and engines
-
-
-class SocketLink:
+class SocketLink(Turns):
     """Carries events to the rules and what they ask to the sockets. Knows nothing of either's bytes."""
 
     def __init__(
@@ -157,39 +41,23 @@
         log: logging.Logger,
     ) -> None:
         self.locations, self.kinds = list(locations), list(kinds)
-        self.engines, self.reactor, self.clock = engines, reactor, clock
-        self.counters, self.logger = counters, log
+        super().__init__(reactor, clock, counters, log)
+        self.engines = engines
         self.priorities, self.nobody = site.priorities, len(site.quotas)  # nobody: a customer without a share
         self.taken: dict[int, Taken] = {}
         self.by_ident: dict[bytes, Taken] = {}
         self.still_out: dict[bytes, Taken] = {}  # answered, with a trip out: their ids are not free yet
-        self.withdrawn_early: dict[bytes, float] = {}  # ids that a DELETE named before their call came
+        self.withdrawn_early = EarlyWithdrawals()
         self.at_most_once = at_most_once(site)
         self.places: dict[str, int] = {}
         self.next_place = count()
         self.seats: dict[str, Seat] = {}
-        self.numbers, self.order = count(), count()
+        self.numbers = count()
         self.until = float("inf")
-        self.inbox: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
-        self.asked: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
-        self.alarms: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.in_turn = False
-        self.loop = LoopWatch(clock, counters, log)
-        self.loop.install(reactor)
         self.guard: Guard | None = None
-        self.turning: Any = None
-        self.alarm: Any = None
         self.rules = Dispatcher(site, seed, self, clock())
 
-    # Gathering: events wait for the next turn.
-
-    def gather(self, call: Callable[..., None], *words: Any) -> None:
-        self.inbox.append((call, words))
-        if self.turning is None and not self.in_turn:
-            self.turning = self.reactor.callLater(0, self.turn)
-
-    def at(self, when: float, call: Callable[..., None], *words: Any) -> None:
-        heapq.heappush(self.alarms, (when, next(self.order), call, words))
+    # What comes from clients and from the list.
 
     def take(
         self,
@@ -212,7 +80,7 @@
         None: one with this id is open, or was answered while a trip of it is still out."""
         if ident.lower() in self.by_ident or ident.lower() in self.still_out:
             return None
-        if carrier is None and self.was_withdrawn(ident):
+        if carrier is None and self.withdrawn_early.forget(ident.lower(), self.clock()):
             self.counters.add("taken")
             self.counters.add("withdrawn")
             return fail(CancelledError())
@@ -229,18 +97,8 @@
         self.taken[number] = self.by_ident[ident.lower()] = taken
         self.counters.add("taken")
         self.counters.most("most_open", len(self.by_ident))
-        self.gather(
-            self.submit,
-            number,
-            kind,
-            self.nobody if customer is None else customer,
-            key,
-            now,
-            expiry,
-            cost,
-            memory,
-            group,
-        )
+        owner = self.nobody if customer is None else customer
+        self.gather(self.submit, number, kind, owner, key, now, expiry, cost, memory, group)
         return answer
 
     def submit(
@@ -279,18 +137,9 @@
         if taken is not None:
             taken.answer.cancel()
         elif ident.lower() not in self.still_out:
-            self.withdrawn_early.pop(ident.lower(), None)
-            self.withdrawn_early[ident.lower()] = self.clock()
-            if len(self.withdrawn_early) > MOST_EARLY:
-                del self.withdrawn_early[next(iter(self.withdrawn_early))]
+            self.withdrawn_early.remember(ident.lower(), self.clock())
         return taken is not None
 
-    def was_withdrawn(self, ident: bytes) -> bool:
-        """DELETE overtook the call that it is for."""
-        while self.withdrawn_early and next(iter(self.withdrawn_early.values())) <= self.clock() - EARLY_KEPT:
-            del self.withdrawn_early[next(iter(self.withdrawn_early))]
-        return self.withdrawn_early.pop(ident.lower(), None) is not None
-
     def listed(self, seats: Mapping[str, Seat]) -> None:
         """The whole list. An engine's place goes with it: nothing outlives what is gone."""
         told = (
@@ -343,48 +192,16 @@
 
     # The turn.
 
-    def turn(self) -> None:
-        began = self.clock()
-        for delayed in (self.turning, self.alarm):
-            if delayed is not None and delayed.active():
-                delayed.cancel()
-        self.turning = self.alarm = None
-        self.in_turn = True
+    def turn_begins(self, now: float) -> None:
         if self.guard is not None:
-            self.guarded(self.guard.turning, began)
-        while self.alarms and self.alarms[0][0] <= began:
-            due, _, call, words = heapq.heappop(self.alarms)
-            self.counters.most("latest_turn_ms", began - due)
-            self.counters.add("turns_late", began - due > LATE)
-            self.guarded(call, *words)
-        events = self.inbox[:MOST_EVENTS]
-        del self.inbox[:MOST_EVENTS]
-        self.counters.add("turns")
-        self.counters.add("events", len(events))
-        for event, words in events:
-            self.guarded(event, began, *words)
-        self.guarded(self.rules.turn, began)
-        asked, self.asked = self.asked, []
-        for act, words in asked:
-            self.guarded(act, *words)
+            self.guarded(self.guard.turning, now)
+
+    def decide(self, now: float) -> None:
+        self.rules.turn(now)
+
+    def turn_ends(self) -> None:
         if self.guard is not None:
             self.guarded(self.guard.turned)
-        took = self.clock() - began
-        self.counters.most("longest_turn_ms", took)
-        self.loop.turned(took, len(events))
-        self.in_turn = False
-        if self.inbox:
-            self.turning = self.reactor.callLater(0, self.turn)
-        elif self.alarms:
-            self.alarm = self.reactor.callLater(max(0.0, self.alarms[0][0] - self.clock()) / 1000, self.turn)
-
-    def guarded(self, call: Callable[..., None], *words: Any) -> None:
-        """A fault in one call must not take the others' answers with it; it is logged whole and counted."""
-        try:
-            call(*words)
-        except Exception:
-            self.counters.add("faults")
-            self.logger.exception("fault", extra={"figures": {"call": getattr(call, "__name__", "?")}})
 
     def expire(self, number: int) -> None:
         taken = self.taken.get(number)
--- /dev/null
+++ b/spurdeal/net/submissions.py
@@ -0,0 +1,127 @@
+"""A submission as the link carries it, and those who carry its trips or stand guard over them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred
+
+from ..interface import Deployment, Effect, Ending, Reach
+from .answers import Answer
+from .names import Seat
+from .trips import Outcome, SendTerms
+
+MOST_EARLY, EARLY_KEPT = 256, 5000.0  # ids withdrawn before their call came, and ms for which it may come
+
+
+def at_most_once(site: Deployment) -> tuple[bool, ...]:
+    """By workload: whether it must not run twice, also where it comes again by another way."""
+    return tuple(
+        w.effect == Effect.IRREVERSIBLE or (w.effect == Effect.LABELLED and w.reach != Reach.ALL)
+        for w in site.workloads
+    )
+
+
+class Carried(Protocol):
+    """One trip in a carrier's hands; its Deferred brings the outcome exactly once."""
+
+    done: Deferred[Outcome]
+
+
+class Carrier(Protocol):
+    """Who carries trips: our own connections to the engines, or callers that are told where to send."""
+
+    def ready(self, engine: int) -> bool: ...
+
+    def send(
+        self,
+        engine: int,
+        ident: bytes,
+        workload: bytes,
+        statement: bytes,
+        expiry: float,
+        at_most_once: bool,
+        at_send: Callable[[], SendTerms | None],
+    ) -> Carried:
+        """at_most_once: a doubtful end would be final. at_send is asked once, as the first byte is about to
+        leave; with None nothing leaves, and the trip ends as MOOT."""
+
+    def weigh(self, trip: Any, rank: int) -> None: ...
+    def give_up(self, trip: Any, ending: Ending) -> None: ...
+
+
+class Guard(Protocol):
+    """What stands beside the link where dispatchers stand in for one another; without one nothing is
+    asked."""
+
+    def turning(self, now: float) -> None:
+        """A turn begins: what has lapsed since the last, also in a pause, is said to the rules first."""
+
+    def door(self, kind: int, ident: bytes) -> Answer | None:
+        """An answer at once, where the submission may have run elsewhere or cannot be guarded."""
+
+    def before(self, taken: Taken, trip: int, go: Callable[[bool | None], None]) -> bool:
+        """A trip is about to be sent. False: go() is called with the verdict, later."""
+
+    def never_ran(self, taken: Taken) -> None:
+        """It was granted, and the caller has shown that nothing ran."""
+
+    def given_up(self, number: int, trip: int) -> None:
+        """A trip that waits for its verdict is not to be sent any more."""
+
+    def answered(self, taken: Taken, answer: Answer | None) -> None:
+        """The answer has left, or the client (None)."""
+
+    def departs(self, taken: Taken, trip: int, engine: int) -> bool:
+        """A trip is about to be sent to an engine; False: not now, and nothing of it has run."""
+
+    def called_off(self, taken: Taken, trip: int) -> None:
+        """A trip that is out is being called off."""
+
+    def said(self, line: str) -> None:
+        """The rules have changed a mode."""
+
+    def turned(self) -> None:
+        """A turn is over; what it has sent leaves after this."""
+
+    def seat(self, seat: Seat) -> Seat:
+        """The seat as the rules are to see it."""
+
+
+@dataclass(slots=True, eq=False)
+class Taken:
+    """A submission as the link carries it, until it is answered and none of its trips is out."""
+
+    number: int
+    kind: int
+    ident: bytes
+    workload: bytes
+    statement: bytes
+    expiry: float
+    answer: Deferred[Answer]
+    carrier: Carrier
+    here: Callable[[], bool]  # whether its client's connection is still open, where that can be seen
+    mark: bytes  # by which engines know a repeat
+    answered: bool = False
+    rank: int | None = None
+    made: int = 0
+    trips: dict[int, Carried] = field(default_factory=dict)
+    waiting: dict[int, int] = field(default_factory=dict)  # trips with no verdict yet, and engines
+
+
+class EarlyWithdrawals(dict[bytes, float]):
+    """Ids that a DELETE named before their call came, and when: a call may still come for a while."""
+
+    def remember(self, ident: bytes, now: float) -> None:
+        self.pop(ident, None)
+        self[ident] = now
+        if len(self) > MOST_EARLY:
+            del self[next(iter(self))]
+
+    def forget(self, ident: bytes, now: float) -> bool:
+        """Its call has come; whether it was withdrawn."""
+        while self and next(iter(self.values())) <= now - EARLY_KEPT:
+            del self[next(iter(self))]
+        return self.pop(ident, None) is not None
