--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -13,6 +13,7 @@
 from .counters import Counters
 from .eviction import LEAST_AGE, evict
 from .link import SocketLink
+from .watch import AcceptWatch, Unpolled
 
 LEAST_AHEAD, MOST_AHEAD = 16_384, 131_072  # bytes that a client may send ahead of its answer
 MEMORY_PART = 0.25  # of the memory, for what clients send ahead
@@ -46,6 +47,7 @@
         self.fleet: Callable[[], object] | None = None  # what is known of the fleet, where there is one
         self.pause_logged_at = float("-inf")
         self.ready = self.paused = self.ending = self.accept_ended = False
+        self.accepting = AcceptWatch(link.loop)
 
     def bound(self, most: int, accepts: int, memory_mb: float) -> None:
         """Sets how many connections there may be, how many are accepted a round, and the memory for all."""
@@ -58,6 +60,8 @@
     def workload_of(self, path: bytes) -> int | None:
         """The last part of a path names it, as it is or escaped; a name with slashes is several parts,
         and the longest that is known counts."""
+        if (kind := self.workloads.get(path.rpartition(b"/")[2])) is not None and not self.slashes:
+            return kind
         parts = path.rsplit(b"/", self.slashes + 1)[1:]
         for first in range(len(parts)):
             name = b"/".join(parts[first:])
@@ -69,6 +73,9 @@
     def buildProtocol(self, addr: Any) -> Client:
         return Client(self)
 
+    def accepted(self) -> Unpolled:
+        return self.accepting.accepted(getattr(self.port, "numberAccepts", 0))
+
     def came(self, client: Client) -> None:
         self.connections[client] = None
         self.counters.add("client_connections")
@@ -126,6 +133,7 @@
             self.port.numberAccepts = min(room, self.accepts)
             if self.paused:
                 self.paused = False
+                self.accepting.resumed()
                 self.port.startReading()
         elif not self.paused:
             self.pause_accepting()
