A connection that does not come up in time is no refusal: its engine stays warm

Where one trip is allowed (tranvia-cadiz) it also used that one up: 230 of 1566 trips, though not a byte had left. Ruled out as the cause: the sum of n* (21.6 of 21.3 threads a dispatcher at the start, 8.0 own threads in the mean), crashes (the list tells of none of these engines, their other connections stood), CPU (0.46 s of 0.8 at most in a second).

Change: Ending.CONNECT_TIMEOUT, told by the sockets only. One strike like an error, not one and a half; no cold start; it counts for no trip, as what never left. The endings that prove that nothing ran stand once, in interface.NEVER_RAN. Tests fail without each half.

--- a/spurdeal/extproc/grants.py
+++ b/spurdeal/extproc/grants.py
@@ -38,7 +38,6 @@
     (Stage.SAID, Seen.CALLED_OFF): Ending.CALLED_OFF,
     (Stage.SAID, Seen.GONE): Ending.RESET,
 }
-PROVES = (Ending.FULL, Ending.UNREACHED, Ending.MOOT)
 
 
 class Grant(NamedTuple):
--- a/spurdeal/interface.py
+++ b/spurdeal/interface.py
@@ -23,7 +23,11 @@
 
 
 class Ending(IntEnum):
-    """How a trip ended. FULL, UNREACHED and MOOT prove that it never ran."""
+    """How a trip ended.
+
+    UNREACHED: its connection was refused, or did not come up and the link cannot tell which.
+    CONNECT_TIMEOUT: its connection did not come up in time, and nothing refused it.
+    """
 
     DELIVERED = 0
     ERROR = 1
@@ -33,6 +37,10 @@
     RESET = 5
     CALLED_OFF = 6
     MOOT = 7
+    CONNECT_TIMEOUT = 8
+
+
+NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.MOOT, Ending.CONNECT_TIMEOUT)
 
 
 class Life(IntEnum):
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -364,7 +364,7 @@
         """Refused or never up: either way not a byte of a trip has left."""
         refused = isinstance(reason.value, ConnectionRefusedError)
         self.connection.engines.counters.add("dials_refused" if refused else "dials_not_up")
-        self.connection.lost(Ending.UNREACHED)
+        self.connection.lost(Ending.UNREACHED if refused else Ending.CONNECT_TIMEOUT)
 
 
 class Engine:
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -11,7 +11,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred, fail, succeed
 
-from ..interface import Deployment, Effect, Ending, Life, Listed, Reach
+from ..interface import NEVER_RAN, Deployment, Effect, Ending, Life, Listed, Reach
 from ..rules import Dispatcher
 from .counters import Counters
 from .engines import Engines, Outcome, SendTerms
@@ -41,7 +41,6 @@
 
 Answer = Delivered | Shed | BrokenOff | Granted
 COUNTED = {Delivered: "delivered", Shed: "shed", BrokenOff: "broken_off", Granted: "granted"}
-PROVE = (Ending.FULL, Ending.UNREACHED, Ending.MOOT)  # that nothing ran
 
 
 class Carried(Protocol):
@@ -548,7 +547,7 @@
             self.guard is not None
             and taken.answered
             and taken.carrier is not self.engines
-            and outcome.ending in PROVE
+            and outcome.ending in NEVER_RAN
             and not taken.trips
         ):
             self.guard.never_ran(taken)
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -14,7 +14,7 @@
 from . import state
 from .chance import Chance
 from .histogram import Histogram
-from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word
+from .interface import NEVER_RAN, WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
 INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
@@ -442,9 +442,9 @@
             e.ghosts.append((now + GHOST * took, s.workload.threads))
         else:
             e.threads -= s.workload.threads
-        if ending not in (Ending.FULL, Ending.UNREACHED, Ending.MOOT):
+        if ending not in NEVER_RAN:
             s.ran = s.ran or state.Ran(t.sent, e)
-        s.unsent += ending == Ending.MOOT
+        s.unsent += ending in (Ending.MOOT, Ending.CONNECT_TIMEOUT)
         if trip:
             self.further_won.add(1.0 if ending == Ending.DELIVERED else 0.0)
         if report and self.in_hand is not None:  # our share of what engines hold tells our share of sends
@@ -591,7 +591,7 @@
 
     def judge(self, e: Engine, t: Trip, ending: Ending, took: float, work: float) -> None:
         s, threads = t.submission, t.submission.workload.threads
-        e.errors += ending in (Ending.ERROR, Ending.UNREACHED)
+        e.errors += ending in (Ending.ERROR, Ending.UNREACHED, Ending.CONNECT_TIMEOUT)
         if ending == Ending.DELIVERED:
             e.served, e.work = e.served + threads, e.work + s.cost
             e.answered, e.strikes, e.errors = self.now, 0.0, 0.0
@@ -622,6 +622,8 @@
         elif ending == Ending.UNREACHED or (ending == Ending.RESET and (self.now != e.struck or not e.out)):
             # A connection that ends is one strike while others stay up, and no crash: a refusal tells one.
             self.strike(e, STRIKE_LOST if ending == Ending.UNREACHED else STRIKE_RESET)
+        elif ending == Ending.CONNECT_TIMEOUT:  # a cut link, or a handshake that is late: no crash
+            self.strike(e, STRIKE_ERROR)
 
     def strike(self, e: Engine, weight: float) -> None:
         """Covers a crash, a cut link and an engine that fails all it takes, whatever the list says."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import Any
 
+from twisted.internet.error import TimeoutError as ConnectTimeout
+
 from spurdeal.lab import names
 from spurdeal.net.start import Told, Unusable, read_configuration
 from tests.helpers import SETTINGS, Caller, World, configuration
@@ -169,6 +171,16 @@
         )
         self.assertEqual(len(world.peer(1).up().heard()), 1)
 
+    def test_a_connection_that_does_not_come_up_in_time_counts_for_no_trip(self) -> None:
+        """It proves that nothing ran: the other engine takes it, though one trip is all that is allowed."""
+        ration = SETTINGS["rules"] | {"extra_floor": 0, "repeat_ratio": 0, "counted_over": 5000}
+        world = World(self, engines=2, settings=settings(limits={"send_cap": 1}, rules=ration))
+        Caller(world).post(1, "load")
+        world.peer().refuse(ConnectTimeout)
+        self.assertNotEqual(world.peer(1).host, world.peer().host)
+        self.assertEqual(len(world.peer(1).up().heard()), 1)
+        self.assertEqual(world.count("trips_connect_timeout"), 1)
+
     def test_a_way_that_stays_shut_is_not_tried_for_ever(self) -> None:
         world = World(self, settings=settings(limits={"send_cap": 2}))
         world.service.link.rules.may_send = lambda *_: False  # type: ignore[method-assign]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -202,6 +202,9 @@
     def do_cold(self, engine: str) -> None:
         self.case.assertGreater(self.rules.engines[int(engine)].warm_at, self.now)
 
+    def do_warm(self, engine: str) -> None:
+        self.case.assertLessEqual(self.rules.engines[int(engine)].warm_at, self.now)
+
     def do_aside(self, *engines: str) -> None:
         aside = [str(e.number) for e in self.rules.engines.values() if e.aside_until > self.now]
         self.case.assertEqual(aside, list(engines))
