--- a/spurdeal/net/answers.py
+++ b/spurdeal/net/answers.py
@@ -4,8 +4,6 @@
 
 from typing import NamedTuple
 
-from ..interface import Ending
-
 
 class Delivered(NamedTuple):
     pages: tuple[bytes, ...]
@@ -25,4 +23,3 @@
 
 Answer = Delivered | Shed | BrokenOff | Granted
 COUNTED = {Delivered: "delivered", Shed: "shed", BrokenOff: "broken_off", Granted: "granted"}
-PROVE = (Ending.FULL, Ending.UNREACHED, Ending.MOOT)  # that nothing ran
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -9,9 +9,9 @@
 
 from twisted.internet.defer import CancelledError, Deferred, fail, succeed
 
-from ..interface import Deployment, Ending, Life, Listed
+from ..interface import NEVER_RAN, Deployment, Ending, Life, Listed
 from ..rules import Dispatcher
-from .answers import COUNTED, PROVE, Answer, BrokenOff, Delivered, Granted, Shed
+from .answers import COUNTED, Answer, BrokenOff, Delivered, Granted, Shed
 from .counters import Counters
 from .engines import Engines
 from .names import Seat
@@ -372,7 +372,7 @@
             self.guard is not None
             and taken.answered
             and taken.carrier is not self.engines
-            and outcome.ending in PROVE
+            and outcome.ending in NEVER_RAN
             and not taken.trips
         ):
             self.guard.never_ran(taken)
