The last look reads what a client sent ahead; the attempt leaves with it

Cause: the check at send time looked at one byte of the client's socket (MSG_PEEK). The bytes of an attempt also lay in the transport until the loop came to write, and a message that an engine's full window held back left whenever that engine read again.

Change: the check reads all that has come, up to the bound on what may be sent ahead. What the system has not taken 50 ms after its client left is cut off, unless other attempts run on that connection. A DELETE behind the open call of its own connection counts at once. A client cut for sending too much ahead loses its call at once.

test_a_connection_whose_far_side_reads_no_more_is_not_kept used a stuck attempt, which is cut earlier now; it uses a stuck `cancel` instead, with the same times.

--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -15,6 +15,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from . import immediate
 from .http import BadMessage, RequestParser, response
 from .link import Answer, BrokenOff, Delivered, Shed
 from .pending import pending
@@ -30,6 +31,7 @@
 LONGEST_IDLE, LONGEST_UNREAD = 5000.0, 10_000.0  # ms; clients close after 4 s, but some keep theirs for good
 LONGEST_LINGER, MOST_DROPPED = 1000.0, 262_144  # ms and bytes that are read and dropped after our last answer
 MOST_ARRIVALS = 32  # times kept of what one connection has sent ahead
+MOST_CANCELLED_AHEAD = 16  # DELETEs behind an open call that are carried out before their turn
 MOST_IN_A_ROW = 16  # calls that one connection may have handled before others have their turn
 
 
@@ -42,6 +44,11 @@
     return float(text)
 
 
+def last_part(target: bytes) -> bytes:
+    """Of a request's path, without its query."""
+    return target.partition(b"?")[0].rpartition(b"/")[2]
+
+
 def key_of(text: bytes | memoryview) -> int:
     """A number for a key, the same at any time; 0 for none. Nothing need be kept of keys."""
     return int.from_bytes(blake2b(text, digest_size=8).digest(), "big") | 1 if text else 0
@@ -67,6 +74,7 @@
         self.closing = self.clogged = self.brought = self.leaving = self.written = False
         self.since, self.received, self.dropped = clients.clock(), 0, 0
         self.arrivals = deque[tuple[int, float]]()  # bytes received by then
+        self.cancelled_ahead = deque[tuple[int, bool]]()  # status and whether the connection is kept
         self.advancing: Any = None
 
     # Twisted's calls.
@@ -92,6 +100,7 @@
             self.arrivals.append((self.received, self.clients.clock()))
         if self.call is not None and self.parser.left() > self.clients.ahead:
             self.clients.counters.add("client_ran_ahead")
+            self.left()
             self.transport.abortConnection()
             return
         self.advance()
@@ -119,8 +128,18 @@
             call.cancel()
 
     def is_here(self) -> bool:
-        """Whether it has not ended the connection, as far as has arrived."""
-        return not self.closing and pending(self.transport) != b""
+        """Whether it has not ended the connection, as far as has arrived.
+
+        All that it has sent ahead is read for this, up to the bound on that: an end may stand behind it."""
+        while not self.closing:
+            data = immediate.receive(self.transport)
+            if data is None:
+                return True
+            if data:
+                self.dataReceived(data)
+            else:
+                self.left()  # the transport finds the end as well, and closes
+        return False
 
     def pauseProducing(self) -> None:
         """Its answers go unread: nothing more is taken from it until they are."""
@@ -139,6 +158,9 @@
 
     def advance(self) -> None:
         """Takes what has come whole. One that sends many at once waits for the loop's next round between."""
+        while self.cancelled_ahead and self.call is None and not self.closing and not self.clogged:
+            status, keep = self.cancelled_ahead.popleft()
+            self.answer(status, {}, keep)
         handled = 0
         while self.call is None and not self.closing and not self.clogged:
             if handled >= MOST_IN_A_ROW:
@@ -157,17 +179,38 @@
             except BadMessage as fault:
                 self.clients.counters.add("client_bad_messages")
                 self.answer(fault.status, {"fault": str(fault)}, False)
+        self.cancel_ahead()
+
+    def cancel_ahead(self) -> None:
+        """Carries out the DELETEs that stand behind an open call: that call may be the one they cancel.
+
+        Their answers wait for their turn; where the open call was cancelled, nothing more is answered."""
+        while (
+            self.call is not None
+            and len(self.cancelled_ahead) < MOST_CANCELLED_AHEAD
+            and self.parser.next_is(b"DELETE")
+        ):
+            try:
+                taken = self.parser.take()
+            except BadMessage:
+                return  # told in its turn
+            if taken is None:
+                return
+            _, target, _, _, keep = taken
+            self.cancelled_ahead.append((self.cancel(target), keep))
+
+    def cancel(self, target: bytes) -> int:
+        """Withdraws the submission whose id a path ends with; the status of the answer."""
+        return 200 if self.clients.link.withdraw(last_part(target)) else 404
 
     def handle(
         self, method: bytes, target: bytes, fields: dict[bytes, memoryview], body: memoryview, keep: bool
     ) -> None:
-        path = target.partition(b"?")[0]
-        last = path.rpartition(b"/")[2]
+        path, last = target.partition(b"?")[0], last_part(target)
         if method == b"POST":
             self.submit(path, fields, body, keep)
         elif method == b"DELETE":
-            found = self.clients.link.withdraw(last)
-            self.answer(200 if found else 404, {}, keep)
+            self.answer(self.cancel(target), {}, keep)
         elif method == b"GET" and last == b"alive":
             self.answer(200 if self.clients.ready else 503, {}, keep)
         elif method == b"GET" and last == b"counters":
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -20,6 +20,7 @@
 from zope.interface import implementer
 
 from ..interface import Ending, Life
+from . import immediate
 from .counters import Counters
 from .names import Seat
 from .pending import pending
@@ -31,6 +32,7 @@
 STALL, STALL_LEAST, STALL_PART = 2.0, 200.0, 0.5  # for one answer: times the time to connect, ms, and of what
 # its trips still have
 IDLE_PART = 0.5  # of the time after which engines close: ours closes first, or a trip would cross their close
+ABANDONED_WITHIN = 50.0  # ms in which the system must take the rest of a trip that nobody waits for any more
 DRAIN_PART = 0.5  # of the drain's grace: bytes that the system has not taken by then are cut off
 RELAX = 1.001  # a sweep: an early close of idle connections that was seen once is forgotten within minutes
 
@@ -42,12 +44,21 @@
 
 
 class SendTerms(NamedTuple):
-    """On which a trip leaves: the engine may work on it for so many ms, its priority, and its mark against
-    repeats, where its client gave one."""
+    """On which a trip leaves.
+
+    Attributes:
+        wait: for how many ms the engine may work on it.
+        rank: its priority.
+        mark: by which engines know a repeat, where its client gave one.
+        at_once: whether it is handed to the system at once, and not as the loop next writes.
+        taken: called once the system has taken its last byte.
+    """
 
     wait: float
     rank: int | None
     mark: bytes = b""
+    at_once: bool = True
+    taken: Callable[[], object] = lambda: None
 
 
 class Trip:
@@ -107,7 +118,8 @@
         self.past: dict[bytes, bool] = {}  # ids that were out here, and whether they were given up
         self.write_queue = deque[bytes | Trip]()
         self.bounding: Any = None
-        self.leaving: Trip | None = None  # whose first bytes the transport may still hold
+        self.leaving: Trip | None = None  # whose bytes the transport may still hold
+        self.leaving_terms: SendTerms | None = None
         self.up = self.closing = self.silent = self.sending = self.ended = False
         self.opened = self.used = self.heard = self.begun = self.engines.clock()
 
@@ -182,9 +194,30 @@
 
     def resumeProducing(self) -> None:
         """Nothing of ours is left in the transport: the next messages leave, up to and with one trip."""
-        ready = list[bytes]()
-        self.leaving = None
+        self.message_taken()
         while self.write_queue:
+            ready = self.next_messages()
+            if self.leaving_terms is not None and self.leaving_terms.at_once:
+                # By the transport's own turn in the loop its client might have left unseen.
+                ready = ready[immediate.send(self.transport, ready) :]
+            if ready:
+                self.transport.write(ready)
+                return
+            self.message_taken()
+        self.sending = False
+        self.transport.unregisterProducer()
+        self.close_if_done()
+
+    def message_taken(self) -> None:
+        """The system has taken all that was written."""
+        terms, self.leaving, self.leaving_terms = self.leaving_terms, None, None
+        if terms is not None:
+            terms.taken()
+
+    def next_messages(self) -> bytes:
+        """What is next in the queue, up to and with one trip; the trips that are not to leave end as MOOT."""
+        ready = list[bytes]()
+        while self.write_queue and self.leaving is None:
             message = self.write_queue.popleft()
             if not isinstance(message, Trip):
                 ready.append(message)
@@ -192,15 +225,10 @@
                 self.finish(message, Outcome(Ending.MOOT))
             else:
                 ready.append(self.serve(message, terms))
-                self.leaving = message
-                break
+                self.leaving, self.leaving_terms = message, terms
         if ready:
             self.used = self.engines.clock()
-            self.transport.write(b"".join(ready))
-        else:
-            self.sending = False
-            self.transport.unregisterProducer()
-            self.close_if_done()
+        return b"".join(ready)
 
     def stopProducing(self) -> None:
         self.sending = False
@@ -229,6 +257,8 @@
             if self.engine.heard <= trip.sent:
                 self.engine.say("silent_engine", trips=len(self.trips))
             self.closing = self.silent = True
+        if trip is self.leaving:
+            self.engines.reactor.callLater(ABANDONED_WITHIN / 1000, self.cut_abandoned, trip)
         self.finish(trip, Outcome(ending), given_up=True)
 
     def withdraw(self, trip: Trip) -> None:
@@ -254,6 +284,11 @@
             self.transport.abortConnection()
             self.lost()
 
+    def cut_abandoned(self, trip: Trip) -> None:
+        """The rest of a trip that was given up would come late. What else runs here is not cut for that."""
+        if not any(other.written for other in self.trips.values()):
+            self.cut_off(trip)
+
     def finish(self, trip: Trip, outcome: Outcome, given_up: bool = False) -> None:
         if not self.engines.counters.must(self.trips.pop(trip.ident, None) is trip, "trip_ends_once"):
             return
--- a/spurdeal/net/http.py
+++ b/spurdeal/net/http.py
@@ -36,10 +36,19 @@
 class RequestParser(Unread):
     """Takes requests off a connection's bytes. Bodies and fields are slices of what was read."""
 
+    def next_is(self, method: bytes) -> bool:
+        """Whether the next request has begun and is one of this method."""
+        self.skip_empty_lines()
+        return self.buffer.startswith(method + b" ", self.at)
+
+    def skip_empty_lines(self) -> None:
+        """Some clients end a body with one."""
+        while self.buffer.startswith(b"\r\n", self.at):
+            self.at += 2
+
     def take(self) -> tuple[bytes, bytes, dict[bytes, memoryview], memoryview, bool] | None:
         """Method, target, fields by lower-case name, body, and whether the connection is kept."""
-        while self.buffer.startswith(b"\r\n", self.at):  # some clients end a body with an empty line
-            self.at += 2
+        self.skip_empty_lines()
         end = self.buffer.find(b"\r\n\r\n", self.at, self.at + LARGEST_HEAD)
         if end < 0:
             if self.left() >= LARGEST_HEAD:
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -19,6 +19,7 @@
 
 ANSWER_WAY = 40.0  # ms kept of a client's time for the answer's way back
 OVERDUE = 20.0  # ms after a submission's time at which the rules must have answered
+LEFT_LATE = 100.0  # ms after a client's leaving from which on an attempt of its counts as late
 LATE = 50.0  # ms; a turn later than that is counted
 MOST_EARLY, EARLY_KEPT = 256, 5000.0  # ids withdrawn before their call came, and ms for which it may come
 
@@ -133,6 +134,7 @@
     here: Callable[[], bool]  # whether its client's connection is still open, where that can be seen
     mark: bytes  # by which engines know a repeat
     answered: bool = False
+    client_left: bool = False  # it ended its connection, or withdrew the submission
     rank: int | None = None
     made: int = 0
     trips: dict[int, Carried] = field(default_factory=dict)
@@ -175,6 +177,8 @@
         self.guard: Guard | None = None
         self.turning: Any = None
         self.alarm: Any = None
+        for name in ("attempts_after_client_left", "attempts_late_after_client_left"):
+            counters.add(name, 0)  # shown also where there is none
         self.rules = Dispatcher(site, seed, self, clock())
 
     # Gathering: events wait for the next turn.
@@ -260,6 +264,7 @@
         """The client has gone, or has said that it waits no longer: no answer is owed."""
         self.counters.add("withdrawn")
         taken = self.taken[number]
+        taken.client_left = True
         self.concluded(taken)
         if self.guard is not None:
             self.guard.answered(taken, None)
@@ -494,7 +499,22 @@
         if self.guard is not None and not self.guard.departs(taken, trip, engine):
             return None
         wait = min(time_limit, taken.expiry - now) if time_limit else taken.expiry - now
-        return SendTerms(wait, taken.rank if self.priorities else None, taken.mark)
+        return SendTerms(
+            wait,
+            taken.rank if self.priorities else None,
+            taken.mark,
+            at_once=self.guard is None or not self.in_turn,  # a guard's records come first, see Guard.turned
+            taken=lambda: self.attempt_sent(taken, now),
+        )
+
+    def attempt_sent(self, taken: Taken, looked: float) -> None:
+        """The system has taken an attempt's last byte; the last look, at `looked`, still found its client.
+
+        One whose client has left by now is counted, and as late where more than LEFT_LATE lies between: both
+        are upper bounds, as it left at some time between. What has not arrived here by now is not seen."""
+        if taken.client_left or not (taken.answered or taken.here()):
+            self.counters.add("attempts_after_client_left")
+            self.counters.add("attempts_late_after_client_left", self.clock() - looked > LEFT_LATE)
 
     def weigh(self, taken: Taken, priority: int) -> None:
         taken.rank = priority
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import socket
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -90,10 +91,19 @@
         return self
 
     def recv(self, size: int, flags: int) -> bytes:
-        """A look at what has come (MSG_PEEK): nothing yet, bytes, or the far side's end."""
+        """What has come, left there with MSG_PEEK: nothing yet, bytes, or the far side's end."""
         if not self.ended and not self.unread:
             raise BlockingIOError
-        return self.unread[:size]
+        data = self.unread[:size]
+        if not flags & socket.MSG_PEEK:
+            self.unread = self.unread[size:]
+        return data
+
+    def send(self, data: bytes, flags: int) -> int:
+        if self.full:
+            raise BlockingIOError
+        self.write(data)
+        return len(data)
 
     def setTcpNoDelay(self, on: bool) -> None:
         """Accepted as a socket would."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -273,10 +273,9 @@
         world = World(self)
         caller = Caller(world)
         caller.post(1)
-        peer = world.peer()
+        peer = world.peer().up()
         peer.pipe.full = True
-        peer.up()
-        caller.leave()
+        caller.leave()  # its `cancel` stays in the transport
         world.go(14_000)
         self.assertFalse(peer.pipe.aborted)
         world.go(2_000)
--- /dev/null
+++ b/tests/test_gone_clients.py
@@ -0,0 +1,526 @@
+"""A client that cancels its request or ends its connection has gone: no attempt of its begins after that.
+
+Each test brings a request to a place where it waits, lets its client leave there, unseen, and turns the loop
+on. The places and the ways of leaving are the table in docs/crossings.md."""
+
+import contextlib
+import socket
+import subprocess
+import sys
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from spurdeal.net.engines import ABANDONED_WITHIN
+from spurdeal.net.link import LEFT_LATE
+from tests.helpers import Caller, Peer, World
+from tests.steps import HOST, ROW, Steps, Talk
+
+LOOKUP, OTHER = 2, 3  # ids: the request that is watched, one of another client
+HALF_A_CALL = b"POST /ops/lookup HTTP/1.1\r\nReq-Id: 00"
+WHOLE_CALL = b"POST /ops/lookup HTTP/1.1\r\nReq-Id: %016x\r\nReq-Wait-Ms: 5000\r\n\r\n" % 77
+
+
+def close(client: Talk) -> None:
+    client.socket.close()
+
+
+def half_close(client: Talk) -> None:
+    client.socket.shutdown(socket.SHUT_WR)
+
+
+def reset(client: Talk) -> None:
+    client.reset()
+
+
+ENDS = (close, half_close, reset)  # a process that dies ends its connections by the first or the last
+
+
+class Waiting(NamedTuple):
+    """A request where it waits: its client, and what lets it go on from there."""
+
+    client: Talk
+    go_on: Callable[[], object]
+
+
+@dataclass(frozen=True)
+class Leaving:
+    """How a client leaves: what it still sends ahead, and how its connection ends."""
+
+    ahead: bytes
+    end: Callable[[Talk], None]
+
+    def __call__(self, steps: Steps, client: Talk) -> None:
+        if self.ahead:
+            client.socket.sendall(self.ahead)
+        self.end(client)
+
+    def __str__(self) -> str:
+        return f"{self.end.__name__} behind {len(self.ahead)} bytes"
+
+
+def cancel(steps: Steps, client: Talk) -> None:
+    """On another connection, the first; read before the request goes on."""
+    steps.clients[0].socket.sendall(b"DELETE /ops/lookup/%016x HTTP/1.1\r\n\r\n" % LOOKUP)
+    next(iter(steps.service.clients.connections)).transport.doRead()
+
+
+Leave = Callable[[Steps, Talk], None]
+AHEAD = (b"", HALF_A_CALL, WHOLE_CALL)
+ENDED: list[Leave] = [Leaving(ahead, end) for ahead in AHEAD for end in ENDS]
+WAYS = [cancel, *ENDED]
+
+
+def attempts(steps: Steps, ident: int = LOOKUP) -> int:
+    """How many attempts of that request have come to the engines so far."""
+    wanted, found = ["serve", f"{ident:016x}"], 0
+    for engine in steps.engines:
+        while engine.accept():
+            pass
+        for talk in engine.talks:
+            with contextlib.suppress(ConnectionResetError):
+                found += sum(said[:2] == wanted for said in talk.heard())
+    return found
+
+
+def only_timers(steps: Steps) -> None:
+    """The first half of a round: what is due, and nothing is read or written by the loop."""
+    steps.reactor.runUntilCurrent()
+
+
+def after_another(steps: Steps) -> Talk:
+    """A client, and a connection to the engine that rests since it served another's request."""
+    steps.served(1)
+    return steps.client()
+
+
+def connected_to_both(steps: Steps) -> list[Talk]:
+    """Two calls at once, then answered: a connection rests at each of two engines. Their far sides."""
+    callers = [steps.client(), steps.client()]
+    for ident, caller in enumerate(callers, 10):
+        caller.post(ident)
+        steps.go()
+    talks = [steps.until(engine.accept) for engine in steps.engines]
+    for talk in talks:
+        (said,) = steps.until(talk.heard)
+        talk.say(int(said[1], 16))
+    for caller in callers:
+        steps.until(caller.status)
+    return talks
+
+
+def counted(steps: Steps, name: str) -> int:
+    return int(steps.service.counters.sums[name])
+
+
+class GoneClients(unittest.TestCase):
+    """One test for each place; each for every way of leaving."""
+
+    def check_each_way(self, bring: Callable[[Steps], Waiting], **more: Any) -> None:
+        for way in (None, *WAYS):
+            with self.subTest(getattr(way, "__name__", str(way))):
+                self.check(bring, way, Steps(self, **more))
+
+    def check(self, bring: Callable[[Steps], Waiting], leave: Leave | None, steps: Steps) -> None:
+        steps.client()  # the one that cancels
+        steps.until(lambda: steps.service.clients.connections)
+        client, go_on = bring(steps)
+        attempts(steps)
+        if leave is not None:
+            leave(steps, client)
+        go_on()
+        steps.go()
+        self.assertEqual(attempts(steps), 1 if leave is None else 0)
+        if leave is not None:  # else it stayed, and this is where its attempt begins
+            steps.go(200)
+            self.assertEqual(attempts(steps), 0)
+            self.assertNotIn(b"%016x" % LOOKUP, steps.service.link.by_ident)
+            self.assertEqual(counted(steps, "attempts_after_client_left"), 0)
+            self.assertEqual(counted(steps, "attempts_late_after_client_left"), 0)
+
+    def test_in_the_backlog(self) -> None:
+        def bring(steps: Steps) -> Waiting:
+            client = after_another(steps)
+            client.post(LOOKUP)
+            return Waiting(client, steps.round)
+
+        self.check_each_way(bring)
+
+    def test_accepted_and_not_read(self) -> None:
+        def bring(steps: Steps) -> Waiting:
+            client = after_another(steps)
+            steps.until(lambda: len(steps.service.clients.connections) == 3)
+            client.post(LOOKUP)
+            return Waiting(client, steps.round)
+
+        self.check_each_way(bring)
+
+    def test_read_and_before_its_turn(self) -> None:
+        def bring(steps: Steps) -> Waiting:
+            client = after_another(steps)
+            client.post(LOOKUP)
+            steps.until(lambda: steps.service.link.inbox)
+            return Waiting(client, lambda: only_timers(steps))
+
+        self.check_each_way(bring)
+
+    def test_behind_a_call_on_its_connection(self) -> None:
+        """The answer to the call before it is read in the round in which the client leaves."""
+
+        def bring(steps: Steps) -> Waiting:
+            client = steps.client()
+            client.post(1)
+            client.post(LOOKUP)
+            talk = steps.until(steps.engines[0].accept)
+            steps.until(talk.heard)
+
+            def answer() -> None:
+                connection = steps.service.engines.engines[0].connections[0]
+                talk.say(1)
+                connection.transport.doRead()  # before the client's socket is
+
+            return Waiting(client, answer)
+
+        self.check_each_way(bring)
+
+    def test_in_the_wait_queue(self) -> None:
+        def bring(steps: Steps) -> Waiting:
+            steps.served(1)
+            rules = steps.service.link.rules
+            rules.choose = lambda *_, **__: None  # type: ignore[method-assign]
+            client = steps.client()
+            client.post(LOOKUP)
+            steps.until(lambda: rules.held)
+            del rules.choose
+            return Waiting(client, steps.service.link.turn)
+
+        self.check_each_way(bring)
+
+    def test_while_its_connection_is_dialled(self) -> None:
+        def bring(steps: Steps) -> Waiting:
+            client = steps.client()
+            client.post(LOOKUP)
+            steps.until(lambda: steps.service.engines.connections)
+            connection = steps.service.engines.engines[0].connections[0]
+            self.assertFalse(connection.up)
+
+            def connected() -> None:
+                while not connection.up:
+                    only_timers(steps)
+                    for dialled in steps.reactor.getWriters():
+                        dialled.doWrite()
+
+            return Waiting(client, connected)
+
+        self.check_each_way(bring)
+
+    def test_while_a_guard_has_not_decided(self) -> None:
+        def bring(steps: Steps) -> Waiting:
+            steps.served(1)
+            guard = SlowGuard()
+            steps.service.link.guard = guard
+            client = steps.client()
+            client.post(LOOKUP)
+            steps.until(lambda: guard.verdicts)
+            return Waiting(client, lambda: guard.verdicts[0](True))
+
+        self.check_each_way(bring)
+
+    def test_before_its_retry(self) -> None:
+        """The first engine is full, which was read; the next attempt is due."""
+
+        def bring(steps: Steps) -> Waiting:
+            talks = connected_to_both(steps)
+            client = steps.client()
+            client.post(LOOKUP)
+            talk = steps.until(lambda: next((talk for talk in talks if talk.heard()), None))
+            talk.say(LOOKUP, "503", "-", b"")
+            steps.until(lambda: steps.service.link.inbox)
+            return Waiting(client, lambda: only_timers(steps))
+
+        self.check_each_way(bring, engines=2)
+
+    def test_while_its_retry_backs_off(self) -> None:
+        def bring(steps: Steps) -> Waiting:
+            client = steps.client()
+            client.post(LOOKUP)
+            talk = steps.until(steps.engines[0].accept)
+            steps.until(talk.heard)
+            talk.say(LOOKUP, "503", "-", b"")
+            rules = steps.service.link.rules
+            steps.until(lambda: rules.held)
+            engine = rules.engines[0]
+            self.assertGreater(engine.aside_until, steps.clock())
+            engine.aside_until = engine.pressed_until = 0.0  # its rest is over
+            return Waiting(client, steps.service.link.turn)
+
+        self.check_each_way(bring)
+
+    def test_behind_another_message_on_a_shared_connection(self) -> None:
+        def bring(steps: Steps) -> Waiting:
+            steps.service.engines.most_connections = 1
+            first = steps.client()
+            first.post(1)
+            steps.until(steps.engines[0].accept)
+            connection = steps.service.engines.engines[0].connections[0]
+            steps.until(lambda: connection.trips and not connection.sending)
+            connection.sending = True  # its transport still holds a message
+            client = steps.client()
+            client.post(LOOKUP)
+            steps.until(lambda: connection.write_queue)
+
+            def transport_has_written() -> None:
+                connection.sending = False
+                connection.flush()
+
+            return Waiting(client, transport_has_written)
+
+        self.check_each_way(bring)
+
+    def test_parsed_while_its_client_does_not_read(self) -> None:
+        """Answers of its own unread: reading is paused, and the next call lies parsed behind them."""
+
+        def bring(steps: Steps) -> Waiting:
+            client = after_another(steps)
+            client.socket.sendall(b"GET /alive HTTP/1.1\r\n\r\n")
+            self.assertEqual(steps.until(client.status), 200)
+            connection = list(steps.service.clients.connections)[-1]
+            connection.pauseProducing()
+            connection.dataReceived(WHOLE_CALL.replace(b"%016x" % 77, b"%016x" % LOOKUP))
+            self.assertEqual(steps.service.link.by_ident, {})
+
+            def client_reads() -> None:
+                connection.resumeProducing()
+                only_timers(steps)
+
+            return Waiting(client, client_reads)
+
+        self.check_each_way(bring)
+
+
+class BetweenLookAndWrite(unittest.TestCase):
+    """After the last look nothing may hold an attempt back, or its client could leave before it begins."""
+
+    def test_an_attempt_leaves_at_the_last_look(self) -> None:
+        """And not when the loop next comes to write: a round can take long on a busy machine."""
+        steps = Steps(self)
+        steps.served(1)
+        client = steps.client()
+        client.post(LOOKUP)
+        steps.until(lambda: steps.service.link.inbox)
+        only_timers(steps)
+        self.assertEqual(attempts(steps), 1)
+        client.socket.close()
+        steps.go()
+        self.assertEqual([said[0] for said in steps.engines[0].talks[0].heard()], ["cancel"])
+        self.assertEqual(counted(steps, "attempts_after_client_left"), 0)
+
+    def test_where_a_guard_keeps_a_journal_it_leaves_behind_its_turn(self) -> None:
+        """What a turn has sent is in the journal when `turned` has returned, and only then may it leave."""
+        steps = Steps(self)
+        client = after_another(steps)
+        guard = SlowGuard()
+        guard.before = lambda *_: True  # type: ignore[method-assign]
+        guard.turned = lambda: self.assertEqual(attempts(steps), 0)  # type: ignore[method-assign]
+        steps.service.link.guard = guard
+        client.post(LOOKUP)
+        steps.go()
+        self.assertEqual(attempts(steps), 1)
+
+    def test_a_cancel_that_was_not_read_follows_in_the_same_round(self) -> None:
+        steps = Steps(self)
+        steps.served(1)
+        canceller, client = steps.client(), steps.client()
+        steps.go()
+        client.post(LOOKUP)
+        steps.until(lambda: steps.service.link.inbox)
+        canceller.socket.sendall(b"DELETE /ops/lookup/%016x HTTP/1.1\r\n\r\n" % LOOKUP)
+        steps.round()
+        self.assertNotIn(b"%016x" % LOOKUP, steps.service.link.by_ident)
+        steps.round()
+        self.assertEqual([said[0] for said in steps.engines[0].talks[0].heard()], ["serve", "cancel"])
+
+    def stuck(self) -> tuple[World, Peer]:
+        """An engine that does not read: an attempt's bytes stay in the transport. Then its client leaves."""
+        world = World(self)
+        caller = Caller(world)
+        caller.post(LOOKUP)
+        peer = world.peer()
+        peer.pipe.full = True
+        peer.up()
+        caller.leave()
+        return world, peer
+
+    def test_what_the_system_has_not_taken_is_cut_off(self) -> None:
+        world, peer = self.stuck()
+        world.go(40)
+        self.assertFalse(peer.pipe.aborted)
+        world.go(20)
+        self.assertTrue(peer.pipe.aborted)
+        self.assertLess(ABANDONED_WITHIN, LEFT_LATE)
+        self.assertEqual(world.count("attempts_after_client_left"), 0)
+
+    def test_what_the_system_takes_in_time_is_left_to_run(self) -> None:
+        """It is counted: its client had left, less than 100 ms before."""
+        world, peer = self.stuck()
+        world.go(30)
+        peer.pipe.full = False
+        peer.pipe.drained()
+        world.go(60)
+        self.assertFalse(peer.pipe.aborted)
+        self.assertEqual([said[0] for said in peer.heard()], ["serve", "cancel"])
+        self.assertEqual(world.count("attempts_after_client_left"), 1)
+        self.assertEqual(world.count("attempts_late_after_client_left"), 0)
+
+    def test_others_that_run_on_its_connection_are_not_cut(self) -> None:
+        """So it may come late there, and is counted as that."""
+        world = World(self)
+        world.service.engines.most_connections = 1
+        kept, caller = Caller(world), Caller(world)
+        kept.post(OTHER)
+        peer = world.peer().up()
+        peer.pipe.full = True
+        caller.post(LOOKUP)
+        caller.leave()
+        world.go(120)
+        self.assertFalse(peer.pipe.aborted)
+        peer.pipe.full = False
+        peer.pipe.drained()
+        self.assertEqual([said[0] for said in peer.heard()], ["serve", "serve", "cancel"])
+        self.assertEqual(world.count("attempts_after_client_left"), 1)
+        self.assertEqual(world.count("attempts_late_after_client_left"), 1)
+        peer.say(OTHER, "200", "parts=1", ROW)
+        self.assertEqual(kept.answers()[0][0], 200)
+
+
+class CancelledOnItsOwnConnection(unittest.TestCase):
+    DELETE = b"DELETE /ops/lookup/%016x HTTP/1.1\r\n\r\n"
+
+    def test_behind_its_open_call(self) -> None:
+        """Its 200 would be read as the answer to that call, so none is written and the connection ends."""
+        world = World(self)
+        caller = Caller(world)
+        caller.post(LOOKUP)
+        caller.say(self.DELETE % LOOKUP)
+        self.assertEqual(world.service.link.by_ident, {})
+        self.assertEqual((caller.answers(), caller.pipe.disconnecting), ([], True))
+        self.assertEqual(world.peer().up().heard(), [])
+
+    def test_found_by_the_last_look(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.post(LOOKUP)
+        caller.pipe.unread = self.DELETE % LOOKUP
+        self.assertEqual(world.peer().up().heard(), [])
+        self.assertEqual(world.count("trips_whose_client_left"), 1)
+
+    def test_a_call_behind_another_and_its_cancel_behind_both(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.post(1)
+        caller.post(LOOKUP)
+        caller.say(self.DELETE % LOOKUP)
+        peer = world.peer().up()
+        peer.say(1, "200", "parts=1", ROW)
+        self.assertEqual([said[1] for said in peer.heard() if said[0] == "serve"], [f"{1:016x}"])
+        self.assertEqual([status for status, _, _ in caller.answers()], [200])
+
+    def test_that_of_another_is_answered_in_its_turn(self) -> None:
+        world = World(self)
+        first, caller = Caller(world), Caller(world)
+        first.post(1)
+        caller.post(LOOKUP)
+        caller.say(self.DELETE % 1 + self.DELETE % 99)
+        self.assertEqual(list(world.service.link.by_ident), [b"%016x" % LOOKUP])
+        self.assertEqual(caller.answers(), [])
+        world.peer(1).up().say(LOOKUP, "200", "parts=1", ROW)
+        self.assertEqual([status for status, _, _ in caller.answers()], [200, 200, 404])
+
+    def test_many_and_bad_ones_wait_for_their_turn(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.post(LOOKUP)
+        caller.say(self.DELETE % 99 * 40 + b"DELETE x HTTP/1.1\r\n\r\n")
+        self.assertEqual(len(caller.protocol.cancelled_ahead), 16)
+        world.peer().up().say(LOOKUP, "200", "parts=1", ROW)
+        world.go()
+        self.assertEqual([status for status, _, _ in caller.answers()], [200, *[404] * 40, 400])
+
+
+class Processes(unittest.TestCase):
+    def test_a_client_whose_process_is_killed(self) -> None:
+        """With its own call open, and half of the next one sent ahead."""
+        text = (
+            "import socket, sys\n"
+            f"it = socket.create_connection(({HOST!r}, int(sys.argv[1])))\n"
+            "it.sendall(sys.stdin.buffer.read())\n"
+            "print('sent', flush=True)\n"
+            "it.recv(1)\n"
+        )
+        steps = Steps(self)
+        steps.served(1)
+        sent = WHOLE_CALL.replace(b"%016x" % 77, b"%016x" % LOOKUP)
+        with subprocess.Popen(
+            [sys.executable, "-c", text, str(steps.told.port)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        ) as process:
+            assert process.stdin is not None and process.stdout is not None
+            process.stdin.write(sent + HALF_A_CALL)
+            process.stdin.close()
+            self.assertEqual(process.stdout.readline(), b"sent\n")
+            steps.until(lambda: steps.service.link.inbox)
+            process.kill()
+            process.wait()
+        only_timers(steps)
+        steps.go()
+        self.assertEqual(attempts(steps), 0)
+        self.assertEqual(counted(steps, "trips_whose_client_left"), 1)
+
+
+class Counts(unittest.TestCase):
+    def test_both_are_shown_where_there_is_none(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.say(b"GET /counters HTTP/1.1\r\n\r\n")
+        ((_, _, figures),) = caller.answers()
+        names = ("attempts_after_client_left", "attempts_late_after_client_left")
+        self.assertEqual([figures[name] for name in names], [0, 0])
+        caller.leave()
+        world.service.stop()
+        world.go(1000)
+        line = next(line for line in world.log.getvalue().splitlines() if "event=counters" in line)
+        self.assertTrue(all(f" {name}=0" in line for name in names))
+
+
+class SentAhead(unittest.TestCase):
+    def test_more_than_its_bound_found_by_the_last_look(self) -> None:
+        """Its connection is cut, and its request ends with that: not a round later."""
+        world = World(self)
+        caller = Caller(world)
+        caller.post(LOOKUP)
+        caller.pipe.unread = b"x" * 200_000
+        self.assertEqual(world.peer().up().heard(), [])
+        self.assertTrue(caller.pipe.aborted)
+        self.assertEqual(world.service.link.by_ident, {})
+
+
+class SlowGuard:
+    """A guard that keeps each verdict back."""
+
+    def __init__(self) -> None:
+        self.verdicts: list[Callable[[bool | None], None]] = []
+
+    def before(self, taken: Any, trip: int, go: Callable[[bool | None], None]) -> bool:
+        self.verdicts.append(go)
+        return False
+
+    def departs(self, taken: Any, trip: int, engine: int) -> bool:
+        return True
+
+    def turned(self) -> None:
+        """Nothing follows of it here."""
+
+    def __getattr__(self, name: str) -> Callable[..., Any]:
+        return lambda *_: None
