Slow writers keep their time and connection; half an answer spoils no further attempt

- A call in more than 32 pieces had its time counted from the 32nd and not from its last byte.
- A call had to be whole 2 s after its first byte.
Now 2 s are the longest pause, and 10 s the longest from first to last; half a call followed by silence still ends in 2 s.
- A connection to an engine that rested with half an answer, read or not, could be given an attempt, which the end of that half then took down.
Another connection is taken.
- A list read in the turn that sends led to a dial to an engine that it names as draining, though nothing was sent there.
It is not dialled.

--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -27,7 +27,8 @@
 IDENT = re.compile(rb"[0-9a-fA-F]{16}")
 MARK = re.compile(rb"[0-9a-zA-Z_.-]{1,64}")  # it goes on as it is, among fields parted by commas
 NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,12})?")
-LONGEST_SILENT, LONGEST_UNFINISHED = 2000.0, 2000.0  # ms; one who never says all is owed an end within 3 s
+LONGEST_SILENT = 2000.0  # ms; one who never says a word is owed an end within 3 s
+LONGEST_PAUSE, LONGEST_UNFINISHED = 2000.0, 10_000.0  # ms between two pieces of one call; from first to last
 LONGEST_IDLE, LONGEST_UNREAD = 5000.0, 10_000.0  # ms; clients close after 4 s, but some keep theirs for good
 LONGEST_LINGER, MOST_DROPPED = 1000.0, 262_144  # ms and bytes that are read and dropped after our last answer
 MOST_ARRIVALS = 32  # times kept of what one connection has sent ahead
@@ -72,7 +73,8 @@
         self.clients, self.parser = clients, RequestParser()
         self.call: Deferred[Answer] | None = None
         self.closing = self.clogged = self.brought = self.leaving = self.written = False
-        self.since, self.received, self.dropped = clients.clock(), 0, 0
+        self.since = self.last_read = clients.clock()
+        self.received = self.dropped = 0
         self.arrivals = deque[tuple[int, float]]()  # bytes received by then
         self.cancelled_ahead = deque[tuple[int, bool]]()  # status and whether the connection is kept
         self.advancing: Any = None
@@ -90,8 +92,11 @@
             if self.dropped > MOST_DROPPED:
                 self.transport.abortConnection()
             return
+        self.last_read = self.clients.clock()
         if not self.parser.left():
-            self.since = self.clients.clock()
+            self.since = self.last_read
+        elif self.call is None and not self.is_advancing():
+            self.arrivals.clear()  # one unfinished call: its time counts from its last byte
         self.parser.feed(data)
         self.received += len(data)
         if len(self.arrivals) >= MOST_ARRIVALS:  # in ever smaller pieces: the last counts from its first
@@ -116,7 +121,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.left()
-        if self.advancing is not None and self.advancing.active():
+        if self.is_advancing():
             self.advancing.cancel()
         self.clients.went(self)
 
@@ -164,7 +169,7 @@
         handled = 0
         while self.call is None and not self.closing and not self.clogged:
             if handled >= MOST_IN_A_ROW:
-                if self.advancing is None or not self.advancing.active():
+                if not self.is_advancing():
                     self.advancing = self.clients.link.reactor.callLater(0, self.advance)
                 return
             handled += 1
@@ -181,6 +186,10 @@
                 self.answer(fault.status, {"fault": str(fault)}, False)
         self.cancel_ahead()
 
+    def is_advancing(self) -> bool:
+        """Whether whole calls wait for the loop's next round."""
+        return self.advancing is not None and self.advancing.active()
+
     def cancel_ahead(self) -> None:
         """Carries out the DELETEs that stand behind an open call: that call may be the one they cancel.
 
@@ -305,13 +314,16 @@
         """Unread answers, unfinished messages, silence and idleness each hold a descriptor for nothing."""
         if self.call is not None:
             return False
+        unfinished = self.parser.left() and not (self.clogged or self.closing)
+        if unfinished and now - self.last_read > LONGEST_PAUSE:
+            return True
         longest = (
             LONGEST_LINGER
             if self.written
             else LONGEST_UNREAD
             if self.clogged or self.closing
             else LONGEST_UNFINISHED
-            if self.parser.left()
+            if unfinished
             else LONGEST_IDLE
             if self.brought
             else LONGEST_SILENT
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -120,7 +120,7 @@
         self.bounding: Any = None
         self.leaving: Trip | None = None  # whose bytes the transport may still hold
         self.leaving_terms: SendTerms | None = None
-        self.up = self.closing = self.silent = self.sending = self.ended = False
+        self.up = self.closing = self.silent = self.sending = self.ended = self.unread = False
         self.opened = self.used = self.heard = self.begun = self.engines.clock()
 
     # Twisted's calls.
@@ -300,6 +300,13 @@
         self.close_if_done()
         trip.done.callback(outcome)
 
+    def look(self) -> None:
+        """At a connection that rests: whether its engine has ended it, or has sent what nobody waits for."""
+        resting = self.up and not self.closing and not self.trips
+        waiting = pending(self.transport) if resting else None
+        self.ended |= waiting == b""  # that is to be read next
+        self.unread = resting and bool(waiting or self.parser.left())
+
     def retire(self) -> None:
         """No further trips: it ends with those that are out."""
         self.closing = True
@@ -430,16 +437,11 @@
         """The one with fewest trips, or a new one while it has any: what spoils one takes its trips along.
 
         at_most_once: where engines were seen to close idle ones early, a trip that crosses that would be in
-        doubt, so one long unused is not taken while another can be had."""
+        doubt, so one long unused is not taken while another can be had. Nor is one that rests and holds bytes
+        of an answer: what they belong to may never end, and spoils what follows."""
         engines = self.engines
         for connection in self.connections:
-            if (
-                connection.up
-                and not connection.closing
-                and not connection.trips
-                and pending(connection.transport) == b""
-            ):
-                connection.ended = True  # that is to be read next
+            connection.look()
         open_here = [
             connection
             for connection in self.connections
@@ -452,7 +454,8 @@
         fresh = [
             connection
             for connection in open_here
-            if not at_most_once or connection.trips or max(connection.used, connection.heard) > since
+            if not connection.unread
+            and (not at_most_once or connection.trips or max(connection.used, connection.heard) > since)
         ]
         if fresh or engines.connections < engines.most_connections:
             open_here = fresh
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -464,6 +464,12 @@
             self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
 
     def depart(self, taken: Taken, trip: int, engine: int, time_limit: float, now: float) -> None:
+        if taken.carrier is self.engines and not self.engines.ready(engine):
+            # A list came since the choice, maybe in this turn: there is no need to dial.
+            self.counters.add("trips_overtaken")
+            self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
+            return
+
         def at_send() -> SendTerms | None:
             return self.send_terms(taken, trip, engine, time_limit)
 
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -274,6 +274,9 @@
         for engine in self.engines().values():
             engine.aside_until = self.world.now() + 60_000
 
+    def test_small_writes_are_not_held_back(self) -> None:
+        self.assertTrue(Proxy(self).pipe.no_delay)
+
     def test_a_call_is_granted_and_its_outcome_told(self) -> None:
         proxy = Proxy(self)
         stream = proxy.ask(1)
