--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -103,7 +103,7 @@
     def getHandle(self) -> "Pipe":
         return self
 
-    def recv(self, size: int, flags: int) -> bytes:
+    def recv(self, size: int, flags: int = 0) -> bytes:
         """What has come, left there with MSG_PEEK: nothing yet, bytes, or the far side's end."""
         if not self.ended and not self.unread:
             raise BlockingIOError
@@ -112,7 +112,7 @@
             self.unread = self.unread[size:]
         return data
 
-    def send(self, data: bytes, flags: int) -> int:
+    def send(self, data: bytes) -> int:
         if self.full:
             raise BlockingIOError
         self.write(data)
--- a/tests/test_new_days.py
+++ b/tests/test_new_days.py
@@ -2,16 +2,20 @@
 
 import json
 import socket
+import subprocess
+import sys
 import tempfile
+import tomllib
 import unittest
 from pathlib import Path
-from signal import SIGTERM
+from signal import SIGHUP, SIGTERM, Signals
 
 from spurdeal.lab import names
 from spurdeal.net.start import Told, read_configuration
 from tests.helpers import Caller, Peer, World, configuration, started_process
 from tests.steps import HOST, ROW, Steps, Talk, free_port
 
+ROOT = Path(__file__).parent.parent
 OLD, NEW = ("127.0.8.9", 5300), ("127.0.8.10", 5301)  # addresses of name services
 
 
@@ -101,6 +105,13 @@
                 (dialled,) = world.reactor.tcpClients
                 self.assertEqual(dialled[0], f"127.0.9.{1 - draining}")
 
+    def test_a_lost_answer_is_asked_for_again(self) -> None:
+        """Every 200 ms, and each of the questions may still be answered."""
+        world, questions = self.silent(1_000)
+        self.assertEqual(len(questions), 5)
+        self.answer(world, questions[-1], 2, 1)
+        self.assertEqual(lives(world), {"s-0": "READY", "s-1": "DRAINING"})
+
 
 class ReloadsAndDrains(unittest.TestCase):
     """SIGHUP moves the name service while a drain is told: in either order, and overlapping."""
@@ -512,6 +523,43 @@
                 self.assertEqual(steps.service.link.by_ident, {})
 
 
+class SignalsAroundTheLoop(unittest.TestCase):
+    """Those that come before the program's first line, and between two of its steps."""
+
+    def sent_before_the_first_line(self, number: Signals) -> int:
+        """By the shell of `run`, whose program is replaced by one that gets the signal first of all."""
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        shell, _, program = run.partition("exec ")
+        self.assertTrue(program)
+        first = f"import os; os.kill(os.getpid(), {int(number)})"
+        words = ["sh", "-c", shell + 'exec "$0" -c "$1"', sys.executable, first]
+        return subprocess.run(words, check=False, timeout=60).returncode
+
+    def test_a_hangup_before_the_first_line_changes_nothing(self) -> None:
+        self.assertEqual(self.sent_before_the_first_line(SIGHUP), 0)
+
+    def test_told_to_end_before_the_first_line_it_ends(self) -> None:
+        self.assertEqual(self.sent_before_the_first_line(SIGTERM), -SIGTERM)
+
+    def test_the_loop_never_waits_for_long(self) -> None:
+        """A signal that comes just before the loop waits is carried out behind that wait."""
+        steps = Steps(self)
+        waits = []
+
+        def note() -> None:
+            for _ in range(20):
+                steps.go(30)
+                waits.append(steps.reactor.timeout())
+
+        note()
+        client = steps.client()
+        client.post(1)
+        note()
+        steps.service.stop()
+        note()
+        self.assertLessEqual(max(waits), 0.05)
+
+
 class SmallWrites(unittest.TestCase):
     """TCP_NODELAY: a small write that the system held back would go with a reset."""
 
