The choice of a connection looks at the socket of the chosen one only

Each choice looked at the sockets of all connections that rest at its engine. Now the emptiest is chosen first, and another one only where its socket shows an end or bytes that nobody waits for. The choice and the opening of a connection are functions of their own.

--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -120,7 +120,8 @@
         self.bounding: Any = None
         self.leaving: Trip | None = None  # whose bytes the transport may still hold
         self.leaving_terms: SendTerms | None = None
-        self.up = self.closing = self.silent = self.sending = self.ended = self.unread = False
+        self.up = self.closing = self.silent = self.sending = self.ended = False
+        self.unread = False  # part of an answer has come, or bytes that were not read
         self.opened = self.used = self.heard = self.begun = self.engines.clock()
 
     # Twisted's calls.
@@ -144,6 +145,7 @@
                 self.answered(parts)
         except (BadAnswer, ValueError) as fault:
             self.cut(str(fault))
+        self.unread = bool(self.parser.left())
         if self.up and self.parser.left() and self.bounding is None:
             self.bounding = self.engines.reactor.callLater(self.patience() / 1000, self.stall)
 
@@ -289,6 +291,27 @@
         if not any(other.written for other in self.trips.values()):
             self.cut_off(trip)
 
+    def takes(self, trip: Trip) -> bool:
+        """Whether this one may carry it, as far as is known."""
+        return (
+            not self.closing
+            and not self.ended
+            and trip.ident not in self.trips
+            and trip.ident not in self.past
+        )
+
+    def look(self) -> bool:
+        """At the socket of one that rests; True where that shows it as no good choice.
+
+        Its far side's end has come, or bytes that no trip waits for: these may never become an answer, and
+        spoil what follows."""
+        waiting = pending(self.transport) if self.up and not self.trips else None
+        ended, unread = waiting == b"", bool(waiting)
+        news = (ended and not self.ended) or (unread and not self.unread)
+        self.ended |= ended  # that is to be read next
+        self.unread |= unread
+        return news
+
     def finish(self, trip: Trip, outcome: Outcome, given_up: bool = False) -> None:
         if not self.engines.counters.must(self.trips.pop(trip.ident, None) is trip, "trip_ends_once"):
             return
@@ -300,13 +323,6 @@
         self.close_if_done()
         trip.done.callback(outcome)
 
-    def look(self) -> None:
-        """At a connection that rests: whether its engine has ended it, or has sent what nobody waits for."""
-        resting = self.up and not self.closing and not self.trips
-        waiting = pending(self.transport) if resting else None
-        self.ended |= waiting == b""  # that is to be read next
-        self.unread = resting and bool(waiting or self.parser.left())
-
     def retire(self) -> None:
         """No further trips: it ends with those that are out."""
         self.closing = True
@@ -434,46 +450,45 @@
                     connection.lost(Ending.MOOT)  # dialled for, at what it no longer is
 
     def connection_for(self, trip: Trip, at_most_once: bool) -> Connection | None:
-        """The one with fewest trips, or a new one while it has any: what spoils one takes its trips along.
+        """An open one, or a new one. What came on the chosen one and was not read is seen on its socket."""
+        while (found := self.emptiest(trip, at_most_once)) is not None and found.look():
+            pass  # the next best
+        if found is not None or self.engines.full():
+            return found
+        connection = Connection(self)
+        self.connections.append(connection)
+        self.engines.connections += 1
+        self.engines.dial(self.seat.host, self.seat.port, Dial(connection))
+        return connection
+
+    def emptiest(self, trip: Trip, at_most_once: bool) -> Connection | None:
+        """The open one with fewest trips; None where a new one is better: what spoils one takes its trips
+        along.
 
-        at_most_once: where engines were seen to close idle ones early, a trip that crosses that would be in
-        doubt, so one long unused is not taken while another can be had. Nor is one that rests and holds bytes
-        of an answer: what they belong to may never end, and spoils what follows."""
+        While another can be had, one that rests with half an answer is not taken, nor, at_most_once, one long
+        unused: where engines were seen to close idle ones early, a trip that crosses that is in doubt."""
         engines = self.engines
-        for connection in self.connections:
-            connection.look()
-        open_here = [
-            connection
-            for connection in self.connections
-            if not connection.closing
-            and not connection.ended
-            and trip.ident not in connection.trips
-            and trip.ident not in connection.past
-        ]
+        usable = [connection for connection in self.connections if connection.takes(trip)]
         since = engines.clock() - IDLE_PART * engines.closes_after
         fresh = [
             connection
-            for connection in open_here
-            if not connection.unread
-            and (not at_most_once or connection.trips or max(connection.used, connection.heard) > since)
+            for connection in usable
+            if connection.trips
+            or (
+                not connection.unread and (not at_most_once or max(connection.used, connection.heard) > since)
+            )
         ]
-        if fresh or engines.connections < engines.most_connections:
-            open_here = fresh
-        emptiest = min(open_here, key=lambda connection: len(connection.trips), default=None)
-        full = engines.connections >= engines.most_connections
+        full = engines.full()
+        if fresh or not full:
+            usable = fresh
+        found = min(usable, key=lambda connection: len(connection.trips), default=None)
         if (
-            emptiest is not None
-            and len(emptiest.trips) < engines.trips_a_connection
-            and (not emptiest.trips or full or len(self.connections) >= engines.share())
+            found is not None
+            and len(found.trips) < engines.trips_a_connection
+            and (not found.trips or full or len(self.connections) >= engines.share())
         ):
-            return emptiest
-        if full:
-            return None
-        connection = Connection(self)
-        self.connections.append(connection)
-        engines.connections += 1
-        engines.dial(self.seat.host, self.seat.port, Dial(connection))
-        return connection
+            return found
+        return None
 
     def sweep(self, idle_since: float) -> None:
         for connection in list(self.connections):
@@ -539,6 +554,10 @@
         if engine.seat.life == Life.GONE and not engine.connections:
             self.engines.pop(engine.number, None)
 
+    def full(self) -> bool:
+        """No further connection may be opened."""
+        return self.connections >= self.most_connections
+
     def share(self) -> int:
         """How many connections one engine may have, so that there are some for each."""
         return max(1, self.most_connections // max(1, len(self.engines)))
--- a/tests/test_new_days.py
+++ b/tests/test_new_days.py
@@ -430,19 +430,25 @@
                 self.assertEqual(peer.pipe.aborted, read)  # half an answer is bounded in time
 
     def test_half_of_it_where_no_other_connection_may_be_had(self) -> None:
-        world = World(self)
-        world.service.engines.most_connections = 1
-        caller = Caller(world)
-        caller.post(1)
-        peer = world.peer().up()
-        peer.say(1, "200", "parts=1", ROW)
         whole = b"*4\r\n$16\r\n%016x\r\n$3\r\n200\r\n$1\r\n-\r\n$0\r\n\r\n" % 1
-        peer.raw(whole[:30])
-        caller.post(2)
-        self.assertEqual(len(peer.heard()), 2)
-        peer.raw(whole[30:])
-        peer.say(2, "200", "parts=1", ROW)
-        self.assertEqual([status for status, _, _ in caller.answers()], [200, 200])
+        for read in (True, False):
+            with self.subTest(read=read):
+                world = World(self)
+                world.service.engines.most_connections = 1
+                caller = Caller(world)
+                caller.post(1)
+                peer = world.peer().up()
+                peer.say(1, "200", "parts=1", ROW)
+                if read:
+                    peer.raw(whole[:30])
+                else:
+                    peer.pipe.unread = whole[:30]
+                caller.post(2)
+                self.assertEqual(len(peer.heard()), 2)
+                peer.pipe.unread = b""
+                peer.raw(whole[30:] if read else whole)
+                peer.say(2, "200", "parts=1", ROW)
+                self.assertEqual([status for status, _, _ in caller.answers()], [200, 200])
 
 
 class Ends(unittest.TestCase):
