A client's connection has a phase instead of three flags; its time limits one function each

Open, closing and lingering were three flags of which two could not differ. The nested choice of the time limit is a function of its own, docstrings say what is raised, and `number`, `left` and `leaving` are `number_field`, `withdraw` and `draining`.

--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -1,4 +1,4 @@
-"""One client's connection: HTTP/1.1 calls taken off it, and answers written."""
+"""One client's connection: HTTP/1.1 requests taken off it, and answers written."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import re
 from collections import deque
 from collections.abc import Mapping
+from enum import Enum
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
@@ -36,7 +37,20 @@
 MOST_IN_A_ROW = 16  # calls that one connection may have handled before others have their turn
 
 
-def number(fields: Mapping[bytes, memoryview], name: bytes, default: float | None = None) -> float:
+class Phase(Enum):
+    """How far the end of a connection has come."""
+
+    OPEN = "requests are taken"
+    CLOSING = "none is taken any more; what is written last is on its way"
+    LINGERING = "the write side is shut; what still comes is dropped"
+
+
+def number_field(fields: Mapping[bytes, memoryview], name: bytes, default: float | None = None) -> float:
+    """The value of a field that holds a number.
+
+    Raises:
+        BadMessage: the field is missing and has no default, or holds no number.
+    """
     if name not in fields and default is not None:
         return default
     text = fields.get(name, b"")
@@ -56,6 +70,7 @@
 
 
 def rows_of(pages: tuple[bytes, ...]) -> list[list[str]]:
+    """A result's rows from its pages: a tab between columns, a line feed behind each row."""
     text = b"".join(pages).decode("utf-8")
     return [row.split("\t") for row in text.split("\n")[:-1]]
 
@@ -72,13 +87,26 @@
     def __init__(self, clients: Clients) -> None:
         self.clients, self.parser = clients, RequestParser()
         self.call: Deferred[Answer] | None = None
-        self.closing = self.clogged = self.brought = self.leaving = self.written = False
+        self.phase = Phase.OPEN
+        self.clogged = False  # its answers go unread, and nothing is read from it
+        self.brought = False  # it has sent a submission
+        self.draining = False  # its next answer is its last
         self.since = self.last_read = clients.clock()
         self.received = self.dropped = 0
         self.arrivals = deque[tuple[int, float]]()  # bytes received by then
         self.cancelled_ahead = deque[tuple[int, bool]]()  # status and whether the connection is kept
         self.advancing: Any = None
 
+    @property
+    def closing(self) -> bool:
+        """Whether nothing more is taken from it."""
+        return self.phase is not Phase.OPEN
+
+    @property
+    def written(self) -> bool:
+        """Whether all that is owed to it has left."""
+        return self.phase is Phase.LINGERING
+
     # Twisted's calls.
 
     def connectionMade(self) -> None:
@@ -105,33 +133,37 @@
             self.arrivals.append((self.received, self.clients.clock()))
         if self.call is not None and self.parser.left() > self.clients.ahead:
             self.clients.counters.add("client_ran_ahead")
-            self.left()
+            self.withdraw()
             self.transport.abortConnection()
             return
         self.advance()
 
     def readConnectionLost(self) -> None:
         """Its end, or that of its sending: it has left, also where an answer is still on its way."""
-        self.left()
+        self.withdraw()
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
     def writeConnectionLost(self) -> None:
-        self.written, self.since = True, self.clients.clock()
+        self.phase, self.since = Phase.LINGERING, self.clients.clock()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.left()
+        self.withdraw()
         if self.is_advancing():
             self.advancing.cancel()
         self.clients.went(self)
 
-    def left(self) -> None:
-        """No answer is owed any more."""
-        self.closing = True
+    def withdraw(self) -> None:
+        """It has gone: no answer is owed any more, and its open call ends."""
+        self.stop_taking()
         call, self.call = self.call, None
         if call is not None:
             call.cancel()
 
+    def stop_taking(self) -> None:
+        if self.phase is Phase.OPEN:
+            self.phase = Phase.CLOSING
+
     def is_here(self) -> bool:
         """Whether it has not ended the connection, as far as has arrived.
 
@@ -143,7 +175,7 @@
             if data:
                 self.dataReceived(data)
             else:
-                self.left()  # the transport finds the end as well, and closes
+                self.withdraw()  # the transport finds the end as well, and closes
         return False
 
     def pauseProducing(self) -> None:
@@ -152,12 +184,12 @@
         self.transport.pauseProducing()
 
     def resumeProducing(self) -> None:
-        self.clogged = False
+        self.clogged, self.last_read = False, self.clients.clock()
         self.transport.resumeProducing()
         self.advance()
 
     def stopProducing(self) -> None:
-        self.closing = True
+        self.stop_taking()
 
     # Calls and answers.
 
@@ -215,6 +247,7 @@
     def handle(
         self, method: bytes, target: bytes, fields: dict[bytes, memoryview], body: memoryview, keep: bool
     ) -> None:
+        """Carries one whole request out, or opens a call with it."""
         path, last = target.partition(b"?")[0], last_part(target)
         if method == b"POST":
             self.submit(path, fields, body, keep)
@@ -230,11 +263,16 @@
             self.answer(404 if method == b"GET" else 405, {"fault": "NotKnown"}, keep)
 
     def submit(self, path: bytes, fields: dict[bytes, memoryview], body: memoryview, keep: bool) -> None:
+        """Hands a submission to the link, and keeps the call open until that has its answer.
+
+        Raises:
+            BadMessage: its workload, id or figures cannot be used, or its id is open.
+        """
         kind = self.clients.workload_of(path)
         if kind is None:
             raise BadMessage(404, "the workload is not known")
-        ident, wait = bytes(fields.get(b"req-id", b"")), number(fields, b"req-wait-ms")
-        cost, memory = number(fields, b"req-cost", 0.0), number(fields, b"x-est-mb", 0.0)
+        ident, wait = bytes(fields.get(b"req-id", b"")), number_field(fields, b"req-wait-ms")
+        cost, memory = number_field(fields, b"req-cost", 0.0), number_field(fields, b"x-est-mb", 0.0)
         if not IDENT.fullmatch(ident) or wait <= 0:
             raise BadMessage(400, "req-id or req-wait-ms cannot be used")
         statement = bytes(body)  # outlives the buffer: further trips may need it
@@ -263,10 +301,11 @@
 
     def leave(self) -> None:
         """Its address is held elsewhere now: what is open is answered, and nothing more is taken."""
-        self.leaving = True
+        self.draining = True
         self.close_if_idle()
 
     def concluded(self, answer: Answer, keep: bool) -> None:
+        """Writes the answer to the open call, then takes what has come behind it."""
         if not self.clients.counters.must(self.call is not None and not self.closing, "answer_to_a_call"):
             return
         self.call = None
@@ -281,6 +320,7 @@
         self.advance()
 
     def withdrawn(self, failure: Failure) -> None:
+        """Its open call was cancelled, by itself or on another connection: there is nothing to answer."""
         if not isinstance(failure.value, CancelledError):
             failure.raiseException()
         self.call = None
@@ -288,8 +328,9 @@
             self.close()
 
     def answer(self, status: int, value: object, keep: bool, extra: tuple[tuple[str, str], ...] = ()) -> None:
+        """Writes one answer; the connection ends with it unless it may be kept."""
         self.clients.counters.add(f"answers_{status}")
-        self.since, keep = self.clients.clock(), keep and not self.leaving and not self.clients.ending
+        self.since, keep = self.clients.clock(), keep and not self.draining and not self.clients.ending
         body = json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode()
         self.transport.write(response(status, body, keep, extra))
         if not keep:
@@ -297,7 +338,8 @@
 
     def close(self) -> None:
         """Lingers: see above; what it has not read yet leaves first."""
-        self.closing, self.since = True, self.clients.clock()
+        self.stop_taking()
+        self.since = self.clients.clock()
         self.arrivals.clear()
         self.transport.unregisterProducer()
         self.transport.resumeProducing()
@@ -314,21 +356,22 @@
         """Unread answers, unfinished messages, silence and idleness each hold a descriptor for nothing."""
         if self.call is not None:
             return False
-        unfinished = self.parser.left() and not (self.clogged or self.closing)
-        if unfinished and now - self.last_read > LONGEST_PAUSE:
-            return True
-        longest = (
-            LONGEST_LINGER
-            if self.written
-            else LONGEST_UNREAD
-            if self.clogged or self.closing
-            else LONGEST_UNFINISHED
-            if unfinished
-            else LONGEST_IDLE
-            if self.brought
-            else LONGEST_SILENT
-        )
-        return now - self.since > longest
+        paused = self.is_unfinished() and now - max(self.last_read, self.since) > LONGEST_PAUSE
+        return paused or now - self.since > self.longest()
+
+    def longest(self) -> float:
+        """ms for which it may stay as it is, counted from `since`."""
+        if self.written:
+            return LONGEST_LINGER
+        if self.clogged or self.closing:
+            return LONGEST_UNREAD
+        if self.is_unfinished():
+            return LONGEST_UNFINISHED
+        return LONGEST_IDLE if self.brought else LONGEST_SILENT
+
+    def is_unfinished(self) -> bool:
+        """Whether part of a request has come, and the rest is to be read."""
+        return not self.clogged and not self.closing and self.parser.left() > 0
 
     def expire(self) -> None:
         """What waits for nothing is closed; what does not read is cut."""
@@ -342,4 +385,5 @@
             self.close_if_idle()
 
     def is_idle(self) -> bool:
+        """Whether it rests between two requests."""
         return self.call is None and not self.closing and not self.clogged and not self.parser.left()
--- a/tests/test_new_days.py
+++ b/tests/test_new_days.py
@@ -331,6 +331,26 @@
             caller.say(piece)
         self.assertIn("wait=1460,", self.served(world, peer, caller, 1))
 
+    def test_half_a_call_behind_an_open_one_has_its_pause_from_that_ones_answer(self) -> None:
+        world, caller, peer = self.started()
+        caller.say(self.call(1, wait=5000) + self.call(2)[:50])
+        world.go(2200)
+        self.served(world, peer, caller, 1)
+        world.go(1500)
+        caller.say(self.call(2)[50:])
+        self.served(world, peer, caller, 2)
+
+    def test_half_a_call_read_before_its_client_read_no_more(self) -> None:
+        """Its pause counts from when it reads again, as it was not read from until then."""
+        world, caller, peer = self.started()
+        caller.say(self.call(1)[:50])
+        caller.protocol.pauseProducing()
+        world.go(3000)
+        caller.protocol.resumeProducing()
+        world.go(1500)
+        caller.say(self.call(1)[50:])
+        self.served(world, peer, caller, 1)
+
     def test_one_that_writes_for_ever_is_not(self) -> None:
         world, caller, _ = self.started()
         for _ in range(8):
