Requests that are answered at once no longer nest: a thousand in one piece are answered

Cause: an answer given while a request was being taken (a submission that a guard knows) took the next request on the stack of the one before; about 150 in one piece ended in a RecursionError inside a Deferred, and the connection stayed without answers.

Change: requests are taken in one loop, which an answer inside of it does not enter again.

--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -96,6 +96,7 @@
         self.arrivals = deque[tuple[int, float]]()  # bytes received by then
         self.cancelled_ahead = deque[tuple[int, bool]]()  # status and whether the connection is kept
         self.advancing: Any = None
+        self.taking = False  # requests, within `advance`: one that is answered at once does not nest
 
     @property
     def closing(self) -> bool:
@@ -194,12 +195,22 @@
     # Calls and answers.
 
     def advance(self) -> None:
-        """Takes what has come whole. One that sends many at once waits for the loop's next round between."""
-        while self.cancelled_ahead and self.call is None and not self.closing and not self.clogged:
+        """Takes what has come whole, unless that is being done."""
+        if not self.taking:
+            self.taking = True
+            try:
+                self.take_requests()
+            finally:
+                self.taking = False
+            self.cancel_ahead()
+
+    def take_requests(self) -> None:
+        """One that sends many at once waits for the loop's next round between."""
+        while self.cancelled_ahead and self.is_free():
             status, keep = self.cancelled_ahead.popleft()
             self.answer(status, {}, keep)
         handled = 0
-        while self.call is None and not self.closing and not self.clogged:
+        while self.is_free():
             if handled >= MOST_IN_A_ROW:
                 if not self.is_advancing():
                     self.advancing = self.clients.link.reactor.callLater(0, self.advance)
@@ -216,7 +227,10 @@
             except BadMessage as fault:
                 self.clients.counters.add("client_bad_messages")
                 self.answer(fault.status, {"fault": str(fault)}, False)
-        self.cancel_ahead()
+
+    def is_free(self) -> bool:
+        """Whether the next request may be taken."""
+        return self.call is None and not self.closing and not self.clogged
 
     def is_advancing(self) -> bool:
         """Whether whole calls wait for the loop's next round."""
@@ -386,4 +400,4 @@
 
     def is_idle(self) -> bool:
         """Whether it rests between two requests."""
-        return self.call is None and not self.closing and not self.clogged and not self.parser.left()
+        return self.is_free() and not self.parser.left()
--- a/tests/test_new_days.py
+++ b/tests/test_new_days.py
@@ -9,8 +9,10 @@
 import unittest
 from pathlib import Path
 from signal import SIGHUP, SIGTERM, Signals
+from unittest.mock import Mock
 
 from spurdeal.lab import names
+from spurdeal.net.link import BrokenOff
 from spurdeal.net.start import Told, read_configuration
 from tests.helpers import Caller, Peer, World, configuration, started_process
 from tests.steps import HOST, ROW, Steps, Talk, free_port
@@ -536,6 +538,17 @@
         rows = [value["result"][0] for _, _, value in caller.answers()]
         self.assertEqual([row[0] for row in rows], [str(ident) for ident in range(1, 41)])
 
+    def test_a_thousand_that_are_answered_at_once(self) -> None:
+        """As those are that a guard knows: one does not stand on the other's stack."""
+        world = World(self)
+        guard = Mock()
+        guard.door.return_value = BrokenOff()
+        world.service.link.guard = guard
+        caller = Caller(world)
+        caller.say(b"".join(call(ident) for ident in range(1, 1001)))
+        world.go(50)
+        self.assertEqual([status for status, _, _ in caller.answers()], [500] * 1000)
+
     def test_forty_calls_in_one_piece_and_gone(self) -> None:
         for end in ("close", "shutdown"):
             with self.subTest(end):
