--- a/tests/test_gone_clients.py
+++ b/tests/test_gone_clients.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
@@ -117,8 +117,10 @@
 class GoneClients(unittest.TestCase):
     """One test for each place; each for every way of leaving."""
 
-    def check_each_way(self, bring: Callable[[Steps], Waiting], **more: Any) -> None:
-        for way in (None, *WAYS):
+    def check_each_way(
+        self, bring: Callable[[Steps], Waiting], ways: Sequence[Leave] = WAYS, **more: Any
+    ) -> None:
+        for way in (None, *ways):
             with self.subTest(getattr(way, "__name__", str(way))):
                 self.check(bring, way, Steps(self, **more))
 
@@ -147,6 +149,32 @@
 
         self.check_each_way(bring)
 
+    def test_in_the_backlog_while_accepting_is_paused(self) -> None:
+        """Each connection has a call open. Its end needs no accepting; a cancel would wait as it does."""
+
+        def bring(steps: Steps) -> Waiting:
+            rules = steps.service.link.rules
+            rules.choose = lambda *_, **__: None  # type: ignore[method-assign]
+            busy = []
+            while not steps.service.clients.paused:
+                busy.append(steps.client())
+                busy[-1].post(100 + len(busy))
+                steps.go()
+            client = steps.client()
+            client.post(LOOKUP)
+            steps.go()
+            self.assertNotIn(b"%016x" % LOOKUP, steps.service.link.by_ident)
+
+            def others_leave() -> None:
+                for other in busy:
+                    other.socket.close()
+                del rules.choose
+                steps.go()
+
+            return Waiting(client, others_leave)
+
+        self.check_each_way(bring, ENDED, limits={"sockets": 32})
+
     def test_accepted_and_not_read(self) -> None:
         def bring(steps: Steps) -> Waiting:
             client = after_another(steps)
