--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -50,7 +50,7 @@
         wait: for how many ms the engine may work on it.
         rank: its priority.
         mark: by which engines know a repeat, where its client gave one.
-        at_once: whether it is handed to the system at once, and not as the loop next writes.
+        at_once: whether it is handed to the system at once; else with `Engines.write_held`.
         taken: called once the system has taken its last byte.
     """
 
@@ -120,6 +120,7 @@
         self.bounding: Any = None
         self.leaving: Trip | None = None  # whose bytes the transport may still hold
         self.leaving_terms: SendTerms | None = None
+        self.held = b""  # messages that leave with `Engines.write_held`
         self.up = self.closing = self.silent = self.sending = self.ended = False
         self.unread = False  # part of an answer has come, or bytes that were not read
         self.opened = self.used = self.heard = self.begun = self.engines.clock()
@@ -199,17 +200,32 @@
         self.message_taken()
         while self.write_queue:
             ready = self.next_messages()
-            if self.leaving_terms is not None and self.leaving_terms.at_once:
-                # By the transport's own turn in the loop its client might have left unseen.
-                ready = ready[immediate.send(self.transport, ready) :]
-            if ready:
-                self.transport.write(ready)
+            if self.leaving_terms is not None and not self.leaving_terms.at_once:
+                self.held = ready
+                self.engines.held.append(self)
+                return
+            if not self.handed_over(ready):
                 return
             self.message_taken()
         self.sending = False
         self.transport.unregisterProducer()
         self.close_if_done()
 
+    def handed_over(self, ready: bytes) -> bool:
+        """Whether the system has taken all of it; the transport writes the rest, then asks for more.
+
+        A trip goes at once: by the transport's own turn in the loop its client might have left unseen."""
+        if self.leaving is not None:
+            ready = ready[immediate.send(self.transport, ready) :]
+        if ready:
+            self.transport.write(ready)
+        return not ready
+
+    def write_held(self) -> None:
+        ready, self.held = self.held, b""
+        if self.up and ready and self.handed_over(ready):
+            self.resumeProducing()
+
     def message_taken(self) -> None:
         """The system has taken all that was written."""
         terms, self.leaving, self.leaving_terms = self.leaving_terms, None, None
@@ -511,6 +527,7 @@
         self.reactor, self.clock, self.counters, self.log = reactor, clock, counters, log
         self.report_fields, self.connections = tuple(report_fields), 0
         self.engines: dict[int, Engine] = {}
+        self.held: list[Connection] = []
 
     def bound(
         self,
@@ -585,6 +602,12 @@
             connection.carry(trip)
         return trip
 
+    def write_held(self) -> None:
+        """Hands over the trips whose terms did not let them leave at once."""
+        held, self.held = self.held, []
+        for connection in held:
+            connection.write_held()
+
     def weigh(self, trip: Trip, rank: int) -> None:
         if trip.connection is not None and trip.written and not trip.parts:
             trip.connection.write(b"weigh", trip.ident, b"%d" % rank)
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -369,8 +369,11 @@
             self.guarded(act, *words)
         if self.guard is not None:
             self.guarded(self.guard.turned)
-        self.counters.most("longest_turn_ms", self.clock() - began)
         self.in_turn = False
+        self.guarded(self.engines.write_held)
+        self.counters.most("longest_turn_ms", self.clock() - began)
+        if self.turning is not None:
+            return  # what was written has brought the next one on
         if self.inbox:
             self.turning = self.reactor.callLater(0, self.turn)
         elif self.alarms:
--- a/tests/test_gone_clients.py
+++ b/tests/test_gone_clients.py
@@ -345,7 +345,7 @@
         self.assertEqual(counted(steps, "attempts_after_client_left"), 0)
 
     def test_where_a_guard_keeps_a_journal_it_leaves_behind_its_turn(self) -> None:
-        """What a turn has sent is in the journal when `turned` has returned, and only then may it leave."""
+        """What a turn has sent is in the journal when `turned` has returned; then it leaves, at once."""
         steps = Steps(self)
         client = after_another(steps)
         guard = SlowGuard()
@@ -353,9 +353,40 @@
         guard.turned = lambda: self.assertEqual(attempts(steps), 0)  # type: ignore[method-assign]
         steps.service.link.guard = guard
         client.post(LOOKUP)
-        steps.go()
+        steps.until(lambda: steps.service.link.inbox)
+        only_timers(steps)
         self.assertEqual(attempts(steps), 1)
 
+    def test_two_in_one_turn_on_a_connection_with_a_journal(self) -> None:
+        """The second leaves as the system has taken the first, with a look and a record of its own."""
+        steps = Steps(self)
+        steps.service.engines.most_connections = 1
+        after_another(steps)
+        guard = SlowGuard()
+        guard.before = lambda *_: True  # type: ignore[method-assign]
+        steps.service.link.guard = guard
+        for ident, client in ((LOOKUP, steps.client()), (OTHER, steps.client())):
+            client.post(ident)
+        steps.until(lambda: len(steps.service.link.inbox) == 2)
+        only_timers(steps)
+        said = [words[1] for words in steps.engines[0].talks[0].heard()]
+        self.assertEqual(said, [f"{LOOKUP:016x}", f"{OTHER:016x}"])
+
+    def test_a_connection_lost_before_the_journal_is_written(self) -> None:
+        world = World(self, engines=2)
+        guard = SlowGuard()
+        guard.before = lambda *_: True  # type: ignore[method-assign]
+        caller = Caller(world)
+        caller.post(1)
+        peer = world.peer().up()
+        peer.say(1, "200", "parts=1", ROW)
+        world.service.link.guard = guard
+        guard.turned = lambda: peer.protocol.lost()  # type: ignore[method-assign]
+        caller.post(LOOKUP)
+        guard.turned = lambda: None  # type: ignore[method-assign]
+        world.go()
+        self.assertEqual([said[1] for said in peer.heard()], [f"{1:016x}"])
+
     def test_a_cancel_that_was_not_read_follows_in_the_same_round(self) -> None:
         steps = Steps(self)
         steps.served(1)
--- a/tests/test_new_days.py
+++ b/tests/test_new_days.py
@@ -249,12 +249,18 @@
                 self.check(steps, client)
 
     def test_a_process_told_to_end_right_after_it_accepted(self) -> None:
-        with tempfile.TemporaryDirectory() as folder, socket.socket() as engine:
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            socket.socket() as engine,
+            socket.socket(type=socket.SOCK_DGRAM) as silent,  # a name service of its own that says nothing
+        ):
+            silent.bind((HOST, 0))
             engine.bind((HOST, 0))
             engine.listen()
             engine.settimeout(20)
             port, path = free_port(), Path(folder) / "config.json"
-            given = configuration(1, listen=f"{HOST}:{port}")
+            service = f"{HOST}:{silent.getsockname()[1]}"
+            given = configuration(1, listen=f"{HOST}:{port}", nameserver=service)
             (instance,) = given["known"]["items"][0]["roster"]["instances"]
             instance["hostPort"] = f"{HOST}:{engine.getsockname()[1]}"
             path.write_text(json.dumps(given))
