--- a/tests/test_new_days.py
+++ b/tests/test_new_days.py
@@ -9,11 +9,12 @@
 import unittest
 from pathlib import Path
 from signal import SIGHUP, SIGTERM, Signals
+from typing import Any
 from unittest.mock import Mock
 
 from spurdeal.lab import names
 from spurdeal.net.link import BrokenOff
-from spurdeal.net.start import Told, read_configuration
+from spurdeal.net.start import read_configuration
 from tests.helpers import Caller, Peer, World, configuration, started_process
 from tests.steps import HOST, ROW, Steps, Talk, free_port
 
@@ -118,14 +119,14 @@
 class ReloadsAndDrains(unittest.TestCase):
     """SIGHUP moves the name service while a drain is told: in either order, and overlapping."""
 
-    def told(self, serial: int = 1, draining: bool = False) -> Told:
+    def told(self, serial: int = 1, draining: bool = False) -> Any:
         given = configuration(2, nameserver=f"{NEW[0]}:{NEW[1]}")
         given["known"]["no"] = given["known"]["items"][0]["no"] = serial
         if draining:
             given["known"]["items"][0]["roster"]["instances"][0]["lifecycle"] = "DRAINING"
         return read_configuration(json.dumps(given))
 
-    def reload(self, world: World, told: Told) -> None:
+    def reload(self, world: World, told: Any) -> None:
         world.service.read_again(lambda: told)
 
     def check(self, world: World, draining: bool = True) -> None:
