--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -1,4 +1,4 @@
-"""One client's connection: HTTP/1.1 calls taken off it, and answers written."""
+"""One client's connection: HTTP/1.1 requests taken off it, and answers written."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import re
 from collections import deque
 from collections.abc import Mapping
+from enum import Enum
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
@@ -15,6 +16,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from . import immediate
 from .http import BadMessage, RequestParser, response
 from .link import Answer, BrokenOff, Delivered, Shed
 from .pending import pending
@@ -27,14 +29,29 @@
 IDENT = re.compile(rb"[0-9a-fA-F]{16}")
 MARK = re.compile(rb"[0-9a-zA-Z_.-]{1,64}")  # it goes on as it is, among fields parted by commas
 NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,12})?")
-LONGEST_SILENT, LONGEST_UNFINISHED = 2000.0, 2000.0  # ms; one who never says all is owed an end within 3 s
+LONGEST_SILENT = 2000.0  # ms; one who never says a word is owed an end within 3 s
+LONGEST_PAUSE, LONGEST_UNFINISHED = 2000.0, 10_000.0  # ms between two pieces of one call; from first to last
 LONGEST_IDLE, LONGEST_UNREAD = 5000.0, 10_000.0  # ms; clients close after 4 s, but some keep theirs for good
 LONGEST_LINGER, MOST_DROPPED = 1000.0, 262_144  # ms and bytes that are read and dropped after our last answer
 MOST_ARRIVALS = 32  # times kept of what one connection has sent ahead
+MOST_CANCELLED_AHEAD = 16  # DELETEs behind an open call that are carried out before their turn
 MOST_IN_A_ROW = 16  # calls that one connection may have handled before others have their turn
 
 
-def number(fields: Mapping[bytes, memoryview], name: bytes, default: float | None = None) -> float:
+class Phase(Enum):
+    """How far the end of a connection has come."""
+
+    OPEN = "requests are taken"
+    CLOSING = "none is taken any more; what is written last is on its way"
+    LINGERING = "the write side is shut; what still comes is dropped"
+
+
+def number_field(fields: Mapping[bytes, memoryview], name: bytes, default: float | None = None) -> float:
+    """The value of a field that holds a number.
+
+    Raises:
+        BadMessage: the field is missing and has no default, or holds no number.
+    """
     if name not in fields and default is not None:
         return default
     text = fields.get(name, b"")
@@ -43,12 +60,18 @@
     return float(text)
 
 
+def last_part(target: bytes) -> bytes:
+    """Of a request's path, without its query."""
+    return target.partition(b"?")[0].rpartition(b"/")[2]
+
+
 def key_of(text: bytes | memoryview) -> int:
     """A number for a key, the same at any time; 0 for none. Nothing need be kept of keys."""
     return int.from_bytes(blake2b(text, digest_size=8).digest(), "big") | 1 if text else 0
 
 
 def rows_of(pages: tuple[bytes, ...]) -> list[list[str]]:
+    """A result's rows from its pages: a tab between columns, a line feed behind each row."""
     text = b"".join(pages).decode("utf-8")
     return [row.split("\t") for row in text.split("\n")[:-1]]
 
@@ -65,12 +88,28 @@
     def __init__(self, clients: Clients) -> None:
         self.clients, self.parser = clients, RequestParser()
         self.call: Deferred[Answer] | None = None
-        self.closing = self.clogged = self.brought = self.leaving = self.written = False
-        self.since, self.received, self.dropped = clients.clock(), 0, 0
+        self.phase = Phase.OPEN
+        self.clogged = False  # its answers go unread, and nothing is read from it
+        self.brought = False  # it has sent a submission
+        self.draining = False  # its next answer is its last
+        self.since = self.last_read = clients.clock()
+        self.received = self.dropped = 0
         self.arrivals = deque[tuple[int, float]]()  # bytes received by then
+        self.cancelled_ahead = deque[tuple[int, bool]]()  # status and whether the connection is kept
         self.advancing: Any = None
+        self.taking = False  # requests, within `advance`: one that is answered at once does not nest
         self.unpolled = clients.accepted()
 
+    @property
+    def closing(self) -> bool:
+        """Whether nothing more is taken from it."""
+        return self.phase is not Phase.OPEN
+
+    @property
+    def written(self) -> bool:
+        """Whether all that is owed to it has left."""
+        return self.phase is Phase.LINGERING
+
     # Twisted's calls.
 
     def connectionMade(self) -> None:
@@ -84,8 +123,11 @@
             if self.dropped > MOST_DROPPED:
                 self.transport.abortConnection()
             return
+        self.last_read = self.clients.clock()
         if not self.parser.left():
-            self.since = self.clients.clock()
+            self.since = self.last_read
+        elif self.call is None and not self.is_advancing():
+            self.arrivals.clear()  # one unfinished call: its time counts from its last byte
         self.parser.feed(data)
         self.received += len(data)
         if len(self.arrivals) >= MOST_ARRIVALS:  # in ever smaller pieces: the last counts from its first
@@ -94,35 +136,50 @@
             self.arrivals.append((self.received, self.clients.link.loop.arrival(self.unpolled)))
         if self.call is not None and self.parser.left() > self.clients.ahead:
             self.clients.counters.add("client_ran_ahead")
+            self.withdraw()
             self.transport.abortConnection()
             return
         self.advance()
 
     def readConnectionLost(self) -> None:
         """Its end, or that of its sending: it has left, also where an answer is still on its way."""
-        self.left()
+        self.withdraw()
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
     def writeConnectionLost(self) -> None:
-        self.written, self.since = True, self.clients.clock()
+        self.phase, self.since = Phase.LINGERING, self.clients.clock()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.left()
-        if self.advancing is not None and self.advancing.active():
+        self.withdraw()
+        if self.is_advancing():
             self.advancing.cancel()
         self.clients.went(self)
 
-    def left(self) -> None:
-        """No answer is owed any more."""
-        self.closing = True
+    def withdraw(self) -> None:
+        """It has gone: no answer is owed any more, and its open call ends."""
+        self.stop_taking()
         call, self.call = self.call, None
         if call is not None:
             call.cancel()
 
+    def stop_taking(self) -> None:
+        if self.phase is Phase.OPEN:
+            self.phase = Phase.CLOSING
+
     def is_here(self) -> bool:
-        """Whether it has not ended the connection, as far as has arrived."""
-        return not self.closing and pending(self.transport) != b""
+        """Whether it has not ended the connection, as far as has arrived.
+
+        All that it has sent ahead is read for this, up to the bound on that: an end may stand behind it."""
+        while not self.closing:
+            data = immediate.receive(self.transport)
+            if data is None:
+                return True
+            if data:
+                self.dataReceived(data)
+            else:
+                self.withdraw()  # the transport finds the end as well, and closes
+        return False
 
     def pauseProducing(self) -> None:
         """Its answers go unread: nothing more is taken from it until they are."""
@@ -130,22 +187,35 @@
         self.transport.pauseProducing()
 
     def resumeProducing(self) -> None:
-        self.clogged = False
+        self.clogged, self.last_read = False, self.clients.clock()
         self.unpolled = Unpolled(self.since, self.clients.link.loop.round + 1)
         self.transport.resumeProducing()
         self.advance()
 
     def stopProducing(self) -> None:
-        self.closing = True
+        self.stop_taking()
 
     # Calls and answers.
 
     def advance(self) -> None:
-        """Takes what has come whole. One that sends many at once waits for the loop's next round between."""
+        """Takes what has come whole, unless that is being done."""
+        if not self.taking:
+            self.taking = True
+            try:
+                self.take_requests()
+            finally:
+                self.taking = False
+            self.cancel_ahead()
+
+    def take_requests(self) -> None:
+        """One that sends many at once waits for the loop's next round between."""
+        while self.cancelled_ahead and self.is_free():
+            status, keep = self.cancelled_ahead.popleft()
+            self.answer(status, {}, keep)
         handled = 0
-        while self.call is None and not self.closing and not self.clogged:
+        while self.is_free():
             if handled >= MOST_IN_A_ROW:
-                if self.advancing is None or not self.advancing.active():
+                if not self.is_advancing():
                     self.advancing = self.clients.link.reactor.callLater(0, self.advance)
                 return
             handled += 1
@@ -161,16 +231,45 @@
                 self.clients.counters.add("client_bad_messages")
                 self.answer(fault.status, {"fault": str(fault)}, False)
 
+    def is_free(self) -> bool:
+        """Whether the next request may be taken."""
+        return self.call is None and not self.closing and not self.clogged
+
+    def is_advancing(self) -> bool:
+        """Whether whole calls wait for the loop's next round."""
+        return self.advancing is not None and self.advancing.active()
+
+    def cancel_ahead(self) -> None:
+        """Carries out the DELETEs that stand behind an open call: that call may be the one they cancel.
+
+        Their answers wait for their turn; where the open call was cancelled, nothing more is answered."""
+        while (
+            self.call is not None
+            and len(self.cancelled_ahead) < MOST_CANCELLED_AHEAD
+            and self.parser.next_is(b"DELETE")
+        ):
+            try:
+                taken = self.parser.take()
+            except BadMessage:
+                return  # told in its turn
+            if taken is None:
+                return
+            _, target, _, _, keep = taken
+            self.cancelled_ahead.append((self.cancel(target), keep))
+
+    def cancel(self, target: bytes) -> int:
+        """Withdraws the submission whose id a path ends with; the status of the answer."""
+        return 200 if self.clients.link.withdraw(last_part(target)) else 404
+
     def handle(
         self, method: bytes, target: bytes, fields: dict[bytes, memoryview], body: memoryview, keep: bool
     ) -> None:
-        path = target.partition(b"?")[0]
-        last = path.rpartition(b"/")[2]
+        """Carries one whole request out, or opens a call with it."""
+        path, last = target.partition(b"?")[0], last_part(target)
         if method == b"POST":
             self.submit(path, fields, body, keep)
         elif method == b"DELETE":
-            found = self.clients.link.withdraw(last)
-            self.answer(200 if found else 404, {}, keep)
+            self.answer(self.cancel(target), {}, keep)
         elif method == b"GET" and last == b"alive":
             self.answer(200 if self.clients.ready else 503, {}, keep)
         elif method == b"GET" and last == b"counters":
@@ -181,11 +280,16 @@
             self.answer(404 if method == b"GET" else 405, {"fault": "NotKnown"}, keep)
 
     def submit(self, path: bytes, fields: dict[bytes, memoryview], body: memoryview, keep: bool) -> None:
+        """Hands a submission to the link, and keeps the call open until that has its answer.
+
+        Raises:
+            BadMessage: its workload, id or figures cannot be used, or its id is open.
+        """
         kind = self.clients.workload_of(path)
         if kind is None:
             raise BadMessage(404, "the workload is not known")
-        ident, wait = bytes(fields.get(b"req-id", b"")), number(fields, b"req-wait-ms")
-        cost, memory = number(fields, b"req-cost", 0.0), number(fields, b"x-est-mb", 0.0)
+        ident, wait = bytes(fields.get(b"req-id", b"")), number_field(fields, b"req-wait-ms")
+        cost, memory = number_field(fields, b"req-cost", 0.0), number_field(fields, b"x-est-mb", 0.0)
         if not IDENT.fullmatch(ident) or wait <= 0:
             raise BadMessage(400, "req-id or req-wait-ms cannot be used")
         statement = bytes(body)  # outlives the buffer: further trips may need it
@@ -214,10 +318,11 @@
 
     def leave(self) -> None:
         """Its address is held elsewhere now: what is open is answered, and nothing more is taken."""
-        self.leaving = True
+        self.draining = True
         self.close_if_idle()
 
     def concluded(self, answer: Answer, keep: bool) -> None:
+        """Writes the answer to the open call, then takes what has come behind it."""
         if not self.clients.counters.must(self.call is not None and not self.closing, "answer_to_a_call"):
             return
         self.call = None
@@ -229,11 +334,12 @@
                 self.answer(503, {"fault": "TryLater"}, keep, wait)
             case BrokenOff():
                 self.answer(500, {"fault": "Aborted"}, keep)
-        if self.parser.left():
+        if self.parser.left() or self.cancelled_ahead:
             self.advance()
         self.clients.call_ended()
 
     def withdrawn(self, failure: Failure) -> None:
+        """Its open call was cancelled, by itself or on another connection: there is nothing to answer."""
         if not isinstance(failure.value, CancelledError):
             failure.raiseException()
         self.call = None
@@ -241,8 +347,9 @@
             self.close()
 
     def answer(self, status: int, value: object, keep: bool, extra: tuple[tuple[str, str], ...] = ()) -> None:
+        """Writes one answer; the connection ends with it unless it may be kept."""
         self.clients.counters.add(f"answers_{status}")
-        self.since, keep = self.clients.clock(), keep and not self.leaving and not self.clients.ending
+        self.since, keep = self.clients.clock(), keep and not self.draining and not self.clients.ending
         body = json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode()
         self.transport.write(response(status, body, keep, extra))
         if not keep:
@@ -250,7 +357,8 @@
 
     def close(self) -> None:
         """Lingers: see above; what it has not read yet leaves first."""
-        self.closing, self.since = True, self.clients.clock()
+        self.stop_taking()
+        self.since = self.clients.clock()
         self.arrivals.clear()
         self.transport.unregisterProducer()
         self.transport.resumeProducing()
@@ -267,18 +375,22 @@
         """Unread answers, unfinished messages, silence and idleness each hold a descriptor for nothing."""
         if self.call is not None:
             return False
-        longest = (
-            LONGEST_LINGER
-            if self.written
-            else LONGEST_UNREAD
-            if self.clogged or self.closing
-            else LONGEST_UNFINISHED
-            if self.parser.left()
-            else LONGEST_IDLE
-            if self.brought
-            else LONGEST_SILENT
-        )
-        return now - self.since > longest
+        paused = self.is_unfinished() and now - max(self.last_read, self.since) > LONGEST_PAUSE
+        return paused or now - self.since > self.longest()
+
+    def longest(self) -> float:
+        """ms for which it may stay as it is, counted from `since`."""
+        if self.written:
+            return LONGEST_LINGER
+        if self.clogged or self.closing:
+            return LONGEST_UNREAD
+        if self.is_unfinished():
+            return LONGEST_UNFINISHED
+        return LONGEST_IDLE if self.brought else LONGEST_SILENT
+
+    def is_unfinished(self) -> bool:
+        """Whether part of a request has come, and the rest is to be read."""
+        return not self.clogged and not self.closing and self.parser.left() > 0
 
     def expire(self) -> None:
         """What waits for nothing is closed; what does not read is cut."""
@@ -297,4 +409,5 @@
         self.answer(503, {"fault": "TryLater"}, False)
 
     def is_idle(self) -> bool:
-        return self.call is None and not self.closing and not self.clogged and not self.parser.left()
+        """Whether it rests between two requests."""
+        return self.is_free() and not self.parser.left()
--- a/spurdeal/net/connection.py
+++ b/spurdeal/net/connection.py
@@ -16,6 +16,7 @@
 from zope.interface import implementer
 
 from ..interface import Ending
+from . import immediate
 from .pending import pending
 from .resp import ArrayParser, BadAnswer, command
 from .trips import Outcome, SendTerms, Trip
@@ -28,6 +29,7 @@
 MOST_PAST = 16  # trips remembered on a connection: more than can cross
 STALL, STALL_LEAST, STALL_PART = 2.0, 200.0, 0.5  # for one answer: times the time to connect, ms, and of what
 # its trip still has
+ABANDONED_WITHIN = 50.0  # ms in which the system must take the rest of a trip that nobody waits for any more
 DRAIN_PART = 0.5  # of the drain's grace: bytes that the system has not taken by then are cut off
 
 
@@ -53,8 +55,11 @@
         self.past: dict[bytes, bool] = {}  # ids that were out here, and whether they were given up
         self.write_queue = deque[bytes | Trip]()
         self.bounding: Any = None
-        self.leaving: Trip | None = None  # whose first bytes the transport may still hold
+        self.leaving: Trip | None = None  # whose bytes the transport may still hold
+        self.leaving_terms: SendTerms | None = None
+        self.held = b""  # messages that leave with `Engines.write_held`
         self.up = self.closing = self.silent = self.sending = self.ended = False
+        self.unread = False  # part of an answer has come, or bytes that were not read
         self.opened = self.used = self.heard = self.begun = self.engines.clock()
 
     # Twisted's calls.
@@ -78,6 +83,7 @@
                 self.answered(parts)
         except (BadAnswer, ValueError) as fault:
             self.cut(str(fault))
+        self.unread = bool(self.parser.left())
         if self.up and self.parser.left():
             self.bound_answer()
 
@@ -142,9 +148,45 @@
 
     def resumeProducing(self) -> None:
         """Nothing of ours is left in the transport: the next messages leave, up to and with one trip."""
-        ready = list[bytes]()
-        self.leaving = None
+        self.message_taken()
         while self.write_queue:
+            ready = self.next_messages()
+            if self.leaving_terms is not None and not self.leaving_terms.at_once:
+                self.held = ready
+                self.engines.held.append(self)
+                return
+            if not self.handed_over(ready):
+                return
+            self.leaving = self.leaving_terms = None  # within one step: nothing came between
+        self.sending = False
+        self.transport.unregisterProducer()
+        self.close_if_done()
+
+    def handed_over(self, ready: bytes) -> bool:
+        """Whether the system has taken all of it; the transport writes the rest, then asks for more.
+
+        A trip goes at once: by the transport's own turn in the loop its client might have left unseen."""
+        if self.leaving is not None:
+            ready = ready[immediate.send(self.transport, ready) :]
+        if ready:
+            self.transport.write(ready)
+        return not ready
+
+    def write_held(self) -> None:
+        ready, self.held = self.held, b""
+        if self.up and ready and self.handed_over(ready):
+            self.resumeProducing()
+
+    def message_taken(self) -> None:
+        """The system has taken all that was written."""
+        terms, self.leaving, self.leaving_terms = self.leaving_terms, None, None
+        if terms is not None:
+            terms.taken()
+
+    def next_messages(self) -> bytes:
+        """What is next in the queue, up to and with one trip; the trips that are not to leave end as MOOT."""
+        ready = list[bytes]()
+        while self.write_queue and self.leaving is None:
             message = self.write_queue.popleft()
             if not isinstance(message, Trip):
                 ready.append(message)
@@ -152,15 +194,10 @@
                 self.finish(message, Outcome(Ending.MOOT))
             else:
                 ready.append(self.serve(message, terms))
-                self.leaving = message
-                break
+                self.leaving, self.leaving_terms = message, terms
         if ready:
             self.used = self.engines.clock()
-            self.transport.write(b"".join(ready))
-        else:
-            self.sending = False
-            self.transport.unregisterProducer()
-            self.close_if_done()
+        return b"".join(ready)
 
     def stopProducing(self) -> None:
         self.sending = False
@@ -189,6 +226,8 @@
             if self.engine.heard <= trip.sent:
                 self.engine.say("silent_engine", trips=len(self.trips))
             self.closing = self.silent = True
+        if trip is self.leaving:
+            self.engines.reactor.callLater(ABANDONED_WITHIN / 1000, self.cut_abandoned, trip)
         self.finish(trip, Outcome(ending), given_up=True)
 
     def withdraw(self, trip: Trip) -> None:
@@ -214,6 +253,11 @@
             self.transport.abortConnection()
             self.lost()
 
+    def cut_abandoned(self, trip: Trip) -> None:
+        """The rest of a trip that was given up would come late. What else runs here is not cut for that."""
+        if not any(other.written for other in self.trips.values()):
+            self.cut_off(trip)
+
     def takes(self, trip: Trip) -> bool:
         """Whether this one may carry it, as far as is known."""
         return (
@@ -223,9 +267,17 @@
             and trip.ident not in self.past
         )
 
-    def has_ended(self) -> bool:
-        """It rests, and its far side's end has come, which was not read yet."""
-        return self.up and not self.trips and pending(self.transport) == b""
+    def look(self) -> bool:
+        """At the socket of one that rests; True where that shows it as no good choice.
+
+        Its far side's end has come, or bytes that no trip waits for: these may never become an answer, and
+        spoil what follows."""
+        waiting = pending(self.transport) if self.up and not self.trips else None
+        ended, unread = waiting == b"", bool(waiting)
+        news = (ended and not self.ended) or (unread and not self.unread)
+        self.ended |= ended  # that is to be read next
+        self.unread |= unread
+        return news
 
     def finish(self, trip: Trip, outcome: Outcome, given_up: bool = False) -> None:
         if not self.engines.counters.must(self.trips.pop(trip.ident, None) is trip, "trip_ends_once"):
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -45,9 +45,9 @@
                     connection.lost(Ending.MOOT)  # dialled for, at what it no longer is
 
     def connection_for(self, trip: Trip, at_most_once: bool) -> Connection | None:
-        """An open one, or a new one. An end of the chosen one that was not read yet is seen on its socket."""
-        while (found := self.emptiest(trip, at_most_once)) is not None and found.has_ended():
-            found.ended = True  # that is to be read next
+        """An open one, or a new one. What came on the chosen one and was not read is seen on its socket."""
+        while (found := self.emptiest(trip, at_most_once)) is not None and found.look():
+            pass  # the next best
         if found is not None or self.engines.full():
             return found
         connection = Connection(self)
@@ -60,15 +60,18 @@
         """The open one with fewest trips; None where a new one is better: what spoils one takes its trips
         along.
 
-        at_most_once: where engines were seen to close idle ones early, a trip that crosses that would be in
-        doubt, so one long unused is not taken while another can be had."""
+        While another can be had, one that rests with half an answer is not taken, nor, at_most_once, one long
+        unused: where engines were seen to close idle ones early, a trip that crosses that is in doubt."""
         engines = self.engines
         usable = [connection for connection in self.connections if connection.takes(trip)]
         since = engines.clock() - IDLE_PART * engines.closes_after
         fresh = [
             connection
             for connection in usable
-            if not at_most_once or connection.trips or max(connection.used, connection.heard) > since
+            if connection.trips
+            or (
+                not connection.unread and (not at_most_once or max(connection.used, connection.heard) > since)
+            )
         ]
         full = engines.full()
         if fresh or not full:
@@ -103,6 +106,7 @@
         self.reactor, self.clock, self.counters, self.log = reactor, clock, counters, log
         self.report_fields, self.connections = tuple(report_fields), 0
         self.engines: dict[int, Engine] = {}
+        self.held: list[Connection] = []
 
     def bound(
         self,
@@ -177,6 +181,12 @@
             connection.carry(trip)
         return trip
 
+    def write_held(self) -> None:
+        """Hands over the trips whose terms did not let them leave at once."""
+        held, self.held = self.held, []
+        for connection in held:
+            connection.write_held()
+
     def weigh(self, trip: Trip, rank: int) -> None:
         if trip.connection is not None and trip.written and not trip.parts:
             trip.connection.write(b"weigh", trip.ident, b"%d" % rank)
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -22,6 +22,7 @@
 __all__ = ["Answer", "BrokenOff", "Delivered", "Granted", "Guard", "Shed", "Taken", "at_most_once"]
 
 ANSWER_WAY = 40.0  # ms kept of a client's time for the answer's way back
+LEFT_LATE = 100.0  # ms after a client's leaving from which on an attempt of its counts as late
 OVERDUE = 20.0  # ms after a submission's time at which the rules must have answered
 
 
@@ -55,6 +56,8 @@
         self.numbers = count()
         self.until = float("inf")
         self.guard: Guard | None = None
+        for name in ("attempts_after_client_left", "attempts_late_after_client_left"):
+            counters.add(name, 0)  # shown also where there is none
         self.rules = Dispatcher(site, seed, self, clock())
 
     # What comes from clients and from the list.
@@ -122,6 +125,7 @@
         """The client has gone, or has said that it waits no longer: no answer is owed."""
         self.counters.add("withdrawn")
         taken = self.taken[number]
+        taken.client_left = True
         self.concluded(taken)
         if self.guard is not None:
             self.guard.answered(taken, None)
@@ -203,6 +207,9 @@
         if self.guard is not None:
             self.guarded(self.guard.turned)
 
+    def write_out(self) -> None:
+        self.engines.write_held()
+
     def expire(self, number: int) -> None:
         taken = self.taken.get(number)
         if taken is not None and taken.expiry <= self.clock():
@@ -283,6 +290,12 @@
             self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
 
     def depart(self, taken: Taken, trip: int, engine: int, time_limit: float, now: float) -> None:
+        if taken.carrier is self.engines and not self.engines.ready(engine):
+            # A list came since the choice, maybe in this turn: there is no need to dial.
+            self.counters.add("trips_overtaken")
+            self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
+            return
+
         def at_send() -> SendTerms | None:
             return self.send_terms(taken, trip, engine, time_limit)
 
@@ -318,7 +331,22 @@
         if self.guard is not None and not self.guard.departs(taken, trip, engine):
             return None
         wait = min(time_limit, taken.expiry - now) if time_limit else taken.expiry - now
-        return SendTerms(wait, taken.rank if self.priorities else None, taken.mark)
+        return SendTerms(
+            wait,
+            taken.rank if self.priorities else None,
+            taken.mark,
+            at_once=self.guard is None or not self.in_turn,  # a guard's records come first, see Guard.turned
+            taken=lambda: self.attempt_sent(taken, now),
+        )
+
+    def attempt_sent(self, taken: Taken, looked: float) -> None:
+        """The system has taken an attempt's last byte; the last look, at `looked`, still found its client.
+
+        One whose client has left by now is counted, and as late where more than LEFT_LATE lies between: both
+        are upper bounds, as it left at some time between. What has not arrived here by now is not seen."""
+        if taken.client_left or not (taken.answered or taken.here()):
+            self.counters.add("attempts_after_client_left")
+            self.counters.add("attempts_late_after_client_left", self.clock() - looked > LEFT_LATE)
 
     def weigh(self, taken: Taken, priority: int) -> None:
         taken.rank = priority
--- a/spurdeal/net/submissions.py
+++ b/spurdeal/net/submissions.py
@@ -105,6 +105,7 @@
     here: Callable[[], bool]  # whether its client's connection is still open, where that can be seen
     mark: bytes  # by which engines know a repeat
     answered: bool = False
+    client_left: bool = False  # it ended its connection, or withdrew the submission
     rank: int | None = None
     made: int = 0
     trips: dict[int, Carried] = field(default_factory=dict)
--- a/spurdeal/net/trips.py
+++ b/spurdeal/net/trips.py
@@ -20,12 +20,21 @@
 
 
 class SendTerms(NamedTuple):
-    """On which a trip leaves: the engine may work on it for so many ms, its priority, and its mark against
-    repeats, where its client gave one."""
+    """On which a trip leaves.
+
+    Attributes:
+        wait: for how many ms the engine may work on it.
+        rank: its priority.
+        mark: by which engines know a repeat, where its client gave one.
+        at_once: whether it is handed to the system at once; else with `Engines.write_held`.
+        taken: called once the system has taken its last byte.
+    """
 
     wait: float
     rank: int | None
     mark: bytes = b""
+    at_once: bool = True
+    taken: Callable[[], object] = lambda: None
 
 
 class Trip:
--- a/spurdeal/net/turns.py
+++ b/spurdeal/net/turns.py
@@ -41,6 +41,9 @@
     def turn_ends(self) -> None:
         """What was asked for is carried out."""
 
+    def write_out(self) -> None:
+        """The turn is over: what it held back leaves. What that brings waits for the next turn."""
+
     def gather(self, call: Callable[..., None], *words: Any) -> None:
         """An event waits for the next turn."""
         self.inbox.append((call, words))
@@ -65,10 +68,13 @@
         for act, words in asked:
             self.guarded(act, *words)
         self.turn_ends()
+        self.in_turn = False
+        self.guarded(self.write_out)
         took = self.clock() - began
         self.counters.most("longest_turn_ms", took)
         self.loop.turned(took, handed)
-        self.in_turn = False
+        if self.turning is not None:
+            return  # what was written has brought the next one on
         if self.inbox:
             self.turning = self.reactor.callLater(0, self.turn)
         elif self.alarms:
