--- a/spurdeal/lab/asking.py
+++ b/spurdeal/lab/asking.py
@@ -24,7 +24,7 @@
 from .engines import Fleet
 from .names import Names, Seat
 from .platform_settings import Platform
-from .processes import cpu_seconds, run_module, start_dispatcher
+from .processes import Outages, cpu_seconds, run_module, start_dispatcher
 from .proxy import Asked, Proxy
 from .spread import spread
 
@@ -34,10 +34,12 @@
 MESSAGE_TIMEOUT, MOST_TIMEOUT = 200.0, 1000.0
 RETRIES, PAUSE, RATE = 4, 0.05, 250.0
 RUN_TIMEOUT = 600.0  # seconds
+AROUND_A_KILL = 0.3  # seconds that an outage is taken for longer, at both ends
 SIZES = {"tiny": (100, 700, 1), "quick": (800, 2400, 2), "full": (3000, 9000, 2)}  # clean, chaotic, kills
 
 
 def settings(folder: Path, ledger: bool) -> str:
+    """The operator's file."""
     kept = f"ledger: {{path: {folder}/ledger, flush: turn, keep: 60s}}" if ledger else ""
     return f"""
 name: n1
@@ -62,21 +64,24 @@
         self.folder = folder
         (folder / "n1.json").write_text(json.dumps(configuration(known)))
         self.child: subprocess.Popen[bytes] | None = None
-        self.away: list[tuple[float, float]] = []
+        self.outages = Outages()
         self.ledger: Counter[str] = Counter()
 
     def start(self, ledger: bool = True) -> None:
+        """Start it, with or without its ledger."""
         (self.folder / "n1.yaml").write_text(settings(self.folder, ledger))
         self.child = start_dispatcher(
             self.folder / "n1.yaml", self.folder / "n1.json", self.folder / "n1.log", ("extproc", "serve")
         )
 
     def counters(self) -> dict[str, int]:
+        """Its counters. Raises OSError where it does not answer."""
         with urlopen(f"http://{HOST}:{PORT}/counters", timeout=5) as answer:
             found: dict[str, int] = json.load(answer)
             return found
 
     async def ready(self) -> None:
+        """Wait until it answers."""
         loop = asyncio.get_running_loop()
         while True:
             try:
@@ -94,11 +99,13 @@
         return found
 
     async def stop(self) -> None:
+        """SIGTERM, and wait for its end."""
         assert self.child is not None
         self.child.terminate()
         await asyncio.get_running_loop().run_in_executor(None, self.child.wait)
 
     async def kill(self, torn: bool) -> None:
+        """SIGKILL, and start it anew. torn: its ledger's last write was cut short."""
         await self.note()
         assert self.child is not None
         began = time.time()
@@ -109,10 +116,7 @@
                 log.write(b"\x00\x1a\x12\x34")
         self.start()
         await self.ready()
-        self.away.append((began - 0.3, time.time() + 0.3))
-
-    def was_away(self, began: float, ended: float) -> bool:
-        return any(start < ended and began < end for start, end in self.away)
+        self.outages.add(began - AROUND_A_KILL, time.time() + AROUND_A_KILL)
 
     def cpu(self) -> float:
         """User and system seconds so far."""
@@ -121,6 +125,7 @@
 
 
 def seats() -> list[Seat]:
+    """The engines, all warm."""
     return [Seat(f"s-{number}", f"127.0.{NET + 1}.{number + 1}", PORT) for number in range(ENGINES)]
 
 
@@ -177,6 +182,7 @@
         self.missing = self.shed_though_run = self.second_paths = 0
 
     def new(self) -> Asked:
+        """Another submission."""
         heavy = self.chance.random() < HEAVY
         asked = Asked(f"{self.chance.getrandbits(64):016x}", heavy, COST * self.chance.uniform(0.5, 1.5))
         self.asked.append(asked)
@@ -219,7 +225,7 @@
                     status == 504
                     and timed_out
                     and before[1] == proxy.counts["timeouts_injected"]
-                    and not self.dispatcher.was_away(began, time.time())
+                    and not self.dispatcher.outages.overlap(began, time.time())
                 ):
                     self.missing += 1
             if status in (200, 500, 502, 503, 409, 400):
@@ -235,6 +241,7 @@
             await proxy.cut()
 
     async def go(self) -> dict[str, Any]:
+        """The whole run, and its figures."""
         count, chaotic, kills_due = SIZES[self.size]
         rate = RATE
         self.dispatcher.start(ledger=False)
@@ -289,6 +296,7 @@
         kills: int,
         counters: dict[str, int],
     ) -> dict[str, Any]:
+        """What came of it, ready for JSON."""
         runs = self.runs
         counts: Counter[str] = Counter()
         for proxy in plain + self.proxies:
--- a/spurdeal/lab/audited/faults.py
+++ b/spurdeal/lab/audited/faults.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 import resource
 import shutil
@@ -11,7 +10,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from ..rig import Process, Rig
+from ..rig import Rig
+from ..rig_process import Process
 
 QUICK = ("kill", "pause", "deaf", "alone", "halves", "twin", "clash", "clock_step")
 KINDS = (
@@ -97,6 +97,7 @@
     # The faults. Each fills in whom it hits, and leaves healing to the run.
 
     def kill(self, targets: list[str]) -> Iterator[float]:
+        """It is killed and starts anew."""
         targets += self.some(1)
         self.rig.kill(targets[0])
         self.change()
@@ -140,6 +141,7 @@
         yield 1.5
 
     def mute(self, targets: list[str]) -> Iterator[float]:
+        """It hears all and nobody hears it."""
         targets += self.some(1)
         began = time.time()
         self.rig.cables.cut(targets, list(self.processes))
@@ -178,6 +180,7 @@
         yield 2.0
 
     def noise(self, targets: list[str]) -> Iterator[float]:
+        """Datagrams are lost, repeated and late everywhere."""
         usual = self.rig.cables.usual
         usual.loss, usual.repeat, usual.delay = 0.2, 0.1, 30.0
         targets += self.some(2)
@@ -201,6 +204,7 @@
             names.silent = False
 
     def empty_disk(self, targets: list[str]) -> Iterator[float]:
+        """It starts anew without its audit log."""
         targets += self.some(1)
         self.rig.kill(targets[0])
         if self.processes[targets[0]].disk.exists():
@@ -229,6 +233,7 @@
         yield 0.8
 
     def clock_step(self, targets: list[str]) -> Iterator[float]:
+        """Its clock goes an hour on or back, and is put right."""
         targets += self.some(1)
         self.rig.step_clock(targets[0], self.chance.choice((CLOCK_STEP, -CLOCK_STEP)))
         self.change()
@@ -279,10 +284,7 @@
         twin = Process(name, f"127.0.{self.rig.net}.{number}", self.rig.folder / f"twin-{number}", number)
         twin.folder.mkdir()
         self.rig.cables.add(name + "'", twin.host)
-        told, file = twin.folder / "twin.json", twin.folder / "twin.yaml"
-        told.write_text(json.dumps(self.rig.configuration(twin)))
-        file.write_text(self.rig.installation(twin))
-        self.rig.launch(twin, told, file, twin.log)
+        self.rig.launch(twin, "twin")
         self.twins.append(twin)
         return twin
 
--- a/spurdeal/lab/audited/judging.py
+++ b/spurdeal/lab/audited/judging.py
@@ -12,7 +12,8 @@
 
 from ...fleet.asking import Entry, check, merged, read_log
 from ...fleet.audit import Kind
-from ..rig import GRACE, Process, Rig
+from ..rig import GRACE, Rig
+from ..rig_process import Process
 from ..spread import spread
 from .faults import Faults
 from .run import Run
--- a/spurdeal/lab/audited/run.py
+++ b/spurdeal/lab/audited/run.py
@@ -8,7 +8,9 @@
 from typing import NamedTuple
 from urllib.request import urlopen
 
-from ..rig import PORT, WAIT, Crowd, Rig
+from ..crowd import Crowd
+from ..rig import Rig
+from ..rig_process import PORT, WAIT
 from .faults import KINDS, QUICK, Faults
 
 RATE, IRREVERSIBLE = 90.0, 0.25  # submissions a second; share of those that must not run twice
--- a/spurdeal/lab/processes.py
+++ b/spurdeal/lab/processes.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import subprocess
 import sys
+import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
@@ -15,6 +17,30 @@
     """A module that was run for its figures gave none."""
 
 
+class Outages:
+    """When a process was not to be counted on: spans of Unix s, the last of which may go on."""
+
+    def __init__(self) -> None:
+        self.spans: list[tuple[float, float]] = []
+
+    def begin(self, margin: float = 0.0) -> None:
+        """From now on, or so many seconds before."""
+        self.spans.append((time.time() - margin, math.inf))
+
+    def end(self, margin: float = 0.0) -> None:
+        """Until now, or so many seconds later, where one goes on."""
+        if self.spans and self.spans[-1][1] == math.inf:
+            self.spans[-1] = (self.spans[-1][0], time.time() + margin)
+
+    def add(self, began: float, ended: float) -> None:
+        """One that is over."""
+        self.spans.append((began, ended))
+
+    def overlap(self, began: float, ended: float) -> bool:
+        """Whether one was on at any time between."""
+        return any(start < ended and began < end for start, end in self.spans)
+
+
 def start_dispatcher(
     settings: Path, configuration: Path, log: Path, command: Sequence[str] = ("run",)
 ) -> subprocess.Popen[bytes]:
--- a/spurdeal/lab/rig.py
+++ b/spurdeal/lab/rig.py
@@ -10,187 +10,28 @@
 
 import json
 import random
-import shutil
 import signal
-import subprocess
 import time
 import zlib
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-from twisted.internet.protocol import DatagramProtocol
-
-from .cables import Place, Switch
+from .cables import Place
 from .engines import Engine, Fleet
-from .front import AGAIN, Asked, Dial, Front
+from .front import Asked
+from .mesh import CABLE, FLEET, Cables
 from .names import Names, Seat
 from .platform_settings import Platform
-from .processes import cpu_seconds, start_dispatcher
+from .rig_process import AFTER, PORT, WAIT, Process
 
-PORT, FLEET, CABLE, NAMES = 7001, 7114, 7214, 5300
+NAMES = 5300
 CORES, COLD_FOR, COLD_SHARE, MULTIPLE, WINDOW = 4, 6000, 0.3, 2.0, 1500
-WAIT, COST = 2500.0, 12.0
 GRACE = 250.0  # ms
 KEY = "5f" * 32
 NOTICED = 1.0  # seconds until the front knows that one is dead
 
 
-@dataclass(slots=True)
-class Link:
-    """One direction between two dispatchers. Shares, and ms at the most."""
-
-    loss: float = 0.0
-    repeat: float = 0.0
-    delay: float = 0.0
-    cut: bool = False
-
-
-class Plug(DatagramProtocol):
-    """Where all others send what is for one dispatcher; it goes on under the sender's own plug's address."""
-
-    transport: Any
-
-    def __init__(self, cables: Cables, name: str) -> None:
-        self.cables, self.name = cables, name
-
-    def datagramReceived(self, datagram: bytes, address: Any) -> None:
-        self.cables.carry(address[0], self.name, datagram)
-
-
-class Cables:
-    """Between each two. A dispatcher advertises its plug's address, so that others send there."""
-
-    def __init__(self, reactor: Any, chance: random.Random) -> None:
-        self.reactor, self.chance = reactor, chance
-        self.plugs: dict[str, Plug] = {}
-        self.hosts: dict[str, str] = {}
-        self.links: dict[tuple[str, str], Link] = {}
-        self.usual = Link()
-        self.seen = self.lost = self.bytes = 0
-
-    def add(self, name: str, host: str) -> None:
-        self.hosts[host] = name
-        self.plugs[name] = Plug(self, name)
-        self.reactor.listenUDP(CABLE, self.plugs[name], interface=host, maxPacketSize=65_535)
-
-    def carry(self, host: str, to: str, datagram: bytes) -> None:
-        sender = self.hosts.get(host)
-        if sender is None:
-            return
-        self.seen += 1
-        self.bytes += len(datagram)
-        link = self.links.get((sender, to), self.usual)
-        if link.cut or self.chance.random() < link.loss:
-            self.lost += 1
-            return
-        place = next(each for each, name in self.hosts.items() if name == to), FLEET
-        for _ in range(2 if self.chance.random() < link.repeat else 1):
-            if link.delay:
-                later = link.delay * self.chance.random() / 1000
-                self.reactor.callLater(later, self.deliver, sender, datagram, place)
-            else:
-                self.deliver(sender, datagram, place)
-
-    def deliver(self, sender: str, datagram: bytes, place: Place) -> None:
-        self.plugs[sender].transport.write(datagram, place)
-
-    def cut(self, senders: Sequence[str], receivers: Sequence[str]) -> None:
-        """One way; call it twice for both."""
-        for sender in senders:
-            for receiver in receivers:
-                if sender != receiver:
-                    self.links[sender, receiver] = Link(cut=True)
-
-    def heal(self) -> None:
-        self.links.clear()
-        self.usual = Link()
-
-
-@dataclass
-class Process:
-    """One real dispatcher: its starts and ends, its files, and when it was not to be counted on."""
-
-    name: str
-    host: str
-    folder: Path
-    number: int
-    child: subprocess.Popen[bytes] | None = None
-    revision: int = 0
-    away: list[tuple[float, float]] = field(default_factory=list)  # Unix s: killed or standing still
-    asides: list[Path] = field(default_factory=list)  # logs that were taken away from it
-
-    @property
-    def place(self) -> Place:
-        return self.host, PORT
-
-    @property
-    def log(self) -> Path:
-        return self.folder / f"{self.name}.log"
-
-    @property
-    def disk(self) -> Path:
-        return self.folder / "audit" / self.name
-
-    @property
-    def clock(self) -> Path:
-        return self.folder / f"{self.name}.clock"
-
-    def runs(self) -> bool:
-        return self.child is not None and self.child.poll() is None
-
-    def was_away(self, began: float, ended: float) -> bool:
-        return any(start < ended and began < end for start, end in self.away)
-
-    def cpu(self) -> float:
-        """Seconds of a core that this start has used."""
-        if self.child is None:
-            return 0.0
-        try:
-            return cpu_seconds(self.child.pid)
-        except OSError:
-            return 0.0
-
-
-class Crowd(Front):
-    """Clients of all dispatchers together."""
-
-    def __init__(self, rig: Rig, seed: int, rate: float, irreversible: float) -> None:
-        super().__init__(
-            rig.reactor,
-            lambda: time.time() * 1000,
-            Switch(time.time),
-            "",
-            seed,
-            rate,
-            WAIT,
-            irreversible,
-            COST,
-        )
-        self.rig = rig
-
-    def send(self, asked: Asked) -> None:
-        now = self.clock()
-        if asked.over or now >= asked.expiry - 1 or len(asked.ways) >= 8:
-            asked.over = True
-            return
-        places = [each.place for each in self.rig.front_knows() if each.place not in asked.ways]
-        if not places:
-            self.reactor.callLater(AGAIN / 1000, self.send, asked)
-            return
-        place = self.chance.choice(places)
-        self.reactor.connectTCP(*place, Dial(self, asked, place), timeout=0.5)
-
-    def lost(self, asked: Asked, place: Place, sent: bool) -> None:
-        if sent:
-            asked.unanswered.append(place)
-            if asked.irreversible:  # it may have run: a client that cares does not ask again
-                asked.over = True
-                return
-        self.reactor.callLater(AGAIN / 1000, self.send, asked)
-
-
 class Rig:
     """All of it. `net` tells the loopback addresses apart from other runs'; `fleet` off is the baseline."""
 
@@ -230,12 +71,14 @@
     # Around the dispatchers.
 
     def new_engine(self, cold: bool) -> Seat:
+        """Start another engine; its entry for the list."""
         number, self.next_engine = self.next_engine, self.next_engine + 1
         host = f"127.0.{self.net + 1}.{number % 250 + 1}"
         self.engines.start(f"s-{number}", host, PORT, cold)
         return Seat(f"s-{number}", host, PORT, started=int(time.time() * 1000) if cold else 0)
 
     def engine(self, ident: str) -> Engine:
+        """The engine of that name."""
         return next(each for each in self.engines.engines if each.ident == ident)
 
     def add(self, number: int) -> Process:
@@ -269,6 +112,7 @@
         return whom.ident
 
     def tell(self, name: str) -> None:
+        """The dispatcher's name service tells the list of now."""
         self.names[name].seats, self.names[name].serial = list(self.list.seats), self.list.serial
 
     def follow(self, names: Sequence[str], follows: bool) -> None:
@@ -281,6 +125,7 @@
     # The dispatchers.
 
     def installation(self, process: Process) -> str:
+        """The operator's file of that dispatcher."""
         if not self.fleet_on:
             return f"name: {process.name}\n"
         seeds = "".join(
@@ -321,61 +166,41 @@
         )
 
     def start(self, name: str) -> None:
+        """Start it, anew too; it is there again as soon as it can be."""
         process = self.processes[name]
-        told, file = self.folder / f"{name}.json", self.folder / f"{name}.yaml"
-        told.write_text(json.dumps(self.configuration(process)))
-        file.write_text(self.installation(process))
-        self.launch(process, told, file, process.log)
-        if process.away and process.away[-1][1] == float("inf"):
-            process.away[-1] = process.away[-1][0], time.time() + 0.3
+        self.launch(process, name)
+        process.outages.end(AFTER)
         self.dead_since.pop(name, None)
 
-    def launch(self, process: Process, told: Path, file: Path, log: Path) -> None:
-        process.child = start_dispatcher(file, told, log)
+    def launch(self, process: Process, file: str) -> None:
+        """Start a process with its files, so named."""
+        process.launch(json.dumps(self.configuration(process)), self.installation(process), file)
 
     def kill(self, name: str) -> None:
-        process = self.processes[name]
-        assert process.child is not None
-        process.child.kill()
-        process.child.wait()
-        process.away.append((time.time() - 0.02, float("inf")))
+        """SIGKILL."""
+        self.processes[name].kill()
         self.dead_since[name] = time.time()
 
     def stop(self, name: str) -> None:
         """SIGTERM: it answers what it has, and ends."""
-        process = self.processes[name]
-        assert process.child is not None
-        process.child.send_signal(signal.SIGTERM)
+        self.processes[name].running().send_signal(signal.SIGTERM)
         self.dead_since[name] = time.time() - NOTICED
 
     def pause(self, name: str) -> None:
-        process = self.processes[name]
-        assert process.child is not None
-        process.child.send_signal(signal.SIGSTOP)
-        process.away.append((time.time() - 0.02, float("inf")))
+        """It stands still."""
+        self.processes[name].pause()
 
     def resume(self, name: str) -> None:
-        process = self.processes[name]
-        assert process.child is not None
-        process.child.send_signal(signal.SIGCONT)
-        process.away[-1] = process.away[-1][0], time.time() + 0.3
+        """It goes on."""
+        self.processes[name].resume()
 
     def step_clock(self, name: str, ms: float) -> None:
-        fresh = self.processes[name].clock.with_suffix(".new")
-        fresh.write_text(f"{ms}")
-        fresh.rename(self.processes[name].clock)
+        """Its Unix time is so far on from here."""
+        self.processes[name].step_clock(ms)
 
     def set_disk_aside(self, name: str, back: Path | None = None) -> Path:
-        """The disk is empty at its next start, or as it was when `back` was copied. What was there is
-        kept."""
-        process = self.processes[name]
-        aside = self.folder / "aside" / f"{name}-{len(process.asides)}"
-        aside.parent.mkdir(exist_ok=True)
-        shutil.move(process.disk, aside)
-        process.asides.append(aside)
-        if back is not None:
-            shutil.copytree(back, process.disk)
-        return aside
+        """As Process.set_disk_aside."""
+        return self.processes[name].set_disk_aside(back)
 
     def front_knows(self) -> list[Process]:
         """Those that the front takes for up: it notices a death after a while."""
@@ -387,26 +212,17 @@
         ]
 
     def end(self) -> None:
+        """Kill all that run."""
         for process in self.processes.values():
-            if process.runs():
-                assert process.child is not None
-                process.child.send_signal(signal.SIGCONT)
-                process.child.kill()
-                process.child.wait()
+            process.end()
 
     # What they tell.
 
     def excused(self, place: Place, asked: Asked) -> bool:
+        """Whether that dispatcher was not to be counted on while the submission was open."""
         process = next(each for each in self.processes.values() if each.place == place)
-        return process.was_away(asked.began / 1000 - 0.05, asked.expiry / 1000 + 0.05)
+        return process.outages.overlap(asked.began / 1000 - 0.05, asked.expiry / 1000 + 0.05)
 
     def lines(self, name: str, event: str) -> list[tuple[float, dict[str, str]]]:
         """Log lines of an event: Unix s, and their pairs."""
-        found = []
-        if not self.processes[name].log.exists():
-            return []
-        for line in self.processes[name].log.read_text(errors="replace").splitlines():
-            if f" event={event} " in line or line.endswith(f" event={event}"):
-                pairs = dict(part.partition("=")[::2] for part in line.split(" ") if "=" in part)
-                found.append((float(pairs["t"]), pairs))
-        return found
+        return self.processes[name].lines(event)
--- a/spurdeal/lab/takeover.py
+++ b/spurdeal/lab/takeover.py
@@ -90,6 +90,7 @@
         self.bad, self.tried, self.refused = 1000 if guarded else 0, 0, 0
 
     def new_engine(self, cold: bool) -> Seat:
+        """Start another engine; its entry for the list."""
         number, self.next_engine = self.next_engine, self.next_engine + 1
         host = self.net.engine(number)
         self.fleet.start(f"s-{number}", host, PORT, cold)
@@ -103,6 +104,7 @@
         self.reactor.callLater(3.0, engine.stop)
 
     def loss(self, share: float) -> None:
+        """That share of datagrams is lost from here on, a third of it repeated."""
         for cable in self.cables:
             cable.loss, cable.repeat, cable.delay = share, share / 3, 10 * share
 
@@ -112,12 +114,14 @@
             cable.cut(towards_one=cut and name == "n2", towards_two=cut and name == "n1")
 
     def holder(self) -> str:
+        """Who holds the address, as the switch says; empty for nobody."""
         place = self.switch.table.get(self.net.address)
         return next((name for name, each in self.processes.items() if each.place == place), "")
 
     # The run, a generator: each yield is how many seconds to wait.
 
     def script(self, faults: list[tuple[str, float]]) -> Iterator[float]:
+        """The run; each yield is how many seconds to wait."""
         for process in self.processes.values():
             process.start()
         while not self.holder():
@@ -156,6 +160,7 @@
         self.tried, self.refused = 2 * self.bad, self.dropped() - before
 
     def dropped(self) -> int:
+        """How many datagrams the second dispatcher has refused."""
         with urlopen(f"http://{self.net.hosts['n2']}:{PORT}/counters", timeout=5) as answer:
             counters: dict[str, int] = json.load(answer)
         return sum(count for name, count in counters.items() if "_drop_" in name)
@@ -206,7 +211,7 @@
             yield 0.05
         self.names.silent = silent
         process.start()
-        process.back()
+        process.outages.end()
         if silent:
             yield 1.5
         self.names.silent = False
@@ -215,7 +220,7 @@
         by_place = {process.place: process for process in self.processes.values()}
 
         def excused(place: tuple[str, int], asked: Asked) -> bool:
-            return by_place[place].was_away(asked.began / 1000 - 0.05, asked.expiry / 1000 + 0.05)
+            return by_place[place].outages.overlap(asked.began / 1000 - 0.05, asked.expiry / 1000 + 0.05)
 
         counts = self.front.counts(excused)
         twice = sum(
--- a/spurdeal/lab/takeover_process.py
+++ b/spurdeal/lab/takeover_process.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from .platform_settings import Platform
-from .processes import start_dispatcher
+from .processes import Outages, start_dispatcher
 
 PORT, ADVERTS, HANDOVER, SHIFT = 7001, 7112, 7113, 100
 PRIORITIES = {"n1": 200, "n2": 100}
@@ -34,6 +34,7 @@
         self.address = f"127.0.{number}.100"
 
     def engine(self, number: int) -> str:
+        """The host of that engine."""
         return f"127.0.{self.number + 1}.{number % 250 + 1}"
 
 
@@ -98,42 +99,37 @@
         self.place = (net.hosts[name], PORT)
         self.child: subprocess.Popen[bytes] | None = None
         self.log = folder / f"{name}.log"
-        self.away: list[tuple[float, float]] = []  # Unix s: killed, or standing still, from and until
-        self.still = False
+        self.outages = Outages()  # killed, or standing still
 
     def start(self) -> None:
+        """Start it, anew too."""
         told, file = self.folder / f"{self.name}.json", self.folder / f"{self.name}.yaml"
         told.write_text(json.dumps(configuration(self.net, self.name, self.known)))
         file.write_text(installation(self.net, self.name, self.guarded))
         self.child = start_dispatcher(file, told, self.log)
 
     def signal(self, number: int) -> None:
+        """Send it a signal; a kill and a stop begin an outage, SIGCONT ends it."""
         assert self.child is not None
         self.child.send_signal(number)
         if number in (signal.SIGKILL, signal.SIGSTOP):
-            self.away.append((time.time(), float("inf")))
+            self.outages.begin()
         elif number == signal.SIGCONT:
-            self.back()
-        self.still = number == signal.SIGSTOP
-
-    def back(self) -> None:
-        if self.away and self.away[-1][1] == float("inf"):
-            self.away[-1] = (self.away[-1][0], time.time())
+            self.outages.end()
 
     def ended(self) -> bool:
+        """Whether it does not run."""
         return self.child is None or self.child.poll() is not None
 
     def end(self) -> None:
+        """At the end of all."""
         if self.child is not None and self.child.poll() is None:
             self.child.kill()
             self.child.wait()
 
-    def was_away(self, began: float, ended: float) -> bool:
-        return any(start < ended and began < end for start, end in self.away)
-
     def held(self) -> Iterator[tuple[float, float]]:
         """From when to when it believed that it held the address, as its own lines tell; Unix s."""
-        since, cuts = None, [start for start, _ in self.away]
+        since, cuts = None, [start for start, _ in self.outages.spans]
         for line in self.log.read_text().splitlines():
             found = LINE.search(line)
             if found is None:
