Warden is lease grantor: Grantor, Grant and GRANTORS in the fleet, its model and its pages

The field calls who answers a lease's holder its grantor (Gray and Cheriton, 1989), and a warden was a picture of ours. Classes, fields, log texts and pages follow. In the JSON of `fleet status` the key is `grantors`; `wardens` stays beside it, as a deprecated alias, and a status that has only `wardens` is still read.

Two descriptions in settings/installation.py still say warden.

--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -18,7 +18,7 @@
 from .audit import SealedPage
 from .bringing import Rows, Shelf
 from .hybrid import Hybrid
-from .lease import WARDENS, Lease, Wards
+from .lease import GRANTORS, Grantor, Lease
 from .list_sync import READY, ListSync
 from .members import Address, Change, Life, Members, Record
 from .messenger import Messenger
@@ -89,7 +89,7 @@
         self.members = Members(own, self.terms.period, self.terms.forget, self.chance, now)
         self.lease = Lease(self.terms.lease, self.terms.part)
         self.lease.alone = not self.seeds
-        self.wards = Wards(self.terms.lease, now)
+        self.grantor = Grantor(self.terms.lease, now)
         self.heard: dict[str, Heard] = {}
         self.messenger, self.renewal = Messenger(self, now), LeaseRenewal(self, self.lease, now)
         self.table_sync, self.stops = TableSync(self, now), StopInquiries(self)
@@ -168,7 +168,7 @@
         """A planned end is told to some at once; news carries it on."""
         self.leaving = True
         self.members.leave()
-        for name in self.members.alive()[: 2 * WARDENS]:
+        for name in self.members.alive()[: 2 * GRANTORS]:
             self.messenger.ping(now, unix, name)
 
     def status(self, now: float) -> dict[str, Any]:
@@ -269,7 +269,7 @@
         for change in changes:
             self.tell_change(change)
             if change.life is Life.GONE:
-                self.wards.refuse(change.name, change.boot)
+                self.grantor.refuse(change.name, change.boot)
                 self.stops.begin(change.name, change.boot)
             if change.life >= Life.GONE:
                 self.book.forget(change.name)
@@ -279,7 +279,12 @@
     def bound_tables(self) -> None:
         """Drop strangers from the tables that one with a key can fill with names."""
         most = len(self.members.others) + len(self.seeds) + MAX_STRANGERS
-        tables: tuple[dict[str, Any], ...] = (self.sessions, self.wards.wards, self.heard, self.book.claims)
+        tables: tuple[dict[str, Any], ...] = (
+            self.sessions,
+            self.grantor.grants,
+            self.heard,
+            self.book.claims,
+        )
         for table in tables:
             if len(table) > most:
                 for name in table.keys() - self.members.others.keys() - self.seeds.keys():
--- a/spurdeal/fleet/handlers.py
+++ b/spurdeal/fleet/handlers.py
@@ -61,10 +61,10 @@
     boot = fleet.sessions[name].peer_boot
     record = fleet.members.others.get(name)
     if record is not None and record.boot == boot and record.life is Life.GONE:
-        fleet.wards.refuse(name, boot)
+        fleet.grantor.refuse(name, boot)
     if fleet.leaving or fleet.twin:
         return [0, int(False)]
-    heard_of, granted = fleet.wards.ask(now, name, boot, term, following)
+    heard_of, granted = fleet.grantor.ask(now, name, boot, term, following)
     return [heard_of, int(granted)]
 
 
@@ -170,7 +170,7 @@
     boot = wire.whole(body.get("boot"))
 
     def act() -> None:
-        word = fleet.wards.word(now, subject, boot)
+        word = fleet.grantor.word(now, subject, boot)
         if word is None:
             return
         term, following, refused, left = word
--- a/spurdeal/fleet/lease.py
+++ b/spurdeal/fleet/lease.py
@@ -1,22 +1,24 @@
 """The lease on being current: who may act, by its own clock, and when others know that it cannot.
 
-A dispatcher holds its lease while a stated part of its wardens has answered what it asked no longer than
-`lease` ago. Its wardens are a few members, the same for all who know the same (`members.rendezvous`), so that
-the cost stays level in large fleets; in small ones they are all the others. It counts from when it asked, a
-warden from when it answered, which is later: no clocks are compared, and a warden knows by its own clock a
-moment after which its answer counts no more (Gray and Cheriton, "Leases", 1989). Of k wardens w must answer;
-one whom k - w + 1 refuse has stopped (quorums that meet: Gifford, "Weighted voting", 1979). To come by a
-lease, at a start or after it was lost, k - w + 1 must answer: a warden answers one start of a name at a time,
-so that two processes under one name never both hold it (the rig's twins did, with 3 of 7 each).
-
-A warden that holds one for gone refuses it. Whoever wants to rely on the stop asks the wardens (`Inquiry`);
-one that gives its word is barred from answering the subject for a lease, and its word counts so long. So a
-conclusion holds as long as it is renewed, and its subject comes back only after it was given up.
-
-Wardens change with the fleet. A term has one set of them. A new term counts only once w of the old one have
-heard of it: k - w + 1 of the old ones then include one that knows, and who asks them is led on to the new. A
-start whose wardens are lost for good cannot go on: it comes back as a new start, which knows nothing and
-waits as one.
+A dispatcher holds its lease while a stated part of its grantors has answered what it asked no longer than
+`lease` ago. Its grantors are a few members, the same for all who know the same (`members.rendezvous`), so
+that the cost stays level in large fleets; in small ones they are all the others. It counts from when it
+asked, a grantor from when it answered, which is later: no clocks are compared, and a grantor knows by its
+own clock a moment after which its answer counts no more (Gray and Cheriton, "Leases", 1989). Of k grantors
+w must answer; one whom k - w + 1 refuse has stopped (quorums that meet: Gifford, "Weighted voting", 1979).
+To come by a lease, at a start or after it was lost, k - w + 1 must answer: a grantor answers one start of a
+name at a time, so that two processes under one name never both hold it (the rig's twins did, with 3 of 7
+each).
+
+A grantor that holds one for gone refuses it. Whoever wants to rely on the stop asks the grantors
+(`Inquiry`); one that gives its word is barred from answering the subject for a lease, and its word counts
+so long. So a conclusion holds as long as it is renewed, and its subject comes back only after it was given
+up.
+
+Grantors change with the fleet. A term has one set of them. A new term counts only once w of the old one
+have heard of it: k - w + 1 of the old ones then include one that knows, and who asks them is led on to the
+new. A start whose grantors are lost for good cannot go on: it comes back as a new start, which knows
+nothing and waits as one.
 
 Free of I/O. Times are ms of one monotonic clock that runs on while the process stands still."""
 
@@ -27,46 +29,46 @@
 from typing import NamedTuple
 
 DRIFT = 0.01  # two clocks' rates differ by less
-WARDENS = 7
+GRANTORS = 7
 NEVER = -math.inf
 
 
 class Term(NamedTuple):
-    """One set of wardens; the number only grows within a start."""
+    """One set of grantors; the number only grows within a start."""
 
     number: int
-    wardens: tuple[str, ...]
+    grantors: tuple[str, ...]
 
     def needed(self, part: float) -> int:
         """How many must answer: a part of them, one at least where there are any."""
-        return min(len(self.wardens), max(1, math.ceil(part * len(self.wardens) - 1e-9)))
+        return min(len(self.grantors), max(1, math.ceil(part * len(self.grantors) - 1e-9)))
 
     def to_begin(self, part: float) -> int:
         """How many must answer one that has no lease: so many that nobody else can have enough."""
-        return len(self.wardens) - self.needed(part) + 1
+        return len(self.grantors) - self.needed(part) + 1
 
 
 NO_TERM = Term(0, ())
 
 
 class Lease:
-    """Our own lease. `asked` are the moments of our questions that were answered, by warden."""
+    """Our own lease. `asked` are the moments of our questions that were answered, by grantor."""
 
     def __init__(self, lease: float, part: float) -> None:
         self.lease, self.part = lease, part
         self.term, self.asked = NO_TERM, dict[str, float]()
         self.next: Term | None = None
         self.next_asked: dict[str, float] = {}
-        self.next_told: set[str] = set()  # wardens of the term in force who have heard of the next
+        self.next_told: set[str] = set()  # grantors of the term in force who have heard of the next
         self.refused: set[str] = set()
         self.alone = True  # nobody else was ever known: nobody needs to answer
         self.held = False  # once begun, until it is lost
 
     def until(self) -> float:
         """When it ends, if nobody answers from here on."""
-        if not self.term.wardens:
+        if not self.term.grantors:
             return math.inf if self.alone else NEVER
-        times = sorted((self.asked.get(name, NEVER) for name in self.term.wardens), reverse=True)
+        times = sorted((self.asked.get(name, NEVER) for name in self.term.grantors), reverse=True)
         return times[self.term.needed(self.part) - 1] + self.lease if self.held else NEVER
 
     def holds(self, now: float) -> bool:
@@ -76,47 +78,47 @@
     def live(self, now: float, asked: dict[str, float]) -> int:
         return sum(at + self.lease > now for at in asked.values())
 
-    def propose(self, wardens: Sequence[str]) -> None:
-        """Whom the fleet as known now gives as wardens; also again, where some have refused this term."""
-        wanted = tuple(sorted(wardens))
+    def propose(self, grantors: Sequence[str]) -> None:
+        """Whom the fleet as known now gives as grantors; also again, where some have refused this term."""
+        wanted = tuple(sorted(grantors))
         if not wanted:
             return
         self.alone = False
         newest = self.next or self.term
-        if wanted == newest.wardens and not self.refused:
+        if wanted == newest.grantors and not self.refused:
             return
         self.next = Term(newest.number + 1, wanted)
         self.next_asked, self.next_told, self.refused = {}, set(), set()
 
     def whom(self) -> list[str]:
         """All who are to be asked."""
-        return sorted({*self.term.wardens, *(self.next.wardens if self.next is not None else ())})
+        return sorted({*self.term.grantors, *(self.next.grantors if self.next is not None else ())})
 
     def answered(self, now: float, name: str, asked: float, heard_of: int, granted: bool) -> None:
-        """A warden's answer to what we asked at `asked`: the highest term of ours that it has heard of."""
+        """A grantor's answer to what we asked at `asked`: the highest term of ours that it has heard of."""
         self.holds(now)  # what was lost meanwhile is to be begun anew
         newest = self.next or self.term
         if not granted:
-            if heard_of == newest.number and name in newest.wardens:
+            if heard_of == newest.number and name in newest.grantors:
                 self.refused.add(name)
-        elif name in self.term.wardens:
+        elif name in self.term.grantors:
             self.asked[name] = max(asked, self.asked.get(name, NEVER))
             self.held |= self.live(now, self.asked) >= self.term.to_begin(self.part)
         if self.next is None or heard_of < self.next.number:
             return
-        if name in self.term.wardens:
+        if name in self.term.grantors:
             self.next_told.add(name)
-        if granted and name in self.next.wardens:
+        if granted and name in self.next.grantors:
             self.next_asked[name] = max(asked, self.next_asked.get(name, NEVER))
-        told = self.term.needed(self.part) if self.term.wardens else 0
+        told = self.term.needed(self.part) if self.term.grantors else 0
         enough = self.next.needed(self.part) if self.held else self.next.to_begin(self.part)
         if len(self.next_told) >= told and self.live(now, self.next_asked) >= enough:
             self.term, self.asked, self.next, self.held = self.next, self.next_asked, None, True
             self.next_asked, self.next_told = {}, set()
 
 
-class Ward(NamedTuple):
-    """What a warden knows of one whom it watches."""
+class Grant(NamedTuple):
+    """What a grantor knows of one whom it watches."""
 
     boot: int
     term: Term  # in force, as it said
@@ -130,12 +132,12 @@
         return (self.following or self.term).number
 
 
-class Wards:
-    """A warden's side: whom we have answered, until when that may count. Bounded by the members."""
+class Grantor:
+    """A grantor's side: whom we have answered, until when that may count. Bounded by the members."""
 
     def __init__(self, lease: float, now: float) -> None:
         self.lease = lease * (1 + DRIFT)
-        self.wards: dict[str, Ward] = {}
+        self.grants: dict[str, Grant] = {}
         # What an earlier start of ours has answered, or has barred, is not known any more.
         self.rests_until = now + self.lease
 
@@ -144,47 +146,47 @@
         if now < self.rests_until:
             return 0, False  # nor noted: an earlier start of ours may have given its word (the model)
         newest = (following or term).number
-        known = self.wards.get(name)
+        known = self.grants.get(name)
         if known is not None and now < known.barred:
             return known.newest if known.boot == boot else 0, False
         if known is not None and known.boot != boot and now < known.until:
             return 0, False  # another start under this name may still act: two processes, or a quick restart
         if known is None or known.boot != boot:
-            known = Ward(boot, term, following, NEVER, -1, NEVER)
+            known = Grant(boot, term, following, NEVER, -1, NEVER)
         elif newest > known.newest or (newest == known.newest and term.number > known.term.number):
             known = known._replace(term=term, following=following)
         granted = newest > known.refused and newest >= known.newest
         if granted:
             known = known._replace(until=now + self.lease)
-        self.wards[name] = known
+        self.grants[name] = known
         return known.newest, granted
 
     def refuse(self, name: str, boot: int) -> None:
         """That start of it counts as gone here: on the terms that we know we answer it no more."""
-        known = self.wards.get(name)
+        known = self.grants.get(name)
         if known is not None and known.boot == boot:
-            self.wards[name] = known._replace(refused=max(known.refused, known.newest))
+            self.grants[name] = known._replace(refused=max(known.refused, known.newest))
 
     def word(self, now: float, name: str, boot: int) -> tuple[Term, Term | None, bool, float] | None:
         """For one who wants to rely on its stop: the terms that we know, whether we refuse those, and for how
         many ms yet our answers may count. We are barred from then on. None: we know nothing of that start."""
-        known = self.wards.get(name)
+        known = self.grants.get(name)
         if known is None or known.boot != boot:
             return None
         refused = known.refused >= known.newest
         if refused:
-            self.wards[name] = known._replace(barred=now + self.lease)
+            self.grants[name] = known._replace(barred=now + self.lease)
         return known.term, known.following, refused, max(0.0, known.until - now)
 
 
 class Inquiry:
-    """Has one start of one member stopped? Its wardens are asked, and it is concluded by our clock alone."""
+    """Has one start of one member stopped? Its grantors are asked, and it is concluded by our clock alone."""
 
     def __init__(self, name: str, boot: int, part: float, lease: float) -> None:
         self.name, self.boot, self.part, self.lease = name, boot, part, lease
         self.terms: dict[int, Term] = {}  # those that may be in force
         self.in_force = 0
-        # By warden: when its answers end, and until when its word counts.
+        # By grantor: when its answers end, and until when its word counts.
         self.words: dict[str, tuple[float, float]] = {}
 
     def begin(self, term: Term, following: Term | None = None) -> None:
@@ -197,7 +199,7 @@
 
     def whom(self) -> list[str]:
         """All who are to be asked."""
-        return sorted({name for term in self.terms.values() for name in term.wardens})
+        return sorted({name for term in self.terms.values() for name in term.grantors})
 
     def word(
         self,
@@ -209,7 +211,7 @@
         refused: bool,
         left: float,
     ) -> None:
-        """A warden's word, to what we asked at `asked`."""
+        """A grantor's word, to what we asked at `asked`."""
         self.begin(term, following)
         if refused:
             ends = min(now + left, self.words[name][0]) if name in self.words else now + left
@@ -220,8 +222,8 @@
     def stopped(self, now: float) -> bool:
         """It holds no lease, whatever its own clock says."""
         ended = {name for name, (ends, until) in self.words.items() if ends <= now < until}
-        terms = [term for term in self.terms.values() if term.wardens]  # without wardens none is held
+        terms = [term for term in self.terms.values() if term.grantors]  # without grantors none is held
         return bool(terms) and all(
-            len(ended.intersection(term.wardens)) > len(term.wardens) - term.needed(self.part)
+            len(ended.intersection(term.grantors)) > len(term.grantors) - term.needed(self.part)
             for term in terms
         )
--- a/spurdeal/fleet/renewal.py
+++ b/spurdeal/fleet/renewal.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from .lease import WARDENS, Lease
+from .lease import GRANTORS, Lease
 from .members import Life, rendezvous
 from .messenger import RequestKind
 
@@ -34,8 +34,8 @@
             return
         # One that leaves keeps its lease, as what it has taken is still to be answered. A new start asks
         # nobody before it knows the members: the seeds alone would be other grantors than those of its name.
-        if not fleet.leaving and (fleet.synced or self.lease.term.wardens):
-            self.lease.propose(rendezvous(fleet.name, self.candidates(now), WARDENS))
+        if not fleet.leaving and (fleet.synced or self.lease.term.grantors):
+            self.lease.propose(rendezvous(fleet.name, self.candidates(now), GRANTORS))
         for name in self.lease.whom():
             fleet.messenger.ping(now, unix, name, RequestKind.RENEW)
 
@@ -66,4 +66,4 @@
         if now - self.held_at <= LOST_AFTER * fleet.terms.lease or fleet.twin or fleet.leaving:
             return False
         near = sum(now - heard.at < fleet.terms.lease for heard in fleet.heard.values())
-        return near >= math.ceil(fleet.terms.part * min(WARDENS, fleet.members.size() - 1))
+        return near >= math.ceil(fleet.terms.part * min(GRANTORS, fleet.members.size() - 1))
--- a/spurdeal/fleet/standing.py
+++ b/spurdeal/fleet/standing.py
@@ -113,7 +113,7 @@
         late = self.behind_since is not None and now - self.behind_since > self.limits.behind_for
         off = abs(seen.clock) > self.limits.clock_off
         reason = (
-            "no lease: too few wardens have answered"
+            "no lease: too few grantors have answered"
             if not seen.lease
             else f"behind by {seen.behind} for too long"
             if late
--- a/spurdeal/fleet/status.py
+++ b/spurdeal/fleet/status.py
@@ -32,7 +32,8 @@
         "for_ms": round(now - fleet.ladder.since),
         "lease": fleet.lease.holds(now),
         "term": fleet.lease.term.number,
-        "wardens": list(fleet.lease.term.wardens),
+        "grantors": list(fleet.lease.term.grantors),
+        "wardens": list(fleet.lease.term.grantors),  # deprecated: the name of "grantors" before
         "versions": versions,
         "newest_list": str(newest) if newest is not None else None,
         "behind": fleet.book.behind(),
--- a/spurdeal/fleet/stop_inquiries.py
+++ b/spurdeal/fleet/stop_inquiries.py
@@ -8,7 +8,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from .lease import WARDENS, Inquiry
+from .lease import GRANTORS, Inquiry
 from .members import Life, rendezvous
 from .messenger import RequestKind
 from .terms import Told
@@ -61,12 +61,12 @@
     def ask_grantors(self, now: float, unix: float, name: str, inquiry: Inquiry) -> None:
         """Ask all grantors of that member, ourselves included."""
         fleet = self.fleet
-        word = fleet.wards.word(now, name, inquiry.boot)
+        word = fleet.grantor.word(now, name, inquiry.boot)
         if word is not None:
             inquiry.word(now, now, fleet.name, *word)
         known = (other for other in fleet.members.known() if other != name)
         fields = {"k": "w", "who": name, "boot": inquiry.boot}
-        for grantor in inquiry.whom() or rendezvous(name, known, WARDENS):
+        for grantor in inquiry.whom() or rendezvous(name, known, GRANTORS):
             if grantor != fleet.name:
                 fleet.messenger.request(now, unix, grantor, RequestKind.WORD, fields)
 
--- a/spurdeal/fleet/wire.py
+++ b/spurdeal/fleet/wire.py
@@ -15,7 +15,7 @@
 from ..vrrp.sealed import HEAD, SEAL, Refused
 from .audit import SealedPage
 from .hybrid import Stamp
-from .lease import WARDENS, Term
+from .lease import GRANTORS, Term
 from .members import RAISED_MOST, Life, Record
 from .standing import Standing
 from .versions import Line, Version
@@ -129,11 +129,11 @@
 
 def term(value: Any) -> Term:
     row = items(value, 2, 2)
-    return Term(whole(row[0], 1 << 48), tuple(sorted(text(name) for name in items(row[1], 0, WARDENS))))
+    return Term(whole(row[0], 1 << 48), tuple(sorted(text(name) for name in items(row[1], 0, GRANTORS))))
 
 
 def term_written(found: Term) -> list[Any]:
-    return [found.number, list(found.wardens)]
+    return [found.number, list(found.grantors)]
 
 
 def standing(body: Mapping[str, Any]) -> Standing:
--- a/spurdeal/fleet/words.py
+++ b/spurdeal/fleet/words.py
@@ -12,10 +12,11 @@
 
 def status_words(found: Mapping[str, Any]) -> Iterator[str]:
     """Itself, its versions, then a line for each member."""
+    grantors = found["grantors"] if "grantors" in found else found["wardens"]  # from an older dispatcher
     yield (
         f"{found['name']} start {found['boot'][:8]}: {found['standing']} for {ago(found['for_ms'])} "
         f"({found['why']}); lease {'held' if found['lease'] else 'not held'}, term {found['term']}, "
-        f"wardens {' '.join(found['wardens']) or 'none'}"
+        f"grantors {' '.join(grantors) or 'none'}"
     )
     for line, version in found["versions"].items():
         yield f"  {line}: {version}"
--- a/spurdeal/lab/lease_faults.py
+++ b/spurdeal/lab/lease_faults.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..fleet.lease import NEVER, Inquiry, Lease, Term, Wards
+from ..fleet.lease import NEVER, Grantor, Inquiry, Lease, Term
 from .lease_model import FAR, Kinds
 
 
@@ -12,22 +12,22 @@
 
 
 class TellsNobody(Lease):
-    """A new term counts though the old wardens do not know of it."""
+    """A new term counts though the old grantors do not know of it."""
 
     def answered(self, now: float, name: str, asked: float, heard_of: int, granted: bool) -> None:
         if self.next is not None and heard_of >= self.next.number:
-            self.next_told |= set(self.term.wardens)
+            self.next_told |= set(self.term.grantors)
         super().answered(now, name, asked, heard_of, granted)
 
 
-class AnswersThoughBarred(Wards):
+class AnswersThoughBarred(Grantor):
     def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
-        if name in self.wards:
-            self.wards[name] = self.wards[name]._replace(barred=NEVER)
+        if name in self.grants:
+            self.grants[name] = self.grants[name]._replace(barred=NEVER)
         return super().ask(now, name, boot, term, following)
 
 
-class ForgetsItsRest(Wards):
+class ForgetsItsRest(Grantor):
     """A new start answers at once, whatever the one before has said."""
 
     def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
@@ -35,7 +35,7 @@
         return super().ask(now, name, boot, term, following)
 
 
-class SaysNothingLeft(Wards):
+class SaysNothingLeft(Grantor):
     """Its answers may still count, and it does not say so."""
 
     def word(self, now: float, name: str, boot: int) -> tuple[Term, Term | None, bool, float] | None:
@@ -43,7 +43,7 @@
         return None if found is None else (*found[:3], 0.0)
 
 
-class RefusesNothing(Wards):
+class RefusesNothing(Grantor):
     """Says that it refuses, and goes on to answer."""
 
     def refuse(self, name: str, boot: int) -> None:
@@ -51,10 +51,10 @@
         self.lying = True
 
     def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
-        if name in self.wards:
-            known = self.wards[name]
+        if name in self.grants:
+            known = self.grants[name]
             heard, _ = super().ask(now, name, boot, term, following)
-            self.wards[name] = known._replace(until=now + self.lease)
+            self.grants[name] = known._replace(until=now + self.lease)
             return heard, True
         return super().ask(now, name, boot, term, following)
 
@@ -82,7 +82,7 @@
 
 
 class KeepsToTheOldTerm(Inquiry):
-    """It is not led on to newer wardens."""
+    """It is not led on to newer grantors."""
 
     def begin(self, term: Term, following: Term | None = None) -> None:
         if not self.terms:
@@ -99,10 +99,10 @@
 IN_THE_LEASE = (
     Kinds(lease=CountsFromTheAnswer),
     Kinds(lease=TellsNobody),
-    Kinds(wards=AnswersThoughBarred),
-    Kinds(wards=ForgetsItsRest),
-    Kinds(wards=SaysNothingLeft),
-    Kinds(wards=RefusesNothing),
+    Kinds(grantor=AnswersThoughBarred),
+    Kinds(grantor=ForgetsItsRest),
+    Kinds(grantor=SaysNothingLeft),
+    Kinds(grantor=RefusesNothing),
     Kinds(inquiry=OneWordIsEnough),
     Kinds(inquiry=ForgetsNoWord),
     Kinds(inquiry=KeepsToTheOldTerm),
--- a/spurdeal/lab/lease_model.py
+++ b/spurdeal/lab/lease_model.py
@@ -14,7 +14,7 @@
 from functools import partial
 from typing import Any, NamedTuple
 
-from ..fleet.lease import Inquiry, Lease, Term, Ward, Wards
+from ..fleet.lease import Grant, Grantor, Inquiry, Lease, Term
 from .model_check import Found, check
 
 STEP, LEASE, PART = 100.0, 300.0, 0.5
@@ -34,7 +34,7 @@
     """The classes that are checked; planted faults replace one."""
 
     lease: type[Lease] = Lease
-    wards: type[Wards] = Wards
+    grantor: type[Grantor] = Grantor
     inquiry: type[Inquiry] = Inquiry
 
 
@@ -62,7 +62,7 @@
     held: bool
 
 
-class WardState(NamedTuple):
+class GrantState(NamedTuple):
     """What a grantor knows of the subject, with moments relative to now."""
 
     term: Term
@@ -76,7 +76,7 @@
     """One grantor, with moments relative to now."""
 
     rests_until: float
-    ward: WardState | None
+    grant: GrantState | None
 
 
 class InquiryState(NamedTuple):
@@ -104,7 +104,7 @@
     """The whole. both: it holds its lease while another relies on its stop."""
 
     lease: LeaseState
-    wards: tuple[GrantorState, ...]
+    grantors: tuple[GrantorState, ...]
     inquiry: InquiryState
     flight: tuple[Answer, ...]
     faults: int
@@ -115,7 +115,7 @@
     """The objects of a state, at time 0."""
 
     lease: Lease
-    wards: dict[str, Wards]
+    grantors: dict[str, Grantor]
     inquiry: Inquiry
 
 
@@ -145,13 +145,13 @@
     return tuple(sorted((name, ago(at, 0.0)) for name, at in times.items()))
 
 
-def frozen_grantor(wards: Wards) -> GrantorState:
+def frozen_grantor(grantor: Grantor) -> GrantorState:
     """A grantor's state at time 0."""
-    rests, found = ago(wards.rests_until, 0.0), wards.wards.get(SUBJECT)
+    rests, found = ago(grantor.rests_until, 0.0), grantor.grants.get(SUBJECT)
     if found is None:
         return GrantorState(rests, None)
     until, barred = ago(found.until, 0.0), ago(found.barred, 0.0)
-    return GrantorState(rests, WardState(found.term, found.following, until, found.refused, barred))
+    return GrantorState(rests, GrantState(found.term, found.following, until, found.refused, barred))
 
 
 def frozen_inquiry(inquiry: Inquiry) -> InquiryState:
@@ -179,20 +179,20 @@
         """The subject holds its lease from all of its first grantors."""
         lease = self.kinds.lease(LEASE, PART)
         lease.propose(SETS[0])
-        wards = {name: self.kinds.wards(LEASE, -10 * LEASE) for name in self.names}
+        grantors = {name: self.kinds.grantor(LEASE, -10 * LEASE) for name in self.names}
         for name in SETS[0]:
-            heard, granted = wards[name].ask(0.0, SUBJECT, BOOT, lease.term, lease.next)
+            heard, granted = grantors[name].ask(0.0, SUBJECT, BOOT, lease.term, lease.next)
             lease.answered(0.0, name, 0.0, heard, granted)
         inquiry = self.kinds.inquiry(SUBJECT, BOOT, PART, LEASE)
         inquiry.begin(lease.term)
-        return self.frozen(Parts(lease, wards, inquiry), (), self.faults)
+        return self.frozen(Parts(lease, grantors, inquiry), (), self.faults)
 
     def frozen(self, parts: Parts, flight: tuple[Answer, ...], faults: int) -> StopState:
         """The state of these objects at time 0."""
         both = parts.lease.holds(0.0) and parts.inquiry.stopped(0.0)
         return StopState(
             frozen_lease(parts.lease),
-            tuple(frozen_grantor(parts.wards[name]) for name in self.names),
+            tuple(frozen_grantor(parts.grantors[name]) for name in self.names),
             frozen_inquiry(parts.inquiry),
             tuple(sorted(flight, key=Answer.order)),
             faults,
@@ -201,13 +201,13 @@
 
     def thawed(self, state: StopState, shift: float = 0.0) -> Parts:
         """The objects of that state at time 0; shift: so much time has gone by."""
-        both = zip(self.names, state.wards, strict=True)
-        wards = {name: self.thawed_grantor(each, shift) for name, each in both}
+        both = zip(self.names, state.grantors, strict=True)
+        grantors = {name: self.thawed_grantor(each, shift) for name, each in both}
         inquiry = self.kinds.inquiry(SUBJECT, BOOT, PART, LEASE)
         inquiry.in_force = state.inquiry.in_force
         inquiry.terms = {each.number: each for each in state.inquiry.terms}
         inquiry.words = {name: (ends - shift, until - shift) for name, ends, until in state.inquiry.words}
-        return Parts(self.thawed_lease(state.lease, shift), wards, inquiry)
+        return Parts(self.thawed_lease(state.lease, shift), grantors, inquiry)
 
     def thawed_lease(self, state: LeaseState, shift: float) -> Lease:
         """The subject's lease of that state."""
@@ -219,14 +219,14 @@
         lease.next_told, lease.refused = set(state.following_told), set(state.refused)
         return lease
 
-    def thawed_grantor(self, state: GrantorState, shift: float) -> Wards:
+    def thawed_grantor(self, state: GrantorState, shift: float) -> Grantor:
         """A grantor of that state."""
-        wards = self.kinds.wards(LEASE, 0.0)
-        wards.rests_until = state.rests_until - shift
-        if state.ward is not None:
-            term, following, until, refused, barred = state.ward
-            wards.wards[SUBJECT] = Ward(BOOT, term, following, until - shift, refused, barred - shift)
-        return wards
+        grantor = self.kinds.grantor(LEASE, 0.0)
+        grantor.rests_until = state.rests_until - shift
+        if state.grant is not None:
+            term, following, until, refused, barred = state.grant
+            grantor.grants[SUBJECT] = Grant(BOOT, term, following, until - shift, refused, barred - shift)
+        return grantor
 
     # Steps.
 
@@ -271,9 +271,9 @@
         parts = self.thawed(state)
         told: tuple[Any, ...] | None
         if kind is MoveKind.ASK:
-            told = parts.wards[name].ask(0.0, SUBJECT, BOOT, parts.lease.term, parts.lease.next)
+            told = parts.grantors[name].ask(0.0, SUBJECT, BOOT, parts.lease.term, parts.lease.next)
         else:
-            told = parts.wards[name].word(0.0, SUBJECT, BOOT)
+            told = parts.grantors[name].word(0.0, SUBJECT, BOOT)
         flight = state.flight
         if told is not None:
             answer = Answer(kind, name, 0.0, tuple(told))
@@ -300,15 +300,15 @@
     def faulty(self, state: StopState) -> Iterator[Move]:
         """Grantors hold the subject for gone, start anew, or are replaced."""
         fault = MoveKind.FAULT
-        for name, each in zip(self.names, state.wards, strict=True):
-            if each.ward is not None:
+        for name, each in zip(self.names, state.grantors, strict=True):
+            if each.grant is not None:
                 gone = partial(self.grantor_fails, state, name, False)
                 yield Move(fault, f"{name} holds it for gone", gone)
                 yield Move(fault, f"{name} restarts", partial(self.grantor_fails, state, name, True))
         lease = self.thawed(state).lease
         newest = lease.next or lease.term
         for grantors in SETS:
-            if newest.number < MOST_TERMS and (newest.wardens != grantors or lease.refused):
+            if newest.number < MOST_TERMS and (newest.grantors != grantors or lease.refused):
                 label = f"grantors {' '.join(grantors)}"
                 yield Move(fault, label, partial(self.replaced, state, grantors))
 
@@ -316,9 +316,9 @@
         """A grantor starts anew, or refuses the subject."""
         parts = self.thawed(state)
         if restarts:
-            parts.wards[name] = self.kinds.wards(LEASE, 0.0)
+            parts.grantors[name] = self.kinds.grantor(LEASE, 0.0)
         else:
-            parts.wards[name].refuse(SUBJECT, BOOT)
+            parts.grantors[name].refuse(SUBJECT, BOOT)
         return self.frozen(parts, state.flight, state.faults - 1)
 
     def replaced(self, state: StopState, grantors: tuple[str, ...]) -> StopState:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,7 @@
 from spurdeal.fleet.bringing import Shelf, Spoilt, applied, pack, unpack
 from spurdeal.fleet.fleet import Fleet, Terms
 from spurdeal.fleet.hybrid import MOST_AHEAD, Hybrid, Stamp
-from spurdeal.fleet.lease import Inquiry, Lease, Term, Wards
+from spurdeal.fleet.lease import Grantor, Inquiry, Lease, Term
 from spurdeal.fleet.members import Life, rendezvous
 from spurdeal.fleet.standing import Ladder, Limits, Seen, Standing
 from spurdeal.fleet.versions import Book, Line, Version, list_digest
@@ -83,7 +83,7 @@
         self.assertEqual(1, lease.term.number, "who asks the old ones would not be led on")
         lease.answered(100.0, "a", 100.0, 2, True)
         lease.answered(100.0, "b", 100.0, 2, True)
-        self.assertEqual(("e", "f"), lease.term.wardens)
+        self.assertEqual(("e", "f"), lease.term.grantors)
 
     def test_what_was_lost_needs_so_many_that_nobody_else_can_hold_it(self) -> None:
         lease = self.settled(("a", "b", "c", "d"))
@@ -97,7 +97,7 @@
         names = tuple("abcdefg")
         for seed in range(60):
             chance, now = random.Random(seed), 0.0
-            wards = {name: Wards(1000.0, -5000.0) for name in names}
+            wards = {name: Grantor(1000.0, -5000.0) for name in names}
             leases = {7: Lease(1000.0, 0.34), 8: Lease(1000.0, 0.34)}
             for lease in leases.values():
                 lease.propose(names)
@@ -110,7 +110,7 @@
                 self.assertLessEqual(sum(each.holds(now) for each in leases.values()), 1)
 
     def test_a_word_is_kept_until_it_counts_no_more(self) -> None:
-        wards = Wards(1000.0, -5000.0)
+        wards = Grantor(1000.0, -5000.0)
         term = Term(1, ("w", "x"))
         self.assertEqual((1, True), wards.ask(0.0, "d", 7, term, None))
         wards.refuse("d", 7)
@@ -122,13 +122,13 @@
         self.assertEqual((2, True), wards.ask(1200.0, "d", 7, term, following))
 
     def test_a_start_waits_until_the_one_before_it_counts_no_more(self) -> None:
-        wards, term = Wards(1000.0, -5000.0), Term(1, ("w",))
+        wards, term = Grantor(1000.0, -5000.0), Term(1, ("w",))
         self.assertEqual((1, True), wards.ask(0.0, "d", 7, term, None))
         self.assertEqual((0, False), wards.ask(1000.0, "d", 8, term, None))
         self.assertEqual((1, True), wards.ask(1011.0, "d", 8, term, None))
 
     def test_a_new_start_of_a_warden_answers_nothing_for_a_lease(self) -> None:
-        wards = Wards(1000.0, 0.0)
+        wards = Grantor(1000.0, 0.0)
         self.assertEqual((0, False), wards.ask(500.0, "d", 7, Term(1, ("w",)), None))
         self.assertEqual((1, True), wards.ask(1011.0, "d", 7, Term(1, ("w",)), None))
 
