--- a/spurdeal/fleet/asking.py
+++ b/spurdeal/fleet/asking.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from .audit import COLD, DOUBTFUL, Broken, Kind, Record, head_of, read
+from .audit import COLD, DOUBTFUL, Broken, Kind, Read, Record, head_of, read
 from .errors import FleetError
 from .hybrid import Stamp
 from .versions import WITNESSES, Line
@@ -77,8 +77,14 @@
 
 
 def read_log(folder: Path, strict: bool = True) -> Log:
-    """All files of a folder, in order. Unreadable for what is broken or foreign; not strict: told as a
-    problem, and the rest read."""
+    """All files of a folder, in order.
+
+    Args:
+        strict: Whether a file that is broken ends the reading; else it is a problem, and the rest is read.
+
+    Raises:
+        Unreadable: There is no log, a file is of another dispatcher, or broken and that is not allowed.
+    """
     log = Log(str(folder))
     files = sorted(folder.glob("audit-*.log"))
     if not files:
@@ -95,33 +101,48 @@
             log.name = log.name or str(head_of(data).get("name", folder.name))
             before = None
             continue
-        if not found.head:
-            log.torn += 1
-            continue
-        log.torn += found.end < len(data)
-        told = found.head
-        if log.name and told["name"] != log.name:
-            raise Unreadable(f"{file}: at byte 0: it is {told['name']}'s, the files before are {log.name}'s")
-        log.name = str(told["name"])
-        if before is not None and told["before"] != before:
-            log.problems.append(f"{file.name}: a page before it was altered or cut")
-        before = found.digest.hex()
-        boot = str(told["boot"])
-        versions: dict[int, Mapping[str, Any]] = {}
-        for record in found.records:
-            if record.kind is Kind.VERSIONS:
-                versions[int(record.told["index"])] = record.told
-            if record.kind is Kind.LOST:
-                log.lost += int(record.told["records"])
-            log.entries.append(Entry(log.name, boot, record, versions.get(record.under, {})))
-        for page, (digest, _, _) in found.seals.items():
-            log.seals[boot, page] = digest
-            log.last_page[boot] = max(page, log.last_page.get(boot, -1))
-        if found.unsealed:  # the next start goes on behind this page, which nobody sealed
-            log.last_page.setdefault(boot, found.page - 2)
+        log.torn += found.end < len(data) or not found.head
+        if found.head:
+            add_file(log, file, found, before)
+            before = found.digest.hex()
     return log
 
 
+def add_file(log: Log, file: Path, found: Read, before: str | None) -> None:
+    """Add the contents of a file to its log.
+
+    Args:
+        before: The digest at the end of the file before; None where that is not known.
+
+    Raises:
+        Unreadable: The file is of another dispatcher.
+    """
+    told = found.head
+    if log.name and told["name"] != log.name:
+        raise Unreadable(f"{file}: at byte 0: it is {told['name']}'s, the files before are {log.name}'s")
+    log.name = str(told["name"])
+    if before is not None and told["before"] != before:
+        log.problems.append(f"{file.name}: a page before it was altered or cut")
+    boot = str(told["boot"])
+    add_records(log, boot, found.records)
+    for page, (digest, _, _) in found.seals.items():
+        log.seals[boot, page] = digest
+        log.last_page[boot] = max(page, log.last_page.get(boot, -1))
+    if found.unsealed:  # the next start goes on behind this page, which nobody sealed
+        log.last_page.setdefault(boot, found.page - 2)
+
+
+def add_records(log: Log, boot: str, records: Iterable[Record]) -> None:
+    """Add one file's records, each with the versions that it was made under."""
+    versions: dict[int, Mapping[str, Any]] = {}
+    for record in records:
+        if record.kind is Kind.VERSIONS:
+            versions[int(record.told["index"])] = record.told
+        if record.kind is Kind.LOST:
+            log.lost += int(record.told["records"])
+        log.entries.append(Entry(log.name, boot, record, versions.get(record.under, {})))
+
+
 def merged(logs: Iterable[Log]) -> list[Entry]:
     """All entries in an order that is true to cause: the hybrid stamps'."""
     return sorted((entry for log in logs for entry in log.entries), key=lambda entry: entry.order)
@@ -197,39 +218,63 @@
                 )
 
 
+class Acted(NamedTuple):
+    """A list that somebody has acted on: its number, since when (Unix ms), and the versions with it."""
+
+    number: int
+    at: int
+    versions: Mapping[str, Any]
+
+
 def against_newer(entries: Sequence[Entry], grace: float) -> Iterator[Finding]:
-    """Entries in order: a newer list that someone acted on more than the grace ago, and that forbade it. A
-    list that only one of several ever acted on is one witness's word: it may have made it up."""
+    """Sends that a newer list forbade, which someone had acted on more than the grace (ms) ago. Entries in
+    order."""
+    believed = believed_lists(entries)
+    first: list[Acted] = []  # numbers grow
+    for entry in entries:
+        record = entry.record
+        if record.kind is Kind.VERSIONS and record.told.get("list") in believed:
+            number = number_of(record.told["list"])
+            if not first or number > first[-1].number:
+                first.append(Acted(number, record.stamp.ms, record.told))
+        if record.kind is Kind.SENT and "list" in entry.versions:
+            newer = newest_in_force(first, number_of(entry.versions["list"]), record.stamp.ms - grace)
+            if newer is not None:
+                yield from forbidden(entry, newer)
+
+
+def believed_lists(entries: Sequence[Entry]) -> set[str]:
+    """Lists that enough have acted on: one that only one of several did is one witness's word, who may have
+    made it up."""
     names = {entry.name for entry in entries}
     acted: dict[str, set[str]] = {}
     for entry in entries:
         if entry.record.kind is Kind.VERSIONS and "list" in entry.record.told:
             acted.setdefault(entry.record.told["list"], set()).add(entry.name)
-    believed = {told for told, by in acted.items() if len(by) >= min(WITNESSES, len(names) - 1)}
-    first: list[tuple[int, int, Mapping[str, Any]]] = []  # number, first acted on at, versions; numbers grow
-    for entry in entries:
-        if entry.record.kind is Kind.VERSIONS and entry.record.told.get("list") in believed:
-            number = number_of(entry.record.told["list"])
-            if not first or number > first[-1][0]:
-                first.append((number, entry.record.stamp.ms, entry.record.told))
-        if entry.record.kind is not Kind.SENT or "list" not in entry.versions:
-            continue
-        own = number_of(entry.versions["list"])
-        for number, at, versions in reversed(first):
-            if number <= own:
-                break
-            if entry.record.stamp.ms - at > grace:
-                life = life_of(versions, entry.record.engine)
-                if life is not None and life != READY:
-                    yield Finding(
-                        "newer_version",
-                        f"{entry.name} sent {entry.record.ident} to "
-                        f"{entry.record.engine} on list {entry.versions['list']}; list "
-                        f"{versions['list']}, acted on {entry.record.stamp.ms - at} ms before, "
-                        f"has it {'draining' if life else 'gone'}",
-                        entry,
-                    )
-                break
+    return {told for told, by in acted.items() if len(by) >= min(WITNESSES, len(names) - 1)}
+
+
+def newest_in_force(first: list[Acted], beyond: int, before: float) -> Acted | None:
+    """The newest list of a number beyond that, which was acted on before that moment (Unix ms)."""
+    for acted in first[::-1]:
+        if acted.number <= beyond:
+            return None
+        if acted.at < before:
+            return acted
+    return None
+
+
+def forbidden(entry: Entry, newer: Acted) -> Iterator[Finding]:
+    """A finding, where the newer list has the engine draining or gone."""
+    record = entry.record
+    life = life_of(newer.versions, record.engine)
+    if life is not None and life != READY:
+        words = (
+            f"{entry.name} sent {record.ident} to {record.engine} on list {entry.versions['list']}; list "
+            f"{newer.versions['list']}, acted on {record.stamp.ms - newer.at} ms before, "
+            f"has it {'draining' if life else 'gone'}"
+        )
+        yield Finding("newer_version", words, entry)
 
 
 def number_of(version: str) -> int:
--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -26,7 +26,7 @@
 from .versions import Line, Row, Version, digest_of, list_digest, rows_of
 
 if TYPE_CHECKING:
-    from ..settings.installation import Installation
+    from ..settings.installation import FleetPart, Installation
 
 LARGEST = 65_535
 KINDS = {"standing": Kind.STANDING, "member": Kind.MEMBER, "page": Kind.WITNESS, "clash": Kind.CLASH}
@@ -66,6 +66,20 @@
     )
 
 
+def terms_of(part: FleetPart) -> Terms:
+    """The settings that all members share."""
+    return Terms(
+        part.period,
+        part.lease,
+        part.part,
+        part.forget,
+        part.behind_for,
+        part.shut_after,
+        part.most_shut,
+        part.clock_off,
+    )
+
+
 class Datagrams(DatagramProtocol):
     """What the others send."""
 
@@ -102,40 +116,9 @@
         self.guarded = at_most_once(site)
         self.come_back, self.share = site.most_come_back, 1.0 / site.dispatchers
         self.inner: Guard | None = None
-        at = part.advertise or part.listen
-        terms = Terms(
-            part.period,
-            part.lease,
-            part.part,
-            part.forget,
-            part.behind_for,
-            part.shut_after,
-            part.most_shut,
-            part.clock_off,
-        )
-        seeds = {seed.name: (str(seed.at[0]), seed.at[1]) for seed in part.seeds if seed.name != plan.name}
-        self.fleet = Fleet(
-            plan.name,
-            (str(at[0]), at[1]),
-            seeds,
-            terms,
-            keys,
-            random.Random(secrets.randbits(64)),
-            self.bring,
-            monotonic(),
-            unix(),
-        )
+        self.fleet = self.make_fleet(plan.name, part, keys)
         self.datagrams = Datagrams(self)
-        self.journal: Journal | None = None
-        if part.audit is not None:
-            self.journal = Journal(
-                Path(part.audit.path),
-                plan.name,
-                self.fleet.boot,
-                lambda: self.fleet.hybrid.stamp(self.unix()),
-                monotonic,
-                part.audit.bytes,
-            )
+        self.journal = self.make_journal(plan.name, part)
         self.next_seal, self.heard_at = monotonic(), float("-inf")
         self.next_count = monotonic()
         self.parts = True
@@ -144,6 +127,27 @@
         self.fleet.in_force(Line.PROGRAM, program())
         self.fleet.in_force(Line.KEYS, keyed(keys))
 
+    def make_fleet(self, name: str, part: FleetPart, keys: Keys) -> Fleet:
+        """The member that the operator's file describes."""
+        at = part.advertise or part.listen
+        seeds = {seed.name: (str(seed.at[0]), seed.at[1]) for seed in part.seeds if seed.name != name}
+        chance = random.Random(secrets.randbits(64))
+        now, unix = self.monotonic(), self.unix()
+        return Fleet(name, (str(at[0]), at[1]), seeds, terms_of(part), keys, chance, self.bring, now, unix)
+
+    def make_journal(self, name: str, part: FleetPart) -> Journal | None:
+        """The audit log; None where the file has none."""
+        if part.audit is None:
+            return None
+        return Journal(
+            Path(part.audit.path),
+            name,
+            self.fleet.boot,
+            lambda: self.fleet.hybrid.stamp(self.unix()),
+            self.monotonic,
+            part.audit.bytes,
+        )
+
     # Start and stop.
 
     def start(self) -> None:
