Name service: typed list and address, names that say what they hold

The list of the start was a tuple of a number and a dict, an address a bare tuple; reading an answer, counting and acting on it stood in one method of 30 lines. NameService's ident, open, same, listed and heard_at are question_id, open_questions, on_unchanged, on_list and answered_at.

--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -150,8 +150,8 @@
         """Before the service takes anything: its list is seen through this from the first."""
         assert self.plan.fleet is not None
         self.inner, self.link.guard = self.link.guard, self
-        self.service.names.listed = self.listed
-        self.service.names.same = self.same
+        self.service.names.on_list = self.listed
+        self.service.names.on_unchanged = self.same
         self.service.clients.fleet = lambda: self.fleet.status(self.monotonic())
         self.act_on(self.service.names.number, self.service.seats, "start")
         host, port = self.plan.fleet.listen
@@ -232,8 +232,8 @@
     def tick(self) -> None:
         self.reactor.callLater(TICK / 1000, self.tick)
         now = self.monotonic()
-        if self.service.names.heard_at != self.heard_at:
-            self.heard_at = self.service.names.heard_at
+        if self.service.names.answered_at != self.heard_at:
+            self.heard_at = self.service.names.answered_at
             self.fleet.source_answered(now)
         self.fleet.skew = self.raw() - self.unix()
         self.fleet.tick(now, self.unix())
--- a/spurdeal/net/configuration.py
+++ b/spurdeal/net/configuration.py
@@ -9,7 +9,7 @@
 
 from ..deployment import deployment, reported, without_nulls
 from ..interface import Deployment
-from .names import Seat, known_seats, read_address
+from .names import Address, KnownList, known_list, read_address
 
 DEFAULT_DESCRIPTORS = 1024
 DEFAULT_MEMORY_MB = 192.0
@@ -33,7 +33,7 @@
         sockets: How many descriptors its process may hold.
         memory_mb: How much memory its process may hold.
         nameserver: The address of the name service.
-        known: The number of the last event of the list, and the engines that the list holds.
+        known: The list of engines at the start.
         site: The settings, as the rules take them.
         workloads, customers: Their indices by name.
         locations, kinds: The names of locations and kinds of machine, by index.
@@ -49,8 +49,8 @@
     seed: int
     sockets: int
     memory_mb: float
-    nameserver: tuple[str, int]
-    known: tuple[int, dict[str, Seat]]
+    nameserver: Address
+    known: KnownList
     site: Deployment
     workloads: dict[bytes, int]
     customers: dict[bytes, int]
@@ -88,16 +88,16 @@
     settings = given["settings"]
     process_limits, limits = given.get("limits", {}), settings.get("limits", {})
     sockets = int(process_limits.get("sockets", DEFAULT_DESCRIPTORS))
-    host, port = read_address(given["listen"])
+    listen = read_address(given["listen"])
     return Configuration(
         name=str(given.get("name", "")),
-        host=host,
-        port=port,
+        host=listen.host,
+        port=listen.port,
         seed=int(str(given.get("seed", "0")), 16),
         sockets=sockets,
         memory_mb=float(process_limits.get("memory_mb", DEFAULT_MEMORY_MB)),
         nameserver=read_address(given["nameserver"]),
-        known=known_seats(given["known"]),
+        known=known_list(given["known"]),
         site=replace(deployment(settings), most_open=sockets * OPEN_CALLS_PART),
         workloads=indices_of(str(grade["name"]) for grade in settings["grades"]),
         customers=indices_of(str(tenant.get("name", "")) for tenant in settings.get("tenants", [])),
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -20,6 +20,13 @@
 WEIGHT_SCALE = 10
 
 
+class Address(NamedTuple):
+    """An IPv4 address and a port."""
+
+    host: str
+    port: int
+
+
 class Seat(NamedTuple):
     """An engine as the list names it; started is 0 for long ago."""
 
@@ -34,15 +41,27 @@
     started: float
 
 
-def read_address(text: object) -> tuple[str, int]:
+class KnownList(NamedTuple):
+    """The list that a start is configured with, and the number of its last event."""
+
+    number: int
+    seats: dict[str, Seat]
+
+
+def read_address(text: object) -> Address:
+    """Reads HOST:PORT.
+
+    Raises:
+        ValueError: The text is no IPv4 address with a port.
+    """
     host, colon, port = str(text).rpartition(":")
     if not colon or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"{text!r} is no address with a port")
-    return str(IPv4Address(host)), int(port)
+    return Address(str(IPv4Address(host)), int(port))
 
 
-def known_seats(known: Mapping[str, Any]) -> tuple[int, dict[str, Seat]]:
-    """The list that the numbered events of the start add up to, and the number of the last."""
+def known_list(known: Mapping[str, Any]) -> KnownList:
+    """What the numbered events of the start add up to."""
     seats: dict[str, Seat] = {}
     last = int(known.get("no", 0))
     for item in sorted(known.get("items", []), key=lambda item: int(item["no"])):
@@ -50,21 +69,26 @@
         if roster.get("reset"):
             seats.clear()
         for entry in roster["instances"]:
-            host, port = read_address(entry["hostPort"])
-            seat = Seat(
-                str(entry["instanceId"]),
-                host,
-                port,
-                str(entry["zone"]),
-                str(entry["machineType"]),
-                int(entry.get("cell", 0)),
-                LIVES[entry["lifecycle"]],
-                float(entry.get("weight", 1.0)),
-                float(entry.get("startedAtMs", 0.0)),
-            )
+            seat = known_seat(entry)
             seats[seat.ident] = seat
         last = max(last, int(item["no"]))
-    return last, {ident: seat for ident, seat in seats.items() if seat.life != Life.GONE}
+    return KnownList(last, {ident: seat for ident, seat in seats.items() if seat.life != Life.GONE})
+
+
+def known_seat(entry: Mapping[str, Any]) -> Seat:
+    """One engine of a numbered event."""
+    address = read_address(entry["hostPort"])
+    return Seat(
+        str(entry["instanceId"]),
+        address.host,
+        address.port,
+        str(entry["zone"]),
+        str(entry["machineType"]),
+        int(entry.get("cell", 0)),
+        LIVES[entry["lifecycle"]],
+        float(entry.get("weight", 1.0)),
+        float(entry.get("startedAtMs", 0.0)),
+    )
 
 
 def answered_seats(
@@ -72,6 +96,11 @@
     addresses: Mapping[str, str],
     texts: Mapping[str, Sequence[str]],
 ) -> dict[str, Seat]:
+    """The engines that an answer's records name, by id.
+
+    Raises:
+        dns.BadDatagram: Records of one of them are missing or cannot be used.
+    """
     seats = {}
     for priority, weight, port, target in services:
         labels = dns.labels_of(target)
@@ -97,47 +126,58 @@
 
 
 class NameService(DatagramProtocol):
-    """Asks for the whole list again and again, and passes on each newer one."""
+    """Asks for the whole list again and again, and passes on each newer one.
+
+    Attributes:
+        address: Where the name service is.
+        number: The number of the last event that is in force.
+        on_list: Takes each newer list.
+        on_unchanged: Takes each answer without news, where somebody compares them.
+        answered_at: When an answer last told of the list, in the reactor's seconds.
+    """
 
     transport: Any
 
     def __init__(
         self,
         reactor: Any,
-        address: tuple[str, int],
+        address: Address,
         number: int,
-        listed: Callable[[dict[str, Seat]], None],
+        on_list: Callable[[dict[str, Seat]], None],
         counters: Counters,
         log: logging.Logger,
     ) -> None:
-        self.reactor, self.address, self.number, self.listed = reactor, address, number, listed
+        self.reactor, self.address, self.number, self.on_list = reactor, address, number, on_list
         self.counters, self.log = counters, log
-        self.ident, self.open, self.asking = 0, dict[int, None](), None
-        self.same: Callable[[dict[str, Seat]], None] | None = None  # who compares an answer without news
-        self.heard_at = float("-inf")  # the reactor's seconds: when an answer last told of the list
+        self.question_id = 0
+        self.open_questions = dict[int, None]()
+        self.next_question: Any = None  # the delayed call
+        self.on_unchanged: Callable[[dict[str, Seat]], None] | None = None
+        self.answered_at = float("-inf")
 
     def startProtocol(self) -> None:
         self.ask()
 
     def stopProtocol(self) -> None:
-        if self.asking is not None and self.asking.active():
-            self.asking.cancel()
-        self.asking = None
+        if self.next_question is not None and self.next_question.active():
+            self.next_question.cancel()
+        self.next_question = None
 
-    def move(self, address: tuple[str, int]) -> None:
+    def move(self, address: Address) -> None:
         """The name service is elsewhere now; the numbers of its events go on."""
         self.address = address
         self.stopProtocol()
         self.ask()
 
     def ask(self) -> None:
-        self.ident = (self.ident + 1) & 0xFFFF
-        self.open[self.ident] = None
-        if len(self.open) > MOST_OPEN:
-            del self.open[next(iter(self.open))]
-        self.asking = self.reactor.callLater(ASK_EVERY, self.ask)
+        """Sends the next question. Nothing waits for its answer."""
+        self.question_id = (self.question_id + 1) & 0xFFFF
+        self.open_questions[self.question_id] = None
+        if len(self.open_questions) > MOST_OPEN:
+            del self.open_questions[next(iter(self.open_questions))]
+        self.next_question = self.reactor.callLater(ASK_EVERY, self.ask)
         try:
-            self.transport.write(dns.question(self.ident, SERVICE, dns.SRV), self.address)
+            self.transport.write(dns.question(self.question_id, SERVICE, dns.SRV), self.address)
             self.counters.add("names_asked")
         except OSError:
             self.counters.add("names_not_sent")
@@ -146,28 +186,34 @@
         if address[:2] != self.address or len(datagram) < 2:
             self.counters.add("names_foreign")
             return
-        ident = int.from_bytes(datagram[:2], "big")
         try:
-            answer = dns.read_answer(datagram, ident, SERVICE, dns.SRV) if ident in self.open else None
-            if answer is None:
-                self.counters.add("names_foreign")
-                return
-            self.open.pop(ident)
-            serial, services, addresses, texts = answer
-            if serial is None:
-                raise dns.BadDatagram("no serial")
-            self.counters.add("names_answered")
-            self.heard_at = self.reactor.seconds()
-            if serial < self.number or (serial == self.number and self.same is None):
-                return  # no news, or an answer that others have overtaken
-            seats = answered_seats(services, addresses, texts)
+            self.take_answer(datagram)
         except dns.BadDatagram as fault:
             self.counters.add("names_bad")
             self.log.warning("bad_datagram", extra={"figures": {"why": str(fault)}})
+
+    def take_answer(self, datagram: bytes) -> None:
+        """Puts an answer's list in force if it is newer.
+
+        Raises:
+            dns.BadDatagram: It cannot be read, or does not tell the whole list.
+        """
+        ident = int.from_bytes(datagram[:2], "big")
+        answer = None
+        if ident in self.open_questions:
+            answer = dns.read_answer(datagram, ident, SERVICE, dns.SRV)
+        if answer is None:
+            self.counters.add("names_foreign")
             return
-        if serial == self.number:
-            assert self.same is not None
-            self.same(seats)
-            return
-        self.number = serial
-        self.listed(seats)
+        self.open_questions.pop(ident)
+        serial, services, addresses, texts = answer
+        if serial is None:
+            raise dns.BadDatagram("no serial")
+        self.counters.add("names_answered")
+        self.answered_at = self.reactor.seconds()
+        if serial > self.number:
+            seats = answered_seats(services, addresses, texts)
+            self.number = serial
+            self.on_list(seats)
+        elif serial == self.number and self.on_unchanged is not None:
+            self.on_unchanged(answered_seats(services, addresses, texts))
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -59,11 +59,15 @@
         )
         self.clients.held_elsewhere = self.held_elsewhere
         self.bound(configuration)
-        number, seats = configuration.known
         self.names = NameService(
-            reactor, configuration.nameserver, number, self.link.listed, self.counters, log
+            reactor,
+            configuration.nameserver,
+            configuration.known.number,
+            self.link.listed,
+            self.counters,
+            log,
         )
-        self.seats = seats
+        self.seats = configuration.known.seats
         self.retry: Any = None
         self.sweeping = LoopingCall(self.sweep)
         self.sweeping.clock = reactor
@@ -103,21 +107,19 @@
                 self.retry = self.reactor.callLater(RETRY_FIRST * 2**tries, self.read_again, read, tries + 1)
             return
         self.counters.add("configurations_read")
-        self.clients.held_elsewhere = self.held_elsewhere
         self.bound(configuration)
-        number, seats = configuration.known
-        if number > self.names.number:
-            self.names.number = number
-            self.link.listed(seats)
+        if configuration.known.number > self.names.number:
+            self.names.number = configuration.known.number
+            self.link.listed(configuration.known.seats)
         if configuration.nameserver != self.names.address:
             self.names.move(configuration.nameserver)
-        host, port = configuration.nameserver
+        nameserver = configuration.nameserver
         later = configuration.rest_differs(self.configuration)
         self.log.info(
             "configuration_read",
             extra={
                 "figures": {
-                    "nameserver": f"{host}:{port}",
+                    "nameserver": f"{nameserver.host}:{nameserver.port}",
                     "sockets": configuration.sockets,
                     "rest_at_a_start": later,
                 }
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -237,13 +237,13 @@
 
     def look_at_list(self, now: float) -> None:
         """The first answer of the name service since the start: engines' starts are known now."""
-        if not self.fresh and self.service.names.heard_at > float("-inf"):
+        if not self.fresh and self.service.names.answered_at > float("-inf"):
             self.fresh = True
             self.link.listed(self.link.seats)
 
     def holding(self, now: float) -> list[str]:
         unix = self.link.clock()
-        stale = (self.reactor.seconds() - self.service.names.heard_at) * 1000 > self.vrrp.stale_after
+        stale = (self.reactor.seconds() - self.service.names.answered_at) * 1000 > self.vrrp.stale_after
         conditions = ["list_stale"] if stale and now - self.began > self.vrrp.stale_after else []
         if not any(engine.aside_until <= unix for engine in self.link.rules.ready):
             conditions.append("no_engine")
