In a flood a newcomer's wait is bounded by the accept queue's length; tests have own networks

Seen: beside 2,000 clients that come again at once, working clients got 503 (three tests of test_descriptors). Cause: the accept queue is never seen empty there, so each newcomer was dated back to the flood's beginning and had no time left. Change: nobody has waited longer than it took to accept a whole queue (1,025); one entry a round, dropped past that. The tests with processes take loopback networks of their own process, so that two runs on one machine do not meet.

--- a/spurdeal/fleet/asking.py
+++ b/spurdeal/fleet/asking.py
@@ -80,6 +80,7 @@
     """All files of a folder, in order.
 
     Args:
+        folder: Where one dispatcher keeps its audit.
         strict: Whether a file that is broken ends the reading; else it is a problem, and the rest is read.
 
     Raises:
@@ -112,6 +113,9 @@
     """Add the contents of a file to its log.
 
     Args:
+        log: What has been read of the folder so far.
+        file: Where it is.
+        found: What it holds.
         before: The digest at the end of the file before; None where that is not known.
 
     Raises:
--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -15,6 +15,7 @@
 from .link import SocketLink
 from .watch import AcceptWatch, Unpolled
 
+BACKLOG = 1024  # connections that may wait to be accepted
 LEAST_AHEAD, MOST_AHEAD = 16_384, 131_072  # bytes that a client may send ahead of its answer
 MEMORY_PART = 0.25  # of the memory, for what clients send ahead
 MOST_WAITING = 4096  # connections taken in at the end, at most: four times what may wait at the door
@@ -47,7 +48,7 @@
         self.fleet: Callable[[], object] | None = None  # what is known of the fleet, where there is one
         self.pause_logged_at = float("-inf")
         self.ready = self.paused = self.ending = self.accept_ended = False
-        self.accepting = AcceptWatch(link.loop)
+        self.accepting = AcceptWatch(link.loop, BACKLOG + 1)  # Linux lets one more wait
 
     def bound(self, most: int, accepts: int, memory_mb: float) -> None:
         """Sets how many connections there may be, how many are accepted a round, and the memory for all."""
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.task import LoopingCall
 
-from .clients import Clients
+from .clients import BACKLOG, Clients
 from .configuration import Configuration, Unusable
 from .counters import Counters
 from .descriptors import OPENED_AT_START, DescriptorBudget, ProcessDescriptors
@@ -16,7 +16,6 @@
 from .link import SocketLink
 from .names import NameService
 
-BACKLOG = 1024
 SWEEP_EVERY = 0.25  # seconds
 KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
 STOP_NOT_BEFORE = 900.0  # ms after SIGTERM; new connections and calls on open ones come until 600
--- a/spurdeal/net/watch.py
+++ b/spurdeal/net/watch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -88,23 +89,44 @@
         return found
 
 
+class AcceptRound(NamedTuple):
+    """A round of the loop that accepted connections."""
+
+    at: float
+    total: int  # accepted before it
+
+
 class AcceptWatch:
-    """Dates connections: since when one that is accepted now may have waited, with bytes of its own."""
+    """Dates connections: since when one that is accepted now may have waited, with bytes of its own.
 
-    def __init__(self, loop: LoopWatch) -> None:
-        self.loop, self.round, self.since = loop, -1, 0.0
+    Not before the accept queue was last empty, nor before what was accepted a whole queue's length ago: the
+    queue is first in, first out, and holds no more than that."""
+
+    def __init__(self, loop: LoopWatch, queue_length: int) -> None:
+        self.loop, self.queue_length = loop, queue_length
+        self.round, self.since = -1, 0.0
         self.count, self.most = 0, 0  # accepted in that round, and how many could be
+        self.total = 0
+        self.rounds = deque[AcceptRound]()  # since the queue was last empty, up to its length
 
     def accepted(self, most: int) -> Unpolled:
         """One more, of so many at most in this round."""
         if self.loop.round != self.round:
-            emptied = self.loop.round > self.round + 1 or self.count < self.most
-            if emptied:
-                self.since = self.loop.arrival()
-            self.round, self.count, self.most = self.loop.round, 0, most
+            self.begin_round(most)
         self.count += 1
+        self.total += 1
         return Unpolled(self.since, self.round + 1)
 
+    def begin_round(self, most: int) -> None:
+        """The first accept of a round of the loop."""
+        if self.loop.round > self.round + 1 or self.count < self.most:
+            self.since = self.loop.arrival()
+            self.rounds.clear()
+        while self.rounds and self.total - self.rounds[0].total >= self.queue_length:
+            self.since = self.rounds.popleft().at
+        self.rounds.append(AcceptRound(self.loop.arrival(), self.total))
+        self.round, self.count, self.most = self.loop.round, 0, most
+
     def resumed(self) -> None:
         """Accepting goes on after a pause: what waits may have done so since the last was accepted."""
         self.round, self.count, self.most = self.loop.round, 0, 0
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -47,7 +47,9 @@
 
     @classmethod
     def in_network(cls, number: int) -> "Addresses":
-        return cls(f"127.0.{number}.1", f"127.0.{number}.9", f"127.0.{number}.20")
+        """Those of one network of this process's, so that two runs on one machine do not meet."""
+        network = f"127.{1 + os.getpid() % 254}.{number}"
+        return cls(f"{network}.1", f"{network}.9", f"{network}.20")
 
     def configuration(self, **more: Any) -> dict[str, Any]:
         instances = [
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,6 +3,7 @@
 import unittest
 from typing import Any
 
+from spurdeal.net.watch import AcceptWatch
 from tests.helpers import Caller, World
 from tests.steps import Steps, Talk, settings
 
@@ -100,6 +101,22 @@
         expiry = steps.service.link.by_ident[b"%016x" % 99].expiry  # so accepting went on
         self.assertAlmostEqual(expiry - steps.clock(), 2000 - 500 - ANSWER_WAY, places=3)
 
+    def test_in_a_flood_nobody_has_waited_longer_than_the_queue_is_long(self) -> None:
+        """Each round accepts as many as it may, so the queue is never seen empty."""
+        steps = Steps(self)
+        watch = AcceptWatch(steps.service.link.loop, queue_length=6)
+        dated = list[float]()
+        for _ in range(10):
+            steps.reactor.now += 0.01
+            steps.round()
+            dated += [watch.accepted(2).since for _ in range(2)]
+        now = steps.clock()
+        self.assertAlmostEqual(now - dated[-1], 30.0, places=3)  # three rounds of two
+        self.assertLessEqual(len(watch.rounds), 4)
+        steps.go(10)
+        steps.go(10)  # a round with no accept: it was empty
+        self.assertAlmostEqual(steps.clock() - watch.accepted(2).since, 0.0, places=3)
+
     def test_without_a_stall_the_time_is_that_of_the_reading(self) -> None:
         steps, client, engine = self.resting()
         for ident, pause in ((2, 0), (3, 30), (4, 700)):
