The lost requests: clients hold back what must keep an order, its time running; its run's first dates it

So clients hold one of a key back while others of it are on their way, and tell the whole wait as theirs when it leaves.

At fault: link.take, which counted a keyed request's wait from its reading. Now that of a workload in order counts from the first of its run (net/ordered.py): it was made after that, or it would have been sent before. A run ends where the next one comes over 300 ms behind; a fifth of the wait is taken off at most.

--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -15,6 +15,7 @@
 from .counters import Counters
 from .engines import Engines
 from .names import Seat
+from .ordered import OrderedArrivals
 from .submissions import Carrier, EarlyWithdrawals, Guard, Taken, at_most_once
 from .trips import Outcome, SendTerms
 from .turns import Turns
@@ -49,6 +50,7 @@
         self.still_out: dict[bytes, Taken] = {}  # answered, with a trip out: their ids are not free yet
         self.withdrawn_early = EarlyWithdrawals()
         self.at_most_once = at_most_once(site)
+        self.in_order, self.ordered = [w.in_order for w in site.workloads], OrderedArrivals()
         self.places: dict[str, int] = {}
         self.next_place = count()
         self.seats: dict[str, Seat] = {}
@@ -89,6 +91,8 @@
             self.counters.add(COUNTED[type(known)])
             return succeed(known)
         now, number = self.clock(), next(self.numbers)
+        if key and self.in_order[kind]:
+            wait -= self.ordered.held_back(key, now, wait)
         expiry = min(now + wait - ANSWER_WAY, self.until)
         answer: Deferred[Answer] = Deferred(lambda _: self.left(number))
         taken = Taken(
--- /dev/null
+++ b/spurdeal/net/ordered.py
@@ -0,0 +1,39 @@
+"""Requests that must keep an order by key: for how long a client may have held one back.
+
+Clients send the requests of one key some distance apart, so that their order is plain. One that has to wait
+for those before it waits at its client, unseen, while its time runs, and still tells the whole wait as its
+own. It was made after the first of its run, or it would have been sent before that."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+RUN_GAP = 300.0  # ms; requests of one key that come closer together may be a run; held back: 60 to 250 seen
+MOST_PART = 0.2  # of the wait that a request tells
+MOST_RUNS = 1024
+
+
+class Run(NamedTuple):
+    """Requests of one key, each close behind the one before."""
+
+    first: float
+    last: float
+
+
+class OrderedArrivals:
+    """The runs that may still go on, the one longest without a request first."""
+
+    def __init__(self) -> None:
+        self.runs: dict[int, Run] = {}
+
+    def held_back(self, key: int, now: float, wait: float) -> float:
+        """One more of this key has come: ms for which it may have been held back, so far as is counted."""
+        run = self.runs.pop(key, None)
+        first = run.first if run is not None and now - run.last <= RUN_GAP else now
+        self.runs[key] = Run(first, now)
+        self.forget(now)
+        return min(now - first, MOST_PART * wait)
+
+    def forget(self, now: float) -> None:
+        while len(self.runs) > MOST_RUNS or next(iter(self.runs.values())).last < now - RUN_GAP:
+            del self.runs[next(iter(self.runs))]
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,7 +1,7 @@
 """Stalls, shared connections, and what one turn may cost: each forced, on a clock moved by hand."""
 
 import unittest
-from typing import Any
+from typing import Any, ClassVar
 
 from tests.helpers import Caller, World
 from tests.steps import Steps, Talk, settings
@@ -132,6 +132,55 @@
         )
 
 
+class HeldBack(unittest.TestCase):
+    """Requests of one key that must keep an order may have waited at their client for those before them."""
+
+    GRADES: ClassVar = [
+        {"name": "entry", "aim": 3000, "deadline": 20000, "effect": "once", "serial_by_key": True},
+        {"name": "load", "aim": 3000, "deadline": 20000, "effect": "once"},
+    ]
+
+    def setUp(self) -> None:
+        self.world = World(self, settings=settings() | {"grades": self.GRADES})
+        self.count = 0
+
+    def time_left(self, workload: str, key: str, wait: int = 5000) -> float:
+        """What one more that comes now still has, as the dispatcher counts."""
+        self.count += 1
+        Caller(self.world).post(self.count, workload, wait=wait, Req_Key=key)
+        expiry = self.world.service.link.by_ident[b"%016x" % self.count].expiry
+        return round(expiry - self.world.now() + ANSWER_WAY)
+
+    def test_a_run_counts_from_its_first(self) -> None:
+        left = list[float]()
+        for pause in (0, 250, 60, 290):
+            self.world.go(pause)
+            left.append(self.time_left("entry", "k1"))
+        self.assertEqual(left, [5000, 4750, 4690, 4400])
+
+    def test_a_fifth_of_the_wait_at_most(self) -> None:
+        for _ in range(9):
+            least = self.time_left("entry", "k1")
+            self.world.go(250)
+        self.assertEqual(least, 4000)
+
+    def test_other_keys_other_workloads_and_later_ones_are_let_be(self) -> None:
+        left = [self.time_left("entry", "k1")]
+        self.world.go(100)
+        left += [self.time_left("entry", "k2"), self.time_left("load", "k1"), self.time_left("entry", "")]
+        self.world.go(310)
+        left.append(self.time_left("entry", "k1"))
+        self.assertEqual(left, [5000] * 5)
+
+    def test_runs_are_bounded_and_forgotten(self) -> None:
+        ordered = self.world.service.link.ordered
+        for key in range(1, 5000):
+            ordered.held_back(key, 0.0, 5000.0)
+        self.assertEqual(len(ordered.runs), 1024)
+        ordered.held_back(1, 1000.0, 5000.0)
+        self.assertEqual(list(ordered.runs), [1])
+
+
 class Turns(unittest.TestCase):
     """The work of one turn is bounded."""
 
