A member's turn is its incarnation, as SWIM calls it

The number that only a member itself raises was `turn`, a word that the handover and the link use for other things. On the wire and in the status nothing changes: records are rows there, and no key named it.

--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -232,13 +232,13 @@
     def rejoin(self, now: float) -> None:
         """Its grantors are lost for good, or refuse it: it goes on as a new start, with all that a new one
         owes."""
-        turn, others = self.members.turns_seen, dict(self.members.others)
+        incarnation, others = self.members.highest_incarnation, dict(self.members.others)
         before = self.boot
         self.begin(now)
         for record in others.values():
             if record.life <= Life.SUSPECT:
                 self.members.put(now, record, self.name)
-        self.members.raise_turn(turn)
+        self.members.raise_incarnation(incarnation)
         self.lease.alone = self.lease.alone and not self.members.others
         self.ladder.returned += 1
         self.told.append(Told("rejoined", {"before": f"{before:016x}", "boot": f"{self.boot:016x}"}))
--- a/spurdeal/fleet/members.py
+++ b/spurdeal/fleet/members.py
@@ -6,9 +6,10 @@
 Phillips and Currey, 2018): who is slow itself probes slower and trusts itself less (local health), a
 suspicion runs shorter the more confirm it, and a suspected one is told so at the next probe.
 
-A record is ordered by its `turn`, which only its subject raises: by a new start, by a refutation, after a
-split. At one turn the graver word wins. Two starts with one turn are two processes under one name, or a new
-one that does not know the old one yet: see `contested`. Times are ms of one monotonic clock."""
+A record is ordered by its `incarnation`, which only its subject raises: by a new start, by a refutation,
+after a split. At one incarnation the graver word wins. Two starts with one incarnation are two processes
+under one name, or a new one that does not know the old one yet: see `contested`. Times are ms of one
+monotonic clock."""
 
 from __future__ import annotations
 
@@ -28,7 +29,7 @@
 HEALTH_MOST = 8  # local health: probes are at most so many times slower
 SUSPECT_LEAST, SUSPECT_MOST = 4.0, 6.0  # periods times log10 of the fleet; the most, times the least
 CONFIRMED = 3  # so many confirm it: the least time holds
-RAISED_MOST = 1 << 40
+MAX_INCARNATION = 1 << 40
 
 
 class Life(IntEnum):
@@ -47,7 +48,7 @@
     host: str
     port: int
     boot: int
-    turn: int
+    incarnation: int
     life: Life
     by: str = ""  # of a suspicion: who says so
 
@@ -99,7 +100,7 @@
         self.news: dict[str, int] = {own.name: 0}  # how often told
         self.changes: list[Change] = []
         self.contested: Record | None = None  # another start under our name, until it is settled
-        self.turns_seen = own.turn
+        self.highest_incarnation = own.incarnation
 
     # What is known.
 
@@ -127,7 +128,7 @@
 
     @staticmethod
     def line(record: Record) -> bytes:
-        return f"{record.name} {record.boot} {record.turn} {record.life:d}".encode()
+        return f"{record.name} {record.boot} {record.incarnation} {record.life:d}".encode()
 
     def keep(self, name: str, record: Record | None) -> None:
         """The table, who is living, and the sum go together."""
@@ -159,7 +160,7 @@
         if known is not None:
             if record.life is Life.SUSPECT and record[3:6] == known[3:6]:
                 self.confirm(now, record.name, record.by)
-            if (record.turn, record.life, record.boot) <= (known.turn, known.life, known.boot):
+            if (record.incarnation, record.life, record.boot) <= (known.incarnation, known.life, known.boot):
                 return
         self.put(now, record, by)
 
@@ -203,25 +204,30 @@
         self.news[name] = 0
 
     def hear_of_self(self, record: Record) -> None:
-        """Others say of us what is not so: a later turn refutes it. Another start is left to who decides."""
-        self.turns_seen = max(self.turns_seen, record.turn)
+        """Others say of us what is not so: a later incarnation refutes it. Another start is left to who
+        decides."""
+        self.highest_incarnation = max(self.highest_incarnation, record.incarnation)
         if record.boot != self.own.boot:
-            if record.turn >= self.own.turn and record.life is not Life.LEFT:
+            if record.incarnation >= self.own.incarnation and record.life is not Life.LEFT:
                 self.contested = record
             if record.life < Life.GONE:
                 return
-        if record.life is not Life.ALIVE and record.turn >= self.own.turn and self.own.life is not Life.LEFT:
+        if (
+            record.life is not Life.ALIVE
+            and record.incarnation >= self.own.incarnation
+            and self.own.life is not Life.LEFT
+        ):
             self.worse()
-            self.raise_turn(record.turn)
+            self.raise_incarnation(record.incarnation)
 
-    def raise_turn(self, beyond: int) -> None:
-        """We are here, whatever was told up to that turn."""
-        self.own = self.own._replace(turn=min(RAISED_MOST, max(beyond, self.own.turn) + 1))
+    def raise_incarnation(self, beyond: int) -> None:
+        """We are here, whatever was told up to that incarnation."""
+        self.own = self.own._replace(incarnation=min(MAX_INCARNATION, max(beyond, self.own.incarnation) + 1))
         self.news[self.own.name] = 0
 
     def leave(self) -> None:
         """A planned end: nobody needs to suspect us."""
-        self.own = self.own._replace(life=Life.LEFT, turn=self.own.turn + 1)
+        self.own = self.own._replace(life=Life.LEFT, incarnation=self.own.incarnation + 1)
         self.news[self.own.name] = 0
 
     # News out.
--- a/spurdeal/fleet/name_conflict.py
+++ b/spurdeal/fleet/name_conflict.py
@@ -43,7 +43,7 @@
         standing = self.fleet.ladder.standing
         lapsed = standing in (Standing.LAPSED, Standing.SHUT)
         if other.boot in self.own_boots:
-            members.raise_turn(other.turn)
+            members.raise_incarnation(other.incarnation)
         elif standing in (Standing.CURRENT, Standing.BEHIND) and self.fleet.lease.holds(now):
             self.keep(other)
         elif lapsed or self.raised_against[other.boot] >= MAX_RAISES:
@@ -51,9 +51,9 @@
             self.fleet.told.append(Told("name_yielded", {"other": f"{other.boot:016x}"}))
         else:
             self.raised_against[other.boot] += 1
-            members.raise_turn(other.turn)
+            members.raise_incarnation(other.incarnation)
 
     def keep(self, other: Record) -> None:
         """The name stays ours."""
-        self.fleet.members.raise_turn(other.turn)
+        self.fleet.members.raise_incarnation(other.incarnation)
         self.fleet.tell_once(f"name {other.boot}", "name_kept", {"other": f"{other.boot:016x}"})
--- a/spurdeal/fleet/wire.py
+++ b/spurdeal/fleet/wire.py
@@ -16,7 +16,7 @@
 from .audit import SealedPage
 from .hybrid import Stamp
 from .lease import GRANTORS, Term
-from .members import RAISED_MOST, Life, Record
+from .members import MAX_INCARNATION, Life, Record
 from .standing import Standing
 from .versions import Line, Version
 
@@ -96,12 +96,18 @@
         raise Refused("body") from None
     by = text(row[6]) if row[6] != "" else ""
     return Record(
-        text(row[0]), host(row[1]), whole(row[2], 65535), whole(row[3]), whole(row[4], RAISED_MOST), life, by
+        text(row[0]),
+        host(row[1]),
+        whole(row[2], 65535),
+        whole(row[3]),
+        whole(row[4], MAX_INCARNATION),
+        life,
+        by,
     )
 
 
 def written(found: Record) -> list[Any]:
-    return [found.name, found.host, found.port, found.boot, found.turn, int(found.life), found.by]
+    return [found.name, found.host, found.port, found.boot, found.incarnation, int(found.life), found.by]
 
 
 def records(body: Mapping[str, Any], key: str = "n") -> list[Record]:
