--- a/spurdeal/fleet/asking.py
+++ b/spurdeal/fleet/asking.py
@@ -125,8 +125,8 @@
         log.problems.append(f"{file.name}: a page before it was altered or cut")
     boot = str(told["boot"])
     add_records(log, boot, found.records)
-    for page, (digest, _, _) in found.seals.items():
-        log.seals[boot, page] = digest
+    for page, seal in found.seals.items():
+        log.seals[boot, page] = seal.digest
         log.last_page[boot] = max(page, log.last_page.get(boot, -1))
     if found.unsealed:  # the next start goes on behind this page, which nobody sealed
         log.last_page.setdefault(boot, found.page - 2)
--- a/spurdeal/fleet/audit.py
+++ b/spurdeal/fleet/audit.py
@@ -83,6 +83,22 @@
     records: int
 
 
+class PageSeal(NamedTuple):
+    """The seal of a page, as it stands in a log: its digest, records up to it, and when it was written."""
+
+    digest: str
+    records: int
+    stamp: Stamp
+
+
+class LogEnd(NamedTuple):
+    """Where a log goes on: the page, records so far, and the digest before it."""
+
+    page: int
+    records: int
+    digest: bytes
+
+
 class Broken(FleetError):
     """A log that cannot be used from some place on; the text says why."""
 
@@ -174,7 +190,7 @@
     """One file's contents: records, seals by page, and the state at its end."""
 
     records: list[Record]
-    seals: dict[int, tuple[str, int, Stamp]]  # page: digest, count, when
+    seals: dict[int, PageSeal]
     page: int
     total: int
     digest: bytes  # after all that stands in the file, sealed or not
@@ -190,7 +206,7 @@
         return Read([], {}, 0, 0, NO_DIGEST, 0, {}, 0)
     if data[: len(MAGIC)] != MAGIC:
         raise Broken(0, "no audit log: it does not begin as one")
-    at, records, seals = len(MAGIC), list[Record](), dict[int, tuple[str, int, Stamp]]()
+    at, records, seals = len(MAGIC), list[Record](), dict[int, PageSeal]()
     head: dict[str, Any] = {}
     page, count, digest, pending = 0, 0, NO_DIGEST, b""
     in_page = 0
@@ -212,7 +228,7 @@
             if told["page"] != page or told["digest"] != digest.hex() or told["records"] != count + in_page:
                 raise Broken(at, f"page {page} is not what its seal says: altered, or a part is cut out")
             count, in_page, pending = count + in_page, 0, b""
-            seals[page] = digest.hex(), count, found[0].stamp
+            seals[page] = PageSeal(digest.hex(), count, found[0].stamp)
             page += 1
         else:
             in_page += len(found)
--- a/spurdeal/fleet/bringing.py
+++ b/spurdeal/fleet/bringing.py
@@ -17,7 +17,7 @@
 from typing import Any, NamedTuple
 
 from .errors import FleetError
-from .versions import Row, Version
+from .versions import Offer, Row, Version
 
 PIECE = 600  # bytes of packed text in one datagram
 MOST_PIECES = 128
@@ -143,7 +143,7 @@
         self.refused: set[Version] = set()  # versions whose content was no good: they are not asked for again
         self.spoilt = self.begun = 0
 
-    def tick(self, now: float, have: Version, offers: Sequence[tuple[Version, Sequence[str]]]) -> Ask | None:
+    def tick(self, now: float, have: Version, offers: Sequence[Offer]) -> Ask | None:
         """What to ask for now. offers: versions beyond ours, newest first, and who holds them."""
         if self.want is not None:
             if have.order >= self.want.order:
--- a/spurdeal/fleet/journal.py
+++ b/spurdeal/fleet/journal.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from .audit import MAGIC, Broken, Kind, Pages, Read, SealedPage, read
+from .audit import MAGIC, NO_DIGEST, Broken, Kind, LogEnd, Pages, Read, SealedPage, read
 from .hybrid import Stamp
 
 FILES = 8  # of which the oldest goes when the bytes are used up
@@ -49,9 +49,12 @@
 
     # Start.
 
-    def recover(self) -> tuple[int, int, bytes]:
-        """Page, count and digest to go on from. A torn tail is cut; what cannot be read is put aside, not
-        deleted. OSError as it comes."""
+    def recover(self) -> LogEnd:
+        """Where to go on. A torn tail is cut; what cannot be read is put aside, not deleted.
+
+        Raises:
+            OSError: The folder cannot be used.
+        """
         self.path.mkdir(parents=True, exist_ok=True)
         found: Read | None = None
         for file in sorted(self.path.glob("audit-*.log")):
@@ -77,7 +80,7 @@
                 self.torn += 1
                 os.truncate(file, found.end)
                 self.sizes[newest] = found.end
-        return (found.page, found.total, found.digest) if found is not None else (0, 0, b"\0" * 16)
+        return LogEnd(found.page, found.total, found.digest) if found is not None else LogEnd(0, 0, NO_DIGEST)
 
     def begin(self) -> bool:
         """A new file, whose head says what came before it."""
--- a/spurdeal/fleet/lease.py
+++ b/spurdeal/fleet/lease.py
@@ -132,6 +132,23 @@
         return (self.following or self.term).number
 
 
+class Reply(NamedTuple):
+    """A grantor's reply to one who asks for its lease. heard_of: its highest term that we have heard of."""
+
+    heard_of: int
+    granted: bool
+
+
+class Word(NamedTuple):
+    """What a grantor knows of one start: its terms, whether it refuses those, and for how many ms yet its
+    answers may count."""
+
+    term: Term
+    following: Term | None
+    refused: bool
+    left: float
+
+
 class Grantor:
     """A grantor's side: whom we have answered, until when that may count. Bounded by the members."""
 
@@ -141,16 +158,17 @@
         # What an earlier start of ours has answered, or has barred, is not known any more.
         self.rests_until = now + self.lease
 
-    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
-        """One asks us: the highest term of it that we have heard of, and whether we answer."""
+    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> Reply:
+        """One asks us to grant its lease."""
         if now < self.rests_until:
-            return 0, False  # nor noted: an earlier start of ours may have given its word (the model)
+            return Reply(0, False)  # nor noted: an earlier start of ours may have given its word (the model)
         newest = (following or term).number
         known = self.grants.get(name)
         if known is not None and now < known.barred:
-            return known.newest if known.boot == boot else 0, False
+            return Reply(known.newest if known.boot == boot else 0, False)
         if known is not None and known.boot != boot and now < known.until:
-            return 0, False  # another start under this name may still act: two processes, or a quick restart
+            # Another start under this name may still act: two processes, or a quick restart.
+            return Reply(0, False)
         if known is None or known.boot != boot:
             known = Grant(boot, term, following, NEVER, -1, NEVER)
         elif newest > known.newest or (newest == known.newest and term.number > known.term.number):
@@ -159,7 +177,7 @@
         if granted:
             known = known._replace(until=now + self.lease)
         self.grants[name] = known
-        return known.newest, granted
+        return Reply(known.newest, granted)
 
     def refuse(self, name: str, boot: int) -> None:
         """That start of it counts as gone here: on the terms that we know we answer it no more."""
@@ -167,16 +185,19 @@
         if known is not None and known.boot == boot:
             self.grants[name] = known._replace(refused=max(known.refused, known.newest))
 
-    def word(self, now: float, name: str, boot: int) -> tuple[Term, Term | None, bool, float] | None:
-        """For one who wants to rely on its stop: the terms that we know, whether we refuse those, and for how
-        many ms yet our answers may count. We are barred from then on. None: we know nothing of that start."""
+    def word(self, now: float, name: str, boot: int) -> Word | None:
+        """Our word to one who wants to rely on its stop; where we refuse it, we are barred from then on.
+
+        Returns:
+            None where we know nothing of that start.
+        """
         known = self.grants.get(name)
         if known is None or known.boot != boot:
             return None
         refused = known.refused >= known.newest
         if refused:
             self.grants[name] = known._replace(barred=now + self.lease)
-        return known.term, known.following, refused, max(0.0, known.until - now)
+        return Word(known.term, known.following, refused, max(0.0, known.until - now))
 
 
 class Inquiry:
--- a/spurdeal/fleet/list_sync.py
+++ b/spurdeal/fleet/list_sync.py
@@ -8,7 +8,7 @@
 from .bringing import ONE_WITNESS_DROPS, Ask, Fetch, Rows, Shelf, Spoilt, applied, drops, unpack
 from .messenger import RequestKind
 from .terms import Told
-from .versions import ROW, WITNESSES, Line, Version, list_digest
+from .versions import ROW, WITNESSES, Line, Offer, Version, list_digest
 
 if TYPE_CHECKING:
     from .fleet import Fleet
@@ -39,7 +39,7 @@
         if ask is not None:
             self.request_piece(now, unix, ask)
 
-    def offers(self, now: float) -> list[tuple[Version, list[str]]]:
+    def offers(self, now: float) -> list[Offer]:
         """Versions beyond ours that may be asked for by now, newest first, and who holds them.
 
         Our own source comes first, where it answers: one that is told what others are not must not lead them
@@ -54,7 +54,7 @@
         self.offered = {version: self.offered.get(version, now) for version, _ in offers}
         patience = SOURCE_FIRST if now - self.source_at < SOURCE_FIRST else 0.0
         return [
-            (version, [name for name in holders if name in fleet.heard])
+            Offer(version, [name for name in holders if name in fleet.heard])
             for version, holders in offers
             if now - self.offered[version] >= patience
         ]
--- a/spurdeal/fleet/members.py
+++ b/spurdeal/fleet/members.py
@@ -75,6 +75,13 @@
     nacks: int  # others that were asked and owe a word
 
 
+class Probes(NamedTuple):
+    """Whom to probe now, and whom to ask to probe for us the one that did not answer."""
+
+    target: str | None
+    helpers: list[str]
+
+
 class Suspicion(NamedTuple):
     since: float
     end: float
@@ -261,8 +268,8 @@
 
     # Probes.
 
-    def tick(self, now: float) -> tuple[str | None, list[str]]:
-        """Whom to probe now, and whom to ask to probe for us. Call it often; it keeps its own periods."""
+    def tick(self, now: float) -> Probes:
+        """What is due by now. Call it often; it keeps its own periods."""
         still = now - self.ticked
         if still > 2 * self.period:
             # We stood still, not they: what was due meanwhile proves nothing.
@@ -283,8 +290,8 @@
             self.forget(now)
         asked = self.watch_probe(now)
         if self.probe is None and now >= self.next_probe:
-            return self.next_one(now), asked
-        return None, asked
+            return Probes(self.next_one(now), asked)
+        return Probes(None, asked)
 
     def watch_probe(self, now: float) -> list[str]:
         probe = self.probe
--- a/spurdeal/fleet/versions.py
+++ b/spurdeal/fleet/versions.py
@@ -95,6 +95,13 @@
     return digest_of(repr(sorted(rows.values())).encode())
 
 
+class Offer(NamedTuple):
+    """A version beyond ours, and who claims to hold it."""
+
+    version: Version
+    holders: list[str]
+
+
 class Book:
     """Our versions in force, and what the others claim. Bounded by lines, members and MOST_CLASHES."""
 
@@ -107,7 +114,7 @@
         self.implausible: dict[str, int] = {}
         # What `newest` and `offers` have found since anything changed.
         self.found: dict[Line, Version | None] = {}
-        self.beyond: dict[Line, list[tuple[Version, list[str]]]] = {}
+        self.beyond: dict[Line, list[Offer]] = {}
 
     def take(self, line: Line, version: Version, by_source: bool = True) -> bool:
         """Puts a version in force. False, and nothing changes, for one that is not newer: versions never go
@@ -183,14 +190,14 @@
     def holders(self, line: Line, version: Version) -> list[str]:
         return sorted(name for name, claims in self.claims.items() if claims.get(line) == version)
 
-    def offers(self, line: Line = Line.LIST) -> list[tuple[Version, list[str]]]:
+    def offers(self, line: Line = Line.LIST) -> list[Offer]:
         """What members claim beyond ours, newest first, also with one witness: it may be asked for, since
         what comes is checked against its digest and against what is in force."""
         if line not in self.beyond:
             self.beyond[line] = self.find_offers(line)
         return self.beyond[line]
 
-    def find_offers(self, line: Line) -> list[tuple[Version, list[str]]]:
+    def find_offers(self, line: Line) -> list[Offer]:
         own = self.force.get(line)
         ahead = {
             claims[line]
@@ -198,6 +205,6 @@
             if line in claims and (own is None or claims[line].order > own.order)
         }
         return [
-            (version, self.holders(line, version))
+            Offer(version, self.holders(line, version))
             for version in sorted(ahead, key=lambda each: (*each.order, each.digest), reverse=True)
         ]
--- a/spurdeal/lab/lease_faults.py
+++ b/spurdeal/lab/lease_faults.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..fleet.lease import NEVER, Grantor, Inquiry, Lease, Term
+from ..fleet.lease import NEVER, Grantor, Inquiry, Lease, Reply, Term, Word
 from .lease_model import FAR, Kinds
 
 
@@ -21,7 +21,7 @@
 
 
 class AnswersThoughBarred(Grantor):
-    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
+    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> Reply:
         if name in self.grants:
             self.grants[name] = self.grants[name]._replace(barred=NEVER)
         return super().ask(now, name, boot, term, following)
@@ -30,7 +30,7 @@
 class ForgetsItsRest(Grantor):
     """A new start answers at once, whatever the one before has said."""
 
-    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
+    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> Reply:
         self.rests_until = NEVER
         return super().ask(now, name, boot, term, following)
 
@@ -38,9 +38,9 @@
 class SaysNothingLeft(Grantor):
     """Its answers may still count, and it does not say so."""
 
-    def word(self, now: float, name: str, boot: int) -> tuple[Term, Term | None, bool, float] | None:
+    def word(self, now: float, name: str, boot: int) -> Word | None:
         found = super().word(now, name, boot)
-        return None if found is None else (*found[:3], 0.0)
+        return None if found is None else found._replace(left=0.0)
 
 
 class RefusesNothing(Grantor):
@@ -50,12 +50,12 @@
         super().refuse(name, boot)
         self.lying = True
 
-    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> tuple[int, bool]:
+    def ask(self, now: float, name: str, boot: int, term: Term, following: Term | None) -> Reply:
         if name in self.grants:
             known = self.grants[name]
             heard, _ = super().ask(now, name, boot, term, following)
             self.grants[name] = known._replace(until=now + self.lease)
-            return heard, True
+            return Reply(heard, True)
         return super().ask(now, name, boot, term, following)
 
 
