--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -15,7 +15,7 @@
 from .link import SocketLink
 from .watch import AcceptWatch, Unpolled
 
-# Connections that may wait to be accepted; past it the system drops a client's first packet, which comes again
+# Connections that may wait to be accepted; past it the system drops a client's first packet, which is sent again
 # after 1 s.
 BACKLOG = 4096
 LEAST_AHEAD, MOST_AHEAD = 16_384, 131_072  # bytes that a client may send ahead of its answer
