--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -15,7 +15,7 @@
 from .link import SocketLink
 from .watch import AcceptWatch, Unpolled
 
-# Connections that may wait to be accepted. Past it the system drops a first packet, which comes again after 1 s.
+# Connections that may wait to be accepted. Past it the system drops a first packet, sent again after 1 s.
 BACKLOG = 4096
 LEAST_AHEAD, MOST_AHEAD = 16_384, 131_072  # bytes that a client may send ahead of its answer
 MEMORY_PART = 0.25  # of the memory, for what clients send ahead
