--- a/spurdeal/fleet/versions.py
+++ b/spurdeal/fleet/versions.py
@@ -6,7 +6,7 @@
 what it has.
 
 A claim is what one dispatcher says it acts on. One witness is one witness: only what two claim, or what our
-own name service told, counts as existing, so that one that makes versions up makes nobody a straggler. And a
+own name service told, counts as existing, so that one that makes versions up makes nobody lag behind. And a
 claim far ahead of all that was seen is no version at all."""
 
 from __future__ import annotations
