--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -226,18 +226,24 @@
         from ..lab.emulate import figures as emulated
 
         return emulated
+    if name == "cold":
+        from ..lab.cold_ramp import figures as cold_ramps
+
+        return cold_ramps
     from ..lab.takeover import figures
 
     return figures
 
 
 @spurdeal.command(help="A proof of the project's own, with real processes on loopback.")
-@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate", "audit"]))
+@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate", "audit", "cold"]))
 @click.option("--json", "as_json", is_flag=True, help="one JSON object as the last line")
 @click.option("--quick", is_flag=True, help="a part of it, under a minute")
-@click.option("--seed", type=int, default=None, help="of audit's faults: the one printed brings them back")
+@click.option(
+    "--seed", type=int, default=None, help="of audit's faults, cold's runs: the one printed brings them back"
+)
 def lab(name: str, as_json: bool, quick: bool, seed: int | None) -> None:
-    if seed is not None and name != "audit":
+    if seed is not None and name not in ("audit", "cold"):
         refuse(f"lab {name}: it takes no seed")
     more = {} if seed is None else {"seed": seed}
     found = proofs(name)(quick, lambda line: click.echo(line, err=True), **more)
--- a/spurdeal/lab/virtual.py
+++ b/spurdeal/lab/virtual.py
@@ -104,10 +104,13 @@
         world.counts["submissions"] += 1
         world.observer.taken(world.now, self.index, number, kind, key, expiry)
         self.later(w.expiry, self.expire, number)
-        guess = work * world.chance.choice((0.5, 0.8, 1.0, 1.25, 2.0))  # estimates are wrong (the brief)
-        self.rules.submitted(world.now, number, kind, 0, key, expiry, guess, 0.0, group)
+        self.rules.submitted(world.now, number, kind, 0, key, expiry, self.estimate(work), 0.0, group)
         world.note("in", self.index, number, taken.kind)
 
+    def estimate(self, work: float) -> float:
+        """Estimates are wrong (the brief)."""
+        return work * self.world.chance.choice((0.5, 0.8, 1.0, 1.25, 2.0))
+
     def expire(self, number: int) -> None:
         taken = self.taken.get(number)
         if taken is None:
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -15,6 +15,7 @@
 from .chance import Chance
 from .histogram import Histogram
 from .interface import WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word
+from .running_mean import RunningMean
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
 INTERVAL, GAIN_C = 5000.0, 0.4  # between two moves of n*; C, the least gain in P for a gain in n*
@@ -35,6 +36,7 @@
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
 COLD_GRAIN = 0.1  # of all dispatchers' budget: work so light may go there by chance
+COLD_SAMPLES, COLD_TAIL = 30, 4.0  # in a workload's mean work; one so far over it counts by itself
 FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0  # credit for further trips
 MOST_UNSENT = 3  # trips that never left and count for none: a way that stays shut is not tried for ever
 REPEAT_MARGIN = 1.0  # ms, for the way of a labelled one's repeat
@@ -116,8 +118,9 @@
         self.notes, self.pages, self.grant = site.notes_every, site.pages, GRANT if site.grants else 0.0
         self.cold_for, self.cold_window, self.come_back = site.cold_for, site.cold_window, site.most_come_back
         cold_capacity = site.cold_multiple * site.cold_share * CAPACITY_SHARE * SPEED_FLOOR
-        self.cold_budget = cold_capacity * site.cold_window * self.share * COLD_MARGIN
-        self.cold_whole = self.cold_budget / self.share
+        self.cold_whole = cold_capacity * site.cold_window * COLD_MARGIN
+        self.cold_budget = self.cold_whole * self.share
+        self.cold_work = [RunningMean(max(1.0, w.agreed / 4), COLD_SAMPLES) for w in site.workloads]
         self.light = COLD_GRAIN * self.cold_whole
         self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window or 0.0
         self.further_free = site.further_free or 0.0 if site.further_window else float("inf")
@@ -194,7 +197,10 @@
         group: int,
     ) -> None:
         self.now = now
-        w, usual = self.workloads[kind], self.usual[kind]
+        w, usual, estimated = self.workloads[kind], self.usual[kind], cost > 0
+        charge = max(self.cold_work[kind].value, cost)
+        if estimated and cost <= COLD_TAIL * self.cold_work[kind].value:
+            charge = self.cold_work[kind].add(cost)
         cost = cost or usual or w.agreed / 4
         self.usual[kind] = usual + (cost - usual) / 30 if usual else cost
         due = cost / w.threads * self.best[kind]
@@ -204,6 +210,7 @@
         s: Submission = state.Submission(
             number, kind, customer, key, expiry, cost, memory, group, now, w, due, agreed, w.utility, cheap
         )
+        s.charge, s.estimated = charge, estimated
         self.open[number] = s
         self.asked += cost * min(1.0, self.best[kind])
         self.taken_times.append(now)
@@ -264,7 +271,7 @@
         elif self.priorities or self.grant:
             self.link.terms(s.number, self.grant * s.memory, CHEAP_PRIORITY if s.cheap else HEAVY_PRIORITY)
         if engine.warm_at > self.now:
-            trip.cold = self.usual[s.kind]
+            trip.cold = s.charge
             engine.cold_sends.append((self.now, trip.cold))
             engine.cold_spent += trip.cold
         engine.answered = engine.answered if len(engine.out) > 1 else self.now
@@ -343,7 +350,7 @@
         ranks = [
             (
                 -(e.threads + e.errors) / e.cores if fewest else e.room(),
-                e.warm_at > self.now and self.cold_budget * e.cores < self.usual[s.kind],
+                e.warm_at > self.now and self.cold_budget * e.cores < s.charge,
                 -len(e.out) if e.bound < w.threads else 0,
             )
             for e in engines
@@ -367,7 +374,7 @@
             for e in self.ready
             if now >= e.aside_until
             and not (e.trial and (e.out or w.effect != Effect.REDOABLE))
-            and (now >= e.warm_at or self.bears(e, self.usual[s.kind]))
+            and (now >= e.warm_at or self.bears(e, s.charge))
             and (w.locations is None or e.line.location in w.locations)
             and (w.kinds is None or e.line.kind in w.kinds)
             and not (ran and w.reach == Reach.LOCATION and e.line.location != ran.engine.line.location)
@@ -375,20 +382,20 @@
         ]
 
     def bears(self, engine: Engine, work: float) -> bool:
-        """Rule 4: our share of what a cold engine bears in any window, by the workload's usual work."""
+        """Rule 4: our share of what a cold engine bears in any window, by the workload's mean work."""
         if not self.cold_window:  # the deployment names no such rule
             return True
         while engine.cold_sends and engine.cold_sends[0][0] <= self.now - self.cold_window:
             engine.cold_sends.popleft()
         budget, sent = self.cold_budget * engine.cores, sum(sent for _, sent in engine.cold_sends)
         # Our share may be under one submission: a light one then goes once it has come together, from a part
-        # drawn at the start, so that in sum over all dispatchers the shares are sent and no more.
-        part = (
-            engine.cold_part * work
-            + budget * (self.now - engine.cold_from) / self.cold_window
-            - engine.cold_spent
-        )
-        engine.cold_spent += max(0.0, part - work)  # no more than one comes together: a burst would send all
+        # drawn at the start, so that in sum over all dispatchers the shares are sent and no more. What came
+        # together lapses after a window: where the fleet was idle, a burst would send all of it at once.
+        passed = (self.now - engine.cold_from) / self.cold_window
+        part = engine.cold_part * work + budget * passed - engine.cold_spent
+        if part >= work:
+            kept = part % work + (work if part % work < budget else 0.0)
+            engine.cold_spent, part = engine.cold_spent + part - kept, kept
         return work + sent <= budget or (work <= self.light * engine.cores and not sent and part >= work)
 
     def admits(self, engine: Engine, threads: int, calm: bool, even: bool) -> bool:
@@ -595,6 +602,8 @@
         if ending == Ending.DELIVERED:
             e.served, e.work = e.served + threads, e.work + s.cost
             e.answered, e.strikes, e.errors = self.now, 0.0, 0.0
+            if not s.estimated:  # else a guess would count as its work
+                self.cold_work[s.kind].add(took * threads)
             for erring in s.erred:
                 self.strike(erring, STRIKE_ERROR)
             ratio = took * threads / (work or s.cost)
--- a/spurdeal/state.py
+++ b/spurdeal/state.py
@@ -43,6 +43,8 @@
     avoid: list[E] = field(default_factory=list)
     erred: list[E] = field(default_factory=list)  # where it ended in an error
     engine: E | None = None  # chosen for the next trip
+    charge: float = 0.0  # ms of work that it counts for at a cold engine
+    estimated: bool = True  # an estimate of its work came with it
 
 
 @dataclass(slots=True, eq=False)
