Cold budgets: heavy ones count by their own estimate, and tests of the cold ramp

Change: every estimate enters the mean, and a submission over a tenth of all that the engine bears in a window counts with its own estimate where that is more.

--- a/spurdeal/lab/cold_ramp.py
+++ b/spurdeal/lab/cold_ramp.py
@@ -86,6 +86,7 @@
 
 
 STEADY = (Phase(JOIN_AT + 4_000.0, 0.7),)
+BUSY = (Phase(JOIN_AT, 0.9), Phase(JOIN_AT + 4_000.0, 1.3))
 OVERLOADED = (Phase(JOIN_AT, 1.8), Phase(JOIN_AT + 4_000.0, 0.9))
 IDLE_THEN_BURST = (
     Phase(JOIN_AT, 0.7),
@@ -95,17 +96,18 @@
 
 SCENARIOS = (
     Scenario("steady", STEADY),
-    Scenario("light_only", STEADY, LIGHT_ONLY),
-    Scenario("too_few_declared", STEADY, LIGHT_ONLY, declared=0.5),
-    Scenario("too_many_declared", STEADY, LIGHT_ONLY, declared=1.5),
-    Scenario("third_restarts", STEADY, LIGHT_ONLY, third_restarts=True),
-    Scenario("fleet_restarts", STEADY, LIGHT_ONLY, fleet_restarts=True),
+    Scenario("busy", BUSY),
+    Scenario("light_only", BUSY, LIGHT_ONLY),
+    Scenario("too_few_declared", BUSY, LIGHT_ONLY, declared=0.5),
+    Scenario("too_many_declared", BUSY, LIGHT_ONLY, declared=1.5),
+    Scenario("third_restarts", BUSY, LIGHT_ONLY, third_restarts=True),
+    Scenario("fleet_restarts", BUSY, LIGHT_ONLY, fleet_restarts=True),
     Scenario("released_queue", OVERLOADED),
     Scenario("idle_then_burst", IDLE_THEN_BURST, LIGHT_ONLY),
-    Scenario("cold_again", STEADY, LIGHT_ONLY, engine_restarts=True),
-    Scenario("half_is_told", STEADY, LIGHT_ONLY, half_is_told=True),
-    Scenario("heavy_tail", STEADY, LIGHT_ONLY, heavy_tail=True),
-    Scenario("no_estimates", STEADY, estimates=False),
+    Scenario("cold_again", BUSY, LIGHT_ONLY, engine_restarts=True),
+    Scenario("half_is_told", BUSY, LIGHT_ONLY, half_is_told=True),
+    Scenario("heavy_tail", BUSY, LIGHT_ONLY, heavy_tail=True),
+    Scenario("no_estimates", BUSY, estimates=False),
 )
 
 
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -36,7 +36,7 @@
 SILENCE, SILENCE_OF_DUE, SILENT_TRIPS = 2000.0, 4.0, 3
 COLD_MARGIN, CAPACITY_SHARE, SPEED_FLOOR = 0.5, 0.85, 0.8  # of our share of what a cold engine bears
 COLD_GRAIN = 0.1  # of all dispatchers' budget: work so light may go there by chance
-COLD_SAMPLES, COLD_TAIL = 30, 4.0  # in a workload's mean work; one so far over it counts by itself
+COLD_SAMPLES = 30  # in a workload's mean work
 FURTHER_EACH, FURTHER_SUCCESS, FURTHER_MOST = 0.05, 0.25, 30.0  # credit for further trips
 MOST_UNSENT = 3  # trips that never left and count for none: a way that stays shut is not tried for ever
 REPEAT_MARGIN = 1.0  # ms, for the way of a labelled one's repeat
@@ -122,6 +122,7 @@
         self.cold_budget = self.cold_whole * self.share
         self.cold_work = [RunningMean(max(1.0, w.agreed / 4), COLD_SAMPLES) for w in site.workloads]
         self.light = COLD_GRAIN * self.cold_whole
+        self.heavy = COLD_GRAIN * self.cold_whole / COLD_MARGIN * min(self.cores)
         self.order_rest, self.further_window = site.order_rest or 0.0, site.further_window or 0.0
         self.further_free = site.further_free or 0.0 if site.further_window else float("inf")
         self.further_share, self.further_won = site.further_share or 0.0, Histogram((0.5, 1.5))
@@ -198,9 +199,8 @@
     ) -> None:
         self.now = now
         w, usual, estimated = self.workloads[kind], self.usual[kind], cost > 0
-        charge = max(self.cold_work[kind].value, cost)
-        if estimated and cost <= COLD_TAIL * self.cold_work[kind].value:
-            charge = self.cold_work[kind].add(cost)
+        charge = self.cold_work[kind].add(cost) if estimated else self.cold_work[kind].value
+        charge = max(charge, cost) if cost > self.heavy else charge
         cost = cost or usual or w.agreed / 4
         self.usual[kind] = usual + (cost - usual) / 30 if usual else cost
         due = cost / w.threads * self.best[kind]
