--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -242,16 +242,22 @@
         from ..lab.emulate import figures as emulated
 
         return emulated
+    if name == "cold":
+        from ..lab.cold_ramp import figures as cold_ramps
+
+        return cold_ramps
     from ..lab.takeover import figures
 
     return figures
 
 
 @spurdeal.command(help="A proof of the project's own, with real processes on loopback.")
-@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate", "audit", "demo"]))
+@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate", "audit", "cold", "demo"]))
 @click.option("--json", "as_json", is_flag=True, help="one JSON object as the last line")
 @click.option("--quick", is_flag=True, help="a part of it, under a minute")
-@click.option("--seed", type=int, default=None, help="of audit's faults or demo's load, as a run prints it")
+@click.option(
+    "--seed", type=int, default=None, help="of audit's faults, cold's runs or demo's load, as a run prints it"
+)
 @click.option("--seconds", type=click.FloatRange(2, 120), default=None, help="how long demo's load lasts")
 def lab(name: str, as_json: bool, quick: bool, seed: int | None, seconds: float | None) -> None:
     """Runs a proof, or the demo."""
@@ -261,7 +267,7 @@
         sys.exit(demo(as_json, seconds if seconds is not None else 5.0 if quick else 20.0, seed))
     if seconds is not None:
         refuse(f"lab {name}: it takes no seconds")
-    if seed is not None and name != "audit":
+    if seed is not None and name not in ("audit", "cold"):
         refuse(f"lab {name}: it takes no seed")
     more = {} if seed is None else {"seed": seed}
     found = proofs(name)(quick, lambda line: click.echo(line, err=True), **more)
