Lab: capacity by size, slopes measured, and the page that is written from the run

Operators named a size to design for (2,000 dispatchers before 4,300 engines), and nothing told what each role costs there, nor which mechanism is missing first.

`spurdeal lab capacity` measures live code over four sizes or more, fits each series without its last size and compares that one, works out the design size, and gives verdicts and a ranking. Sizes that the machine cannot hold and unknown sections are refused in one line with exit code 2.

--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -6,7 +6,7 @@
 import os
 import signal
 import sys
-from typing import Any, NoReturn
+from typing import Any, NamedTuple, NoReturn
 
 import click
 
@@ -210,6 +210,10 @@
 
 
 def proofs(name: str) -> Any:
+    if name == "capacity":
+        from ..lab.capacity import figures as capacities
+
+        return capacities
     if name == "audit":
         from ..lab.audited import figures as audited
 
@@ -231,14 +235,62 @@
     return figures
 
 
+class CapacityOptions(NamedTuple):
+    """What only `lab capacity` takes."""
+
+    sections: tuple[str, ...]
+    sizes: str | None
+    page: str | None
+    source: str | None
+
+
+def capacity(options: CapacityOptions, as_json: bool, quick: bool) -> None:
+    """Measures, or writes a page from what was measured."""
+    from pathlib import Path
+
+    from ..lab.capacity.measure import Refused
+    from ..lab.capacity.report import UnusablePage, write_page
+
+    if (options.page is None) != (options.source is None):
+        refuse("lab capacity: --page and --from go together")
+    try:
+        if options.page is not None and options.source is not None:
+            write_page(Path(options.page), json.loads(Path(options.source).read_text()))
+            return
+        sizes = [int(size) for size in options.sizes.split(",")] if options.sizes else []
+        found = proofs("capacity")(quick, lambda line: click.echo(line, err=True), options.sections, sizes)
+    except (Refused, UnusablePage, OSError, ValueError) as fault:
+        refuse(f"lab capacity: {fault}")
+    click.echo(json.dumps(found) if as_json else json.dumps(found, indent=2))
+
+
 @spurdeal.command(help="A proof of the project's own, with real processes on loopback.")
-@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate", "audit"]))
+@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate", "audit", "capacity"]))
 @click.option("--json", "as_json", is_flag=True, help="one JSON object as the last line")
 @click.option("--quick", is_flag=True, help="a part of it, under a minute")
 @click.option("--seed", type=int, default=None, help="of audit's faults: the one printed brings them back")
-def lab(name: str, as_json: bool, quick: bool, seed: int | None) -> None:
+@click.option("--section", "sections", multiple=True, help="of capacity: only this one; may be repeated")
+@click.option("--sizes", default=None, help="of one section of capacity: as 36,150,500,1000,2000")
+@click.option("--page", type=click.Path(), default=None, help="of capacity: write this page's tables")
+@click.option("--from", "source", type=click.Path(), default=None, help="the JSON to write the page from")
+def lab(
+    name: str,
+    as_json: bool,
+    quick: bool,
+    seed: int | None,
+    sections: tuple[str, ...],
+    sizes: str | None,
+    page: str | None,
+    source: str | None,
+) -> None:
+    options = CapacityOptions(sections, sizes, page, source)
+    if name != "capacity" and any(options):
+        refuse(f"lab {name}: it takes no section, sizes or page")
     if seed is not None and name != "audit":
         refuse(f"lab {name}: it takes no seed")
+    if name == "capacity":
+        capacity(options, as_json, quick)
+        return
     more = {} if seed is None else {"seed": seed}
     found = proofs(name)(quick, lambda line: click.echo(line, err=True), **more)
     click.echo(json.dumps(found) if as_json else json.dumps(found, indent=2))
--- /dev/null
+++ b/spurdeal/lab/capacity/engine_links.py
@@ -0,0 +1,123 @@
+"""Connections from one dispatcher to its engines: memory and processor time of each while it rests."""
+
+from __future__ import annotations
+
+import json
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from ...net.start import ENGINES_PART
+from . import design
+from .fit import Form
+from .measure import Refused, require_descriptors, require_memory, sample
+from .records import Limit, Measure, Role, Sample, quantity
+
+SIZES = (250, 500, 1_000, 2_000, 4_300)
+QUICK_SIZES = (50, 100, 200, 400, 800)
+DEFAULT_SOCKETS = 1_024  # `limits.sockets` of a configuration that names none
+KB_PER_CONNECTION = 20.0
+BACKLOG = 1_024
+RUN_WITHIN = 120
+
+
+class Listener:
+    """Accepts all that comes and says nothing: an engine for as many connections as there are."""
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
+        self.accepted: list[socket.socket] = []
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    @property
+    def port(self) -> int:
+        """Where it listens."""
+        found: int = self.socket.getsockname()[1]
+        return found
+
+    def accept(self) -> None:
+        """Until the listening socket is shut down."""
+        while True:
+            try:
+                self.accepted.append(self.socket.accept()[0])
+            except OSError:
+                return
+
+    def close(self) -> None:
+        """Ends the listener and what it has accepted."""
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+        for each in self.accepted:
+            each.close()
+
+
+def held(count: int) -> dict[str, Any]:
+    """The figures of one process with so many connections."""
+    listener = Listener()
+    command = [sys.executable, "-O", "-m", "spurdeal.lab.capacity.links_process"]
+    try:
+        done = subprocess.run(
+            [*command, str(listener.port), str(count)], capture_output=True, text=True, timeout=RUN_WITHIN
+        )
+    finally:
+        listener.close()
+    if done.returncode:
+        raise RuntimeError(f"links at {count}: {done.stdout} {done.stderr}")
+    found: dict[str, Any] = json.loads(done.stdout)
+    return found
+
+
+def roles(sizes: Sequence[int], say: Callable[[str], None]) -> list[Role]:
+    """Who is linked to whom, if all are."""
+    if max(sizes) > design.ENGINES:
+        raise Refused(f"links: {max(sizes)} connections, at most {design.ENGINES}")
+    require_descriptors(max(sizes), "links")
+    require_memory(2 * max(sizes) * KB_PER_CONNECTION, f"links: {max(sizes)} connections")
+    say(f"connections to engines: {sizes}")
+    found = [held(size) for size in sizes]
+    links = design.DISPATCHERS * design.ENGINES
+    return [
+        Role(
+            "connections to engines",
+            "engines",
+            "Engines and its sweep four times a second, spurdeal/net/engines.py",
+            "one Connection, parser and transport for each engine in use",
+            "none while it rests",
+            (
+                quantity(
+                    Measure.CPU,
+                    "us a second",
+                    Form.LINEAR,
+                    sizes,
+                    [sample(each["cpu_us"]) for each in found],
+                    design.ENGINES,
+                    design.CONTROL_CPU_US_PER_S,
+                ),
+                quantity(
+                    Measure.MEMORY,
+                    "KB of all connections",
+                    Form.LINEAR,
+                    sizes,
+                    [Sample(size * each["memory_kb"]) for size, each in zip(sizes, found, strict=True)],
+                    design.ENGINES,
+                    design.CONTROL_MEMORY_KB,
+                ),
+            ),
+            (
+                Limit(
+                    f"connections that {DEFAULT_SOCKETS} sockets allow",
+                    int(DEFAULT_SOCKETS * ENGINES_PART),
+                    design.ENGINES,
+                ),
+            ),
+            (
+                f"any dispatcher may choose any engine: up to {design.ENGINES} links at each dispatcher, "
+                f"{design.DISPATCHERS} at each engine, {links} in all",
+                "each dispatcher closes its own after half of the time that engines allow",
+                "without the kernel's buffers",
+            ),
+        )
+    ]
--- /dev/null
+++ b/spurdeal/lab/capacity/recorded.py
@@ -0,0 +1,87 @@
+"""What a dispatcher writes down: the audit of its decisions, its log lines and its counters."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Sequence
+
+from ...fleet.audit import Pages
+from ...fleet.hybrid import Stamp
+from ...net.counters import Counters
+from . import design
+from .fit import Form
+from .measure import TRIES, cpu_us, sample
+from .records import Measure, Role, Sample, quantity
+
+SIZES = (225, 450, 900, 1_800, 3_600)
+QUICK_SIZES = SIZES
+SENDS_PER_TURN = 4
+COUNTERS = 40  # names that a dispatcher counts, roughly
+SCRAPES_PER_S = 0.1
+
+
+def audit_bytes(sends: int) -> int:
+    """Bytes of one second's frames, so many sends to as many engines as the list has."""
+    pages, written = Pages(), 0
+    for first in range(0, sends, SENDS_PER_TURN):
+        for number in range(first, min(first + SENDS_PER_TURN, sends)):
+            pages.sent(b"%016x" % number, 0, f"s-{number % 36}", 0)
+        frame = pages.frame(Stamp(1_790_000_000_000 + first, 0), 1)
+        pages.wrote(frame, True)
+        written += len(frame)
+    return written
+
+
+def audit_us(sends: int) -> float:
+    """Processor time of one second's frames."""
+
+    def write() -> None:
+        audit_bytes(sends)
+
+    return cpu_us(write)
+
+
+def roles(sizes: Sequence[int], say: Callable[[str], None]) -> list[Role]:
+    """The audit; and what counters and logs come to."""
+    say(f"audit: {sizes} sends a second")
+    cpu = [sample([audit_us(size) for _ in range(TRIES)]) for size in sizes]
+    sent = [Sample(audit_bytes(size)) for size in sizes]
+    counters = Counters()
+    for number in range(COUNTERS):
+        counters.add(f"counter_of_some_name_{number}", 10_000_000)
+    scrape = len(json.dumps(counters.figures()))
+    return [
+        Role(
+            "audit",
+            "sends a second",
+            "Pages, spurdeal/fleet/audit.py; Journal, fleet/journal.py",
+            "files up to a bound on their bytes",
+            f"one frame a turn of {SENDS_PER_TURN} sends",
+            (
+                quantity(
+                    Measure.CPU, "us a second", Form.LINEAR, sizes, cpu, design.STATEMENTS_PER_DISPATCHER
+                ),
+                quantity(
+                    Measure.BYTES,
+                    "bytes a second on disk",
+                    Form.LINEAR,
+                    sizes,
+                    sent,
+                    design.STATEMENTS_PER_DISPATCHER,
+                ),
+            ),
+            notes=(
+                f"{sent[-1].value / sizes[-1]:.1f} bytes a decision",
+                "cpu_us without the write to the file",
+            ),
+        ),
+        Role(
+            "metrics and logs",
+            "",
+            "Counters, spurdeal/net/counters.py; GET /counters; KeyValueFormatter, net/logs.py",
+            "one number for each counter",
+            f"{scrape} bytes a scrape of {COUNTERS} counters, {scrape * SCRAPES_PER_S:.0f} bytes a second at "
+            "one in ten seconds",
+            notes=("a line each interval of 5 s and at changes, none for a request",),
+        ),
+    ]
--- /dev/null
+++ b/spurdeal/lab/capacity/request_path.py
@@ -0,0 +1,288 @@
+"""The request path inside one dispatcher: a choice, the periodic tick and a whole list, by engines.
+
+The decision module and the link run as they are, on a clock that is turned by hand."""
+
+from __future__ import annotations
+
+import gc
+import tracemalloc
+from collections.abc import Callable, Sequence
+from functools import partial
+from io import StringIO
+
+from twisted.internet.task import Clock
+
+from ...deployment import deployment
+from ...interface import Deployment, Ending, Life, Listed
+from ...net.counters import Counters
+from ...net.engines import Engines
+from ...net.link import SocketLink
+from ...net.logs import logger
+from ...net.names import Seat
+from ...rules import TICK, WAKE_TICK, Dispatcher
+from . import design
+from .measure import TRIES, cpu_us, require_memory, sample
+from .records import Measure, Quantity, Role, Sample, quantity
+
+SIZES = (36, 150, 500, 1_000, 2_000, 3_000, 4_300)
+QUICK_SIZES = (36, 60, 100, 150, 250)
+CORES, CELLS = 4, 4
+COST_MS, EXPIRY_MS = 12.0, 2_500.0
+CHOICES_PER_TRY = 12
+IN_FLIGHT = 40
+TICKS_PER_S = int(1000 / TICK)
+KB_PER_ENGINE = 16.0  # a generous bound on what one engine costs, for the refusal
+
+SETTINGS = {
+    "balancers": design.DISPATCHERS,
+    "zones": ["east"],
+    "models": ["std"],
+    "grades": [{"name": "lookup", "aim": 800, "deadline": EXPIRY_MS, "late_worth": 0.5}],
+    "extra": {"cpu_of_kind": [CORES]},
+    "limits": {"cancelling": True, "dial_timeout": 250, "send_cap": 3, "streams_per_conn": 4},
+}
+
+
+class RecordingLink:
+    """A link that keeps only which submission went to which engine."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[int, int]] = []
+
+    def send(self, number: int, engine: int, time_limit: float) -> None:
+        self.sent.append((number, engine))
+
+    def terms(self, number: int, memory: float, priority: int) -> None: ...
+    def shed(self, number: int, come_back: float) -> None: ...
+    def break_off(self, number: int) -> None: ...
+    def call_off(self, number: int, trip: int) -> None: ...
+    def wake(self, delay: float, token: int) -> None: ...
+    def watch(self) -> None: ...
+    def log(self, line: str) -> None: ...
+
+
+def site() -> Deployment:
+    """One dispatcher of as many as the design has."""
+    return deployment(SETTINGS)
+
+
+class Bench:
+    """One decision module before so many warm engines."""
+
+    def __init__(self, engines: int) -> None:
+        self.link, self.now, self.number = RecordingLink(), 0.0, 0
+        self.rules = Dispatcher(site(), 1, self.link, self.now)
+        lines = [Listed(number, 0, 0, number % CELLS, Life.READY, 1.0, 0.0) for number in range(engines)]
+        self.rules.listed(self.now, lines, True)
+
+    def submit(self) -> None:
+        """One submission; it is sent, or held where the module finds no engine."""
+        self.number += 1
+        self.rules.submitted(self.now, self.number, 0, 0, 0, self.now + EXPIRY_MS, COST_MS, 0.0, 0)
+
+    def submit_many(self, count: int) -> None:
+        """As `submit`, so many times."""
+        for _ in range(count):
+            self.submit()
+
+    def deliver_all(self) -> None:
+        """All that is out comes back; what is held is withdrawn."""
+        sent, self.link.sent = self.link.sent, []
+        for number, engine in sent:
+            self.rules.ended(self.now, number, 0, engine, Ending.DELIVERED, COST_MS, True, COST_MS, 0.0, ())
+        for number in list(self.rules.open):
+            self.rules.withdrawn(self.now, number)
+        self.rules.turn(self.now)
+
+    def tick(self) -> None:
+        """One periodic wake-up and its turn."""
+        self.now += TICK
+        self.rules.woken(self.now, WAKE_TICK)
+        self.rules.turn(self.now)
+
+
+def choice_us(engines: int) -> Sample:
+    """Processor time of taking one submission in and choosing its engine."""
+    bench = Bench(engines)
+    tries = []
+    for _ in range(TRIES):
+        tries.append(cpu_us(lambda: bench.submit_many(CHOICES_PER_TRY)) / CHOICES_PER_TRY)
+        bench.deliver_all()
+    return sample(tries)
+
+
+def tick_us_per_s(engines: int) -> Sample:
+    """Processor time a second of the periodic tick, the closing of intervals with it."""
+    bench = Bench(engines)
+    tries = []
+    for _ in range(TRIES):
+        spent = 0.0
+        seconds = 5
+        for _ in range(seconds):
+            bench.submit_many(IN_FLIGHT)
+            for _ in range(TICKS_PER_S):
+                spent += cpu_us(bench.tick)
+            bench.deliver_all()
+        tries.append(spent / seconds)
+    return sample(tries)
+
+
+def seats(count: int, changed: int = -1) -> dict[str, Seat]:
+    """A list of engines; one of them may be draining."""
+    return {
+        f"s-{number}": Seat(
+            f"s-{number}",
+            f"127.9.{number // 250}.{number % 250 + 1}",
+            7001,
+            "east",
+            "std",
+            number % CELLS,
+            Life.DRAINING if number == changed else Life.READY,
+            1.0,
+            0.0,
+        )
+        for number in range(count)
+    }
+
+
+class Silent(StringIO):
+    """A log's stream that keeps nothing."""
+
+    def write(self, text: str) -> int:
+        return len(text)
+
+
+def empty_link() -> tuple[SocketLink, Clock]:
+    """A dispatcher's link before no engines, on a clock turned by hand."""
+    clock = Clock()
+    now: Callable[[], float] = lambda: clock.seconds() * 1000  # noqa: E731
+    counters, log = Counters(), logger("capacity", Silent())
+    engines = Engines(clock, now, (), counters, log)
+    engines.bound(250.0, 30_000.0, 4, 409, 0.0)
+    return SocketLink(site(), 1, ["east"], ["std"], engines, clock, now, counters, log), clock
+
+
+def apply_list(link: SocketLink, clock: Clock, listed: dict[str, Seat]) -> None:
+    """A whole list through the link, the connections' table and the decision module."""
+    link.listed(listed)
+    clock.advance(0)
+
+
+def list_us(engines: int) -> Sample:
+    """Processor time of applying a whole list in which one engine has changed."""
+    link, clock = empty_link()
+    apply_list(link, clock, seats(engines))
+    tries = []
+    for changed in range(TRIES):
+        told = seats(engines, changed)
+        gc.collect()
+        tries.append(cpu_us(partial(apply_list, link, clock, told)))
+    return sample(tries)
+
+
+def first_list_us(engines: int) -> Sample:
+    """Processor time of the first list, in which all engines are new."""
+    told, tries = seats(engines), []
+    for _ in range(TRIES):
+        link, clock = empty_link()
+        gc.collect()
+        tries.append(cpu_us(partial(apply_list, link, clock, told)))
+    return sample(tries)
+
+
+def list_kb(engines: int) -> Sample:
+    """What a list keeps allocated in the link, the connections' table and the decision module."""
+    gc.collect()
+    tracemalloc.start()
+    link, clock = empty_link()
+    before = tracemalloc.get_traced_memory()[0]
+    apply_list(link, clock, seats(engines))
+    gc.collect()
+    kept = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return Sample(kept / 1024)
+
+
+def over(sizes: Sequence[int], measured: Callable[[int], Sample]) -> list[Sample]:
+    """One measurement at each size."""
+    return [measured(size) for size in sizes]
+
+
+def roles(sizes: Sequence[int], say: Callable[[str], None]) -> list[Role]:
+    """A choice, the tick and a whole list."""
+    require_memory(max(sizes) * KB_PER_ENGINE, f"a list of {max(sizes)} engines")
+    say(f"request path: a choice, before {sizes} engines")
+    choices = over(sizes, choice_us)
+    say("request path: the periodic tick")
+    ticks = over(sizes, tick_us_per_s)
+    say("request path: a whole list")
+    lists, kept = over(sizes, list_us), over(sizes, list_kb)
+    first = over(sizes, first_list_us)
+    return [
+        choice_role(sizes, choices),
+        tick_role(sizes, ticks),
+        list_role(sizes, lists, kept),
+        first_list_role(sizes, first),
+    ]
+
+
+def by_engines(
+    measure: Measure, unit: str, sizes: Sequence[int], samples: Sequence[Sample], budget: float | None
+) -> Quantity:
+    """A few passes over all engines, each a cache miss from some hundred on: the form is what fits best."""
+    return quantity(measure, unit, None, sizes, samples, design.ENGINES, budget)
+
+
+def choice_role(sizes: Sequence[int], samples: Sequence[Sample]) -> Role:
+    """A choice among all engines."""
+    return Role(
+        "choice of an engine",
+        "engines",
+        "Dispatcher.choose, spurdeal/rules.py",
+        "one Engine object for each engine listed",
+        "none",
+        (by_engines(Measure.CPU, "us a statement", sizes, samples, design.STATEMENT_CPU_US),),
+    )
+
+
+def tick_role(sizes: Sequence[int], samples: Sequence[Sample]) -> Role:
+    """The periodic tick."""
+    return Role(
+        "periodic tick",
+        "engines",
+        "Dispatcher.woken every 50 ms, spurdeal/rules.py",
+        "none of its own",
+        "none",
+        (by_engines(Measure.CPU, "us a second", sizes, samples, design.CONTROL_CPU_US_PER_S),),
+        notes=(f"{IN_FLIGHT} submissions in flight",),
+    )
+
+
+def list_role(sizes: Sequence[int], samples: Sequence[Sample], kept: Sequence[Sample]) -> Role:
+    """A whole list, applied as often as the design changes configuration."""
+    budget = design.CONTROL_CPU_US_PER_S / design.CHANGES_PER_S
+    return Role(
+        "whole list applied",
+        "engines",
+        "SocketLink.listed, spurdeal/net/link.py; Dispatcher.listed, spurdeal/rules.py",
+        "seat, place and Engine of each engine",
+        "one list a change",
+        (
+            by_engines(Measure.CPU, "us a change", sizes, samples, budget),
+            by_engines(Measure.MEMORY, "KB kept", sizes, kept, design.CONTROL_MEMORY_KB),
+        ),
+        notes=("the budget is 1.3% of a core at 9,900 changes a day, each a whole list",),
+    )
+
+
+def first_list_role(sizes: Sequence[int], samples: Sequence[Sample]) -> Role:
+    """The list at a start, or one in which all engines were replaced."""
+    return Role(
+        "first list applied",
+        "engines",
+        "SocketLink.listed, spurdeal/net/link.py; Dispatcher.listed, spurdeal/rules.py",
+        "as above",
+        "one list a start",
+        (by_engines(Measure.CPU, "us a start", sizes, samples, None),),
+        notes=("nothing else is read or answered meanwhile",),
+    )
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,283 @@
+"""The capacity figures: fits on known data, growth from size to size, the page's writer, and refusals."""
+
+import json
+import re
+import subprocess
+import sys
+import unittest
+from math import log
+from pathlib import Path
+
+from spurdeal.lab.capacity import (
+    SECTIONS,
+    chosen,
+    design,
+    engine_list,
+    figures,
+    recorded,
+    request_path,
+    sockets,
+)
+from spurdeal.lab.capacity.fit import Form, UnusableSeries, best_fit, fit
+from spurdeal.lab.capacity.measure import (
+    Refused,
+    require_descriptors,
+    require_memory,
+    require_processes,
+    sample,
+)
+from spurdeal.lab.capacity.membership import idle, settled
+from spurdeal.lab.capacity.records import Limit, Measure, Role, Sample, quantity
+from spurdeal.lab.capacity.report import TABLES, UnusablePage, ranking, written
+from spurdeal.lab.capacity.storms import agree, storm
+from spurdeal.lab.capacity.unserved import UNSERVED
+
+ROOT = Path(__file__).parent.parent
+PAGE, FIGURES = ROOT / "docs" / "CAPACITY.md", ROOT / "docs" / "capacity.json"
+SIZES = (10, 20, 40, 80, 160)
+ROLE_KEYS = (
+    "sizes",
+    "cpu_us",
+    "bytes_per_s",
+    "memory_kb",
+    "fit",
+    "residual",
+    "beyond_predicted",
+    "beyond_measured",
+    "at_size",
+    "budget",
+    "verdict",
+)
+
+
+def quiet(line: str) -> None:
+    """What a section says on its way is not of interest here."""
+
+
+def role(name: str, values: list[float], budget: float | None, mechanism: str = "some file") -> Role:
+    samples = [Sample(value) for value in values]
+    measured = quantity(Measure.CPU, "us", Form.LINEAR, SIZES, samples, 1_000, budget)
+    return Role(name, "things", mechanism, "some", "none", (measured,))
+
+
+class Fits(unittest.TestCase):
+    def test_the_best_form_is_the_one_that_made_the_data(self) -> None:
+        made: dict[Form, list[float]] = {
+            Form.LOG: [5 + 2 * log(size) for size in SIZES],
+            Form.LINEAR: [5 + 2 * size for size in SIZES],
+            Form.LOG_LINEAR: [5 + 2 * size * log(size) for size in SIZES],
+            Form.QUADRATIC: [5 + 2 * size**2 for size in SIZES],
+        }
+        for form, values in made.items():
+            with self.subTest(form):
+                found = best_fit(SIZES, values)
+                self.assertEqual(form, found.form)
+                self.assertAlmostEqual(5.0, found.constant, 6)
+                self.assertAlmostEqual(2.0, found.factor, 6)
+                self.assertAlmostEqual(values[-1], found.at(SIZES[-1]), 6)
+
+    def test_the_residual_is_of_relative_errors(self) -> None:
+        values = [1.1 * 10, 0.9 * 20, 1.1 * 40, 0.9 * 80]
+        found = fit(Form.LINEAR, SIZES[:4], values)
+        self.assertGreater(found.residual, 0.05)
+        self.assertLess(found.residual, 0.15)
+
+    def test_what_cannot_be_fitted_is_refused(self) -> None:
+        for sizes, values in (
+            ((1, 2, 3), (1.0, 2.0, 3.0)),
+            ((1, 2, 3, 3), (1.0, 2.0, 3.0, 3.0)),
+            ((1, 2, 3, 4), (1.0, 2.0, 3.0)),
+            ((1, 2, 3, 4), (1.0, 0.0, 3.0, 4.0)),
+            ((0, 2, 3, 4), (1.0, 2.0, 3.0, 4.0)),
+            ((1, 2, 3, 4), (1.0, float("nan"), 3.0, 4.0)),
+        ):
+            with self.subTest(sizes=sizes, values=values), self.assertRaises(UnusableSeries):
+                fit(Form.LINEAR, sizes, values)
+
+
+class Roles(unittest.TestCase):
+    def test_the_last_size_checks_the_fit_and_is_no_part_of_it(self) -> None:
+        told = role("one", [10.0, 20.0, 40.0, 80.0, 999.0], 2_000.0).told()
+        self.assertAlmostEqual(160.0, told["beyond_predicted"]["cpu_us"])
+        self.assertEqual(999.0, told["beyond_measured"]["cpu_us"])
+        self.assertAlmostEqual(1_000.0, told["at_size"]["cpu_us"])
+        self.assertEqual("fits (0.50 of us)", told["verdict"])
+        self.assertEqual([], [key for key in ROLE_KEYS if key not in told])
+
+    def test_a_design_size_that_was_run_is_told_as_measured(self) -> None:
+        samples = [Sample(float(size)) for size in SIZES[:-1]] + [Sample(700.0)]
+        found = quantity(Measure.CPU, "us", Form.LINEAR, SIZES, samples, SIZES[-1])
+        self.assertEqual(700.0, found.at_size)
+
+    def test_a_design_size_within_the_series_is_the_measured_value(self) -> None:
+        samples = [Sample(float(size)) for size in SIZES[:2]] + [Sample(41.0), Sample(80.0), Sample(160.0)]
+        self.assertEqual(41.0, quantity(Measure.CPU, "us", Form.LINEAR, SIZES, samples, 40).at_size)
+
+    def test_verdicts(self) -> None:
+        values = [float(size) for size in SIZES]
+        self.assertEqual("4 times over (us)", role("over", values, 250.0).verdict())
+        self.assertEqual("no mechanism", role("none", values, 250.0, "").verdict())
+        self.assertEqual("no budget stated", role("free", values, None).verdict())
+        bound = Role("bound", "", "a file", "", "", limits=(Limit("seats", 100, 250),))
+        self.assertEqual("2.5 times over (seats)", bound.verdict())
+
+    def test_the_ranking_is_by_ratio_then_what_nothing_carries(self) -> None:
+        values = [float(size) for size in SIZES]
+        found = ranking(
+            [
+                role("fits", values, 5_000.0),
+                role("twice", values, 500.0),
+                role("nobody", values, 1.0, ""),
+                role("tenfold", values, 100.0),
+            ]
+        )
+        self.assertEqual(
+            [("tenfold", 10.0), ("twice", 2.0), ("nobody", None)],
+            [(row["role"], row["ratio"]) for row in found],
+        )
+
+    def test_what_nothing_carries_says_so(self) -> None:
+        self.assertEqual({"no mechanism"}, {each.verdict() for each in UNSERVED})
+
+    def test_a_sample_is_the_median_and_tells_its_spread(self) -> None:
+        self.assertEqual(Sample(2.0, 1.5), sample([1.0, 2.0, 4.0]))
+
+
+class Growth(unittest.TestCase):
+    """Bounds on ratios from size to size; never on absolute time."""
+
+    def test_a_choice_and_the_tick_grow_no_faster_than_the_square(self) -> None:
+        for measured in (request_path.choice_us, request_path.tick_us_per_s):
+            with self.subTest(measured.__name__):
+                small, large = (measured(size).value for size in (100, 400))
+                self.assertLess(large / small, 16.0)
+
+    def test_a_list_keeps_memory_in_proportion(self) -> None:
+        small, large = (request_path.list_kb(size).value for size in (100, 400))
+        self.assertGreater(large / small, 3.0)
+        self.assertLess(large / small, 5.0)
+
+    def test_every_submission_of_the_bench_is_sent(self) -> None:
+        bench = request_path.Bench(40)
+        bench.submit_many(10)
+        self.assertEqual(10, len(bench.link.sent) + len(bench.rules.held))
+        self.assertGreater(len(bench.link.sent), 0)
+        bench.deliver_all()
+        self.assertEqual(0, len(bench.rules.open))
+
+    def test_a_list_is_applied_whole(self) -> None:
+        link, clock = request_path.empty_link()
+        request_path.apply_list(link, clock, request_path.seats(30, 4))
+        self.assertEqual((30, 29), (len(link.rules.engines), len(link.rules.ready)))
+
+    def test_the_lists_bytes_grow_in_proportion_and_end_at_a_datagram(self) -> None:
+        small, large = (engine_list.bytes_per_s(size).value for size in (100, 400))
+        self.assertLess(large / small, 4.1)
+        most = engine_list.most_in_a_datagram()
+        self.assertLessEqual(len(engine_list.datagram(most)), engine_list.LARGEST_DATAGRAM)
+        self.assertGreater(len(engine_list.datagram(most + 1)), engine_list.LARGEST_DATAGRAM)
+        self.assertLess(most, design.ENGINES)
+        self.assertTrue(engine_list.readable(400))
+
+    def test_the_audits_bytes_a_decision_are_level(self) -> None:
+        small, large = (recorded.audit_bytes(size) / size for size in (400, 1_600))
+        self.assertLess(large / small, 1.05)
+
+    def test_a_members_bytes_grow_slower_than_the_fleet(self) -> None:
+        small, large = (idle(size).sent.value for size in (6, 24))
+        self.assertLess(large / small, 2.0)
+
+    def test_a_fleet_agrees_before_and_after_a_storm(self) -> None:
+        self.assertTrue(agree(settled(8)))
+        found = storm("a quarter restarts at once", 8)
+        self.assertEqual((8, 2), (found.members, found.hit))
+        self.assertIsNotNone(found.agree_ms)
+        self.assertGreaterEqual(found.peak_bytes, found.mean_bytes)
+
+
+class Processes(unittest.TestCase):
+    def test_one_real_dispatcher_answers_all_it_is_asked(self) -> None:
+        found = sockets.drive("requests", 4, 1)
+        self.assertEqual({"200"}, set(found["statuses"]))
+        self.assertGreater(found["cpu_us"][0], 0)
+
+
+class Page(unittest.TestCase):
+    def test_the_committed_page_is_what_the_writer_makes_of_the_committed_figures(self) -> None:
+        page = PAGE.read_text()
+        self.assertEqual(written(page, json.loads(FIGURES.read_text())), page)
+
+    def test_the_committed_figures_are_of_a_full_run_of_all_roles(self) -> None:
+        found = json.loads(FIGURES.read_text())
+        self.assertFalse(found["quick"])
+        self.assertLessEqual(set(SECTIONS), set(found["sections"]))
+        for name, told in found["roles"].items():
+            with self.subTest(name):
+                self.assertEqual([], [key for key in ROLE_KEYS if key not in told])
+                if told["sizes"]:
+                    self.assertGreaterEqual(len(told["sizes"]), 5)
+        self.assertLessEqual({each.name for each in UNSERVED}, set(found["roles"]))
+
+    def test_an_altered_figure_shows(self) -> None:
+        page, found = PAGE.read_text(), json.loads(FIGURES.read_text())
+        found["roles"]["choice of an engine"]["at_size"]["cpu_us"] += 12_345
+        self.assertNotEqual(page, written(page, found))
+
+    def test_a_page_without_its_places_is_refused(self) -> None:
+        found = json.loads(FIGURES.read_text())
+        for name in TABLES:
+            with self.subTest(name), self.assertRaises(UnusablePage):
+                written(PAGE.read_text().replace(f"capacity: end {name}", "gone"), found)
+        with self.assertRaises(UnusablePage):
+            written(PAGE.read_text(), {"something": "else"})
+
+
+class Refusals(unittest.TestCase):
+    def test_what_the_machine_cannot_hold(self) -> None:
+        for call in (
+            lambda: require_memory(1e15, "a fleet"),
+            lambda: require_processes(301, "a fleet"),
+            lambda: require_descriptors(1 << 40, "a fleet"),
+            lambda: figures(True, quiet, ["request-path"], [1, 2, 3, 4, 1 << 40]),
+            lambda: figures(True, quiet, ["membership"], [1, 2, 3, 4, 1 << 20]),
+            lambda: figures(True, quiet, ["storms"], [1 << 20]),
+            lambda: figures(True, quiet, ["links"], [1, 2, 3, 4, 1 << 20]),
+            lambda: figures(True, quiet, ["clients"], [1, 2, 3, 4, 1 << 20]),
+            lambda: figures(True, quiet, ["requests"], [1, 2, 3, 4, 1 << 20]),
+            lambda: figures(True, quiet, ["list"], [1, 2, 3, 4, 2_000]),
+        ):
+            with self.assertRaises(Refused) as refused:
+                call()
+            self.assertNotIn("\n", str(refused.exception))
+
+    def test_what_there_is_not(self) -> None:
+        for sections, sizes in (
+            (["relays"], []),
+            ([], [1, 2, 3, 4, 5]),
+            (["list"], [1, 2, 3, 4]),
+            (["list"], [5, 4, 3, 2, 1]),
+            (["list"], [0, 1, 2, 3, 4]),
+        ):
+            with self.subTest(sections=sections, sizes=sizes), self.assertRaises(Refused):
+                chosen(sections, sizes)
+
+    def test_the_command_says_one_line_and_ends_with_2(self) -> None:
+        for words in (
+            ["--section", "relays"],
+            ["--section", "list", "--sizes", "1,2,3,4,99999"],
+            ["--section", "list", "--sizes", "some"],
+            ["--page", "docs/CAPACITY.md"],
+            ["--page", "docs/CAPACITY.md", "--from", "no such file"],
+        ):
+            with self.subTest(words):
+                done = subprocess.run(
+                    [sys.executable, "-m", "spurdeal", "lab", "capacity", *words],
+                    capture_output=True,
+                    text=True,
+                    timeout=60,
+                    cwd=ROOT,
+                )
+                self.assertEqual(2, done.returncode, done.stderr)
+                lines = [line for line in done.stderr.splitlines() if line.startswith("spurdeal:")]
+                self.assertEqual(1, len(lines), done.stderr)
+                self.assertIsNone(re.search("Traceback", done.stderr))
