--- a/spurdeal/lab/capacity/__init__.py
+++ b/spurdeal/lab/capacity/__init__.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from . import engine_links, engine_list, membership, recorded, request_path, sockets, storms
@@ -24,11 +25,17 @@
     roles: Callable[[Sequence[int], Say], list[Role]]
     sizes: tuple[int, ...]
     quick_sizes: tuple[int, ...]
+    quick_roles: Callable[[Sequence[int], Say], list[Role]] | None = None  # where it differs in more
 
 
 SECTIONS = {
     "request-path": Section(request_path.roles, request_path.SIZES, request_path.QUICK_SIZES),
-    "requests": Section(sockets.request_roles, sockets.REQUEST_SIZES, sockets.QUICK_REQUEST_SIZES),
+    "requests": Section(
+        sockets.request_roles,
+        sockets.REQUEST_SIZES,
+        sockets.QUICK_REQUEST_SIZES,
+        partial(sockets.request_roles, per_try=sockets.QUICK_REQUESTS_PER_TRY),
+    ),
     "clients": Section(sockets.idle_roles, sockets.IDLE_SIZES, sockets.QUICK_IDLE_SIZES),
     "links": Section(engine_links.roles, engine_links.SIZES, engine_links.QUICK_SIZES),
     "membership": Section(membership.roles, membership.SIZES, membership.QUICK_SIZES),
@@ -58,7 +65,8 @@
     for name, section in SECTIONS.items():
         if name in names:
             usual = section.quick_sizes if quick else section.sizes
-            roles += section.roles(tuple(sizes) or usual, say)
+            measured = section.quick_roles or section.roles if quick else section.roles
+            roles += measured(tuple(sizes) or usual, say)
     found: list[dict[str, Any]] = []
     if STORMS in names:
         usual = (storms.QUICK_SIZE if quick else storms.SIZE,)
