--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import importlib
 import json
 import os
 import signal
 import sys
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, NoReturn
+from typing import TYPE_CHECKING, Any, NamedTuple, NoReturn
 
 import click
 
@@ -224,42 +225,79 @@
     sys.exit(1 if findings else 0)
 
 
+PROOFS = {
+    "audit": "audited",
+    "capacity": "capacity",
+    "cold": "cold_ramp",
+    "emulate": "emulate",
+    "extproc": "asking",
+    "model": "model",
+    "vrrp": "takeover",
+}  # names of `spurdeal lab`, and the modules of spurdeal.lab that hold their figures()
+
+
 def proofs(name: str) -> Callable[..., dict[str, Any]]:
-    """The function that returns the figures of a proof."""
-    if name == "audit":
-        from ..lab.audited import figures as audited
+    """The function that returns the figures of a proof, imported when it is asked for."""
+    module = importlib.import_module(f"spurdeal.lab.{PROOFS[name]}")
+    figures: Callable[..., dict[str, Any]] = module.figures
+    return figures
 
-        return audited
-    if name == "model":
-        from ..lab.model import figures as models
 
-        return models
-    if name == "extproc":
-        from ..lab.asking import figures as askings
+class CapacityOptions(NamedTuple):
+    """What only `lab capacity` takes."""
 
-        return askings
-    if name == "emulate":
-        from ..lab.emulate import figures as emulated
+    sections: tuple[str, ...]
+    sizes: str | None
+    page: str | None
+    source: str | None
 
-        return emulated
-    if name == "cold":
-        from ..lab.cold_ramp import figures as cold_ramps
 
-        return cold_ramps
-    from ..lab.takeover import figures
+def capacity(options: CapacityOptions, as_json: bool, quick: bool) -> None:
+    """Measures, or writes a page from what was measured."""
+    from pathlib import Path
 
-    return figures
+    from ..lab.capacity.measure import Refused
+    from ..lab.capacity.report import UnusablePage, write_page
+
+    if (options.page is None) != (options.source is None):
+        refuse("lab capacity: --page and --from go together")
+    try:
+        if options.page is not None and options.source is not None:
+            write_page(Path(options.page), json.loads(Path(options.source).read_text()))
+            return
+        sizes = [int(size) for size in options.sizes.split(",")] if options.sizes else []
+        found = proofs("capacity")(quick, lambda line: click.echo(line, err=True), options.sections, sizes)
+    except (Refused, UnusablePage, OSError, ValueError) as fault:
+        refuse(f"lab capacity: {fault}")
+    click.echo(json.dumps(found) if as_json else json.dumps(found, indent=2))
 
 
 @spurdeal.command(help="A proof of the project's own, with real processes on loopback.")
-@click.argument("name", type=click.Choice(["vrrp", "model", "extproc", "emulate", "audit", "cold", "demo"]))
+@click.argument(
+    "name",
+    type=click.Choice([*PROOFS, "demo"]),
+)
 @click.option("--json", "as_json", is_flag=True, help="one JSON object as the last line")
 @click.option("--quick", is_flag=True, help="a part of it, under a minute")
 @click.option(
     "--seed", type=int, default=None, help="of audit's faults, cold's runs or demo's load, as a run prints it"
 )
 @click.option("--seconds", type=click.FloatRange(2, 120), default=None, help="how long demo's load lasts")
-def lab(name: str, as_json: bool, quick: bool, seed: int | None, seconds: float | None) -> None:
+@click.option("--section", "sections", multiple=True, help="of capacity: only this one; may be repeated")
+@click.option("--sizes", default=None, help="of one section of capacity: as 36,150,500,1000,2000")
+@click.option("--page", type=click.Path(), default=None, help="of capacity: write this page's tables")
+@click.option("--from", "source", type=click.Path(), default=None, help="the JSON to write the page from")
+def lab(
+    name: str,
+    as_json: bool,
+    quick: bool,
+    seed: int | None,
+    seconds: float | None,
+    sections: tuple[str, ...],
+    sizes: str | None,
+    page: str | None,
+    source: str | None,
+) -> None:
     """Runs a proof, or the demo."""
     if name == "demo":
         from .demo import demo
@@ -267,8 +305,14 @@
         sys.exit(demo(as_json, seconds if seconds is not None else 5.0 if quick else 20.0, seed))
     if seconds is not None:
         refuse(f"lab {name}: it takes no seconds")
+    options = CapacityOptions(sections, sizes, page, source)
+    if name != "capacity" and any(options):
+        refuse(f"lab {name}: it takes no section, sizes or page")
     if seed is not None and name not in ("audit", "cold"):
         refuse(f"lab {name}: it takes no seed")
+    if name == "capacity":
+        capacity(options, as_json, quick)
+        return
     more = {} if seed is None else {"seed": seed}
     found = proofs(name)(quick, lambda line: click.echo(line, err=True), **more)
     click.echo(json.dumps(found) if as_json else json.dumps(found, indent=2))
