--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -352,7 +352,7 @@
 
     def ident_of(self, engine: int) -> str:
         if engine not in self.idents:
-            self.idents = {place: ident for ident, place in self.link.places.items()}
+            self.idents = {place: ident for ident, place in self.link.index.places.items()}
         return self.idents.get(engine, str(engine))
 
     def called_off(self, taken: Taken, trip: int) -> None:
--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import json
-import re
 from collections import deque
-from collections.abc import Mapping
 from enum import Enum
-from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -17,6 +14,7 @@
 from zope.interface import implementer
 
 from . import immediate
+from .fields import IDENT, MARK, key_of, last_part, number_field, rows_of
 from .http import BadMessage, RequestParser, response
 from .link import Answer, BrokenOff, Delivered, Shed
 from .pending import pending
@@ -26,9 +24,6 @@
 if TYPE_CHECKING:
     from .clients import Clients
 
-IDENT = re.compile(rb"[0-9a-fA-F]{16}")
-MARK = re.compile(rb"[0-9a-zA-Z_.-]{1,64}")  # it goes on as it is, among fields parted by commas
-NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,12})?")
 LONGEST_SILENT = 2000.0  # ms; one who never says a word is owed an end within 3 s
 LONGEST_PAUSE, LONGEST_UNFINISHED = 2000.0, 10_000.0  # ms between two pieces of one call; from first to last
 LONGEST_IDLE, LONGEST_UNREAD = 5000.0, 10_000.0  # ms; clients close after 4 s, but some keep theirs for good
@@ -46,36 +41,6 @@
     LINGERING = "the write side is shut; what still comes is dropped"
 
 
-def number_field(fields: Mapping[bytes, memoryview], name: bytes, default: float | None = None) -> float:
-    """The value of a field that holds a number.
-
-    Raises:
-        BadMessage: the field is missing and has no default, or holds no number.
-    """
-    if name not in fields and default is not None:
-        return default
-    text = fields.get(name, b"")
-    if not NUMBER.fullmatch(text):
-        raise BadMessage(400, f"{name.decode()} is missing or no number")
-    return float(text)
-
-
-def last_part(target: bytes) -> bytes:
-    """Of a request's path, without its query."""
-    return target.partition(b"?")[0].rpartition(b"/")[2]
-
-
-def key_of(text: bytes | memoryview) -> int:
-    """A number for a key, the same at any time; 0 for none. Nothing need be kept of keys."""
-    return int.from_bytes(blake2b(text, digest_size=8).digest(), "big") | 1 if text else 0
-
-
-def rows_of(pages: tuple[bytes, ...]) -> list[list[str]]:
-    """A result's rows from its pages: a tab between columns, a line feed behind each row."""
-    text = b"".join(pages).decode("utf-8")
-    return [row.split("\t") for row in text.split("\n")[:-1]]
-
-
 @implementer(IPushProducer, IHalfCloseableProtocol)
 class Client(Protocol):
     """One client's connection: one call at a time, each with one answer.
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -9,10 +9,11 @@
 
 from twisted.internet.defer import CancelledError, Deferred, fail, succeed
 
-from ..interface import NEVER_RAN, Deployment, Ending, Life, Listed
+from ..interface import NEVER_RAN, Deployment, Ending, Life
 from ..rules import Dispatcher
 from .answers import COUNTED, Answer, BrokenOff, Delivered, Granted, Shed
 from .counters import Counters
+from .engine_index import EngineIndex
 from .engines import Engines
 from .names import Seat
 from .ordered import OrderedArrivals
@@ -42,7 +43,6 @@
         counters: Counters,
         log: logging.Logger,
     ) -> None:
-        self.locations, self.kinds = list(locations), list(kinds)
         super().__init__(reactor, clock, counters, log)
         self.engines = engines
         self.priorities, self.nobody = site.priorities, len(site.quotas)  # nobody: a customer without a share
@@ -52,8 +52,7 @@
         self.withdrawn_early = EarlyWithdrawals()
         self.at_most_once = at_most_once(site)
         self.in_order, self.ordered = [w.in_order for w in site.workloads], OrderedArrivals()
-        self.places: dict[str, int] = {}
-        self.next_place = count()
+        self.index = EngineIndex(locations, kinds)
         self.seats: dict[str, Seat] = {}
         self.numbers = count()
         self.until = float("inf")
@@ -150,45 +149,20 @@
 
     def listed(self, seats: Mapping[str, Seat]) -> None:
         """The whole list. An engine's place goes with it: nothing outlives what is gone."""
-        told = (
-            seats.items()
-            if self.guard is None
-            else [(ident, self.guard.seat(seat)) for ident, seat in seats.items()]
-        )
-        lines = [
-            Listed(
-                self.place_of(ident),
-                self.number_of(self.locations, seat.location),
-                self.number_of(self.kinds, seat.kind),
-                seat.cell,
-                seat.life,
-                seat.weight,
-                seat.started,
-            )
-            for ident, seat in told
-        ]
+        guard = self.guard
+        told = [(ident, seat if guard is None else guard.seat(seat)) for ident, seat in seats.items()]
+        lines = [self.index.line(ident, seat) for ident, seat in told]
         # Told first: what the engines' connections then give back must not be sent there again.
         self.gather(self.rules.listed, lines, True)
         gone = {ident: seat._replace(life=Life.GONE) for ident, seat in self.seats.items()}
         for ident, seat in (gone | dict(seats)).items():
-            self.engines.listed(self.place_of(ident), seat)
+            self.engines.listed(self.index.place_of(ident), seat)
             if seat.life == Life.GONE:
-                del self.places[ident]
+                self.index.forget(ident)
         self.seats = dict(seats)
         ready = sum(seat.life == Life.READY for seat in seats.values())
         self.logger.info("listed", extra={"figures": {"engines": len(seats), "ready": ready}})
 
-    def place_of(self, ident: str) -> int:
-        if ident not in self.places:
-            self.places[ident] = next(self.next_place)
-        return self.places[ident]
-
-    @staticmethod
-    def number_of(names: list[str], name: str) -> int:
-        if name not in names:
-            names.append(name)
-        return names.index(name)
-
     def stop(self, until: float) -> None:
         """All that is taken, and what still comes, is answered by then."""
         self.until = until
--- a/spurdeal/vrrp/guard.py
+++ b/spurdeal/vrrp/guard.py
@@ -161,7 +161,7 @@
         """
         unix, rules = self.link.clock(), self.link.rules
         cold, aside = [], []
-        for ident, place in self.link.places.items():
+        for ident, place in self.link.index.places.items():
             engine = rules.engines.get(place)
             if engine is None:
                 continue
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -216,8 +216,8 @@
             return
         for known in self.handover.known.values():
             for ident, left in known.aside:
-                if ident in self.link.places:
-                    self.link.gather(self.link.rules.warned, self.link.place_of(ident), left)
+                if ident in self.link.index.places:
+                    self.link.gather(self.link.rules.warned, self.link.index.place_of(ident), left)
 
     def tell_all(self) -> None:
         """Tell the peers how we are; our part of cold budgets may be lent while we hold nothing."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -309,7 +309,7 @@
             peer.lose()
         world.go(6000)
         link = world.service.link
-        kept = (link.places, link.rules.engines, link.engines.engines)
+        kept = (link.index.places, link.rules.engines, link.engines.engines)
         self.assertEqual([len(engines) for engines in kept], [1, 1, 1])
 
     def test_what_has_ended_needs_no_collector(self) -> None:
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -119,7 +119,7 @@
         self.assertEqual([one.holds(), pair.sides["n2"].holds()], [True, False])
         cold = {
             ident: rules.engines[place].warm_at > pair.unix()
-            for ident, place in one.service.link.places.items()
+            for ident, place in one.service.link.index.places.items()
         }
         self.assertEqual(cold, {"s-1": False, "s-9": True})
 
