A run of an ordered key ends by the settings' rest, not by a figure of ours

Change: it is order_settle, which says how long a key rests after a doubtful end, and is 300 ms there; where the settings name none, nothing is taken off.

--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -51,7 +51,8 @@
         self.still_out: dict[bytes, Taken] = {}  # answered, with a trip out: their ids are not free yet
         self.withdrawn_early = EarlyWithdrawals()
         self.at_most_once = at_most_once(site)
-        self.in_order, self.ordered = [w.in_order for w in site.workloads], OrderedArrivals()
+        self.in_order = [workload.in_order for workload in site.workloads]
+        self.ordered = OrderedArrivals(site.order_rest or 0.0)
         self.index = EngineIndex(locations, kinds)
         self.seats: dict[str, Seat] = {}
         self.numbers = count()
--- a/spurdeal/net/ordered.py
+++ b/spurdeal/net/ordered.py
@@ -2,13 +2,13 @@
 
 Clients send the requests of one key some distance apart, so that their order is plain. One that has to wait
 for those before it waits at its client, unseen, while its time runs, and still tells the whole wait as its
-own. It was made after the first of its run, or it would have been sent before that."""
+own. It was made after the first of its run, or it would have been sent before that. A run ends where a key
+has rested for as long as the settings let it rest after a doubtful end (`order_settle`)."""
 
 from __future__ import annotations
 
 from typing import NamedTuple
 
-RUN_GAP = 300.0  # ms; requests of one key that come closer together may be a run; held back: 60 to 250 seen
 MOST_PART = 0.2  # of the wait that a request tells
 MOST_RUNS = 1024
 
@@ -21,19 +21,24 @@
 
 
 class OrderedArrivals:
-    """The runs that may still go on, the one longest without a request first."""
+    """The runs that may still go on, the one longest without a request first.
 
-    def __init__(self) -> None:
+    Attributes:
+        rest: ms; requests of one key that come no further apart may be a run. 0: none is.
+    """
+
+    def __init__(self, rest: float) -> None:
+        self.rest = rest
         self.runs: dict[int, Run] = {}
 
     def held_back(self, key: int, now: float, wait: float) -> float:
         """One more of this key has come: ms for which it may have been held back, so far as is counted."""
         run = self.runs.pop(key, None)
-        first = run.first if run is not None and now - run.last <= RUN_GAP else now
+        first = run.first if run is not None and now - run.last <= self.rest else now
         self.runs[key] = Run(first, now)
         self.forget(now)
         return min(now - first, MOST_PART * wait)
 
     def forget(self, now: float) -> None:
-        while len(self.runs) > MOST_RUNS or next(iter(self.runs.values())).last < now - RUN_GAP:
+        while len(self.runs) > MOST_RUNS or next(iter(self.runs.values())).last < now - self.rest:
             del self.runs[next(iter(self.runs))]
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -160,7 +160,9 @@
     ]
 
     def setUp(self) -> None:
-        self.world = World(self, settings=settings() | {"grades": self.GRADES})
+        self.world = World(
+            self, settings=settings() | {"grades": self.GRADES, "rules": {"order_settle": 300}}
+        )
         self.count = 0
 
     def time_left(self, workload: str, key: str, wait: int = 5000) -> float:
@@ -191,6 +193,14 @@
         left.append(self.time_left("entry", "k1"))
         self.assertEqual(left, [5000] * 5)
 
+    def test_without_a_rest_in_the_settings_nothing_is_taken_off(self) -> None:
+        self.world = World(self, settings=settings() | {"grades": self.GRADES})
+        left = list[float]()
+        for pause in (0, 60):
+            self.world.go(pause)
+            left.append(self.time_left("entry", "k1"))
+        self.assertEqual(left, [5000, 5000])
+
     def test_runs_are_bounded_and_forgotten(self) -> None:
         ordered = self.world.service.link.ordered
         for key in range(1, 5000):
