store: clean under all linter families; settings as dataclasses, LedgerFullError

Its functions tell what a caller needs, the nine words of LedgerGuard and six of Ledger are LedgerSettings, GuardSettings and GuardRuntime, Full is LedgerFullError, and the calls of the system that tests replace have a type (FileCalls). The settings keys, counters and log events are as before.

--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -115,10 +115,10 @@
 
     def open_ledger(self, part: LedgerPart) -> Ledger:
         """The durable record, recovered from its disk."""
-        from ..store.ledger import Ledger
+        from ..store.ledger import Ledger, LedgerSettings
 
         try:
-            return Ledger(Path(part.path), start.unix_ms, part.flush, part.ids, part.bytes)
+            return Ledger(Path(part.path), start.unix_ms, LedgerSettings(part.flush, part.ids, part.bytes))
         except OSError as fault:
             raise SettingsError(f"{self.path}: ledger.path: {fault.strerror}: {part.path}") from None
 
@@ -187,17 +187,13 @@
     def guard_with_ledger(self, ledger: Ledger, part: LedgerPart) -> None:
         """What must not run twice is on the disk before it is sent."""
         from ..net.link import at_most_once
-        from ..store.guard import LedgerGuard
+        from ..store.guard import GuardRuntime, GuardSettings, LedgerGuard
 
         site = self.service.configuration.site
         self.link.guard = LedgerGuard(
             ledger,
-            at_most_once(site),
-            part.keep,
-            site.most_come_back,
-            self.loop,
-            self.counters,
-            self.log,
+            GuardSettings(at_most_once(site), part.keep, site.most_come_back),
+            GuardRuntime(self.loop, self.counters, self.log),
             self.link.guard,
         )
         if self.station is not None:
--- a/spurdeal/store/guard.py
+++ b/spurdeal/store/guard.py
@@ -1,78 +1,108 @@
-"""The ledger at the link's door: what may have run is known after a kill, whichever path it comes by.
+"""A guard that keeps the ledger: what may have run is known after a kill, whichever path it came by.
 
-A turn's guarded trips are written in one append. With `flush: always` they leave when a thread has flushed
-them; what comes meanwhile is gathered for the next flush."""
+The guarded trips of one turn are written in one append. With `flush: always` they leave when a thread has
+flushed them; those that come meanwhile are gathered for the next flush.
+"""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Sequence
-from typing import Any
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
 from twisted.internet.threads import deferToThread
 
+from ..eventloop import Scheduler
 from ..net.counters import Counters
 from ..net.link import Answer, BrokenOff, Guard, Shed, Taken
 from ..net.names import Seat
-from .ledger import TURN, Full, Ledger
+from .ledger import TURN, Ledger, LedgerFullError
 from .records import Kind, Record
 
 Go = Callable[[bool | None], None]
+RunInThread = Callable[[Callable[[], None]], Deferred[None]]
+
+
+@dataclass(frozen=True)
+class GuardSettings:
+    """What is guarded, and for how long.
+
+    Attributes:
+        guarded: By workload: whether its submissions must not run twice.
+        keep: How long an id is kept beyond its submission's expiry, in ms.
+        come_back: When a client that is shed may come back, in ms.
+    """
+
+    guarded: tuple[bool, ...]
+    keep: float
+    come_back: float
+
+
+@dataclass(frozen=True)
+class GuardRuntime:
+    """The parts of the process that a guard uses. in_thread runs a blocking call in a worker thread."""
+
+    reactor: Scheduler
+    counters: Counters
+    log: logging.Logger
+    in_thread: RunInThread = deferToThread
 
 
 class LedgerGuard:
-    """A Guard that keeps a ledger, before another one (or none)."""
+    """A Guard that keeps a ledger, in front of another guard (or none), which it asks next."""
 
     def __init__(
         self,
         ledger: Ledger,
-        guarded: Sequence[bool],
-        keep: float,
-        come_back: float,
-        reactor: Any,
-        counters: Counters,
-        log: logging.Logger,
+        settings: GuardSettings,
+        runtime: GuardRuntime,
         inner: Guard | None = None,
-        in_thread: Callable[[Callable[[], None]], Deferred[None]] = deferToThread,
     ) -> None:
-        self.ledger, self.guarded, self.keep, self.come_back = ledger, guarded, keep, come_back
-        self.reactor, self.counters, self.log, self.inner = reactor, counters, log, inner
-        self.in_thread = in_thread
+        self.ledger, self.settings, self.inner = ledger, settings, inner
+        self.reactor, self.counters, self.log = runtime.reactor, runtime.counters, runtime.log
+        self.in_thread = runtime.in_thread
         self.waiting: dict[tuple[int, int], tuple[Taken, Go]] = {}
         self.ready: list[tuple[int, int]] = []
         self.writing = self.flushing = False
-        if ledger.flush_when == "turn":
+        if ledger.settings.flush == "turn":
             self.flush_again()
 
     def flush_again(self) -> None:
-        """With `turn`: in a thread, as a disk may stand still for long; a failure is told by `full`."""
+        """Flush in a thread, as a disk may stall for long; repeats every TURN seconds.
+
+        A failure shows in the ledger's `full`.
+        """
         if self.ledger.dirty:
             self.in_thread(self.ledger.syncer()).addBoth(self.later)
         else:
             self.later(None)
 
     def later(self, _: object) -> None:
+        """Schedule the next periodic flush, whatever the last one gave."""
         self.reactor.callLater(TURN, self.flush_again)
 
     # The link's Guard.
 
     def turning(self, now: float) -> None:
+        """See Guard."""
         if self.inner is not None:
             self.inner.turning(now)
 
     def door(self, kind: int, ident: bytes) -> Answer | None:
-        if self.guarded[kind]:
+        """Refuse what may have run, and shed guarded submissions while the ledger cannot be written."""
+        if self.settings.guarded[kind]:
             if self.ledger.may_have_run(ident.lower()):
                 self.counters.add("ledger_known")
                 return BrokenOff()
             if self.ledger.full and not self.ledger.try_again():
                 self.counters.add("ledger_full")
-                return Shed(self.come_back)
+                return Shed(self.settings.come_back)
         return self.inner.door(kind, ident) if self.inner is not None else None
 
     def before(self, taken: Taken, trip: int, go: Go) -> bool:
-        if not self.guarded[taken.kind]:
+        """Hold a guarded trip until its record is written; `go` is then called with the verdict."""
+        if not self.settings.guarded[taken.kind]:
             return self.inner.before(taken, trip, go) if self.inner is not None else True
         token = (taken.number, trip)
         self.waiting[token] = (taken, go)
@@ -91,52 +121,61 @@
         return False
 
     def given_up(self, number: int, trip: int) -> None:
+        """Forget a trip that waits for its record."""
         self.waiting.pop((number, trip), None)
         if self.inner is not None:
             self.inner.given_up(number, trip)
 
     def answered(self, taken: Taken, answer: Answer | None) -> None:
-        if self.guarded[taken.kind] and isinstance(answer, Shed):
+        """A shed submission has not run: its record is cancelled."""
+        if self.settings.guarded[taken.kind] and isinstance(answer, Shed):
             self.never_ran(taken)
         if self.inner is not None:
             self.inner.answered(taken, answer)
 
     def never_ran(self, taken: Taken) -> None:
-        """Each trip of it is known not to have run. A record that cannot be written leaves it as it was."""
+        """Record that no trip of a submission has run; if that cannot be written, its record stands."""
         ident = taken.ident.lower()
-        if self.guarded[taken.kind] and ident in self.ledger.ends:
+        if self.settings.guarded[taken.kind] and ident in self.ledger.ends:
             try:
                 self.ledger.append([Record(Kind.NEVER_RAN, ident, 0.0)])
-            except Full:
+            except LedgerFullError:
                 self.counters.add("ledger_not_written")
 
     def departs(self, taken: Taken, trip: int, engine: int) -> bool:
+        """See Guard."""
         return self.inner.departs(taken, trip, engine) if self.inner is not None else True
 
     def called_off(self, taken: Taken, trip: int) -> None:
+        """See Guard."""
         if self.inner is not None:
             self.inner.called_off(taken, trip)
 
     def said(self, line: str) -> None:
+        """See Guard."""
         if self.inner is not None:
             self.inner.said(line)
 
     def turned(self) -> None:
+        """See Guard."""
         if self.inner is not None:
             self.inner.turned()
 
     def seat(self, seat: Seat) -> Seat:
+        """See Guard."""
         return self.inner.seat(seat) if self.inner is not None else seat
 
     # Writing.
 
     def gather(self, token: tuple[int, int]) -> None:
+        """Add a trip to the next append, in the loop's next round or after the flush under way."""
         self.ready.append(token)
         if not self.writing and not self.flushing:
             self.writing = True
             self.reactor.callLater(0, self.write)
 
     def write(self) -> None:
+        """Append the records of all trips gathered, and release the trips or wait for the flush."""
         self.writing = False
         tokens, self.ready = [token for token in self.ready if token in self.waiting], []
         if not tokens:
@@ -144,15 +183,15 @@
         records = []
         for token in tokens:
             taken = self.waiting[token][0]
-            records.append(Record(Kind.MAY_RUN, taken.ident.lower(), taken.expiry + self.keep))
+            records.append(Record(Kind.MAY_RUN, taken.ident.lower(), taken.expiry + self.settings.keep))
         try:
             self.ledger.append(records)
-        except Full as fault:
+        except LedgerFullError as fault:
             self.counters.add("ledger_not_written", len(tokens))
             self.log.error("ledger_full", extra={"figures": {"why": str(fault), "trips": len(tokens)}})
             self.verdicts(tokens, False)
             return
-        if self.ledger.flush_when == "always":
+        if self.ledger.settings.flush == "always":
             self.flushing = True
             self.in_thread(self.ledger.syncer()).addCallbacks(
                 lambda _: self.flushed(tokens, True), lambda _: self.flushed(tokens, False)
@@ -161,6 +200,7 @@
             self.verdicts(tokens, True)
 
     def flushed(self, tokens: list[tuple[int, int]], safe: bool) -> None:
+        """A flush has ended: its trips are released if `safe`, and what was gathered meanwhile is written."""
         self.flushing = False
         self.verdicts(tokens, safe)
         if self.ready:
@@ -168,6 +208,7 @@
             self.reactor.callLater(0, self.write)
 
     def verdicts(self, tokens: list[tuple[int, int]], go: bool) -> None:
+        """Tell each of these trips that still waits whether it may be sent."""
         for token in tokens:
             found = self.waiting.pop(token, None)
             if found is not None:
--- a/spurdeal/store/ledger.py
+++ b/spurdeal/store/ledger.py
@@ -2,12 +2,13 @@
 
 Options weighed: SQLite (a journal, locks and 0.1 ms and more for each commit without a flush), LMDB (a map of
 fixed size, flushes whole pages), a log of our own (one write for all of a turn, 30 bytes a record). What is
-needed is a set of ids with ends, read once at a start; so a log. Its decisions are few: when to write anew,
-and what a failure means.
+needed is a set of ids with ends, read once at a start; so a log. Its decisions are few: when to rewrite the
+log, and what a failure means.
 
 flush: `always` (each write is on the disk before a submission is sent: outlives the machine), `turn` (left to
 a timer of 50 ms: outlives the process, and the machine but for the last 50 ms), `never` (outlives the
-process)."""
+process).
+"""
 
 from __future__ import annotations
 
@@ -15,41 +16,56 @@
 import os
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Literal
 
+from .files import FileCalls
 from .records import MAGIC, Kind, Record, read, write
 
-FLUSHES = ("always", "turn", "never")
+Flush = Literal["always", "turn", "never"]
+FLUSHES: tuple[Flush, ...] = ("always", "turn", "never")
 TURN = 0.05  # seconds between two flushes with `turn`
 GROWN = 2.0  # a log so many times its snapshot's size is written anew
 LEAST = 65_536  # bytes below which it is not
 TRY_EVERY = 1000.0  # ms between two tries to write anew after a failure
 
 
-class Full(Exception):
+class LedgerFullError(Exception):
     """Nothing more can be written; what was written stands."""
 
 
+@dataclass(frozen=True)
+class LedgerSettings:
+    """When a ledger is flushed, and its bounds.
+
+    Attributes:
+        flush: How much an appended record outlives; see the module.
+        max_ids: Most ids that are kept at once.
+        max_bytes: Most bytes of the log on disk.
+    """
+
+    flush: Flush = "turn"
+    max_ids: int = 1_000_000
+    max_bytes: int = 256 * 1_048_576
+
+
 class Ledger:
-    """Ids that may have run, with their ends. `path` is a folder of the ledger's own.
+    """Ids that may have run, with their ends.
 
-    clock is Unix ms, since ends must outlive the machine's start. most is a bound on ids, most_bytes on the
-    disk.
+    path is a directory of the ledger's own. clock gives Unix ms, since ends must outlive a restart of the
+    machine.
     """
 
     def __init__(
         self,
         path: Path,
         clock: Callable[[], float],
-        flush: str = "turn",
-        most: int = 1_000_000,
-        most_bytes: int = 256 * 1_048_576,
-        system: Any = os,
+        settings: LedgerSettings = LedgerSettings(),
+        system: FileCalls = os,
     ) -> None:
-        assert flush in FLUSHES
-        self.path, self.clock, self.flush_when, self.most = path, clock, flush, most
-        self.most_bytes, self.system = most_bytes, system
+        assert settings.flush in FLUSHES
+        self.path, self.clock, self.settings, self.system = path, clock, settings, system
         self.ends: dict[bytes, float] = {}
         self.appended = self.torn = self.recovered = self.failures = self.rewritten = 0
         self.bytes = self.bytes_most = self.base = 0
@@ -62,8 +78,11 @@
     # Start.
 
     def recover(self) -> None:
-        """Reads what stands, cuts a torn tail, and writes a snapshot without what is over. OSError as it
-        comes."""
+        """Read the log, cut a torn tail, and write a snapshot without the ids that have ended.
+
+        Raises:
+            OSError: The directory or the log cannot be read or written.
+        """
         self.path.mkdir(parents=True, exist_ok=True)
         (self.path / "ledger.new").unlink(missing_ok=True)  # a rewrite that was killed: the old one holds
         data = self.name.read_bytes() if self.name.exists() else b""
@@ -78,6 +97,7 @@
         self.rewrite()
 
     def apply(self, record: Record) -> None:
+        """Change the ids as a record says."""
         if record.kind is Kind.MAY_RUN:
             self.ends[record.ident] = max(record.until, self.ends.get(record.ident, 0.0))
         else:
@@ -86,24 +106,28 @@
     # What is asked of it.
 
     def may_have_run(self, ident: bytes) -> bool:
+        """Whether that id has a record that has not ended."""
         return self.ends.get(ident, 0.0) > self.clock()
 
     def append(self, records: list[Record]) -> None:
-        """All or none: they outlive the process now; `sync` or `flush` make them outlive more. Full
-        otherwise."""
+        """Write all of the records or none; they outlive the process from then on, and more once flushed.
+
+        Raises:
+            LedgerFullError: They were not written.
+        """
         if not records or (self.full and not self.try_again()):
             if records:
-                raise Full("nothing can be written")
+                raise LedgerFullError("nothing can be written")
             return
         data = b"".join(write(record) for record in records)
-        if len(self.ends) + len(records) > self.most:
+        if len(self.ends) + len(records) > self.settings.max_ids:
             self.forget()
-            if len(self.ends) + len(records) > self.most:
-                raise Full("no room for another id")
+            if len(self.ends) + len(records) > self.settings.max_ids:
+                raise LedgerFullError("no room for another id")
         if self.bytes + len(data) > max(LEAST, GROWN * self.base):
             self.rewrite_if_it_pays()
-        if self.bytes + len(data) > self.most_bytes:
-            raise Full("no room on the disk that it may use")
+        if self.bytes + len(data) > self.settings.max_bytes:
+            raise LedgerFullError("no room on the disk that it may use")
         try:
             self.write(data)
             self.dirty = True
@@ -111,7 +135,7 @@
             self.failures += 1
             self.full = True
             self.cut()
-            raise Full(os.strerror(fault.errno or errno.EIO)) from None
+            raise LedgerFullError(os.strerror(fault.errno or errno.EIO)) from None
         for record in records:
             self.apply(record)
         self.bytes += len(data)
@@ -119,7 +143,11 @@
         self.appended += len(records)
 
     def try_again(self) -> bool:
-        """After a failure only a whole new file is trusted; at most so often."""
+        """Rewrite the log after a failure, as only a new file is trusted; at most once in TRY_EVERY.
+
+        Returns:
+            Whether the ledger can be written again.
+        """
         now = self.clock()
         if now < self.next_try:
             return False
@@ -134,12 +162,18 @@
         return True
 
     def sync(self) -> None:
-        """The disk has all that was written when this was called; OSError where it has not."""
+        """Flush all that was written before this call.
+
+        Raises:
+            OSError: The disk did not take it.
+        """
         self.syncer()()
 
     def syncer(self) -> Callable[[], None]:
-        """What `sync` does, for a thread: with a file of its own, as the log may be written anew
-        meanwhile."""
+        """What `sync` does, to be called in a thread.
+
+        It has a descriptor of its own, as the log may be rewritten meanwhile.
+        """
         file, self.dirty = os.dup(self.file), False
 
         def sync() -> None:
@@ -155,12 +189,17 @@
         return sync
 
     def write(self, data: bytes) -> None:
+        """Write all of the data at the end of the log.
+
+        Raises:
+            OSError: Some of it could not be written.
+        """
         view = memoryview(data)
         while view:
             view = view[self.system.write(self.file, view) :]
 
     def cut(self) -> None:
-        """What was half written goes, so that the next record does not stand behind a torn one."""
+        """Cut off a partly written record, so that the next one does not follow a torn one."""
         try:
             self.system.ftruncate(self.file, self.bytes)
             self.system.lseek(self.file, self.bytes, os.SEEK_SET)
@@ -168,6 +207,7 @@
             self.failures += 1
 
     def close(self) -> None:
+        """Flush, as far as the disk takes it, and close the log."""
         if self.file >= 0:
             with suppress(OSError):
                 self.sync()
@@ -177,10 +217,12 @@
     # Writing anew.
 
     def forget(self) -> None:
+        """Drop the ids that have ended."""
         now = self.clock()
         self.ends = {ident: until for ident, until in self.ends.items() if until > now}
 
     def rewrite_if_it_pays(self) -> None:
+        """Rewrite a log that has grown; if that fails, the old one is used further."""
         self.forget()
         try:
             self.rewrite()
@@ -188,8 +230,11 @@
             self.failures += 1  # the old one goes on
 
     def rewrite(self) -> None:
-        """A snapshot beside the log, flushed, then put in its place at once: a kill leaves one or the
-        other."""
+        """Write a snapshot beside the log, flush it and rename it: a kill leaves one or the other.
+
+        Raises:
+            OSError: The old log stands.
+        """
         fresh = self.path / "ledger.new"
         data = MAGIC + b"".join(write(Record(Kind.MAY_RUN, *each)) for each in self.ends.items())
         file = self.system.open(fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -4,6 +4,7 @@
 import struct
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -25,8 +26,8 @@
 from spurdeal.interface import NEVER_RAN, Ending, Life
 from spurdeal.lab.proxy import Asked, request, response
 from spurdeal.net.link import at_most_once
-from spurdeal.store.guard import LedgerGuard
-from spurdeal.store.ledger import Ledger
+from spurdeal.store.guard import GuardRuntime, GuardSettings, LedgerGuard
+from spurdeal.store.ledger import Ledger, LedgerSettings
 from tests.helpers import Caller, Pipe, World
 
 HEAD = [
@@ -251,16 +252,12 @@
 
     def ledger(self) -> None:
         service = self.world.service
-        made = Ledger(self.path, self.world.now, "never")
+        made = Ledger(self.path, self.world.now, LedgerSettings("never"))
         self.addCleanup(made.close)
         service.link.guard = LedgerGuard(
             made,
-            at_most_once(service.configuration.site),
-            60_000,
-            500.0,
-            self.world.reactor,
-            service.counters,
-            service.log,
+            GuardSettings(at_most_once(service.configuration.site), 60_000, 500.0),
+            GuardRuntime(self.world.reactor, service.counters, service.log),
         )
 
     def engines(self) -> Any:
@@ -377,7 +374,7 @@
 
     def test_a_full_disk_sheds_what_at_most_once_and_reads_go_on(self) -> None:
         guard: Any = self.world.service.link.guard
-        guard.ledger.most_bytes = guard.ledger.bytes + 3
+        guard.ledger.settings = replace(guard.ledger.settings, max_bytes=guard.ledger.bytes + 3)
         proxy = Proxy(self)
         stream, read = proxy.ask(1, "load"), proxy.ask(2, "lookup")
         self.world.go(100)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,9 +6,9 @@
 import tempfile
 import unittest
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
-from spurdeal.store.ledger import TRY_EVERY, Full, Ledger
+from spurdeal.store.ledger import TRY_EVERY, Ledger, LedgerFullError, LedgerSettings
 from spurdeal.store.records import MAGIC, Kind, Record, read, write
 
 
@@ -46,8 +46,8 @@
         self.addCleanup(folder.cleanup)
         self.path, self.now, self.system = Path(folder.name) / "ledger", [1e12], System()
 
-    def ledger(self, **more: Any) -> Ledger:
-        made = Ledger(self.path, lambda: self.now[0], **({"system": self.system} | more))
+    def ledger(self, **settings: Any) -> Ledger:
+        made = Ledger(self.path, lambda: self.now[0], LedgerSettings(**settings), cast(Any, self.system))
         self.addCleanup(made.close)
         return made
 
@@ -83,11 +83,11 @@
         one = self.ledger()
         one.append([may(b"a")])
         self.system.room = 10
-        with self.assertRaisesRegex(Full, "No space|full"):
+        with self.assertRaisesRegex(LedgerFullError, "No space|full"):
             one.append([may(b"b"), may(b"c")])
         self.assertEqual([one.may_have_run(ident) for ident in (b"a", b"b", b"c")], [True, False, False])
         self.assertEqual([record.ident for record, _ in read(one.name.read_bytes())], [b"a"])  # cut again
-        with self.assertRaises(Full):
+        with self.assertRaises(LedgerFullError):
             one.append([may(b"d")])
         self.system.room = 1 << 40
         self.now[0] += 2 * TRY_EVERY
@@ -102,7 +102,7 @@
             one.sync()
         self.assertTrue(one.full)
         self.now[0] += 2 * TRY_EVERY
-        with self.assertRaises(Full):
+        with self.assertRaises(LedgerFullError):
             one.append([may(b"b")])
         self.system.broken = False
         self.now[0] += 2 * TRY_EVERY
@@ -110,14 +110,14 @@
         self.assertFalse(one.full)
 
     def test_it_is_written_anew_without_what_is_over_and_stays_within_its_bounds(self) -> None:
-        one = self.ledger(most=500, most_bytes=400_000)
+        one = self.ledger(max_ids=500, max_bytes=400_000)
         for number in range(20_000):
             self.now[0] += 10
             one.append([may(b"%016x" % number, self.now[0] + 1000)])
         self.assertLess(one.bytes_most, 100_000)
         self.assertGreater(one.rewritten, 5)
         self.assertLessEqual(len(one.ends), 500)
-        with self.assertRaisesRegex(Full, "no room for another id"):
+        with self.assertRaisesRegex(LedgerFullError, "no room for another id"):
             for number in range(600):
                 one.append([may(b"x%015x" % number, 9e12)])
 
