--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -165,11 +165,11 @@
     """Reads audit logs; one that cannot be read is told, and ends the process."""
     from pathlib import Path
 
-    from ..fleet.asking import Unreadable, read_log
+    from ..fleet.asking import UnreadableLogError, read_log
 
     try:
         return [read_log(Path(folder), strict) for folder in folders]
-    except (Unreadable, OSError) as fault:
+    except (UnreadableLogError, OSError) as fault:
         refuse(fault)
 
 
--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -91,7 +91,7 @@
 
     def make_fleet(self) -> FleetStation:
         """The part that takes part in the fleet."""
-        from ..fleet.station import FleetStation
+        from ..fleet.station import Clocks, FleetStation, StationSettings
 
         assert self.plan.fleet is not None
         keys = read_keys(self.path, "fleet", self.plan.fleet)
@@ -100,13 +100,9 @@
             configuration = Path(self.configuration).read_bytes()
             return FleetStation(
                 self.service,
-                self.plan,
-                keys,
-                configuration,
+                StationSettings(self.plan, keys, configuration),
                 self.loop,
-                monotonic_ms,
-                self.service.clock,
-                self.unix,
+                Clocks(monotonic_ms, self.service.clock, self.unix),
                 self.log,
             )
         except OSError as fault:
--- a/spurdeal/eventloop.py
+++ b/spurdeal/eventloop.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from twisted.internet.protocol import DatagramProtocol
+
 
 class Timer(Protocol):
     """A call that is scheduled for later."""
@@ -21,3 +23,12 @@
 
     def callLater(self, seconds: float, call: Callable[..., Any], /, *arguments: Any) -> Timer:  # noqa: ANN401
         """Schedule a call."""
+
+
+class DatagramLoop(Scheduler, Protocol):
+    """An event loop that also has UDP sockets."""
+
+    def listenUDP(
+        self, port: int, protocol: DatagramProtocol, interface: str = "", maxPacketSize: int = 8192
+    ) -> object:
+        """Bind a UDP port and hand what arrives to the protocol."""
--- a/spurdeal/fleet/asking.py
+++ b/spurdeal/fleet/asking.py
@@ -1,5 +1,7 @@
-"""What the logs of many dispatchers say: who did what under which version, and what went against it. Free of
-I/O but for reading the files."""
+"""What the logs of many dispatchers say: who did what under which version, and what contradicts it.
+
+Free of I/O but for reading the files.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +10,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from .audit import COLD, DOUBTFUL, Broken, Kind, Read, Record, head_of, read
+from .audit import COLD, DOUBTFUL, BrokenLogError, Kind, Read, Record, head_of, read
 from .errors import FleetError
 from .hybrid import Stamp
 from .versions import WITNESSES, Line
@@ -17,7 +19,7 @@
 LINES = tuple(line.name.lower() for line in Line)
 
 
-class Unreadable(FleetError):
+class UnreadableLogError(FleetError):
     """A log that cannot be used: file, offset and reason."""
 
 
@@ -31,9 +33,11 @@
 
     @property
     def order(self) -> tuple[Stamp, str]:
+        """Sorts entries by cause; the name decides between equal stamps."""
         return self.record.stamp, self.name
 
     def told(self) -> dict[str, Any]:
+        """The entry, ready for JSON."""
         record = self.record
         found: dict[str, Any] = {
             "at": str(record.stamp),
@@ -56,6 +60,7 @@
         return found | {"versions": {line: self.versions[line] for line in LINES if line in self.versions}}
 
     def words(self) -> str:
+        """The entry in one line, for people."""
         found = self.told()
         versions = found.pop("versions")
         text = " ".join(f"{key}={value}" for key, value in found.items() if key not in ("at", "boot"))
@@ -84,20 +89,20 @@
         strict: Whether a file that is broken ends the reading; else it is a problem, and the rest is read.
 
     Raises:
-        Unreadable: There is no log, a file is of another dispatcher, or broken and that is not allowed.
+        UnreadableLogError: There is no log, a file is of another dispatcher, or it is broken and `strict`.
     """
     log = Log(str(folder))
     files = sorted(folder.glob("audit-*.log"))
     if not files:
-        raise Unreadable(f"{folder}: no audit log there")
+        raise UnreadableLogError(f"{folder}: no audit log there")
     before: str | None = None
     for file in files:
         data = file.read_bytes()
         try:
             found = read(data)
-        except Broken as fault:
+        except BrokenLogError as fault:
             if strict:
-                raise Unreadable(f"{file}: at byte {fault.offset}: {fault.why}") from None
+                raise UnreadableLogError(f"{file}: at byte {fault.offset}: {fault.why}") from None
             log.problems.append(f"{file.name}: at byte {fault.offset}: {fault.why}")
             log.name = log.name or str(head_of(data).get("name", folder.name))
             before = None
@@ -119,11 +124,13 @@
         before: The digest at the end of the file before; None where that is not known.
 
     Raises:
-        Unreadable: The file is of another dispatcher.
+        UnreadableLogError: The file is of another dispatcher.
     """
     told = found.head
     if log.name and told["name"] != log.name:
-        raise Unreadable(f"{file}: at byte 0: it is {told['name']}'s, the files before are {log.name}'s")
+        raise UnreadableLogError(
+            f"{file}: at byte 0: it is {told['name']}'s, the files before are {log.name}'s"
+        )
     log.name = str(told["name"])
     if before is not None and told["before"] != before:
         log.problems.append(f"{file.name}: a page before it was altered or cut")
@@ -164,6 +171,7 @@
 
 
 def chosen(entries: Iterable[Entry], asked: Asked) -> Iterator[Entry]:
+    """The entries that were asked for, in their order."""
     for entry in entries:
         record = entry.record
         if record.kind in (Kind.HEAD, Kind.ENGINE, Kind.SEAL):
@@ -191,8 +199,13 @@
 
 
 def check(logs: Sequence[Log], grace: float) -> list[Finding]:
-    """grace: ms that a dispatcher has, after a version is told, until nothing may go to what it has
-    draining."""
+    """All that contradicts the versions, or is missing.
+
+    Args:
+        logs: One for each dispatcher, or part of one.
+        grace: After a version is told, how long a dispatcher has, in ms, until nothing may go to what it has
+            draining.
+    """
     entries = merged(logs)
     findings = [*against_own(entries), *against_newer(entries, grace), *clashes(entries)]
     for log in logs:
@@ -209,6 +222,7 @@
 
 
 def against_own(entries: Iterable[Entry]) -> Iterator[Finding]:
+    """Sends to engines that the sender's own list has draining or gone."""
     for entry in entries:
         if entry.record.kind is Kind.SENT:
             life = life_of(entry.versions, entry.record.engine)
@@ -231,8 +245,12 @@
 
 
 def against_newer(entries: Sequence[Entry], grace: float) -> Iterator[Finding]:
-    """Sends that a newer list forbade, which someone had acted on more than the grace (ms) ago. Entries in
-    order."""
+    """Sends that a newer list forbade, which someone had acted on more than the grace ago.
+
+    Args:
+        entries: In order of their stamps.
+        grace: In ms.
+    """
     believed = believed_lists(entries)
     first: list[Acted] = []  # numbers grow
     for entry in entries:
@@ -248,8 +266,10 @@
 
 
 def believed_lists(entries: Sequence[Entry]) -> set[str]:
-    """Lists that enough have acted on: one that only one of several did is one witness's word, who may have
-    made it up."""
+    """Lists that enough dispatchers have acted on.
+
+    One that only one of several did is one witness's word, who may have made it up.
+    """
     names = {entry.name for entry in entries}
     acted: dict[str, set[str]] = {}
     for entry in entries:
@@ -282,12 +302,15 @@
 
 
 def number_of(version: str) -> int:
+    """The number in a version as logs tell it, which is generation.number/digest."""
     return int(version.partition("/")[0].partition(".")[2])
 
 
 def clashes(entries: Iterable[Entry]) -> Iterator[Finding]:
-    """Two that acted on different contents of one version. The program has no numbers: others are no
-    clash."""
+    """Versions that two dispatchers acted on with different contents.
+
+    The program has no numbers: other contents of it are no clash.
+    """
     seen: dict[tuple[str, str], dict[str, str]] = {}
     for entry in entries:
         if entry.record.kind is Kind.VERSIONS:
--- a/spurdeal/fleet/audit.py
+++ b/spurdeal/fleet/audit.py
@@ -1,5 +1,4 @@
-"""The audit's bytes: what each dispatcher decided, under which versions, in pages that are chained. Free of
-I/O.
+"""The audit log as bytes: what each dispatcher decided, under which versions, in chained pages. Free of I/O.
 
 A file begins with MAGIC. Then frames: length (4 bytes), CRC-32 of the body (4), body. A body is a stamp (6
 bytes of Unix ms, 2 of the tally), the index of the versions in force (4), and the records of one turn, which
@@ -10,7 +9,8 @@
 over the digest before and the page's bytes. So a byte that is altered, or a page that is cut out, shows in
 every later digest; and a tail that is cut off shows in the digests that others were told. Weighed: SQLite
 (locks, a flush each commit), one CRC a record (three times the work a turn), a Merkle tree (proofs of single
-records, which nobody asks for)."""
+records, which nobody asks for).
+"""
 
 from __future__ import annotations
 
@@ -18,8 +18,9 @@
 import json
 import struct
 import zlib
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from enum import IntEnum
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from .errors import FleetError
@@ -38,6 +39,8 @@
 
 
 class Kind(IntEnum):
+    """What a record is."""
+
     HEAD = 0  # of a file: whose, which start, what came before
     VERSIONS = 1  # an index from here on means these; with the list's engines
     SENT = 2
@@ -62,6 +65,9 @@
 COLD, DOUBTFUL = 1, 2  # flags of one that was sent
 
 
+NOTHING_TOLD: Mapping[str, Any] = MappingProxyType({})
+
+
 class Record(NamedTuple):
     """One decision or fact, as read."""
 
@@ -72,7 +78,7 @@
     engine: str = ""
     trip: int = 0
     flags: int = 0
-    told: dict[str, Any] = {}
+    told: Mapping[str, Any] = NOTHING_TOLD
 
 
 class SealedPage(NamedTuple):
@@ -99,7 +105,7 @@
     digest: bytes
 
 
-class Broken(FleetError):
+class BrokenLogError(FleetError):
     """A log that cannot be used from some place on; the text says why."""
 
     def __init__(self, offset: int, why: str) -> None:
@@ -108,6 +114,7 @@
 
 
 def digest_after(before: bytes, data: bytes) -> bytes:
+    """The digest over the digest before and a page's bytes."""
     return hashlib.blake2b(before + data, digest_size=DIGEST).digest()
 
 
@@ -124,6 +131,7 @@
     # Records, kept until the turn's frame is asked for.
 
     def sent(self, ident: bytes, trip: int, engine: str, flags: int) -> None:
+        """A trip was sent to an engine; flags are COLD and DOUBTFUL."""
         place = self.engines.get(engine)
         if place is None:
             place = self.engines[engine] = len(self.engines)
@@ -133,9 +141,11 @@
         )
 
     def short(self, kind: Kind, ident: bytes, trip: int = 0) -> None:
+        """Something happened to a submission; the kind is one of SHORT."""
         self.records.append(SENT.pack(kind, min(trip, 255), 0, len(ident)) + ident)
 
     def tell(self, kind: Kind, told: dict[str, Any]) -> None:
+        """A record with figures, as JSON; one that is larger than 64 KiB packed is dropped."""
         text = zlib.compress(json.dumps(told, separators=(",", ":")).encode(), 6)
         if len(text) < 1 << 16:
             self.records.append(TEXT.pack(kind, len(text)) + text)
@@ -195,19 +205,24 @@
     total: int
     digest: bytes  # after all that stands in the file, sealed or not
     end: int  # bytes that are whole
-    head: dict[str, Any]
+    head: Mapping[str, Any]
     unsealed: int  # records behind the last seal
 
 
 def read(data: bytes) -> Read:
-    """A file, checked from its head on; Broken tells from where it cannot be used. A torn tail is no fault:
-    `end` lies before it."""
+    """Read a file, checked from its head on.
+
+    A torn tail is no fault: `end` lies before it.
+
+    Raises:
+        BrokenLogError: From its offset on, the file cannot be used.
+    """
     if MAGIC.startswith(data):  # its very beginning was torn off
         return Read([], {}, 0, 0, NO_DIGEST, 0, {}, 0)
     if data[: len(MAGIC)] != MAGIC:
-        raise Broken(0, "no audit log: it does not begin as one")
+        raise BrokenLogError(0, "no audit log: it does not begin as one")
     at, records, seals = len(MAGIC), list[Record](), dict[int, PageSeal]()
-    head: dict[str, Any] = {}
+    head: Mapping[str, Any] = {}
     page, count, digest, pending = 0, 0, NO_DIGEST, b""
     in_page = 0
     engines: dict[int, str] = {}
@@ -221,12 +236,14 @@
             head = found[0].told
             page, count, digest = int(head["page"]), int(head["records"]), bytes.fromhex(head["before"])
         elif not head:
-            raise Broken(at, "no head")
+            raise BrokenLogError(at, "no head")
         if found and found[0].kind is Kind.SEAL:
             told = found[0].told
             digest = digest_after(digest, pending)
             if told["page"] != page or told["digest"] != digest.hex() or told["records"] != count + in_page:
-                raise Broken(at, f"page {page} is not what its seal says: altered, or a part is cut out")
+                raise BrokenLogError(
+                    at, f"page {page} is not what its seal says: altered, or a part is cut out"
+                )
             count, in_page, pending = count + in_page, 0, b""
             seals[page] = PageSeal(digest.hex(), count, found[0].stamp)
             page += 1
@@ -236,17 +253,17 @@
             records += found
         at = after
     if at < len(data) and later_frame(data, at):
-        raise Broken(at, "a frame is spoilt, and whole ones follow it")
+        raise BrokenLogError(at, "a frame is spoilt, and whole ones follow it")
     closing = digest_after(digest, pending) if pending else digest
     return Read(records, seals, page + bool(pending), count + in_page, closing, at, head, in_page)
 
 
-def head_of(data: bytes) -> dict[str, Any]:
+def head_of(data: bytes) -> Mapping[str, Any]:
     """A file's head, also where the rest is broken; {} where it has none."""
     whole = frame_at(data, len(MAGIC))
     try:
         found = list(records_of(whole[0], len(MAGIC), {})) if whole is not None else []
-    except Broken:
+    except BrokenLogError:
         return {}
     return found[0].told if found and found[0].kind is Kind.HEAD else {}
 
@@ -263,12 +280,24 @@
 
 
 def later_frame(data: bytes, at: int) -> bool:
-    """A spoilt frame in the middle, or a torn tail? Whole frames behind it tell; a spoilt length is got
-    over."""
+    """Whether whole frames follow, so that the frame there is damaged and not a torn tail.
+
+    A damaged length is skipped, as each later byte is tried, up to 64 KiB on.
+    """
     return any(frame_at(data, place) is not None for place in range(at + 1, min(len(data), at + 65_536)))
 
 
 def records_of(body: bytes, offset: int, engines: dict[int, str]) -> Iterator[Record]:
+    """The records in a frame's body.
+
+    Args:
+        body: Of the frame.
+        offset: Of the frame in its file, for errors.
+        engines: The file's table of engines so far; it is added to.
+
+    Raises:
+        BrokenLogError: A record has not its form.
+    """
     high, low, tally, index = TIME.unpack_from(body)
     stamp, at = Stamp(high << 32 | low, tally), TIME.size
     try:
@@ -299,4 +328,4 @@
                     engines[int(told["place"])] = str(told["engine"])
                 yield Record(stamp, index, kind, told=told)
     except (ValueError, KeyError, IndexError, struct.error, zlib.error) as fault:
-        raise Broken(offset, f"a record cannot be read: {fault!r}") from None
+        raise BrokenLogError(offset, f"a record cannot be read: {fault!r}") from None
--- a/spurdeal/fleet/bringing.py
+++ b/spurdeal/fleet/bringing.py
@@ -4,7 +4,8 @@
 holder serves so many pieces in a period and says so when it is busy. What has come counts only if it has the
 digest that was claimed, and only if it would not drop more engines at once than one witness may: one that
 makes lists up must not empty the fleet. Pieces are bytes of a JSON text packed with zlib, small enough for
-one packet each."""
+one packet each.
+"""
 
 from __future__ import annotations
 
@@ -24,6 +25,7 @@
 LARGEST = 1_048_576  # bytes unpacked
 KEPT = 8  # lists kept for those who are behind
 SERVED = 24  # pieces served in a period
+MAX_REFUSED = 64  # versions whose content was not acted on
 PATIENCE = 200.0  # ms for one piece
 PAUSE = 50.0, 150.0  # ms after a failure until another is asked
 ONE_WITNESS_DROPS = 0.34  # of the engines ready here: what one witness alone may take away at once
@@ -31,35 +33,48 @@
 Rows = dict[str, Row]
 
 
-class Spoilt(FleetError):
+class UnusableListError(FleetError):
     """What has come cannot be used; the text says why."""
 
 
-def pack(value: Any) -> list[bytes]:
+def pack(value: object) -> list[bytes]:
+    """A JSON value as pieces of packed bytes."""
     packed = zlib.compress(json.dumps(value, separators=(",", ":")).encode(), 9)
     return [packed[at : at + PIECE] for at in range(0, len(packed), PIECE)]
 
 
-def unpack(pieces: Sequence[bytes]) -> Any:
+def unpack(pieces: Sequence[bytes]) -> object:
+    """The JSON value in these pieces.
+
+    Raises:
+        UnusableListError: They are cut, damaged, or more than LARGEST when unpacked.
+    """
     opened = zlib.decompressobj()
     try:
         data = opened.decompress(b"".join(pieces), LARGEST)
         if opened.unconsumed_tail or not opened.eof:
-            raise Spoilt("too large, or cut")
+            raise UnusableListError("too large, or cut")
         return json.loads(data)
     except (zlib.error, ValueError, RecursionError) as fault:
-        raise Spoilt(str(fault)) from None
+        raise UnusableListError(str(fault)) from None
 
 
 def difference(old: Rows, new: Rows) -> dict[str, Any]:
+    """What turns the old list into the new."""
     return {
         "changed": [list(row) for ident, row in sorted(new.items()) if old.get(ident) != row],
         "gone": sorted(old.keys() - new.keys()),
     }
 
 
-def applied(old: Rows, told: Any) -> Rows:
-    """The whole list of what a peer has told, over what we have; Spoilt where it has no such form."""
+def applied(old: Rows, told: object) -> Rows:
+    """The whole list of what a peer has told, over what we have.
+
+    Raises:
+        UnusableListError: It has not the form of a list, or of a difference.
+    """
+    if not isinstance(told, dict):
+        raise UnusableListError("no list: not an object")
     try:
         if "rows" in told:
             return {str(row[0]): tuple(row) for row in told["rows"]}
@@ -69,7 +84,7 @@
         rows.update({str(row[0]): tuple(row) for row in told["changed"]})
         return rows
     except (KeyError, TypeError, IndexError) as fault:
-        raise Spoilt(f"no list: {fault!r}") from None
+        raise UnusableListError(f"no list: {fault!r}") from None
 
 
 class Piece(NamedTuple):
@@ -92,6 +107,7 @@
         self.busy = 0
 
     def keep(self, version: Version, rows: Rows) -> None:
+        """Keep one more list; the oldest is dropped past KEPT."""
         self.lists[version] = rows
         while len(self.lists) > KEPT:
             self.lists.popitem(last=False)
@@ -130,6 +146,15 @@
     place: int
 
 
+class ReceivedPiece(NamedTuple):
+    """A piece as a holder sent it: of which version, its place, how many there are, and base64 text."""
+
+    want: Version
+    place: int
+    total: int
+    data: str
+
+
 class Fetch:
     """Our side: at most one list under way, one piece at a time."""
 
@@ -167,23 +192,21 @@
                 return Ask(self.of, have, version, 0)
         return None
 
-    def came(
-        self, now: float, sender: str, want: Version, place: int, count: int, data: str
-    ) -> Ask | list[bytes] | None:
+    def came(self, now: float, sender: str, piece: ReceivedPiece) -> Ask | list[bytes] | None:
         """A piece: what to ask for next, or all of them."""
-        if sender != self.of or want != self.want or place != len(self.pieces):
+        if sender != self.of or piece.want != self.want or piece.place != len(self.pieces):
             return None
-        if not 0 < count <= MOST_PIECES or (self.pieces and count != self.count):
+        if not 0 < piece.total <= MOST_PIECES or (self.pieces and piece.total != self.count):
             self.fail(now)
             return None
         try:
-            self.pieces.append(base64.b64decode(data, validate=True))
+            self.pieces.append(base64.b64decode(piece.data, validate=True))
         except ValueError:
             self.fail(now)
             return None
-        self.count, self.due = count, now + PATIENCE
-        if len(self.pieces) < count:
-            return Ask(self.of, self.have, want, len(self.pieces))
+        self.count, self.due = piece.total, now + PATIENCE
+        if len(self.pieces) < piece.total:
+            return Ask(self.of, self.have, piece.want, len(self.pieces))
         return self.pieces
 
     def fail(self, now: float, spoilt: bool = False) -> None:
@@ -194,11 +217,12 @@
 
     def refuse(self, now: float) -> None:
         """The content is what was claimed, and still not to be acted on."""
-        if self.want is not None and len(self.refused) < 64:
+        if self.want is not None and len(self.refused) < MAX_REFUSED:
             self.refused.add(self.want)
         self.fail(now, True)
 
     def end(self, now: float, pause: float) -> None:
+        """Nothing is fetched any more; the next may begin after a pause in ms."""
         self.want, self.pieces = None, []
         self.next_try = now + pause
         if not pause:
@@ -206,8 +230,13 @@
 
 
 def drops(old: Mapping[str, Row], new: Mapping[str, Row], ready: int) -> float:
-    """The part of what is ready in the old list that is not in the new. ready: the life that counts, in place
-    6."""
+    """The part of what is ready in the old list that is not in the new.
+
+    Args:
+        old: Rows by id.
+        new: Rows by id.
+        ready: The life that counts, which is in place 6 of a row.
+    """
     before = {ident for ident, row in old.items() if row[6] == ready}
     after = {ident for ident, row in new.items() if row[6] == ready}
     return len(before - after) / len(before) if before else 0.0
--- a/spurdeal/fleet/fleet.py
+++ b/spurdeal/fleet/fleet.py
@@ -3,13 +3,15 @@
 Free of I/O. A link calls `tick` every TICK ms and `take` for each datagram, sends what is in `out`, and logs
 what is in `told`. Both clocks come with each call: ms of a monotonic clock that runs on while the process
 stands still, and Unix ms. Nothing that comes from outside raises; what cannot be used is counted by its
-reason and changes nothing."""
+reason and changes nothing.
+"""
 
 from __future__ import annotations
 
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from statistics import median
 from typing import Any
 
@@ -32,7 +34,7 @@
 from .terms import TICK, Terms, Told
 from .versions import Book, Clash, Line, Version
 
-__all__ = ["READY", "TICK", "Fleet", "Terms", "Told"]
+__all__ = ["READY", "TICK", "Fleet", "FleetSettings", "Terms", "Told"]
 
 MIN_CLOCKS = 3  # so many others must tell theirs, before ours can be found off
 SHIFT_EVERY = 250.0  # ms
@@ -41,11 +43,31 @@
 MAX_STRANGERS = 256  # names that have shown a key and not yet their start
 
 
+@dataclass(frozen=True)
+class FleetSettings:
+    """Who a member is.
+
+    Attributes:
+        name: Its name, unique in the fleet.
+        address: Where the others reach it.
+        seeds: Members to ask at a start, by name; one without any acts alone.
+        terms: What all members share.
+        keys: Keys of the sealed datagrams.
+    """
+
+    name: str
+    address: Address
+    seeds: Mapping[str, Address]
+    terms: Terms
+    keys: Keys
+
+
 class Fleet:
     """A member of the fleet.
 
     Args:
-        seeds: Members to ask at a start, by name; one without any acts alone.
+        settings: Who it is, and what all members share.
+        chance: Source of its random choices.
         bring: Called with a list that was fetched from a peer and checked; it is to be put in force.
         now: Monotonic ms.
         unix: Unix ms.
@@ -53,25 +75,23 @@
 
     def __init__(
         self,
-        name: str,
-        address: Address,
-        seeds: Mapping[str, Address],
-        terms: Terms,
-        keys: Keys,
+        settings: FleetSettings,
         chance: random.Random,
         bring: Callable[[Version, Rows], None],
         now: float,
         unix: float,
     ) -> None:
-        self.name, self.address, self.seeds, self.terms, self.keys = name, address, dict(seeds), terms, keys
+        self.name, self.address, self.seeds = settings.name, settings.address, dict(settings.seeds)
+        self.terms, self.keys = settings.terms, settings.keys
         self.chance, self.bring = chance, bring
         self.out: list[tuple[Address, bytes]] = []
         self.told: list[Told] = []
         self.told_once: set[str] = set()
         self.counts: Counter[str] = Counter()
-        self.hybrid, self.book = Hybrid(unix), Book(name)
+        self.hybrid, self.book = Hybrid(unix), Book(self.name)
+        terms = self.terms
         limits = Limits(terms.behind_for, terms.shut_after, terms.most_shut, terms.clock_off)
-        self.ladder = Ladder(name, limits, now)
+        self.ladder = Ladder(self.name, limits, now)
         self.rows: Rows = {}
         self.page: SealedPage | None = None  # the newest of our own audit log
         self.clock_shift, self.next_shift = 0.0, now
@@ -124,8 +144,10 @@
     # Queries, and what the dispatcher tells.
 
     def allowed(self, now: float) -> Allowed:
-        """What may be sent at this moment: the lease is looked at anew, as the process may have stood
-        still."""
+        """What may be sent at this moment.
+
+        The lease is looked at anew, as the process may have stood still.
+        """
         allowed = self.ladder.allowed
         return allowed if self.lease.holds(now) else allowed._replace(doubtful=False)
 
@@ -232,8 +254,10 @@
         )
 
     def rejoin(self, now: float) -> None:
-        """Its grantors are lost for good, or refuse it: it goes on as a new start, with all that a new one
-        owes."""
+        """Go on as a new start, which owes all that a new one owes.
+
+        Its grantors are lost for good, or refuse it.
+        """
         incarnation, others = self.members.highest_incarnation, dict(self.members.others)
         before = self.boot
         self.begin(now)
@@ -258,8 +282,10 @@
         ]
 
     def shift(self, now: float) -> float:
-        """How far our Unix time lies before the median of the others', in ms; 0 while too few have told
-        theirs."""
+        """How far our Unix time lies before the median of the others', in ms.
+
+        0 while too few have told theirs.
+        """
         told = [heard.clock for heard in self.heard.values() if now - heard.at <= CLOCK_AGE]
         return -median(told) if len(told) >= MIN_CLOCKS else 0.0
 
--- a/spurdeal/fleet/handlers.py
+++ b/spurdeal/fleet/handlers.py
@@ -1,7 +1,8 @@
 """One handler for each kind of fleet message.
 
 A handler reads what its kind holds, and gives what is to be done once all of the message has been read. It
-raises Refused where a field has not its form; nothing has changed then but that an open request is closed."""
+raises Refused where a field has not its form; nothing has changed then but that an open request is closed.
+"""
 
 from __future__ import annotations
 
@@ -10,9 +11,11 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from . import wire
-from .lease import Term
+from .bringing import ReceivedPiece
+from .lease import Term, Word
 from .members import Address, Life
 from .messenger import Relay, Request, RequestKind
+from .table_sync import TablePage
 
 if TYPE_CHECKING:
     from .fleet import Fleet
@@ -100,7 +103,7 @@
             relay = Relay(name, source, sequence)
             own = messenger.opened(Request(target, now, RequestKind.RELAY, relay))
             messenger.send(now, unix, target, {"k": "p", "q": own}, address)
-        messenger.send(now, unix, name, {"k": "n", "q": sequence}, source, news=False)
+        messenger.send_without_news(now, unix, name, {"k": "n", "q": sequence}, source)
 
     return act
 
@@ -144,7 +147,7 @@
             if left < 0:
                 break
             rows.append(row)
-        fleet.messenger.send(now, unix, name, fields | {"n": rows}, source, news=False)
+        fleet.messenger.send_without_news(now, unix, name, fields | {"n": rows}, source)
 
     return act
 
@@ -158,7 +161,7 @@
 
     def act() -> None:
         if found is not None:
-            fleet.table_sync.page_arrived(now, unix, name, offset, count, total)
+            fleet.table_sync.page_arrived(now, unix, name, TablePage(offset, count, total))
 
     return act
 
@@ -184,7 +187,7 @@
             "t": wire.term_written(term),
             "f": wire.term_written(following) if following is not None else None,
         }
-        fleet.messenger.send(now, unix, name, fields, source, news=False)
+        fleet.messenger.send_without_news(now, unix, name, fields, source)
 
     return act
 
@@ -201,7 +204,7 @@
     def act() -> None:
         inquiry = fleet.stops.inquiries.get(subject)
         if found is not None and inquiry is not None and inquiry.boot == boot:
-            inquiry.word(message.now, found.sent, name, term, following, bool(refused), left)
+            inquiry.word(message.now, found.sent, name, Word(term, following, bool(refused), left))
 
     return act
 
@@ -225,7 +228,7 @@
             "of": piece.total,
             "b": base64.b64encode(piece.data).decode(),
         }
-        fleet.messenger.send(now, unix, name, fields, source, news=False)
+        fleet.messenger.send_without_news(now, unix, name, fields, source)
 
     return act
 
@@ -240,7 +243,7 @@
 
     def act() -> None:
         if found is not None:
-            fleet.list_sync.piece_arrived(now, unix, name, want, place, count, data)
+            fleet.list_sync.piece_arrived(now, unix, name, ReceivedPiece(want, place, count, data))
 
     return act
 
--- a/spurdeal/fleet/hybrid.py
+++ b/spurdeal/fleet/hybrid.py
@@ -3,7 +3,8 @@
 Kulkarni, Demirbas, Madappa, Avva and Leone, "Logical Physical Clocks" (2014), figure 5. Weighed: hlcpy from
 the registry (last release 2021, reads the clock itself); the algorithm is a few lines, so it is written here,
 free of clocks. A stamp never falls behind what was seen, also when Unix time steps back; and a stamp from
-outside that is far ahead is not taken, or one clock an hour off would drag all others along."""
+outside that is far ahead is not taken, or one clock an hour off would drag all others along.
+"""
 
 from __future__ import annotations
 
@@ -20,6 +21,7 @@
     tally: int
 
     def __str__(self) -> str:
+        """The form that logs and events have: ms.tally."""
         return f"{self.ms}.{self.tally}"
 
 
@@ -50,4 +52,5 @@
 
     @staticmethod
     def after(ms: int, count: int) -> Stamp:
+        """The stamp with this tally, or the first of the next ms where the tally is used up."""
         return Stamp(ms, count) if count <= MOST_COUNT else Stamp(ms + 1, 0)
--- a/spurdeal/fleet/journal.py
+++ b/spurdeal/fleet/journal.py
@@ -2,17 +2,20 @@
 
 It never holds up a submission: what cannot be written is counted, told in the log once the disk takes it
 again, and the decisions go on. A turn's frame is written, in one call, before anything that was decided in it
-leaves; so what an engine has got is in the log also after a kill. The system's calls are passed in."""
+leaves; so what an engine has got is in the log also after a kill. The system's calls are passed in.
+"""
 
 from __future__ import annotations
 
 import os
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from .audit import MAGIC, NO_DIGEST, Broken, Kind, LogEnd, Pages, Read, SealedPage, read
+from ..store.files import FileCalls
+from .audit import MAGIC, NO_DIGEST, BrokenLogError, Kind, LogEnd, Pages, Read, SealedPage, read
 from .hybrid import Stamp
 
 FILES = 8  # of which the oldest goes when the bytes are used up
@@ -20,21 +23,35 @@
 TRY_EVERY = 500.0  # ms between two tries after a failure
 
 
+@dataclass(frozen=True)
+class JournalSettings:
+    """Where a dispatcher's log is, and whose.
+
+    Attributes:
+        path: A directory of the log's own.
+        name: The dispatcher.
+        boot: The number of this start of it.
+        max_bytes: Most bytes of all files in the directory.
+    """
+
+    path: Path
+    name: str
+    boot: int
+    max_bytes: int
+
+
 class Journal:
-    """One dispatcher's log. now gives ms for the tries; most_bytes is the bound on the folder."""
+    """One dispatcher's log. now gives ms for the pauses between tries."""
 
     def __init__(
         self,
-        path: Path,
-        name: str,
-        boot: int,
+        settings: JournalSettings,
         stamp: Callable[[], Stamp],
         now: Callable[[], float],
-        most_bytes: int,
-        system: Any = os,
+        system: FileCalls = os,
     ) -> None:
-        self.path, self.name, self.boot, self.stamp, self.now = path, name, boot, stamp, now
-        self.most_bytes, self.system = most_bytes, system
+        self.path, self.name, self.boot = settings.path, settings.name, settings.boot
+        self.max_bytes, self.stamp, self.now, self.system = settings.max_bytes, stamp, now, system
         self.file, self.bytes, self.number = -1, 0, 0
         self.torn = self.failures = self.lost = self.dropped = self.broken = self.written = 0
         self.lost_untold, self.next_try = 0, 0.0
@@ -45,6 +62,7 @@
         self.begin()
 
     def name_of(self, number: int) -> Path:
+        """The path of the file with that number."""
         return self.path / f"audit-{number:08d}.log"
 
     # Start.
@@ -66,7 +84,7 @@
             data = file.read_bytes()
             try:
                 found = read(data)
-            except Broken:
+            except BrokenLogError:
                 self.broken += 1
                 file.rename(file.with_suffix(".broken"))
                 del self.sizes[newest]
@@ -148,8 +166,10 @@
             self.pages.tell(Kind.LOST, {"records": lost})
 
     def put(self, data: bytes, before: bytes = b"") -> bool:
-        """One write. A half-written frame is cut off again; where that fails, the file is left and a new one
-        begun."""
+        """Write one frame.
+
+        A partly written frame is cut off again; where that fails, the file is left and a new one begun.
+        """
         written = False
         if self.file >= 0 and (not self.lost_untold or before):
             try:
@@ -170,6 +190,7 @@
         return written
 
     def cut(self) -> None:
+        """Cut off a partly written frame; the file is given up where that fails."""
         try:
             self.system.ftruncate(self.file, self.bytes)
         except OSError:
@@ -194,13 +215,13 @@
         self.bytes += len(data)
         self.sizes[self.number] = self.bytes
         told = self.pages.sealed()
-        if self.bytes > max(LEAST_FILE, self.most_bytes // FILES):
+        if self.bytes > max(LEAST_FILE, self.max_bytes // FILES):
             self.begin()
         return told
 
     def shrink(self) -> None:
         """The oldest files go where all together are more than may be."""
-        while len(self.sizes) > 1 and sum(self.sizes.values()) > self.most_bytes - self.most_bytes // FILES:
+        while len(self.sizes) > 1 and sum(self.sizes.values()) > self.max_bytes - self.max_bytes // FILES:
             oldest = min(self.sizes)
             with suppress(OSError):
                 self.name_of(oldest).unlink()
@@ -208,6 +229,7 @@
             self.dropped += 1
 
     def close(self) -> None:
+        """Note the planned end, seal the page and close the file."""
         self.pages.tell(Kind.STOPPED, {})
         self.seal()
         if self.file >= 0:
--- a/spurdeal/fleet/lease.py
+++ b/spurdeal/fleet/lease.py
@@ -20,7 +20,8 @@
 new. A start whose grantors are lost for good cannot go on: it comes back as a new start, which knows
 nothing and waits as one.
 
-Free of I/O. Times are ms of one monotonic clock that runs on while the process stands still."""
+Free of I/O. Times are ms of one monotonic clock that runs on while the process stands still.
+"""
 
 from __future__ import annotations
 
@@ -72,10 +73,12 @@
         return times[self.term.needed(self.part) - 1] + self.lease if self.held else NEVER
 
     def holds(self, now: float) -> bool:
+        """Whether the lease is held at that moment."""
         self.held = self.held and now < self.until()
         return now < self.until()
 
     def live(self, now: float, asked: dict[str, float]) -> int:
+        """How many of these grants count yet, by the moments at which they were asked for."""
         return sum(at + self.lease > now for at in asked.values())
 
     def propose(self, grantors: Sequence[str]) -> None:
@@ -129,6 +132,7 @@
 
     @property
     def newest(self) -> int:
+        """The number of the newest term that was heard of."""
         return (self.following or self.term).number
 
 
@@ -140,8 +144,10 @@
 
 
 class Word(NamedTuple):
-    """What a grantor knows of one start: its terms, whether it refuses those, and for how many ms yet its
-    answers may count."""
+    """What a grantor knows of one start of a member.
+
+    Attributes: its terms, whether it refuses those, and for how many ms yet its answers may count.
+    """
 
     term: Term
     following: Term | None
@@ -222,20 +228,13 @@
         """All who are to be asked."""
         return sorted({name for term in self.terms.values() for name in term.grantors})
 
-    def word(
-        self,
-        now: float,
-        asked: float,
-        name: str,
-        term: Term,
-        following: Term | None,
-        refused: bool,
-        left: float,
-    ) -> None:
+    def word(self, now: float, asked: float, name: str, word: Word) -> None:
         """A grantor's word, to what we asked at `asked`."""
-        self.begin(term, following)
-        if refused:
-            ends = min(now + left, self.words[name][0]) if name in self.words else now + left
+        self.begin(word.term, word.following)
+        if word.refused:
+            ends = now + word.left
+            if name in self.words:
+                ends = min(ends, self.words[name][0])
             self.words[name] = (ends, asked + self.lease)
         else:
             self.words.pop(name, None)
--- a/spurdeal/fleet/list_sync.py
+++ b/spurdeal/fleet/list_sync.py
@@ -5,7 +5,18 @@
 from typing import TYPE_CHECKING
 
 from ..interface import Life as EngineLife
-from .bringing import ONE_WITNESS_DROPS, Ask, Fetch, Rows, Shelf, Spoilt, applied, drops, unpack
+from .bringing import (
+    ONE_WITNESS_DROPS,
+    Ask,
+    Fetch,
+    ReceivedPiece,
+    Rows,
+    Shelf,
+    UnusableListError,
+    applied,
+    drops,
+    unpack,
+)
 from .messenger import RequestKind
 from .terms import Told
 from .versions import ROW, WITNESSES, Line, Offer, Version, list_digest
@@ -64,22 +75,20 @@
         fields = {"k": "f", "have": list(ask.have), "want": list(ask.want), "i": ask.place}
         self.fleet.messenger.request(now, unix, ask.to, RequestKind.FETCH, fields)
 
-    def piece_arrived(
-        self, now: float, unix: float, name: str, want: Version, place: int, count: int, data: str
-    ) -> None:
+    def piece_arrived(self, now: float, unix: float, name: str, piece: ReceivedPiece) -> None:
         """A piece has come, in base64: the next is asked for, or the whole list is checked and applied."""
-        step = self.fetch.came(now, name, want, place, count, data)
+        step = self.fetch.came(now, name, piece)
         if isinstance(step, Ask):
             self.request_piece(now, unix, step)
         elif step is not None:
-            self.apply(now, name, want, step)
+            self.apply(now, name, piece.want, step)
 
     def apply(self, now: float, name: str, want: Version, pieces: list[bytes]) -> None:
         """Put a fetched list in force, if it is what was claimed and may be acted on."""
         fleet = self.fleet
         try:
             rows = self.unpacked(want, pieces)
-        except (Spoilt, TypeError) as fault:
+        except (UnusableListError, TypeError) as fault:
             self.fetch.fail(now, True)
             fleet.told.append(Told("bring_up_failed", {"from": name, "why": str(fault)}))
             return
@@ -98,9 +107,9 @@
         """The list in these pieces.
 
         Raises:
-            Spoilt: It is not the list that was claimed.
+            UnusableListError: It is not the list that was claimed.
         """
         rows = applied(self.fleet.rows, unpack(pieces))
         if any(len(row) != ROW for row in rows.values()) or list_digest(rows) != want.digest:
-            raise Spoilt("not what was claimed")
+            raise UnusableListError("not what was claimed")
         return rows
--- a/spurdeal/fleet/members.py
+++ b/spurdeal/fleet/members.py
@@ -9,7 +9,8 @@
 A record is ordered by its `incarnation`, which only its subject raises: by a new start, by a refutation,
 after a split. At one incarnation the graver word wins. Two starts with one incarnation are two processes
 under one name, or a new one that does not know the old one yet: see `contested`. Times are ms of one
-monotonic clock."""
+monotonic clock.
+"""
 
 from __future__ import annotations
 
@@ -29,6 +30,8 @@
 HEALTH_MOST = 8  # local health: probes are at most so many times slower
 SUSPECT_LEAST, SUSPECT_MOST = 4.0, 6.0  # periods times log10 of the fleet; the most, times the least
 CONFIRMED = 3  # so many confirm it: the least time holds
+MIN_WITNESSED = 2  # with no more others nobody can confirm a suspicion
+PROBE_GONE = 0.3  # the part of its turns at which one that is gone is probed
 MAX_INCARNATION = 1 << 40
 
 
@@ -54,6 +57,7 @@
 
     @property
     def address(self) -> Address:
+        """Where it is reached."""
         return self.host, self.port
 
 
@@ -83,6 +87,8 @@
 
 
 class Suspicion(NamedTuple):
+    """A suspicion of one member, in ms: since when, its end, its least and most time, and who says so."""
+
     since: float
     end: float
     least: float
@@ -124,9 +130,11 @@
         return len(self.others) - self.left + 1
 
     def scale(self) -> float:
+        """How much longer suspicions last in a large fleet: log10 of its size, 1 at least."""
         return max(1.0, math.log10(max(2, len(self.living) + 1)))
 
     def table(self) -> list[Record]:
+        """All records, our own first."""
         return [self.own, *self.others.values()]
 
     def print(self) -> int:
@@ -135,6 +143,7 @@
 
     @staticmethod
     def line(record: Record) -> bytes:
+        """What the table's checksum takes of a record."""
         return f"{record.name} {record.boot} {record.incarnation} {record.life:d}".encode()
 
     def keep(self, name: str, record: Record | None) -> None:
@@ -172,6 +181,7 @@
         self.put(now, record, by)
 
     def put(self, now: float, record: Record, by: str) -> None:
+        """Take a record into the table, with all that follows from its change."""
         known = self.others.get(record.name)
         self.keep(record.name, record)
         self.news[record.name] = 0
@@ -194,9 +204,10 @@
             )
 
     def suspicion(self, now: float, by: str) -> Suspicion:
+        """A new suspicion, first said by that member."""
         least = SUSPECT_LEAST * self.scale() * self.period
         others = len(self.living)
-        most = least * (SUSPECT_MOST if others > 2 else 1.0)  # with nobody to confirm it, why wait?
+        most = least * (SUSPECT_MOST if others > MIN_WITNESSED else 1.0)
         return Suspicion(now, now + most, least, most, frozenset((by,)))
 
     def confirm(self, now: float, name: str, by: str) -> None:
@@ -211,8 +222,10 @@
         self.news[name] = 0
 
     def hear_of_self(self, record: Record) -> None:
-        """Others say of us what is not so: a later incarnation refutes it. Another start is left to who
-        decides."""
+        """News of ourselves: what is not so is refuted by a later incarnation.
+
+        Another start under our name is kept as `contested`, for the caller to decide on.
+        """
         self.highest_incarnation = max(self.highest_incarnation, record.incarnation)
         if record.boot != self.own.boot:
             if record.incarnation >= self.own.incarnation and record.life is not Life.LEFT:
@@ -240,8 +253,11 @@
     # News out.
 
     def tell(self, most: int, to: str = "", boot: int = 0) -> list[Record]:
-        """Up to so many records, least told first. One of whom something else is known than that its start
-        `boot` is alive hears that first."""
+        """Up to so many records, least told first.
+
+        If of the receiver `to` something else is known than that its start `boot` is alive, it hears that
+        first.
+        """
         limit = math.ceil(SPREAD * math.log2(len(self.living) + 2))
         ranked = heapq.nsmallest(
             most, self.news, key=lambda name: (self.news[name], name != self.own.name, name)
@@ -261,8 +277,10 @@
         ]
 
     def as_told(self, record: Record) -> Record:
-        """A suspicion is passed on in the name of one who says so: only different ones confirm one
-        another."""
+        """The record as it is passed on.
+
+        A suspicion is told in the name of one who says so: only different ones confirm one another.
+        """
         found = self.suspicions.get(record.name)
         return record._replace(by=self.chance.choice(sorted(found.by))) if found is not None else record
 
@@ -294,6 +312,7 @@
         return Probes(None, asked)
 
     def watch_probe(self, now: float) -> list[str]:
+        """See to the probe under way: helpers to ask, once its answer is late; at its end, it has failed."""
         probe = self.probe
         if probe is None:
             return []
@@ -310,6 +329,7 @@
         return []
 
     def failed(self, now: float, name: str) -> None:
+        """A probe of that member had no answer: it is suspected, or its suspicion confirmed."""
         record = self.others.get(name)
         if record is None or record.life >= Life.GONE:
             return
@@ -319,13 +339,16 @@
             self.put(now, record._replace(life=Life.SUSPECT, by=self.own.name), self.own.name)
 
     def next_one(self, now: float) -> str | None:
+        """The next member on the ring to probe, if there is any."""
         self.next_probe = now + self.period * (1 + self.health)
         while self.ring:
             name = self.ring.pop()
             record = self.others.get(name)
             # One that is gone is looked for now and then: a cut that has healed is found so.
-            if record is not None and (
-                record.life <= Life.SUSPECT or (record.life is Life.GONE and self.chance.random() < 0.3)
+            if record is None:
+                continue
+            if record.life <= Life.SUSPECT or (
+                record.life is Life.GONE and self.chance.random() < PROBE_GONE
             ):
                 return self.probing(now, name)
         self.ring = [name for name, record in self.others.items() if record.life is not Life.LEFT]
@@ -333,6 +356,7 @@
         return None if not self.ring else self.probing(now, self.ring.pop())
 
     def probing(self, now: float, name: str) -> str:
+        """Note that a probe of that member begins."""
         scale = 1 + self.health
         self.probe = Probe(name, now + 0.4 * self.period * scale, now + self.period * scale, 0)
         return name
@@ -349,6 +373,7 @@
             self.probe = self.probe._replace(nacks=max(0, self.probe.nacks - 1))
 
     def worse(self) -> None:
+        """Our own health is worse by one: we probe slower."""
         self.health = min(HEALTH_MOST, self.health + 1)
 
     def forget(self, now: float) -> None:
@@ -361,6 +386,7 @@
             self.drop(name)
 
     def drop(self, name: str) -> None:
+        """Forget a member wholly."""
         self.keep(name, None)
         del self.since[name]
         self.news.pop(name, None)
@@ -368,8 +394,10 @@
 
 
 def rendezvous(name: str, others: Iterable[str], count: int) -> list[str]:
-    """The `count` of others with the highest weight for a name (Thaler and Ravishankar, 1998): the same for
-    all who know the same, and one that comes or goes moves only its own part."""
+    """The `count` of others with the highest weight for a name (Thaler and Ravishankar, 1998).
+
+    It is the same for all who know the same, and one that comes or goes moves only its own part.
+    """
 
     def weight(other: str) -> bytes:
         return hashlib.blake2b(f"{name}\0{other}".encode(), digest_size=8).digest()
--- a/spurdeal/fleet/messenger.py
+++ b/spurdeal/fleet/messenger.py
@@ -81,16 +81,30 @@
         name: str,
         fields: Mapping[str, Any],
         address: Address | None = None,
-        news: bool = True,
     ) -> None:
         """Queue a message, with as much membership news as fits. Dropped where no address is known."""
-        fleet = self.fleet
         address = address or self.address_of(name)
-        if address is None:
-            return
-        body = fleet.body(unix, fields)
-        if news:
+        if address is not None:
+            body = self.fleet.body(unix, fields)
             self.add_news(body, name)
+            self.queue(now, name, body, address)
+
+    def send_without_news(
+        self,
+        now: float,
+        unix: float,
+        name: str,
+        fields: Mapping[str, Any],
+        address: Address | None = None,
+    ) -> None:
+        """Queue a message that carries no news of members. Dropped where no address is known."""
+        address = address or self.address_of(name)
+        if address is not None:
+            self.queue(now, name, self.fleet.body(unix, fields), address)
+
+    def queue(self, now: float, name: str, body: dict[str, Any], address: Address) -> None:
+        """Seal a message's body and queue the datagram."""
+        fleet = self.fleet
         datagram = self.session(name).write(now, body)
         fleet.out.append((address, datagram))
         fleet.counts["sent"] += 1
@@ -122,15 +136,17 @@
         name: str,
         kind: RequestKind,
         fields: Mapping[str, Any],
-        relay: Relay | None = None,
-        news: bool = False,
     ) -> None:
-        """Send a request and await its answer; the oldest is given up where too many are open."""
-        sequence = self.opened(Request(name, now, kind, relay))
+        """Send a request, without news of members, and await its answer."""
+        sequence = self.opened_in_bound(Request(name, now, kind))
+        self.send_without_news(now, unix, name, {"q": sequence} | dict(fields))
+
+    def opened_in_bound(self, request: Request) -> int:
+        """Await the answer to a request; the oldest ones are given up where too many are open."""
+        sequence = self.opened(request)
         while len(self.open) > MAX_OPEN_REQUESTS:
             self.open.popitem(last=False)
-        address = relay.address if relay is not None else None
-        self.send(now, unix, name, {"q": sequence} | dict(fields), address, news)
+        return sequence
 
     def opened(self, request: Request) -> int:
         """Await the answer to a request; its number."""
@@ -154,7 +170,9 @@
             fields["l"] = [wire.term_written(lease.term), proposed]
             if self.fleet.page is not None:
                 fields["d"] = list(self.fleet.page)
-        self.request(now, unix, name, kind, fields, relay, news=True)
+        sequence = self.opened_in_bound(Request(name, now, kind, relay))
+        address = relay.address if relay is not None else None
+        self.send(now, unix, name, {"q": sequence} | fields, address)
 
     def ping_through(self, now: float, unix: float, helper: str) -> None:
         """Ask a helper to ping the member that we are probing."""
--- a/spurdeal/fleet/standing.py
+++ b/spurdeal/fleet/standing.py
@@ -11,7 +11,8 @@
 
 The cure must not be worse than the illness: who hears no peer but its name service is LAPSED and no more; who
 is behind is shut out only while under a stated part of the fleet is, and who goes first is the same for all.
-Times are ms of one monotonic clock."""
+Times are ms of one monotonic clock.
+"""
 
 from __future__ import annotations
 
@@ -23,6 +24,8 @@
 
 
 class Standing(IntEnum):
+    """What a dispatcher may do; see the table above."""
+
     JOINING = 0
     CURRENT = 1
     BEHIND = 2
@@ -83,6 +86,7 @@
 
     @property
     def allowed(self) -> Allowed:
+        """What may be sent in the present standing."""
         return ALLOWED[self.standing]
 
     def stood_still(self, gap: float) -> None:
@@ -108,6 +112,7 @@
         return True
 
     def judged(self, now: float, seen: Seen) -> tuple[Standing, str]:
+        """The standing that follows from what is seen, and why, in words for people."""
         if seen.twin or self.standing is Standing.TWIN:
             return Standing.TWIN, "another process has our name"
         late = self.behind_since is not None and now - self.behind_since > self.limits.behind_for
@@ -150,8 +155,11 @@
         return Standing.LAPSED, reason
 
     def may_go(self, seen: Seen) -> bool:
-        """Under the stated part of the fleet, those with the highest weight, the same for all who see the
-        same."""
+        """Whether we are among those who may be shut out for being behind.
+
+        They are under the stated part of the fleet, those with the highest weight, the same for all who see
+        the same.
+        """
         most = int(self.limits.most_shut * seen.size)
         behind = {*seen.others_behind(), self.own}
         return self.own in rendezvous("shut", behind, most)
--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -1,7 +1,8 @@
 """The fleet beside one dispatcher: datagrams and timers in, and the link's Guard.
 
 It decides nothing: `fleet` does. What was decided in a turn is in the audit before it leaves: the frame is
-written at the turn's end, and what the turn has sent leaves with the reactor's next round."""
+written at the turn's end, and what the turn has sent leaves with the reactor's next round.
+"""
 
 from __future__ import annotations
 
@@ -10,19 +11,21 @@
 import random
 import secrets
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.protocol import DatagramProtocol
 
+from ..eventloop import DatagramLoop
 from ..interface import Life
 from ..net.link import Answer, BrokenOff, Delivered, Granted, Guard, Shed, Taken, at_most_once
 from ..net.names import Seat
 from ..net.service import Service
 from ..vrrp.sealed import Keys
 from .audit import COLD, DOUBTFUL, Kind
-from .fleet import READY, TICK, Fleet, Terms, Told
-from .journal import Journal
+from .fleet import READY, TICK, Fleet, FleetSettings, Terms, Told
+from .journal import Journal, JournalSettings
 from .versions import Line, Row, Version, digest_of, list_digest, rows_of
 
 if TYPE_CHECKING:
@@ -47,8 +50,10 @@
 
 
 def configured(configuration: bytes, plan: Installation) -> Version:
-    """What all dispatchers of a fleet share of configuration and file; their own names and places are left
-    out."""
+    """The version of what all dispatchers of a fleet share of configuration and operator's file.
+
+    Their own names and places are left out.
+    """
     assert plan.fleet is not None
     settings = dict(json.loads(configuration).get("settings", {}))
     settings.pop("index", None)
@@ -80,6 +85,30 @@
     )
 
 
+@dataclass(frozen=True)
+class Clocks:
+    """The clocks of a dispatcher, each in ms.
+
+    Attributes:
+        monotonic: It runs on while the process stands still.
+        unix: Unix time that does not step.
+        raw: The system's Unix time.
+    """
+
+    monotonic: Callable[[], float]
+    unix: Callable[[], float]
+    raw: Callable[[], float]
+
+
+@dataclass(frozen=True)
+class StationSettings:
+    """What the operator's files say: the plan, the fleet's keys, and the configuration's bytes."""
+
+    plan: Installation
+    keys: Keys
+    configuration: bytes
+
+
 class Datagrams(DatagramProtocol):
     """What the others send."""
 
@@ -89,28 +118,25 @@
         self.station = station
 
     def datagramReceived(self, datagram: bytes, address: tuple[Any, ...]) -> None:
+        """See DatagramProtocol."""
         self.station.came(datagram, (str(address[0]), int(address[1])))
 
 
 class FleetStation:
-    """One dispatcher among its fleet. monotonic gives ms that run on while the process stands still, unix
-    Unix ms that do not step, raw those of the system."""
+    """One dispatcher among its fleet, and a Guard of its link."""
 
     def __init__(
         self,
         service: Service,
-        plan: Installation,
-        keys: Keys,
-        configuration: bytes,
-        reactor: Any,
-        monotonic: Callable[[], float],
-        unix: Callable[[], float],
-        raw: Callable[[], float],
+        settings: StationSettings,
+        reactor: DatagramLoop,
+        clocks: Clocks,
         log: logging.Logger,
     ) -> None:
+        plan, keys = settings.plan, settings.keys
         assert plan.fleet is not None
         self.service, self.plan, self.reactor = service, plan, reactor
-        self.monotonic, self.unix, self.raw, self.log = monotonic, unix, raw, log
+        self.monotonic, self.unix, self.raw, self.log = clocks.monotonic, clocks.unix, clocks.raw, log
         self.link, self.counters = service.link, service.counters
         part, site = plan.fleet, service.configuration.site
         self.guarded = at_most_once(site)
@@ -119,11 +145,11 @@
         self.fleet = self.make_fleet(plan.name, part, keys)
         self.datagrams = Datagrams(self)
         self.journal = self.make_journal(plan.name, part)
-        self.next_seal, self.heard_at = monotonic(), float("-inf")
-        self.next_count = monotonic()
+        self.next_seal, self.heard_at = self.monotonic(), float("-inf")
+        self.next_count = self.monotonic()
         self.parts = True
         self.idents: dict[int, str] = {}  # engines by place, as the audit names them
-        self.fleet.in_force(Line.CONFIGURATION, configured(configuration, plan))
+        self.fleet.in_force(Line.CONFIGURATION, configured(settings.configuration, plan))
         self.fleet.in_force(Line.PROGRAM, program())
         self.fleet.in_force(Line.KEYS, keyed(keys))
 
@@ -133,19 +159,17 @@
         seeds = {seed.name: (str(seed.at[0]), seed.at[1]) for seed in part.seeds if seed.name != name}
         chance = random.Random(secrets.randbits(64))
         now, unix = self.monotonic(), self.unix()
-        return Fleet(name, (str(at[0]), at[1]), seeds, terms_of(part), keys, chance, self.bring, now, unix)
+        settings = FleetSettings(name, (str(at[0]), at[1]), seeds, terms_of(part), keys)
+        return Fleet(settings, chance, self.bring, now, unix)
 
     def make_journal(self, name: str, part: FleetPart) -> Journal | None:
         """The audit log; None where the file has none."""
         if part.audit is None:
             return None
         return Journal(
-            Path(part.audit.path),
-            name,
-            self.fleet.boot,
+            JournalSettings(Path(part.audit.path), name, self.fleet.boot, part.audit.bytes),
             lambda: self.fleet.hybrid.stamp(self.unix()),
             self.monotonic,
-            part.audit.bytes,
         )
 
     # Start and stop.
@@ -170,6 +194,7 @@
         self.send()
 
     def close(self) -> None:
+        """Close the audit log."""
         if self.journal is not None:
             self.journal.close()
 
@@ -200,6 +225,7 @@
             self.fleet.source_says(Version(0, self.service.names.number, list_digest(rows)))
 
     def act_on(self, number: int, seats: Mapping[str, Seat], by: str) -> None:
+        """Put a list of the name service in force, and note it in the audit."""
         rows = rows_of(seats.values())
         self.fleet.in_force(Line.LIST, Version(0, number, list_digest(rows)), rows)
         self.acted_on(by)
@@ -226,6 +252,7 @@
         self.link.listed(seats)
 
     def acted_on(self, by: str) -> None:
+        """Note in the audit which versions are in force, and by whose word."""
         if self.journal is not None:
             force = {line.name.lower(): str(version) for line, version in self.fleet.book.force.items()}
             engines = {ident: row[6] for ident, row in self.fleet.rows.items()}
@@ -234,6 +261,7 @@
     # Time and datagrams.
 
     def tick(self) -> None:
+        """All that is due by now; repeats every TICK ms."""
         self.reactor.callLater(TICK / 1000, self.tick)
         now = self.monotonic()
         if self.service.names.answered_at != self.heard_at:
@@ -258,6 +286,7 @@
         self.after()
 
     def came(self, datagram: bytes, source: tuple[str, int]) -> None:
+        """A datagram has come."""
         self.fleet.take(self.monotonic(), self.unix(), source, datagram)
         self.after()
 
@@ -272,6 +301,7 @@
             self.tell_parts(doubtful)
 
     def send(self) -> None:
+        """Send the datagrams that the fleet has queued."""
         out, self.fleet.out = self.fleet.out, []
         for address, datagram in out:
             try:
@@ -280,6 +310,7 @@
                 self.counters.add("fleet_not_sent")
 
     def tell(self, told: Told) -> None:
+        """Write an event to the log and the audit."""
         if told.what not in QUIET:
             self.log.info("fleet_" + told.what, extra={"figures": told.figures})
         if self.journal is not None:
@@ -290,8 +321,10 @@
                 self.journal.flush()
 
     def tell_parts(self, doubtful: bool) -> None:
-        """Without a lease our part of cold budgets is nothing, so that the rules choose no cold engine. Where
-        VRRP's tenure says the parts, it goes on to, and `departs` withholds."""
+        """Set our part of cold budgets: nothing without a lease, so that the rules choose no cold engine.
+
+        Where VRRP's tenure says the parts, it goes on to, and `departs` withholds.
+        """
         self.parts = doubtful
         if self.inner is None or self.plan.vrrp is None:
             self.link.gather(self.link.rules.tenured, self.share if doubtful else 0.0, self.share)
@@ -299,10 +332,12 @@
     # The link's Guard.
 
     def turning(self, now: float) -> None:
+        """See Guard."""
         if self.inner is not None:
             self.inner.turning(now)
 
     def door(self, kind: int, ident: bytes) -> Answer | None:
+        """Shed what may not be taken in our standing."""
         allowed = self.fleet.allowed(self.monotonic())
         if not allowed.redoable or (self.guarded[kind] and not allowed.doubtful):
             self.counters.add("fleet_shed")
@@ -311,19 +346,23 @@
         return self.inner.door(kind, ident) if self.inner is not None else None
 
     def before(self, taken: Taken, trip: int, go: Callable[[bool | None], None]) -> bool:
+        """See Guard."""
         return self.inner.before(taken, trip, go) if self.inner is not None else True
 
     def given_up(self, number: int, trip: int) -> None:
+        """See Guard."""
         if self.inner is not None:
             self.inner.given_up(number, trip)
 
     def answered(self, taken: Taken, answer: Answer | None) -> None:
+        """Note the answer in the audit, unless a trip brought it."""
         if not isinstance(answer, Delivered):
             self.short(ANSWERS[type(answer)] if answer is not None else Kind.WITHDRAWN, taken.ident)
         if self.inner is not None:
             self.inner.answered(taken, answer)
 
     def never_ran(self, taken: Taken) -> None:
+        """See Guard."""
         if self.inner is not None:
             self.inner.never_ran(taken)
 
@@ -351,31 +390,37 @@
         return True
 
     def ident_of(self, engine: int) -> str:
+        """The id of the engine at that place."""
         if engine not in self.idents:
             self.idents = {place: ident for ident, place in self.link.places.items()}
         return self.idents.get(engine, str(engine))
 
     def called_off(self, taken: Taken, trip: int) -> None:
+        """Note it in the audit."""
         self.short(Kind.CALLED_OFF, taken.ident, trip)
         if self.inner is not None:
             self.inner.called_off(taken, trip)
 
     def said(self, line: str) -> None:
+        """Note it in the audit."""
         if self.journal is not None:
             self.journal.pages.tell(Kind.MODE, {"says": line})
         if self.inner is not None:
             self.inner.said(line)
 
     def turned(self) -> None:
+        """Write the turn's frame before anything of it leaves."""
         if self.journal is not None:
             self.journal.flush()
         if self.inner is not None:
             self.inner.turned()
 
     def seat(self, seat: Seat) -> Seat:
+        """See Guard."""
         return self.inner.seat(seat) if self.inner is not None else seat
 
     def short(self, kind: Kind, ident: bytes, trip: int = 0) -> None:
+        """Note in the audit what happened to a submission, at once when no turn is under way."""
         if self.journal is not None:
             self.journal.pages.short(kind, ident, trip)
             if not self.link.in_turn:
--- a/spurdeal/fleet/stop_inquiries.py
+++ b/spurdeal/fleet/stop_inquiries.py
@@ -1,7 +1,7 @@
-"""Fencing: members that are gone are asked after, at their lease grantors, until they are known to have
-stopped.
+"""Fencing: the lease grantors of gone members are asked until those are known to have stopped.
 
-The inquiry goes on after that, so that the grantors' promises go on to count."""
+The inquiry goes on after that, so that the grantors' promises go on to count.
+"""
 
 from __future__ import annotations
 
@@ -63,7 +63,7 @@
         fleet = self.fleet
         word = fleet.grantor.word(now, name, inquiry.boot)
         if word is not None:
-            inquiry.word(now, now, fleet.name, *word)
+            inquiry.word(now, now, fleet.name, word)
         known = (other for other in fleet.members.known() if other != name)
         fields = {"k": "w", "who": name, "boot": inquiry.boot}
         for grantor in inquiry.whom() or rendezvous(name, known, GRANTORS):
--- a/spurdeal/fleet/table_sync.py
+++ b/spurdeal/fleet/table_sync.py
@@ -1,10 +1,11 @@
 """Anti-entropy of the member table: at a start, at a return, and where two tables differ.
 
-The whole table of one member is pulled, page by page."""
+The whole table of one member is pulled, page by page.
+"""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from .lease import NO_TERM
 from .messenger import RequestKind
@@ -16,6 +17,14 @@
 PULL_TIMEOUT = 300.0  # ms
 
 
+class TablePage(NamedTuple):
+    """A page of a member table: `size` records from `offset` on, of `total`."""
+
+    offset: int
+    size: int
+    total: int
+
+
 class TableSync:
     """Pulls the member table of one other member at a time. Times are ms."""
 
@@ -38,8 +47,10 @@
         self.start(now, unix, self.fleet.chance.choice(sorted(candidates)))
 
     def candidates(self) -> list[str]:
-        """Whom to pull from. Seeds first: those who came to us may know nobody but us, and two halves would
-        each be whole to itself."""
+        """Whom to pull from, seeds first.
+
+        Those who came to us may know nobody but us, and two halves would each be whole to itself.
+        """
         fleet = self.fleet
         seeds = [name for name in fleet.seeds if name not in fleet.members.others]
         if fleet.lease.term is NO_TERM and seeds:
@@ -67,12 +78,12 @@
         self.synced = not self.fleet.members.alive()
         self.source, self.next_pull = "", now
 
-    def page_arrived(self, now: float, unix: float, name: str, offset: int, count: int, total: int) -> None:
-        """A page of `count` records at `offset`, of a table of `total`."""
-        if name != self.source or offset != self.offset:
+    def page_arrived(self, now: float, unix: float, name: str, page: TablePage) -> None:
+        """Go on behind the page that has come, if it is the one that we wait for."""
+        if name != self.source or page.offset != self.offset:
             return
-        self.offset += count
-        if self.offset >= total or not count:
+        self.offset += page.size
+        if self.offset >= page.total or not page.size:
             self.source, self.synced = "", True
             return
         self.deadline = now + PULL_TIMEOUT
@@ -89,8 +100,10 @@
             self.start(now, unix, name)
 
     def contact_seeds(self, now: float, unix: float) -> None:
-        """Ping seeds that we know nothing of: they may be of another part of the fleet, and both are one from
-        their answer on."""
+        """Ping seeds that we know nothing of.
+
+        They may be of another part of the fleet, and both are one from their answer on.
+        """
         if now < self.next_seeds:
             return
         self.next_seeds = now + PULL_EVERY * self.fleet.terms.period
--- a/spurdeal/fleet/versions.py
+++ b/spurdeal/fleet/versions.py
@@ -7,7 +7,8 @@
 
 A claim is what one dispatcher says it acts on. One witness is one witness: only what two claim, or what our
 own name service told, counts as existing, so that one that makes versions up makes nobody lag behind. And a
-claim far ahead of all that was seen is no version at all."""
+claim far ahead of all that was seen is no version at all.
+"""
 
 from __future__ import annotations
 
@@ -23,6 +24,8 @@
 
 
 class Line(IntEnum):
+    """What has versions."""
+
     LIST = 0
     CONFIGURATION = 1
     PROGRAM = 2
@@ -38,9 +41,11 @@
 
     @property
     def order(self) -> tuple[int, int]:
+        """What versions of one line are compared by."""
         return self.generation, self.number
 
     def __str__(self) -> str:
+        """The form that logs and events have: generation.number/digest."""
         return f"{self.generation}.{self.number}/{self.digest}"
 
 
@@ -54,6 +59,7 @@
     names: tuple[str, str]
 
     def __str__(self) -> str:
+        """The clash in words for people."""
         one, two = self.digests
         return (
             f"{self.line.name.lower()} {self.generation}.{self.number} is {one} at {self.names[0]} and "
@@ -92,6 +98,7 @@
 
 
 def list_digest(rows: Mapping[str, Row]) -> str:
+    """The digest of an engine list, whatever the order of its rows."""
     return digest_of(repr(sorted(rows.values())).encode())
 
 
@@ -117,8 +124,12 @@
         self.beyond: dict[Line, list[Offer]] = {}
 
     def take(self, line: Line, version: Version, by_source: bool = True) -> bool:
-        """Puts a version in force. False, and nothing changes, for one that is not newer: versions never go
-        back unasked, and other content under the version in force is a clash."""
+        """Put a version in force.
+
+        Returns:
+            False, and nothing changes, for one that is not newer: versions never go back unasked, and other
+                content under the version in force is a clash.
+        """
         before = self.force.get(line)
         self.changed()
         if by_source and (line not in self.told or version.order >= self.told[line].order):
@@ -149,6 +160,7 @@
         return found
 
     def clash(self, line: Line, version: Version, name: str) -> list[Clash]:
+        """Keep a clash with the version in force; the new one, unless it is known or there are too many."""
         key = (line, *version.order)
         if line is Line.PROGRAM or key in self.clashes or len(self.clashes) >= MOST_CLASHES:
             return []
@@ -157,10 +169,12 @@
         return [clash]
 
     def changed(self) -> None:
+        """Something has changed: what was found before is found anew when it is asked for."""
         self.found.clear()
         self.beyond.clear()
 
     def forget(self, name: str) -> None:
+        """Drop what a member has claimed."""
         self.claims.pop(name, None)
         self.changed()
         self.implausible.pop(name, None)
@@ -172,6 +186,7 @@
         return self.found[line]
 
     def find(self, line: Line) -> Version | None:
+        """See `newest`."""
         counted: dict[Version, int] = {}
         for claims in self.claims.values():
             if line in claims:
@@ -188,16 +203,20 @@
         return max(1, newest.number - (own.number if own is not None else 0))
 
     def holders(self, line: Line, version: Version) -> list[str]:
+        """Members that claim to act on that version, by name."""
         return sorted(name for name, claims in self.claims.items() if claims.get(line) == version)
 
     def offers(self, line: Line = Line.LIST) -> list[Offer]:
-        """What members claim beyond ours, newest first, also with one witness: it may be asked for, since
-        what comes is checked against its digest and against what is in force."""
+        """What members claim beyond ours, newest first, also with one witness.
+
+        It may be asked for, since what comes is checked against its digest and against what is in force.
+        """
         if line not in self.beyond:
             self.beyond[line] = self.find_offers(line)
         return self.beyond[line]
 
     def find_offers(self, line: Line) -> list[Offer]:
+        """See `offers`."""
         own = self.force.get(line)
         ahead = {
             claims[line]
--- a/spurdeal/fleet/wire.py
+++ b/spurdeal/fleet/wire.py
@@ -1,8 +1,8 @@
-"""What fleet datagrams say: bodies of JSON in the sealed datagrams that handover uses. Free of I/O and
-clocks.
+"""What fleet datagrams say: JSON bodies in the sealed datagrams that handover uses. Free of I/O and clocks.
 
 Every body is read whole, and refused whole, before anything of it counts. A datagram stays in one packet:
-LARGEST is under the least that a path must carry with room for headers (RFC 8200, section 5: 1,280 bytes)."""
+LARGEST is under the least that a path must carry with room for headers (RFC 8200, section 5: 1,280 bytes).
+"""
 
 from __future__ import annotations
 
@@ -47,13 +47,15 @@
 # Reading: each raises Refused("body") for what has not its form.
 
 
-def whole(value: Any, most: float = 1 << 63) -> int:
+def whole(value: object, most: float = 1 << 63) -> int:
+    """A whole number from 0 to the most."""
     if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= most:
         raise Refused("body")
     return value
 
 
-def figure(value: Any, most: float = MOST_LEFT) -> float:
+def figure(value: object, most: float = MOST_LEFT) -> float:
+    """A finite number from 0 to the most."""
     if (
         not isinstance(value, (int, float))
         or isinstance(value, bool)
@@ -64,7 +66,8 @@
     return float(value)
 
 
-def text(value: Any, most: int = LONGEST_NAME) -> str:
+def text(value: object, most: int = LONGEST_NAME) -> str:
+    """Printable ASCII of 1 to the most characters."""
     if (
         not isinstance(value, str)
         or not 1 <= len(value) <= most
@@ -75,20 +78,23 @@
     return value
 
 
-def items(value: Any, least: int, most: int) -> list[Any]:
+def items(value: object, least: int, most: int) -> list[Any]:
+    """A list with at least and at most so many items."""
     if not isinstance(value, list) or not least <= len(value) <= most:
         raise Refused("body")
     return value
 
 
-def host(value: Any) -> str:
+def host(value: object) -> str:
+    """An IP address, in its usual form."""
     try:
         return str(ip_address(text(value, 45)))
     except ValueError:
         raise Refused("body") from None
 
 
-def record(value: Any) -> Record:
+def record(value: object) -> Record:
+    """A member's record, as `written` gives it."""
     row = items(value, 7, 7)
     try:
         life = Life(whole(row[5], 3))
@@ -107,42 +113,51 @@
 
 
 def written(found: Record) -> list[Any]:
+    """A member's record as a row for JSON."""
     return [found.name, found.host, found.port, found.boot, found.incarnation, int(found.life), found.by]
 
 
 def records(body: Mapping[str, Any], key: str = "n") -> list[Record]:
+    """The member records of a body, at most MOST_RECORDS."""
     return [record(row) for row in items(body.get(key, []), 0, MOST_RECORDS)]
 
 
-def version(value: Any) -> Version:
+def version(value: object) -> Version:
+    """A version: generation, number and digest."""
     row = items(value, 3, 3)
     return Version(whole(row[0], 1 << 48), whole(row[1], 1 << 48), text(row[2], 16))
 
 
 def versions(body: Mapping[str, Any]) -> dict[Line, Version]:
+    """The sender's versions in force."""
     rows = items(body.get("v", []), 0, len(Line))
     return {Line(place): version(row) for place, row in enumerate(rows) if row is not None}
 
 
 def versions_written(force: Mapping[Line, Version]) -> list[Any]:
+    """Versions in force as a row for JSON, in the order of Line."""
     return [list(force[line]) if line in force else None for line in Line]
 
 
 def stamp(body: Mapping[str, Any]) -> Stamp:
+    """The sender's hybrid stamp."""
     row = items(body.get("h"), 2, 2)
     return Stamp(whole(row[0], 1 << 48), whole(row[1], 0xFFFF))
 
 
-def term(value: Any) -> Term:
+def term(value: object) -> Term:
+    """A lease term: its number and grantors."""
     row = items(value, 2, 2)
     return Term(whole(row[0], 1 << 48), tuple(sorted(text(name) for name in items(row[1], 0, GRANTORS))))
 
 
 def term_written(found: Term) -> list[Any]:
+    """A lease term as a row for JSON."""
     return [found.number, list(found.grantors)]
 
 
 def standing(body: Mapping[str, Any]) -> Standing:
+    """The sender's standing."""
     return Standing(whole(body.get("s"), len(Standing) - 1))
 
 
--- a/spurdeal/fleet/words.py
+++ b/spurdeal/fleet/words.py
@@ -5,9 +5,18 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+SECOND, MINUTE = 1000.0, 60_000.0  # ms
+SHOWN_IN_SECONDS = 2 * MINUTE  # shorter times are shown in seconds
+SHOWN_CLOCK_SHIFT = 100.0  # ms; less is not worth a line
+
 
 def ago(ms: float) -> str:
-    return f"{ms:.0f}ms" if ms < 1000 else f"{ms / 1000:.1f}s" if ms < 120_000 else f"{ms / 60_000:.0f}min"
+    """A time in ms, in the unit that people read best."""
+    if ms < SECOND:
+        return f"{ms:.0f}ms"
+    if ms < SHOWN_IN_SECONDS:
+        return f"{ms / SECOND:.1f}s"
+    return f"{ms / MINUTE:.0f}min"
 
 
 def status_words(found: Mapping[str, Any]) -> Iterator[str]:
@@ -22,7 +31,7 @@
         yield f"  {line}: {version}"
     if found["behind"]:
         yield f"  behind by {found['behind']}: the newest list is {found['newest_list']}"
-    if abs(found["clock_shift_ms"]) > 100:
+    if abs(found["clock_shift_ms"]) > SHOWN_CLOCK_SHIFT:
         yield f"  its clock is {found['clock_shift_ms']} ms before the middle of the others'"
     yield f"fleet of {found['size']}:"
     for member in found["members"]:
--- a/spurdeal/lab/fleet_world.py
+++ b/spurdeal/lab/fleet_world.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ..fleet.fleet import TICK, Fleet, Terms
+from ..fleet.fleet import TICK, Fleet, FleetSettings, Terms
 from ..fleet.members import Address
 from ..fleet.versions import Line, Row, Version, list_digest
 from ..vrrp.sealed import Keys
@@ -103,11 +103,7 @@
     def fleet(self, name: str, address: Address) -> Fleet:
         seeds = {each: at for each, at in self.seeds.items() if each != name}
         return self.made(
-            name,
-            address,
-            seeds,
-            self.terms,
-            KEYS,
+            FleetSettings(name, address, seeds, self.terms, KEYS),
             random.Random(self.chance.getrandbits(64)),
             lambda version, rows: self.brought(name, version),
             self.now,
--- a/spurdeal/lab/lease_faults.py
+++ b/spurdeal/lab/lease_faults.py
@@ -67,17 +67,8 @@
 class ForgetsNoWord(Inquiry):
     """A word counts for ever."""
 
-    def word(
-        self,
-        now: float,
-        asked: float,
-        name: str,
-        term: Term,
-        following: Term | None,
-        refused: bool,
-        left: float,
-    ) -> None:
-        super().word(now, asked, name, term, following, refused, left)
+    def word(self, now: float, asked: float, name: str, word: Word) -> None:
+        super().word(now, asked, name, word)
         self.words = {each: (ends, 10 * FAR) for each, (ends, _) in self.words.items()}
 
 
--- a/spurdeal/lab/lease_model.py
+++ b/spurdeal/lab/lease_model.py
@@ -14,7 +14,7 @@
 from functools import partial
 from typing import Any, NamedTuple
 
-from ..fleet.lease import Grant, Grantor, Inquiry, Lease, Term
+from ..fleet.lease import Grant, Grantor, Inquiry, Lease, Term, Word
 from .model_check import Found, check
 
 STEP, LEASE, PART = 100.0, 300.0, 0.5
@@ -295,7 +295,7 @@
         if answer.kind is MoveKind.ASK:
             parts.lease.answered(0.0, answer.grantor, answer.asked, *answer.told)
         else:
-            parts.inquiry.word(0.0, answer.asked, answer.grantor, *answer.told)
+            parts.inquiry.word(0.0, answer.asked, answer.grantor, Word(*answer.told))
 
     def faulty(self, state: StopState) -> Iterator[Move]:
         """Grantors hold the subject for gone, start anew, or are replaced."""
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -9,11 +9,11 @@
 from pathlib import Path
 from typing import Any
 
-from spurdeal.fleet.asking import Asked, Unreadable, check, chosen, merged, read_log
-from spurdeal.fleet.audit import Broken, Kind, Pages, read
+from spurdeal.fleet.asking import Asked, UnreadableLogError, check, chosen, merged, read_log
+from spurdeal.fleet.audit import BrokenLogError, Kind, Pages, read
 from spurdeal.fleet.hybrid import Stamp
-from spurdeal.fleet.journal import Journal
-from spurdeal.fleet.station import FleetStation
+from spurdeal.fleet.journal import Journal, JournalSettings
+from spurdeal.fleet.station import Clocks, FleetStation, StationSettings
 from spurdeal.fleet.words import status_words
 from spurdeal.lab.names import Seat
 from spurdeal.net.start import Service
@@ -57,7 +57,9 @@
         return Stamp(int(self.now), self.tallies)
 
     def journal(self, name: str = "d1", boot: int = 1, most: int = 1 << 20, system: Any = os) -> Journal:
-        found = Journal(self.root / name, name, boot, self.stamp, lambda: self.now, most, system)
+        found = Journal(
+            JournalSettings(self.root / name, name, boot, most), self.stamp, lambda: self.now, system
+        )
         self.addCleanup(found.close)
         return found
 
@@ -103,7 +105,7 @@
             spoilt[place] ^= 0x10
             try:
                 found = read(bytes(spoilt))
-            except Broken:
+            except BrokenLogError:
                 continue
             self.assertLess(found.end, len(data), place)  # as a torn tail, which others' digests give away
             self.assertEqual(good.records[: len(found.records)], found.records)
@@ -208,7 +210,7 @@
         self.usual().close()
         file = next((self.root / "d1").glob("*.log"))
         file.write_bytes(b"something else")
-        with self.assertRaises(Unreadable) as caught:
+        with self.assertRaises(UnreadableLogError) as caught:
             read_log(self.root / "d1")
         self.assertIn("at byte 0: no audit log", str(caught.exception))
         journal = self.journal(boot=2)
@@ -311,13 +313,9 @@
             clock: Callable[[], float] = lambda: float(world.reactor.seconds()) * 1000  # noqa: E731
             self.station = FleetStation(
                 service,
-                plan,
-                Keys({1: b"_" * 16}),
-                raw,
+                StationSettings(plan, Keys({1: b"_" * 16}), raw),
                 world.reactor,
-                clock,
-                service.clock,
-                service.clock,
+                Clocks(clock, service.clock, service.clock),
                 service.log,
             )
             self.station.start()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,10 +3,10 @@
 import random
 import unittest
 
-from spurdeal.fleet.bringing import Shelf, Spoilt, applied, pack, unpack
-from spurdeal.fleet.fleet import Fleet, Terms
+from spurdeal.fleet.bringing import Shelf, UnusableListError, applied, pack, unpack
+from spurdeal.fleet.fleet import Fleet, FleetSettings, Terms
 from spurdeal.fleet.hybrid import MOST_AHEAD, Hybrid, Stamp
-from spurdeal.fleet.lease import Grantor, Inquiry, Lease, Term
+from spurdeal.fleet.lease import Grantor, Inquiry, Lease, Term, Word
 from spurdeal.fleet.members import Life, rendezvous
 from spurdeal.fleet.standing import Ladder, Limits, Seen, Standing
 from spurdeal.fleet.versions import Book, Line, Version, list_digest
@@ -135,13 +135,13 @@
     def test_enough_words_conclude_and_a_newer_term_begins_anew(self) -> None:
         inquiry, term = Inquiry("d", 7, 0.5, 1000.0), Term(1, ("a", "b", "c", "d"))
         for name in ("a", "b"):
-            inquiry.word(100.0, 90.0, name, term, None, True, 300.0)
+            inquiry.word(100.0, 90.0, name, Word(term, None, True, 300.0))
         self.assertFalse(inquiry.stopped(399.0), "one of three may still be answered")
-        inquiry.word(100.0, 90.0, "c", term, None, True, 200.0)
+        inquiry.word(100.0, 90.0, "c", Word(term, None, True, 200.0))
         self.assertEqual([False, True, False], [inquiry.stopped(at) for at in (399.0, 400.0, 1090.0)])
-        inquiry.word(500.0, 490.0, "d", term, Term(2, ("e",)), False, 0.0)
+        inquiry.word(500.0, 490.0, "d", Word(term, Term(2, ("e",)), False, 0.0))
         self.assertFalse(inquiry.stopped(500.0), "the proposed term may be in force")
-        inquiry.word(500.0, 490.0, "e", term, Term(2, ("e",)), True, 0.0)
+        inquiry.word(500.0, 490.0, "e", Word(term, Term(2, ("e",)), True, 0.0))
         self.assertTrue(inquiry.stopped(500.0))
 
 
@@ -217,9 +217,9 @@
         self.assertNotEqual((0, b""), shelf.piece(100.0, version, version, 0))
 
     def test_what_unpacks_without_end_is_refused(self) -> None:
-        with self.assertRaises(Spoilt):
+        with self.assertRaises(UnusableListError):
             unpack(pack("x" * 2_000_000))
-        with self.assertRaises(Spoilt):
+        with self.assertRaises(UnusableListError):
             unpack([b"no zlib"])
 
     def test_who_comes_or_goes_moves_only_its_own_part(self) -> None:
@@ -478,18 +478,20 @@
 
 class Alone(unittest.TestCase):
     def test_a_fleet_of_one_acts(self) -> None:
-        fleet = Fleet("d0", ("127.0.0.1", 1), {}, Terms(), KEYS, random.Random(1), lambda *_: None, 0.0, 0.0)
+        fleet = Fleet(
+            FleetSettings("d0", ("127.0.0.1", 1), {}, Terms(), KEYS),
+            random.Random(1),
+            lambda *_: None,
+            0.0,
+            0.0,
+        )
         fleet.in_force(Line.LIST, Version(0, 1, "a"), {})
         fleet.tick(20.0, 20.0)
         self.assertIs(Standing.CURRENT, fleet.ladder.standing)
 
     def test_one_whose_seeds_are_silent_does_not_believe_that_it_is_the_fleet(self) -> None:
         fleet = Fleet(
-            "d0",
-            ("127.0.0.1", 1),
-            {"d1": ("127.0.0.2", 1)},
-            Terms(),
-            KEYS,
+            FleetSettings("d0", ("127.0.0.1", 1), {"d1": ("127.0.0.2", 1)}, Terms(), KEYS),
             random.Random(1),
             lambda *_: None,
             0.0,
