--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -92,7 +92,8 @@
         refuse(f"{file}: no group {number}")
     for peer in found.peers[:1] if as_hex else found.peers:
         source, target = found.vrrp.listen[0], peer.adverts[0]
-        text = adverts.write(number, group.priority, group.interval, group.addresses, source, target).hex()
+        told = adverts.Advert(number, group.priority, group.interval, tuple(group.addresses))
+        text = adverts.write(told, source, target).hex()
         click.echo(text if as_hex else f"{source} to {target}: {text}")
 
 
--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -79,9 +79,14 @@
         self.server: Server | None = None
         self.context: Context | None = None
         if plan.vrrp is not None:
-            from ..vrrp.station import Station
+            from ..vrrp.station import Runtime, Station
 
-            self.station = Station(service, plan, loop, monotonic_ms, secrets.randbits(63) | 1, self.log)
+            self.station = Station(
+                service,
+                plan,
+                secrets.randbits(63) | 1,
+                Runtime(loop, monotonic_ms, service.counters, self.log),
+            )
         if plan.ledger is not None:
             self.ledger = self.open_ledger(plan.ledger)
         if plan.fleet is not None:
--- a/spurdeal/eventloop.py
+++ b/spurdeal/eventloop.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from twisted.internet.protocol import DatagramProtocol
+from twisted.internet.protocol import DatagramProtocol, ProcessProtocol, ServerFactory
 
 
 class Timer(Protocol):
@@ -25,10 +25,40 @@
         """Schedule a call."""
 
 
+class Port(Protocol):
+    """A TCP port that listens."""
+
+    def stopListening(self) -> object:
+        """Accept no more connections."""
+
+
 class DatagramLoop(Scheduler, Protocol):
     """An event loop that also has UDP sockets."""
 
     def listenUDP(
-        self, port: int, protocol: DatagramProtocol, interface: str = "", maxPacketSize: int = 8192
+        self, port: int, protocol: DatagramProtocol, interface: str, maxPacketSize: int = 8192
     ) -> object:
         """Bind a UDP port and hand what arrives to the protocol."""
+
+
+class StreamLoop(Scheduler, Protocol):
+    """An event loop that also has TCP sockets."""
+
+    def listenTCP(self, port: int, factory: ServerFactory, /, *, interface: str) -> Port:
+        """Accept connections on a port. Raises CannotListenError."""
+
+
+class ProcessLoop(Scheduler, Protocol):
+    """An event loop that also runs processes."""
+
+    def spawnProcess(
+        self, process: ProcessProtocol, executable: str, words: list[str], /, env: None
+    ) -> object:
+        """Start a program with these words. Raises OSError."""
+
+
+class Reactor(DatagramLoop, StreamLoop, ProcessLoop, Protocol):
+    """All of the event loop that the parts beside the link use."""
+
+    def seconds(self) -> float:
+        """The time that timers go by."""
--- a/spurdeal/fleet/receiver.py
+++ b/spurdeal/fleet/receiver.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from ..vrrp.sealed import Refused, Session
+from ..vrrp.sealed import RefusedError, Session
 from . import wire
 from .audit import SealedPage
 from .handlers import HANDLERS, Message
@@ -46,7 +46,7 @@
     """Read the fields that all messages have.
 
     Raises:
-        Refused: One of them has not its form.
+        RefusedError: One of them has not its form.
     """
     return Header(
         wire.stamp(body),
@@ -72,13 +72,13 @@
         try:
             name = wire.name_of(datagram)
             if name == fleet.name and name not in fleet.sessions:
-                raise Refused("own_name")
+                raise RefusedError("own_name")
             body, asked = self.opened(now, source, name, datagram)
             if body:
                 self.act_on(Message(now, unix, source, name, body))
             else:
                 fleet.messenger.greeted_back(now, unix, name, asked)
-        except Refused as fault:
+        except RefusedError as fault:
             fleet.counts["drop_" + fault.reason] += 1
 
     def opened(
@@ -87,7 +87,7 @@
         """The body of a datagram, as `Session.read` gives it.
 
         Raises:
-            Refused: Its seal or number is not right, or there is no room for one more member.
+            RefusedError: Its seal or number is not right, or there is no room for one more member.
         """
         messenger = self.fleet.messenger
         session = messenger.sessions.get(name)
@@ -97,7 +97,7 @@
                 session.open(datagram)
                 messenger.sessions[name] = session
             return session.read(now, datagram)
-        except Refused as fault:
+        except RefusedError as fault:
             if fault.reason == "unproven" and session is not None:
                 messenger.greet(now, source, session, datagram)
             raise
@@ -106,11 +106,11 @@
         """A session for a name that we have none with.
 
         Raises:
-            Refused: There is no room for one more member.
+            RefusedError: There is no room for one more member.
         """
         others = self.fleet.members.others
         if name not in others and len(others) >= MOST_MEMBERS:
-            raise Refused("full")
+            raise RefusedError("full")
         return self.fleet.messenger.new_session(name)
 
     def act_on(self, message: Message) -> None:
@@ -119,7 +119,7 @@
         header = read_header(message.body)
         handler = HANDLERS.get(header.kind)
         if handler is None:
-            raise Refused("kind")
+            raise RefusedError("kind")
         act = handler(fleet, message)
         boot = fleet.sessions[name].peer_boot
         if not fleet.hybrid.seen(message.unix, header.stamp):
--- a/spurdeal/fleet/wire.py
+++ b/spurdeal/fleet/wire.py
@@ -12,7 +12,7 @@
 from math import isfinite
 from typing import Any
 
-from ..vrrp.sealed import HEAD, SEAL, Refused
+from ..vrrp.sealed import HEAD, SEAL, RefusedError
 from .audit import SealedPage
 from .hybrid import Stamp
 from .lease import GRANTORS, Term
@@ -29,13 +29,13 @@
 def name_of(datagram: bytes) -> str:
     """The sender's name as the head tells it; the seal is yet to be checked."""
     if len(datagram) < HEAD.size + SEAL:
-        raise Refused("short")
+        raise RefusedError("short")
     if len(datagram) > LARGEST:
-        raise Refused("long")
+        raise RefusedError("long")
     size = datagram[5]
     text = datagram[HEAD.size : HEAD.size + size]
     if not 1 <= size <= LONGEST_NAME or len(text) != size or not text.isascii():
-        raise Refused("name")
+        raise RefusedError("name")
     return text.decode("ascii")
 
 
@@ -44,13 +44,13 @@
     return LARGEST - HEAD.size - SEAL - len(name) - len(json.dumps(body, separators=(",", ":")))
 
 
-# Reading: each raises Refused("body") for what has not its form.
+# Reading: each raises RefusedError("body") for what has not its form.
 
 
 def whole(value: object, most: float = 1 << 63) -> int:
     """A whole number from 0 to the most."""
     if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= most:
-        raise Refused("body")
+        raise RefusedError("body")
     return value
 
 
@@ -62,7 +62,7 @@
         or not isfinite(value)
         or not 0 <= value <= most
     ):
-        raise Refused("body")
+        raise RefusedError("body")
     return float(value)
 
 
@@ -74,14 +74,14 @@
         or not value.isascii()
         or not value.isprintable()
     ):
-        raise Refused("body")
+        raise RefusedError("body")
     return value
 
 
 def items(value: object, least: int, most: int) -> list[Any]:
     """A list with at least and at most so many items."""
     if not isinstance(value, list) or not least <= len(value) <= most:
-        raise Refused("body")
+        raise RefusedError("body")
     return value
 
 
@@ -90,7 +90,7 @@
     try:
         return str(ip_address(text(value, 45)))
     except ValueError:
-        raise Refused("body") from None
+        raise RefusedError("body") from None
 
 
 def record(value: object) -> Record:
@@ -99,7 +99,7 @@
     try:
         life = Life(whole(row[5], 3))
     except ValueError:
-        raise Refused("body") from None
+        raise RefusedError("body") from None
     by = text(row[6]) if row[6] != "" else ""
     return Record(
         text(row[0]),
--- a/spurdeal/lab/handover_walk.py
+++ b/spurdeal/lab/handover_walk.py
@@ -7,14 +7,15 @@
 import random
 from typing import Any, NamedTuple
 
-from ..vrrp.handover import Facts, Handover, Verdict
+from ..vrrp.handover import Facts, Handover, HandoverSettings, Membership, Verdict
 from ..vrrp.machine import NEVER
 from ..vrrp.marks import Door, Marks
-from ..vrrp.sealed import Keys, Refused
+from ..vrrp.sealed import Keys, RefusedError
 from ..vrrp.tenure import Tenure
 from .model_check import Found
 
 KEYS = Keys({1: b"model model model"})
+SETTINGS = HandoverSettings(ahead=True, ahead_wait=40.0, alone_after=None, without=1e9)
 FACTS = Facts(1, (), (), ())
 IDENT = b"x"
 WAYS = 4  # how often the front sends the submission
@@ -50,7 +51,7 @@
         self.boots += 1
         peer = "b" if name == "a" else "a"
         tenure, marks = Tenure(2, 1500, 1000, self.now), Marks(8, 60_000.0)
-        return self.kind(name, [peer], self.boots, KEYS, tenure, marks, self.now, True, 40.0, None, 1e9)
+        return self.kind(Membership(name, (peer,), self.boots, KEYS), SETTINGS, tenure, marks, self.now)
 
     def carry_out(self, name: str, verdicts: list[Verdict]) -> None:
         """The submission runs, or is known not to have run."""
@@ -102,7 +103,7 @@
         side = self.sides[target]
         try:
             self.carry_out(target, side.take(self.now, sender, text))
-        except Refused as fault:
+        except RefusedError as fault:
             if fault.reason == "unproven":
                 greeting = side.sessions[sender].greet(self.now, text)
                 self.flight.append(Datagram(target, sender, greeting))
--- a/spurdeal/lab/takeover.py
+++ b/spurdeal/lab/takeover.py
@@ -141,7 +141,8 @@
         dropped."""
         before = self.dropped()
         good = advert.write(
-            1, 200, INTERVAL, [ip_address(self.net.address)], *map(ip_address, self.net.hosts.values())
+            advert.Advert(1, 200, INTERVAL, (ip_address(self.net.address),)),
+            *map(ip_address, self.net.hosts.values()),
         )
         forged = Session("n1", "n2", 1, Keys({1: b"x" * 32}))
         adverts, handover = self.cables
--- a/spurdeal/vrrp/__init__.py
+++ b/spurdeal/vrrp/__init__.py
@@ -1,2 +1,4 @@
-"""A dispatcher's address taken over by VRRP version 3 over UDP, with handover and tenure between
-dispatchers."""
+"""A dispatcher's address taken over by VRRP version 3 over UDP.
+
+Between dispatchers, handover and tenure see that nothing runs twice and no budget is used twice.
+"""
--- a/spurdeal/vrrp/address.py
+++ b/spurdeal/vrrp/address.py
@@ -1,19 +1,22 @@
 """Holding an address: by listening on it, by telling a switch, or by an operator's command.
 
 Each holder has `take(group, addresses)` and `leave(group, addresses)`; leaving drains, so that what was taken
-there is answered. What fails is counted and tried again while the address is held."""
+there is answered. What fails is counted and tried again while the address is held.
+"""
 
 from __future__ import annotations
 
 import json
 import logging
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet.error import CannotListenError, ProcessDone
-from twisted.internet.protocol import DatagramProtocol, ProcessProtocol
+from twisted.internet.protocol import DatagramProtocol, ProcessProtocol, ServerFactory
 from twisted.python.failure import Failure
 
+from ..eventloop import Port, ProcessLoop, Scheduler, StreamLoop, Timer
 from ..net.counters import Counters
 from .advert import Address
 
@@ -29,23 +32,26 @@
     transport: Any
 
     def __init__(
-        self, reactor: Any, switch: tuple[str, int], here: tuple[str, int], counters: Counters
+        self, reactor: Scheduler, switch: tuple[str, int], here: tuple[str, int], counters: Counters
     ) -> None:
         self.reactor, self.switch, self.here, self.counters = reactor, switch, here, counters
         self.held: dict[int, Sequence[Address]] = {}
-        self.later: dict[int, list[Any]] = {}
+        self.later: dict[int, list[Timer]] = {}
 
     def take(self, group: int, addresses: Sequence[Address]) -> None:
+        """Announce the addresses of a group from now on."""
         self.cancel(group)
         self.held[group] = addresses
         self.later[group] = [self.reactor.callLater(at, self.announce, group) for at in ANNOUNCE_AT]
         self.later[group].append(self.reactor.callLater(ANNOUNCE_EVERY, self.again, group))
 
     def again(self, group: int) -> None:
+        """Announce once more, each ANNOUNCE_EVERY."""
         self.announce(group)
         self.later[group] = [self.reactor.callLater(ANNOUNCE_EVERY, self.again, group)]
 
     def announce(self, group: int) -> None:
+        """Send one announcement for each address of a group."""
         for address in self.held[group]:
             text = json.dumps({"address": str(address), "group": group, "at": list(self.here)}).encode()
             try:
@@ -55,44 +61,64 @@
                 self.counters.add("announce_not_sent")
 
     def leave(self, group: int, addresses: Sequence[Address]) -> None:
+        """Announce the addresses of a group no more."""
         self.cancel(group)
         self.held.pop(group, None)
 
     def cancel(self, group: int) -> None:
+        """Drop the announcements of a group that are scheduled."""
         for call in self.later.pop(group, ()):
             if call.active():
                 call.cancel()
 
 
+@dataclass(frozen=True)
+class Served:
+    """What is served at the addresses.
+
+    Attributes:
+        factory: Makes the protocol of each connection.
+        port: On which it is served.
+        drain: Called with an address that is left: what was taken there is to be answered, then closed.
+    """
+
+    factory: ServerFactory
+    port: int
+    drain: Callable[[str], None]
+
+
 class Listener:
-    """Listens on the addresses in this process. The one that leaves them accepts no more and answers the
-    rest."""
+    """Listens on the addresses in this process.
+
+    One that leaves an address accepts no more there and answers the rest.
+    """
 
     def __init__(
         self,
-        reactor: Any,
-        factory: Any,
-        port: int,
-        drain: Callable[[str], None],
+        reactor: StreamLoop,
+        served: Served,
         counters: Counters,
         log: logging.Logger,
     ) -> None:
-        self.reactor, self.factory, self.port, self.drain = reactor, factory, port, drain
-        self.counters, self.log = counters, log
-        self.ports: dict[Address, Any] = {}
+        self.reactor, self.served, self.counters, self.log = reactor, served, counters, log
+        self.ports: dict[Address, Port] = {}
         self.wanted: set[Address] = set()
 
     def take(self, group: int, addresses: Sequence[Address]) -> None:
+        """Listen on these addresses."""
         for address in addresses:
             if address not in self.wanted:
                 self.wanted.add(address)
                 self.listen(address)
 
     def listen(self, address: Address) -> None:
+        """Listen on an address; where its port is in use, again after LISTEN_AGAIN."""
         if address not in self.wanted or address in self.ports:
             return
         try:
-            self.ports[address] = self.reactor.listenTCP(self.port, self.factory, interface=str(address))
+            self.ports[address] = self.reactor.listenTCP(
+                self.served.port, self.served.factory, interface=str(address)
+            )
         except CannotListenError as fault:
             self.counters.add("address_not_listened")
             self.log.warning(
@@ -102,12 +128,22 @@
             self.reactor.callLater(LISTEN_AGAIN, self.listen, address)
 
     def leave(self, group: int, addresses: Sequence[Address]) -> None:
+        """Accept no more on these addresses, and drain their connections."""
         for address in addresses:
             self.wanted.discard(address)
             port = self.ports.pop(address, None)
             if port is not None:
                 port.stopListening()
-                self.drain(str(address))
+                self.served.drain(str(address))
+
+
+@dataclass(frozen=True)
+class CommandSettings:
+    """The operator's commands. `{address}` in a word stands for the address; within is in ms."""
+
+    take: Sequence[str]
+    leave: Sequence[str]
+    within: float
 
 
 class Commands:
@@ -115,25 +151,26 @@
 
     def __init__(
         self,
-        reactor: Any,
-        take: Sequence[str],
-        leave: Sequence[str],
-        within: float,
+        reactor: ProcessLoop,
+        settings: CommandSettings,
         counters: Counters,
         log: logging.Logger,
     ) -> None:
-        self.reactor, self.words = reactor, {True: tuple(take), False: tuple(leave)}
-        self.within, self.counters, self.log = within, counters, log
+        self.reactor, self.words = reactor, {True: settings.take, False: settings.leave}
+        self.within, self.counters, self.log = settings.within, counters, log
         self.queue: list[list[str]] = []
         self.running = False
 
     def take(self, group: int, addresses: Sequence[Address]) -> None:
+        """Run the command that takes an address, for each."""
         self.ask(True, addresses)
 
     def leave(self, group: int, addresses: Sequence[Address]) -> None:
+        """Run the command that leaves an address, for each."""
         self.ask(False, addresses)
 
     def ask(self, taken: bool, addresses: Sequence[Address]) -> None:
+        """Queue a command for each address."""
         for address in addresses:
             words = [word.replace("{address}", str(address)) for word in self.words[taken]]
             if len(self.queue) >= MOST_COMMANDS:  # only the newest tell how things stand
@@ -143,6 +180,7 @@
         self.next()
 
     def next(self) -> None:
+        """Run the next command, unless one is running."""
         if self.running or not self.queue:
             return
         self.running = True
@@ -156,6 +194,7 @@
         run.limit = self.reactor.callLater(self.within / 1000, run.overdue)
 
     def ended(self, words: Sequence[str], fault: str) -> None:
+        """A command has ended; `fault` is empty where it went well."""
         self.counters.add("commands_failed" if fault else "commands_run")
         if fault:
             self.log.error("command_failed", extra={"figures": {"command": words[0], "why": fault}})
@@ -170,13 +209,15 @@
 
     def __init__(self, commands: Commands, words: Sequence[str]) -> None:
         self.commands, self.words, self.late = commands, words, False
-        self.limit: Any = None
+        self.limit: Timer | None = None
 
     def overdue(self) -> None:
+        """Its time is over: end it."""
         self.late = True
         self.transport.signalProcess("KILL")
 
     def processEnded(self, reason: Failure) -> None:
+        """See ProcessProtocol."""
         if self.limit is not None and self.limit.active():
             self.limit.cancel()
         fault = (
--- a/spurdeal/vrrp/advert.py
+++ b/spurdeal/vrrp/advert.py
@@ -3,20 +3,21 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Sequence
 from ipaddress import IPv4Address, IPv6Address, ip_address
+from typing import NamedTuple
 
 Address = IPv4Address | IPv6Address
 
 VERSION, ADVERTISEMENT, PROTOCOL, TTL = 3, 1, 112, 255
 HEAD = struct.Struct("!BBBBHH")
 CENTISECOND = 10.0  # ms
-LONGEST_INTERVAL = 0x0FFF * CENTISECOND  # ms
+MAX_BYTE, MAX_TICKS, ALL_ONES = 0xFF, 0x0FFF, 0xFFFF
+LONGEST_INTERVAL = MAX_TICKS * CENTISECOND  # ms
 MOST_ADDRESSES = 255
 STOPPING, OWNER = 0, 255  # priorities of section 5.2.4 that mean more than a rank
 
 
-class Dropped(Exception):
+class DroppedError(Exception):
     """A datagram that fails a receive check of section 7.1; `reason` is the counter's name."""
 
     def __init__(self, reason: str, detail: str = "") -> None:
@@ -46,16 +47,37 @@
     return ~ones_sum(before + message) & 0xFFFF
 
 
-def write(
-    group: int, priority: int, interval: float, addresses: Sequence[Address], source: Address, target: Address
-) -> bytes:
-    """One advertisement.
+class Advert(NamedTuple):
+    """What an advertisement says.
 
-    group is the VRID, 1 to 255; interval in ms, rounded to centiseconds, 10 to 40,950. source and target are
-    the datagram's own addresses, which the IPv6 checksum covers. ValueError for what no field can hold.
+    Attributes:
+        group: The VRID, 1 to 255.
+        priority: 0 to 255; see STOPPING and OWNER.
+        interval: In ms; written in centiseconds, 10 to 40,950 ms.
+        addresses: Of the group, all of one kind.
     """
+
+    group: int
+    priority: int
+    interval: float
+    addresses: tuple[Address, ...]
+
+
+def write(advert: Advert, source: Address, target: Address) -> bytes:
+    """One advertisement as bytes.
+
+    Args:
+        advert: What it says.
+        source: The datagram's own address, which the IPv6 checksum covers.
+        target: Likewise.
+
+    Raises:
+        ValueError: No field can hold what it says.
+    """
+    group, priority, interval, addresses = advert
     ticks = round(interval / CENTISECOND)
-    if not 1 <= group <= 255 or not 0 <= priority <= 255 or not 1 <= ticks <= 0x0FFF:
+    in_fields = 1 <= group <= MAX_BYTE and 0 <= priority <= MAX_BYTE and 1 <= ticks <= MAX_TICKS
+    if not in_fields:
         raise ValueError(f"no field holds group {group}, priority {priority} or interval {interval} ms")
     if not 1 <= len(addresses) <= MOST_ADDRESSES or len({address.version for address in addresses}) != 1:
         raise ValueError("1 to 255 addresses of one kind are advertised")
@@ -65,45 +87,49 @@
     return HEAD.pack(first, group, priority, len(addresses), ticks, checksum(blank, source, target)) + body
 
 
-def read(
-    datagram: bytes, source: Address, target: Address, ttl: int | None = None
-) -> tuple[int, int, float, tuple[Address, ...]]:
-    """Group, priority, interval in ms and addresses; Dropped where a check of section 7.1 fails.
+def read(datagram: bytes, source: Address, target: Address, ttl: int | None = None) -> Advert:
+    """Read an advertisement, with the checks of section 7.1.
+
+    The list's kind of address is that of the group, told by its length: a v4 datagram may carry v6 addresses
+    here, as UDP carries both over either.
+
+    Args:
+        datagram: As it came.
+        source: The datagram's own address.
+        target: Likewise.
+        ttl: None where the system does not tell it.
 
-    ttl is None where the system does not tell it. The list's kind of address is that of the group, told by
-    its length: a v4 datagram may carry v6 addresses here, as UDP carries both over either.
+    Raises:
+        DroppedError: A check fails.
     """
     if ttl is not None and ttl != TTL:
-        raise Dropped("ttl", str(ttl))
+        raise DroppedError("ttl", str(ttl))
     if len(datagram) < HEAD.size:
-        raise Dropped("short", f"{len(datagram)} bytes")
+        raise DroppedError("short", f"{len(datagram)} bytes")
     first, group, priority, count, ticks, told = HEAD.unpack_from(datagram)
     if first >> 4 != VERSION:
-        raise Dropped("version", str(first >> 4))
+        raise DroppedError("version", str(first >> 4))
     if first & 0x0F != ADVERTISEMENT:
-        raise Dropped("type", str(first & 0x0F))
+        raise DroppedError("type", str(first & 0x0F))
     size = len(datagram) - HEAD.size
     if not count or size not in (4 * count, 16 * count):
-        raise Dropped("length", f"{size} bytes for {count} addresses")
-    ticks &= 0x0FFF  # section 5.2.6: the reserved bits are ignored on receipt
+        raise DroppedError("length", f"{size} bytes for {count} addresses")
+    ticks &= MAX_TICKS  # section 5.2.6: the reserved bits are ignored on receipt
     if not ticks:
-        raise Dropped("interval", "0")
+        raise DroppedError("interval", "0")
     if not checks(datagram, source, target):
-        raise Dropped("checksum", f"{told:#06x}")
+        raise DroppedError("checksum", f"{told:#06x}")
     width = size // count
-    return (
-        group,
-        priority,
-        ticks * CENTISECOND,
-        tuple(ip_address(datagram[at : at + width]) for at in range(HEAD.size, len(datagram), width)),
-    )
+    starts = range(HEAD.size, len(datagram), width)
+    addresses = tuple(ip_address(datagram[at : at + width]) for at in starts)
+    return Advert(group, priority, ticks * CENTISECOND, addresses)
 
 
 def checks(datagram: bytes, source: Address, target: Address) -> bool:
     """Both readings of the IPv4 checksum are taken: RFC 5798 was read with a pseudo-header by some."""
-    if ones_sum(datagram) == 0xFFFF and isinstance(source, IPv4Address):
+    if ones_sum(datagram) == ALL_ONES and isinstance(source, IPv4Address):
         return True
-    return ones_sum(pseudo_header(source, target, len(datagram)) + datagram) == 0xFFFF
+    return ones_sum(pseudo_header(source, target, len(datagram)) + datagram) == ALL_ONES
 
 
 def fields(datagram: bytes, source: Address, target: Address) -> dict[str, object]:
@@ -116,12 +142,12 @@
         "group": group,
         "priority": priority,
         "count": count,
-        "interval_ms": (ticks & 0x0FFF) * CENTISECOND,
+        "interval_ms": (ticks & MAX_TICKS) * CENTISECOND,
         "checksum": f"{told:#06x}",
         "bytes": len(datagram),
     }
     try:
-        found["addresses"] = [str(address) for address in read(datagram, source, target)[3]]
-    except Dropped as fault:
+        found["addresses"] = [str(address) for address in read(datagram, source, target).addresses]
+    except DroppedError as fault:
         found["dropped"] = str(fault)
     return found
--- a/spurdeal/vrrp/advertising.py
+++ b/spurdeal/vrrp/advertising.py
@@ -1,25 +1,26 @@
 """VRRP beside one dispatcher: advertisements and timers in, advertisements and addresses out.
 
-It decides nothing: `groups` does."""
+It decides nothing: `groups` does.
+"""
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from ipaddress import ip_address
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.protocol import DatagramProtocol
 
-from ..net.counters import Counters
+from ..eventloop import Timer
 from . import advert
-from .advert import Address, Dropped
+from .advert import Address, Advert, DroppedError
 from .groups import Done, Groups
 from .machine import Act
-from .setup import Holder
+from .setup import Holder, Runtime
 
 if TYPE_CHECKING:
-    from ..settings.installation import Installation, Vrrp
+    from ..settings.installation import Installation
 
 
 class Adverts(DatagramProtocol):
@@ -31,52 +32,59 @@
         self.advertising = advertising
 
     def datagramReceived(self, datagram: bytes, address: tuple[Any, ...]) -> None:
+        """See DatagramProtocol."""
         self.advertising.came(datagram, str(address[0]))
 
 
-class Advertising:
-    """The dispatcher's VRRP groups on the network.
+@dataclass(frozen=True)
+class Callbacks:
+    """What the groups tell the dispatcher, and ask of it.
 
-    Args:
+    Attributes:
         taken: Called with a group and why its addresses were taken, once they are.
         barred: Whether the dispatcher may not take addresses back yet.
     """
 
+    taken: Callable[[int, str], None]
+    barred: Callable[[], bool]
+
+
+class Advertising:
+    """The dispatcher's VRRP groups on the network."""
+
     def __init__(
         self,
         plan: Installation,
-        vrrp: Vrrp,
         groups: Groups,
         holder: Holder,
-        reactor: Any,
-        monotonic: Callable[[], float],
-        counters: Counters,
-        log: logging.Logger,
-        taken: Callable[[int, str], None],
-        barred: Callable[[], bool],
+        runtime: Runtime,
+        callbacks: Callbacks,
     ) -> None:
+        assert plan.vrrp is not None
+        vrrp = plan.vrrp
         self.peers, self.groups, self.holder = plan.peers, groups, holder
-        self.reactor, self.monotonic, self.counters, self.log = reactor, monotonic, counters, log
-        self.taken, self.barred = taken, barred
+        self.reactor, self.monotonic = runtime.reactor, runtime.monotonic
+        self.counters, self.log = runtime.counters, runtime.log
+        self.taken, self.barred = callbacks.taken, callbacks.barred
         self.own: Address = vrrp.listen[0]
         self.by_sender = {peer.adverts[0]: peer.name for peer in plan.peers}
         self.addresses = {each.group: tuple(each.addresses) for each in vrrp.groups}
         self.accepting = {each.group: each.accept for each in vrrp.groups}
         self.adverts = Adverts(self)
-        self.ticking: Any = None
+        self.ticking: Timer | None = None
 
     def came(self, datagram: bytes, sender: str) -> None:
         """An advertisement, checked (RFC 9568, section 7.1) and counted by what it fails."""
         try:
             source = ip_address(sender)
             if source not in self.by_sender:
-                raise Dropped("sender")
+                raise DroppedError("sender")
             group, priority, interval, addresses = advert.read(datagram, source, self.own)
             if group not in self.groups.machines:
-                raise Dropped("group")
+                raise DroppedError("group")
             if self.groups.machines[group].terms.priority == advert.OWNER and not self.barred():
-                raise Dropped("owner")  # section 7.1: who owns the addresses listens to nobody
-        except Dropped as fault:
+                raise DroppedError("owner")  # section 7.1: who owns the addresses listens to nobody
+        except DroppedError as fault:
             self.counters.add("vrrp_drop_" + fault.reason)
             return
         self.counters.add("vrrp_adverts")
@@ -116,7 +124,8 @@
         interval = self.groups.machines[group].terms.interval
         for peer in self.peers:
             host, port = peer.adverts
-            text = advert.write(group, priority, interval, self.addresses[group], self.own, host)
+            told = Advert(group, priority, interval, self.addresses[group])
+            text = advert.write(told, self.own, host)
             try:
                 self.adverts.transport.write(text, (str(host), port))
                 self.counters.add("vrrp_sent")
--- a/spurdeal/vrrp/exchange.py
+++ b/spurdeal/vrrp/exchange.py
@@ -1,6 +1,7 @@
 """Handover datagrams between one dispatcher and its peers, and the verdicts that submissions wait for.
 
-It decides nothing: `handover` does."""
+It decides nothing: `handover` does.
+"""
 
 from __future__ import annotations
 
@@ -9,9 +10,9 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
-from ..net.counters import Counters
 from .handover import Facts, Handover, Verdict
-from .sealed import Refused
+from .sealed import RefusedError
+from .setup import Runtime
 
 if TYPE_CHECKING:
     from ..settings.installation import Installation
@@ -30,6 +31,7 @@
         self.exchange = exchange
 
     def datagramReceived(self, datagram: bytes, address: tuple[Any, ...]) -> None:
+        """See DatagramProtocol."""
         self.exchange.came(datagram, (str(address[0]), int(address[1])))
 
 
@@ -40,17 +42,16 @@
         self,
         plan: Installation,
         handover: Handover | None,
-        reactor: Any,
-        monotonic: Callable[[], float],
-        counters: Counters,
+        runtime: Runtime,
     ) -> None:
-        self.handover, self.reactor, self.monotonic, self.counters = handover, reactor, monotonic, counters
+        self.handover, self.reactor, self.counters = handover, runtime.reactor, runtime.counters
+        self.monotonic = runtime.monotonic
         self.places = {peer.name: (str(peer.handover[0]), peer.handover[1]) for peer in plan.peers}
         self.by_address = {place: name for name, place in self.places.items()}
         self.telling = Telling(self)
         self.going: dict[object, Callable[[bool | None], None]] = {}  # what waits for its verdict
         self.flushing = False
-        self.greeted, self.greeted_since = 0, monotonic()
+        self.greeted, self.greeted_since = 0, self.monotonic()
 
     def tell_all(self, facts: Facts, idle: bool) -> None:
         """Tell each peer how we are. idle: our part of cold budgets may be lent."""
@@ -73,7 +74,7 @@
                 self.send(peer, datagram)
         self.conclude(self.handover.tick(now))
         if self.handover.waiting:
-            self.flush_soon(self.handover.ahead_wait / REPEATS)
+            self.flush_soon(self.handover.settings.ahead_wait / REPEATS)
 
     def flush_soon(self, delay: float = 0.0) -> None:
         """Flush after so many ms, unless that is to happen already."""
@@ -98,7 +99,7 @@
         now = self.monotonic()
         try:
             verdicts = self.handover.take(now, peer, datagram)
-        except Refused as fault:
+        except RefusedError as fault:
             self.counters.add("handover_drop_" + fault.reason)
             if fault.reason == "unproven":
                 self.greet(self.handover, now, peer, datagram)
--- a/spurdeal/vrrp/groups.py
+++ b/spurdeal/vrrp/groups.py
@@ -37,18 +37,22 @@
         self.holding = frozenset[str]()
 
     def start(self, now: float, barred: bool) -> Done:
+        """Startup of all groups; barred, none takes its addresses yet."""
         return self.each(lambda machine: machine.start(now, barred))
 
     def stop(self, now: float) -> Done:
+        """Shutdown of all groups."""
         return self.each(lambda machine: machine.stop(now))
 
     def tick(self, now: float) -> Done:
+        """What is due by now, in all groups."""
         done: Done = []
         for group, machine in self.machines.items():
             done += self.moved(now, group, machine.state, machine.tick(now))
         return done
 
     def heard(self, now: float, group: int, priority: int, interval: float, sender: Address) -> Done:
+        """A checked advertisement of a group."""
         machine = self.machines[group]
         return self.moved(now, group, machine.state, machine.heard(now, priority, interval, sender))
 
@@ -64,19 +68,23 @@
         return done
 
     def lift(self) -> None:
+        """All groups may take addresses back from here on."""
         for machine in self.machines.values():
             machine.lift()
 
     @property
     def due(self) -> float:
+        """When `tick` is wanted next, in ms; NEVER where no timer runs."""
         return min((machine.due for machine in self.machines.values()), default=NEVER)
 
     def held(self) -> list[int]:
+        """The groups whose addresses we hold."""
         return [group for group, machine in self.machines.items() if machine.state is State.ACTIVE]
 
     # Bundles: one that takes its address takes the others' along, and so does one that leaves.
 
     def moved(self, now: float, group: int, before: State, acts: list[Act]) -> Done:
+        """What is to be done for a group, and for its bundle where its state has changed."""
         done = [(group, act) for act in acts]
         after = self.machines[group].state
         if after is before or after is State.INITIALIZE:
@@ -94,4 +102,5 @@
         return done
 
     def each(self, call: Callable[[Machine], list[Act]]) -> Done:
+        """The same call for each group."""
         return [(group, act) for group, machine in self.machines.items() for act in call(machine)]
--- a/spurdeal/vrrp/guard.py
+++ b/spurdeal/vrrp/guard.py
@@ -1,13 +1,14 @@
 """The link's Guard where dispatchers stand in for one another: handover's verdicts, and tenure's parts.
 
-It decides nothing: `handover` and `tenure` do."""
+It decides nothing: `handover` and `tenure` do.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from typing import NamedTuple
 
-from ..net.link import Answer, BrokenOff, Shed, SocketLink, Taken
+from ..net.link import Answer, BrokenOff, Shed, SocketLink, Taken, at_most_once
 from ..net.names import Seat
 from ..net.start import Service
 from .exchange import Exchange
@@ -28,7 +29,6 @@
 
     Args:
         share: Whether cold budgets are shared by tenure.
-        guarded: By kind of workload, whether it must not run twice.
         assumed_cold: Whether each engine counts as started just now.
     """
 
@@ -38,14 +38,13 @@
         exchange: Exchange,
         tenure: Tenure,
         share: bool,
-        guarded: tuple[bool, ...],
         assumed_cold: Callable[[], bool],
     ) -> None:
         self.link: SocketLink = service.link
         self.counters, self.come_back = service.counters, service.configuration.site.most_come_back
         self.exchange, self.handover, self.monotonic = exchange, exchange.handover, exchange.monotonic
         self.tenure, self.share = tenure, share
-        self.guarded, self.assumed_cold = guarded, assumed_cold
+        self.guarded, self.assumed_cold = at_most_once(service.configuration.site), assumed_cold
         own = 1.0 / service.configuration.site.dispatchers
         self.parts = own, own
         self.sent_cold: dict[int, list[ColdSend]] = {}  # by engine, within a window
@@ -115,8 +114,10 @@
         """Nothing follows of it here."""
 
     def departs(self, taken: Taken, trip: int, engine: int) -> bool:
-        """Whether something may go there now: a cold engine's budget may have been lent since the rules
-        chose."""
+        """Whether something may go there now.
+
+        A cold engine's budget may have been lent since the rules chose.
+        """
         if not self.share or self.handover is None or not self.is_cold(engine):
             return True
         now = self.monotonic()
@@ -128,8 +129,10 @@
         return True
 
     def seat(self, seat: Seat) -> Seat:
-        """The seat with its engine's latest start that a peer tells; until the list is known to be fresh,
-        each engine may have been started anew, and counts as cold."""
+        """The seat with its engine's latest start that a peer tells.
+
+        Until the list is known to be fresh, each engine may have been started anew, and counts as cold.
+        """
         if self.assumed_cold():
             return seat._replace(started=self.link.clock())
         told = [
--- a/spurdeal/vrrp/handover.py
+++ b/spurdeal/vrrp/handover.py
@@ -4,11 +4,13 @@
 there, which it has set aside, which groups it holds, what it lends of its tenure, and its marks. Between
 these, an irreversible submission is told ahead of its sending, and answered. Times are ms of one monotonic
 clock; a datagram tells only what is left of them. A body is JSON with the keys of `compose`; one with
-anything unusable in it is refused whole and changes nothing."""
+anything unusable in it is refused whole and changes nothing.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from typing import Any, NamedTuple
 
 from .marks import Door, Marks
@@ -36,6 +38,8 @@
 
 
 class Waiting(NamedTuple):
+    """One that was told ahead and waits for its peers' answers; times in ms."""
+
     turn: int  # of this telling: an answer to an earlier one is none to this (found by the walks)
     ident: bytes
     expiry: float
@@ -43,31 +47,55 @@
     missing: frozenset[str]
 
 
-class Handover:
-    """One dispatcher's side towards its peers.
+@dataclass(frozen=True)
+class Membership:
+    """Which start of which dispatcher this is, and its peers.
 
-    ahead: irreversible ones are told before they are sent, within ahead_wait ms. alone_after: None refuses
-    them while a peer is not heard; a figure lets them go once it was not heard for so many ms. without: after
-    so many ms without any peer, what peers know counts as known.
+    Attributes:
+        name: Its own.
+        peers: The other dispatchers' names.
+        boot: Tells this start from earlier ones.
+        keys: Seal the datagrams.
     """
 
+    name: str
+    peers: tuple[str, ...]
+    boot: int
+    keys: Keys
+
+
+@dataclass(frozen=True)
+class HandoverSettings:
+    """What is told ahead, and what holds without peers. Times in ms.
+
+    Attributes:
+        ahead: Whether irreversible submissions are told before they are sent.
+        ahead_wait: Within how long they must be answered.
+        alone_after: None refuses them while a peer is not heard; a figure lets them go once it was not heard
+            for so long.
+        without: After so long without any peer, what peers know counts as known.
+    """
+
+    ahead: bool
+    ahead_wait: float
+    alone_after: float | None
+    without: float
+
+
+class Handover:
+    """One dispatcher's side towards its peers."""
+
     def __init__(
         self,
-        own: str,
-        peers: Sequence[str],
-        boot: int,
-        keys: Keys,
+        membership: Membership,
+        settings: HandoverSettings,
         tenure: Tenure,
         marks: Marks,
         now: float,
-        ahead: bool,
-        ahead_wait: float,
-        alone_after: float | None,
-        without: float,
     ) -> None:
+        own, peers, boot, keys = membership.name, membership.peers, membership.boot, membership.keys
         self.sessions = {peer: Session(own, peer, boot, keys) for peer in peers}
-        self.tenure, self.marks, self.began = tenure, marks, now
-        self.ahead, self.ahead_wait, self.alone_after, self.without = ahead, ahead_wait, alone_after, without
+        self.settings, self.tenure, self.marks, self.began = settings, tenure, marks, now
         self.known: dict[str, Known] = {}
         self.left: dict[str, float] = {}
         self.waiting: dict[object, Waiting] = {}
@@ -83,37 +111,39 @@
 
     def complete(self, now: float) -> bool:
         """All that peers know is here, or the stated time without is over."""
-        return len(self.synced) == len(self.sessions) or now >= self.began + self.without
+        return len(self.synced) == len(self.sessions) or now >= self.began + self.settings.without
 
     def door(self, now: float, ident: bytes) -> Door:
         """For one that must not run twice, on its way in."""
         found = self.marks.door(now, ident)
-        if found is Door.OPEN and (not self.complete(now) or (self.ahead and self.away(now))):
+        if found is Door.OPEN and (not self.complete(now) or (self.settings.ahead and self.away(now))):
             return Door.AWAY
         return found
 
     def away(self, now: float) -> bool:
         """A peer that should be told ahead cannot be."""
-        return any(now - self.heard(peer) > 3 * self.ahead_wait for peer in self.needed(now))
+        return any(now - self.heard(peer) > 3 * self.settings.ahead_wait for peer in self.needed(now))
 
     def heard(self, peer: str) -> float:
+        """When a peer was last heard, in ms; our start where it never was."""
         return self.known[peer].at if peer in self.known else self.began
 
     def needed(self, now: float) -> list[str]:
-        if self.alone_after is None:
+        """The peers that must answer what is told ahead."""
+        if self.settings.alone_after is None:
             return list(self.sessions)
-        return [peer for peer in self.sessions if now - self.heard(peer) <= self.alone_after]
+        return [peer for peer in self.sessions if now - self.heard(peer) <= self.settings.alone_after]
 
     def before(self, now: float, ident: bytes, expiry: float, token: object) -> Verdict | None:
         """It is about to be sent. A verdict at once, or None: one comes of `take` or `tick`."""
         self.turn += 1
         if not self.marks.mark(now, ident, expiry, self.turn):
             return Verdict(token, None if ident in self.marks.known else False)
-        missing = frozenset(self.needed(now)) if self.ahead else frozenset[str]()
+        missing = frozenset(self.needed(now)) if self.settings.ahead else frozenset[str]()
         if not missing:
             self.marks.sent(ident)
             return Verdict(token, True)
-        self.waiting[token] = Waiting(self.turn, ident, expiry, now + self.ahead_wait, missing)
+        self.waiting[token] = Waiting(self.turn, ident, expiry, now + self.settings.ahead_wait, missing)
         return None
 
     def give_up(self, token: object) -> bool:
@@ -128,6 +158,7 @@
                 del clearing[: -MOST_TOLD * SAY_CLEAR]  # older ones end by time
 
     def tick(self, now: float) -> list[Verdict]:
+        """Verdicts for those that have waited too long: they must not go."""
         late = [token for token, waiting in self.waiting.items() if now >= waiting.until]
         for token in late:
             del self.waiting[token]
@@ -164,6 +195,7 @@
         return self.sessions[peer].write(now, told) if told["tell"] or told["reply"] else None
 
     def told(self, now: float, peer: str) -> dict[str, Any]:
+        """What is told ahead and answered in the next datagram to a peer."""
         waiting = [waiting for waiting in self.waiting.values() if peer in waiting.missing][:MOST_TOLD]
         replies, self.replies[peer] = self.replies[peer][:MOST_TOLD], self.replies[peer][MOST_TOLD:]
         return {
@@ -178,7 +210,7 @@
         """A datagram of that peer. now: ms.
 
         Raises:
-            Refused: It cannot be used; nothing has changed then but what Session counts as seen.
+            RefusedError: It cannot be used; nothing has changed then but what Session counts as seen.
         """
         session = self.sessions[peer]
         boots = session.boots
@@ -240,6 +272,7 @@
         self.left.pop(peer, None)
 
     def answered(self, peer: str, replies: Iterable[tuple[float, bool]]) -> list[Verdict]:
+        """Verdicts that follow from a peer's answers."""
         verdicts = []
         for turn, ok in replies:
             for token, waiting in list(self.waiting.items()):
--- a/spurdeal/vrrp/machine.py
+++ b/spurdeal/vrrp/machine.py
@@ -3,7 +3,8 @@
 Each call names the time and returns what is to be done, in order: Act.ADVERTISE, Act.RESIGN (an advertisement
 with priority 0), Act.HOLD (take the address and announce it) and Act.LEAVE. `due` is when `tick` is wanted
 next.
-Departures from the RFC, each for one failure, are marked where they stand."""
+Departures from the RFC, each for one failure, are marked where they stand.
+"""
 
 from __future__ import annotations
 
@@ -16,12 +17,16 @@
 
 
 class State(Enum):
+    """The states of section 6.3."""
+
     INITIALIZE = "initialize"
     BACKUP = "backup"
     ACTIVE = "active"
 
 
 class Act(Enum):
+    """What is to be done; see the module."""
+
     ADVERTISE = "advertise"
     RESIGN = "resign"
     HOLD = "hold"
@@ -120,6 +125,7 @@
         return [Act.ADVERTISE, Act.HOLD]
 
     def heard_in_backup(self, now: float, priority: int, interval: float) -> None:
+        """Section 6.4.2: an advertisement sets the timer anew, unless it is to be preempted."""
         if priority == STOPPING:
             self.due = min(self.due, now + skew_time(self.priority, self.sender_interval))
             self.preempt_at = NEVER
@@ -155,11 +161,13 @@
     # Changes of state.
 
     def become_active(self, now: float, why: str) -> list[Act]:
+        """Section 6.4.1 and 6.4.2: take the addresses."""
         self.state, self.why, self.preempt_at, self.seen = State.ACTIVE, why, NEVER, now
         self.due = now + self.terms.interval
         return [Act.ADVERTISE, Act.HOLD]
 
     def become_backup(self, now: float, why: str) -> None:
+        """Section 6.4.1 and 6.4.3: wait for Active_Down_Timer."""
         self.state, self.why, self.preempt_at, self.seen = State.BACKUP, why, NEVER, now
         self.due = now + active_down_interval(self.priority, self.sender_interval)
 
--- a/spurdeal/vrrp/marks.py
+++ b/spurdeal/vrrp/marks.py
@@ -2,7 +2,8 @@
 
 A mark is made before such a submission is sent, and taken away only when each trip of it is known not to have
 run, or when its time is over. Times are ms of one monotonic clock; between dispatchers only what is left is
-told."""
+told.
+"""
 
 from __future__ import annotations
 
@@ -21,6 +22,8 @@
 
 
 class Mark(NamedTuple):
+    """What is known of one submission that may have run."""
+
     until: float
     peer: str  # who told; "" for our own
     sent: bool  # it has left, or may have
@@ -58,12 +61,16 @@
         return True
 
     def sent(self, ident: bytes) -> None:
+        """It has left, or may have."""
         if ident in self.known:
             self.known[ident] = self.known[ident]._replace(sent=True)
 
     def never_ran(self, ident: bytes) -> float | None:
-        """Each trip is known not to have run, so it may go again. Its last telling; None if it was not
-        ours."""
+        """Each trip is known not to have run, so it may go again.
+
+        Returns:
+            Its last telling; None if it was not ours.
+        """
         found = self.known.get(ident)
         if found is None or found.peer:
             return None
@@ -78,8 +85,11 @@
     # What peers tell.
 
     def peer_marks(self, now: float, peer: str, ident: bytes, left: float, turn: float) -> bool:
-        """A peer will send it. False where it is ours, or another's, or there is no room: it must not
-        send."""
+        """A peer will send it.
+
+        Returns:
+            False where it is ours, or another's, or there is no room: it must not send.
+        """
         self.forget(now)
         found = self.known.get(ident)
         if (found is not None and found.peer != peer) or (found is None and len(self.known) >= self.most):
@@ -89,8 +99,10 @@
         return True
 
     def peer_clears(self, peer: str, ident: bytes, turn: float) -> None:
-        """It is said several times, and overtaken by a newer telling it must not take that one's mark
-        away."""
+        """A peer takes its mark back.
+
+        It is said several times, and overtaken by a newer telling it must not take that one's mark away.
+        """
         found = self.known.get(ident)
         if found is not None and found.peer == peer and found.turn <= turn:
             del self.known[ident]
@@ -116,10 +128,12 @@
     # Time.
 
     def keep_mark(self, ident: bytes, mark: Mark) -> None:
+        """Set a mark, and see that it ends in time."""
         self.known[ident] = mark
         self.soonest = min(self.soonest, mark.until)
 
     def forget(self, now: float) -> None:
+        """Drop the marks whose time is over."""
         if now < self.soonest:
             return
         self.known = {ident: mark for ident, mark in self.known.items() if mark.until > now}
--- a/spurdeal/vrrp/message.py
+++ b/spurdeal/vrrp/message.py
@@ -6,10 +6,11 @@
 from math import isfinite
 from typing import Any, NamedTuple
 
-from .sealed import Refused
+from .sealed import RefusedError
 
 PAGE, MOST_TOLD, MOST_ENGINES = 64, 48, 64  # entries in one datagram: all of them fit in sealed.LARGEST
 MOST_PAGES = 4096
+LONGEST_ID = 64  # characters
 MOST_GROUPS = 255
 LONGEST_LEFT = 3_600_000.0  # ms; nothing told lasts longer
 LARGEST_TURN = LATEST_START = 1e15
@@ -71,7 +72,7 @@
     page: Page | None
 
 
-def number(value: Any, most: float = LONGEST_LEFT) -> float:
+def number(value: object, most: float = LONGEST_LEFT) -> float:
     """A number from 0 to `most`."""
     if (
         not isinstance(value, (int, float))
@@ -79,14 +80,14 @@
         or not isfinite(value)
         or not 0 <= value <= most
     ):
-        raise Refused("body")
+        raise RefusedError("body")
     return float(value)
 
 
-def ident_of(value: Any) -> bytes:
+def ident_of(value: object) -> bytes:
     """An id, or an engine's name."""
-    if not isinstance(value, str) or not 1 <= len(value) <= 64 or not value.isascii():
-        raise Refused("body")
+    if not isinstance(value, str) or not 1 <= len(value) <= LONGEST_ID or not value.isascii():
+        raise RefusedError("body")
     return value.encode()
 
 
@@ -98,7 +99,7 @@
         or len(found) > most
         or not all(isinstance(row, list) and len(row) == width for row in found)
     ):
-        raise Refused("body")
+        raise RefusedError("body")
     return found
 
 
@@ -106,7 +107,7 @@
     """Read a body.
 
     Raises:
-        Refused: Something in it has not its form.
+        RefusedError: Something in it has not its form.
     """
     told = [
         Told(ident_of(ident), number(left), number(turn, LARGEST_TURN))
@@ -138,7 +139,7 @@
     )
     held = body.get("held", [])
     if not isinstance(held, list) or len(held) > MOST_GROUPS:
-        raise Refused("body")
+        raise RefusedError("body")
     groups = tuple(int(number(group, MOST_GROUPS)) for group in held)
     return Known(now, int(number(body["list"], LARGEST_LIST)), groups, cold, aside)
 
--- a/spurdeal/vrrp/sealed.py
+++ b/spurdeal/vrrp/sealed.py
@@ -3,7 +3,8 @@
 A datagram is a head, a body and the first 16 bytes of HMAC-SHA256 (RFC 2104, RFC 4868 cuts likewise) over
 both. The head names the key, the sender's start (`boot`, random), its number, and the last that was taken of
 the receiver's: start and number. What is replayed from an earlier start of either side repeats what is no
-longer the last, so it counts for nothing, and no clock is compared."""
+longer the last, so it counts for nothing, and no clock is compared.
+"""
 
 from __future__ import annotations
 
@@ -17,12 +18,13 @@
 MAGIC = b"SPH1"
 HEAD = struct.Struct("!4sBBQQQQ")  # magic, key id, length of the name, boot, number, echoed boot and number
 SEAL = 16
+MAX_KEYS, MAX_KEY_ID, MIN_KEY = 2, 255, 16  # keys, their ids, and bytes of one
 LARGEST = 8192
 WINDOW = 64  # numbers behind the newest that may still arrive, once each
 ECHO_WITHIN = 2000.0  # ms: a new start of the peer must repeat what we sent no longer ago
 
 
-class Refused(Exception):
+class RefusedError(Exception):
     """A datagram that changes nothing; `reason` is the counter's name."""
 
     def __init__(self, reason: str) -> None:
@@ -34,13 +36,13 @@
     """One or two keys by id. The first seals; all open, so that a change loses nothing."""
 
     def __init__(self, keys: Mapping[int, bytes]) -> None:
-        if not 1 <= len(keys) <= 2 or not all(
-            0 <= ident <= 255 and len(key) >= 16 for ident, key in keys.items()
-        ):
+        sound = all(0 <= ident <= MAX_KEY_ID and len(key) >= MIN_KEY for ident, key in keys.items())
+        if not 1 <= len(keys) <= MAX_KEYS or not sound:
             raise ValueError("one or two keys of 16 bytes or more, with ids from 0 to 255")
         self.keys, self.sealing = dict(keys), next(iter(keys))
 
     def seal(self, ident: int, data: bytes) -> bytes:
+        """The seal of the data by that key."""
         return hmac.digest(self.keys[ident], data, "sha256")[:SEAL]
 
 
@@ -56,7 +58,11 @@
         self.boots = 0  # how often the peer's start has changed
 
     def write(self, now: float, body: dict[str, Any], echo: tuple[int, int] | None = None) -> bytes:
-        """The next datagram; now is ms of the sender's monotonic clock. ValueError where it is too large."""
+        """The next datagram; now is ms of the sender's monotonic clock.
+
+        Raises:
+            ValueError: The body is too large.
+        """
         self.number += 1
         self.sent[self.number] = now
         while len(self.sent) > WINDOW * 4:
@@ -76,7 +82,8 @@
     def read(self, now: float, datagram: bytes) -> tuple[dict[str, Any], float | None]:
         """The body, and when the last of ours that the peer had taken was sent: None if it is too long ago.
 
-        Refused where anything is wrong; nothing has changed then.
+        Raises:
+            RefusedError: Anything is wrong; nothing has changed then.
         """
         boot, number, echo_boot, echo_number, text = self.open(datagram)
         asked = self.sent.get(echo_number) if echo_boot == self.boot else None
@@ -84,17 +91,17 @@
         if boot == self.peer_boot:
             age = self.newest - number
             if age >= WINDOW or (age >= 0 and self.behind >> age & 1):
-                raise Refused("replayed")
+                raise RefusedError("replayed")
         elif not fresh or echo_number <= self.proved:
             # An unknown start must show that it hears us now, and later than the known one did: else an
             # old start's datagrams, replayed soon after its end, would be taken.
-            raise Refused("unproven")
+            raise RefusedError("unproven")
         try:
             body = json.loads(text)
         except (ValueError, RecursionError):
-            raise Refused("body") from None
+            raise RefusedError("body") from None
         if not isinstance(body, dict):
-            raise Refused("body")
+            raise RefusedError("body")
         if boot != self.peer_boot:
             self.peer_boot, self.newest, self.behind, self.boots = boot, number, 1, self.boots + 1
             self.proved = echo_number
@@ -108,25 +115,25 @@
     def open(self, datagram: bytes) -> tuple[int, int, int, int, bytes]:
         """Length, magic, key, seal and name, in this order; what is not ours is refused before it is read."""
         if len(datagram) < HEAD.size + SEAL:
-            raise Refused("short")
+            raise RefusedError("short")
         if len(datagram) > LARGEST:
-            raise Refused("long")
+            raise RefusedError("long")
         magic, key, size, boot, number, echo_boot, echo_number = HEAD.unpack_from(datagram)
         if magic != MAGIC:
-            raise Refused("magic")
+            raise RefusedError("magic")
         if key not in self.keys.keys:
-            raise Refused("key")
+            raise RefusedError("key")
         if not hmac.compare_digest(self.keys.seal(key, datagram[:-SEAL]), datagram[-SEAL:]):
-            raise Refused("seal")
+            raise RefusedError("seal")
         if datagram[HEAD.size : HEAD.size + size] != self.peer:
-            raise Refused("name")
+            raise RefusedError("name")
         return boot, number, echo_boot, echo_number, datagram[HEAD.size + size : -SEAL]
 
     def greet(self, now: float, datagram: bytes) -> bytes:
-        """An empty answer to an unproven one whose seal is right: it echoes that start, which can then prove
-        itself.
+        """An empty answer to an unproven one whose seal is right.
 
-        Nothing else is taken of it. A replay gains an echo of an old number, which proves nothing.
+        It echoes that start, which can then prove itself. Nothing else is taken of it. A replay gains an echo
+        of an old number, which proves nothing.
         """
         boot, number, *_ = self.open(datagram)
         return self.write(now, {}, (boot, number))
--- a/spurdeal/vrrp/setup.py
+++ b/spurdeal/vrrp/setup.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+from ..eventloop import Reactor
+from ..net.counters import Counters
 from ..net.start import Service
-from .address import Announcer, Commands, Listener
+from .address import Announcer, Commands, CommandSettings, Listener, Served
 from .groups import Groups, Tracked
-from .handover import Handover
+from .handover import Handover, HandoverSettings, Membership
 from .machine import Terms
 from .marks import Marks
 from .sealed import Keys
@@ -21,6 +25,23 @@
 Holder = Announcer | Listener | Commands
 
 
+@dataclass(frozen=True)
+class Runtime:
+    """The parts of the process that VRRP uses.
+
+    Attributes:
+        reactor: The event loop.
+        monotonic: Gives ms that run on while the process stands still.
+        counters: Where events are counted.
+        log: For the operator.
+    """
+
+    reactor: Reactor
+    monotonic: Callable[[], float]
+    counters: Counters
+    log: logging.Logger
+
+
 def keys_of(part: HandoverPart | FleetPart) -> Keys:
     """The keys of a part, read.
 
@@ -61,21 +82,17 @@
     if part is None or vrrp is None:
         return None
     return Handover(
-        plan.name,
-        [peer.name for peer in plan.peers],
-        boot,
-        keys_of(part),
+        Membership(plan.name, tuple(peer.name for peer in plan.peers), boot, keys_of(part)),
+        HandoverSettings(
+            part.ahead, part.ahead_wait, part.alone_after if part.alone == "send" else None, vrrp.bar
+        ),
         tenure,
         Marks(part.marks, part.keep),
         now,
-        part.ahead,
-        part.ahead_wait,
-        part.alone_after if part.alone == "send" else None,
-        vrrp.bar,
     )
 
 
-def make_holder(vrrp: Vrrp, service: Service, reactor: Any, log: logging.Logger) -> Holder:
+def make_holder(vrrp: Vrrp, service: Service, reactor: Reactor, log: logging.Logger) -> Holder:
     """What takes and leaves the addresses."""
     told, counters = vrrp.holder, service.counters
     if told.kind == "announce":
@@ -84,5 +101,5 @@
         return Announcer(reactor, switch, place, counters)
     if told.kind == "listen":
         clients = service.clients
-        return Listener(reactor, clients, told.port, clients.drain, counters, log)
-    return Commands(reactor, told.take, told.leave, told.within, counters, log)
+        return Listener(reactor, Served(clients, told.port, clients.drain), counters, log)
+    return Commands(reactor, CommandSettings(told.take, told.leave, told.within), counters, log)
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -1,29 +1,29 @@
 """VRRP, handover and tenure beside one dispatcher, put together: start and stop, conditions, and the bar.
 
-It decides nothing: `groups`, `handover` and `tenure` do."""
+It decides nothing: `groups`, `handover` and `tenure` do.
+"""
 
 from __future__ import annotations
 
-import logging
 import socket
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING, Any
+from ipaddress import IPv4Address
+from typing import TYPE_CHECKING
 
-from ..net.link import at_most_once
 from ..net.service import Service
 from . import advert
 from .address import Announcer
-from .advertising import Advertising
+from .advertising import Advertising, Callbacks
 from .exchange import Exchange
 from .guard import HandoverGuard
 from .handover import Handover
-from .setup import keys_of, make_groups, make_handover, make_holder
+from .setup import Runtime, keys_of, make_groups, make_handover, make_holder
 from .tenure import Tenure
 
 if TYPE_CHECKING:
     from ..settings.installation import Installation
 
-__all__ = ["Station", "keys_of"]
+__all__ = ["Runtime", "Station", "keys_of"]
 
 LARGEST_ADVERT = 8 + 16 * advert.MOST_ADDRESSES
 LARGEST_DATAGRAM = 65_535
@@ -34,7 +34,6 @@
     """One dispatcher among its peers.
 
     Args:
-        monotonic: Gives ms that run on while the process stands still.
         boot: Tells this start from earlier ones.
 
     Raises:
@@ -45,38 +44,26 @@
         self,
         service: Service,
         plan: Installation,
-        reactor: Any,
-        monotonic: Callable[[], float],
         boot: int,
-        log: logging.Logger,
+        runtime: Runtime,
     ) -> None:
         assert plan.vrrp is not None
-        self.service, self.plan, self.reactor, self.monotonic = service, plan, reactor, monotonic
-        self.link, self.counters, self.log, self.vrrp = service.link, service.counters, log, plan.vrrp
-        now, site = monotonic(), service.configuration.site
+        self.service, self.plan, self.link, self.vrrp = service, plan, service.link, plan.vrrp
+        self.reactor, self.monotonic = runtime.reactor, runtime.monotonic
+        self.counters, self.log = runtime.counters, runtime.log
+        now, site = self.monotonic(), service.configuration.site
         self.began, self.fresh, self.barred, self.stopping = now, False, True, False
         self.shut_out: Callable[[], bool] = lambda: False  # by the fleet, where there is one
         self.groups = make_groups(self.vrrp)
         self.tenure = Tenure(site.dispatchers, site.cold_window, plan.tenure.lease, now)
         self.handover: Handover | None = make_handover(plan, boot, self.tenure, now)
-        self.holder = make_holder(self.vrrp, service, reactor, log)
-        self.exchange = Exchange(plan, self.handover, reactor, monotonic, self.counters)
-        self.guard = HandoverGuard(
-            service, self.exchange, self.tenure, plan.tenure.on, at_most_once(site), self.assumed_cold
-        )
+        self.holder = make_holder(self.vrrp, service, self.reactor, self.log)
+        self.exchange = Exchange(plan, self.handover, runtime)
+        self.guard = HandoverGuard(service, self.exchange, self.tenure, plan.tenure.on, self.assumed_cold)
         self.advertising = Advertising(
-            plan,
-            self.vrrp,
-            self.groups,
-            self.holder,
-            reactor,
-            monotonic,
-            self.counters,
-            log,
-            self.taken,
-            lambda: self.barred,
+            plan, self.groups, self.holder, runtime, Callbacks(self.taken, lambda: self.barred)
         )
-        self.ports: list[Any] = []
+        self.ports: list[object] = []
 
     @property
     def going(self) -> dict[object, Callable[[bool | None], None]]:
@@ -109,7 +96,7 @@
             self.reactor.listenUDP(port, adverts, interface=str(host), maxPacketSize=LARGEST_ADVERT + 1)
         )
         sock = getattr(adverts.transport, "socket", None)
-        if sock is not None and host.version == 4:
+        if sock is not None and isinstance(host, IPv4Address):
             sock.setsockopt(socket.IPPROTO_IP, socket.IP_TTL, advert.TTL)
         if self.plan.handover is not None:
             host, port = self.plan.handover.listen
@@ -173,8 +160,10 @@
         self.advertising.rearm()
 
     def may_lift(self, now: float) -> bool:
-        """Whether the addresses may be taken back: the list and the peers' marks are known, or waited for
-        long enough."""
+        """Whether the addresses may be taken back.
+
+        The list and the peers' marks are known by then, or waited for long enough.
+        """
         waited = now - self.began >= self.vrrp.bar
         return waited or (self.fresh and (self.handover is None or self.handover.complete(now)))
 
--- a/spurdeal/vrrp/tenure.py
+++ b/spurdeal/vrrp/tenure.py
@@ -8,7 +8,8 @@
 standing still, the greatest parts that the dispatchers could use in it come to one at most: `Tenure.part`
 over all of them.
 
-Times are ms of a monotonic clock that runs on while the process stands still."""
+Times are ms of a monotonic clock that runs on while the process stands still.
+"""
 
 from __future__ import annotations
 
@@ -55,6 +56,7 @@
         )
 
     def lent(self, now: float) -> bool:
+        """Whether our part is lent to anybody at that moment."""
         return any(until > now for until in self.lent_until.values())
 
     def used(self, now: float) -> None:
--- a/tests/stations.py
+++ b/tests/stations.py
@@ -4,14 +4,14 @@
 import json
 import unittest
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 from spurdeal.lab.names import Names, Seat
 from spurdeal.net.link import Answer
 from spurdeal.net.logs import logger
 from spurdeal.net.start import Service, read_configuration
 from spurdeal.settings.reading import read_text
-from spurdeal.vrrp.station import Station
+from spurdeal.vrrp.station import Runtime, Station
 from tests.helpers import BASE, Peer, Reactor, configuration
 
 PLAN = """
@@ -95,7 +95,8 @@
         )
         self.plan = read_text("plan", text.encode())
         self.service = Service(told, pair.ether, pair.unix, logger(name, self.log), lambda: None)
-        self.station = Station(self.service, self.plan, pair.ether, pair.mono, boot, self.service.log)
+        runtime = Runtime(cast(Any, pair.ether), pair.mono, self.service.counters, self.service.log)
+        self.station = Station(self.service, self.plan, boot, runtime)
         self.station.start()
         self.service.start()
 
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -16,12 +16,13 @@
 from urllib.request import urlopen
 
 from twisted.internet.error import CannotListenError, ProcessDone, ProcessTerminated
+from twisted.internet.protocol import ServerFactory
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
 from spurdeal.net.counters import Counters
 from spurdeal.net.logs import logger
-from spurdeal.vrrp.address import MOST_COMMANDS, Commands, Listener
+from spurdeal.vrrp.address import MOST_COMMANDS, Commands, CommandSettings, Listener, Served
 from tests.helpers import Caller, World, configuration
 
 ADDRESS = ip_address("127.0.7.1")
@@ -59,7 +60,10 @@
     def test_commands_run_one_after_the_other_as_plain_words_and_end_in_time(self) -> None:
         reactor, counters = Spawner(), Counters()
         commands = Commands(
-            reactor, ["/bin/take", "{address}; rm"], ["/bin/leave", "{address}"], 500.0, counters, SILENT
+            reactor,
+            CommandSettings(["/bin/take", "{address}; rm"], ["/bin/leave", "{address}"], 500.0),
+            counters,
+            SILENT,
         )
         commands.take(1, [ADDRESS])
         commands.leave(1, [ADDRESS])
@@ -76,7 +80,7 @@
 
     def test_a_port_in_use_is_tried_again_while_the_address_is_held(self) -> None:
         reactor, counters, drained = Spawner(), Counters(), list[str]()
-        listener = Listener(reactor, None, 7001, drained.append, counters, SILENT)
+        listener = Listener(reactor, Served(ServerFactory(), 7001, drained.append), counters, SILENT)
         reactor.busy = 2
         listener.take(1, [ADDRESS])
         reactor.pump([0.05, 0.05])
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -302,7 +302,9 @@
         pair = Pair(self)
         pair.go(3500)
         two, chance = pair.sides["n2"], random.Random(8)
-        good = advert.write(1, 200, 100, [ip_address("127.0.7.1")], *map(ip_address, HOSTS.values()))
+        good = advert.write(
+            advert.Advert(1, 200, 100, (ip_address("127.0.7.1"),)), *map(ip_address, HOSTS.values())
+        )
         handover = [text for source, target, text in pair.ether.carried if target == (HOSTS["n2"], 7113)]
         forged = Session("n1", "n2", 1, Keys({1: b"x" * 16}))
         station = two.station
@@ -352,7 +354,9 @@
     def test_strangers_and_unknown_groups_are_counted(self) -> None:
         pair = Pair(self)
         station = pair.sides["n2"].station
-        good = advert.write(9, 200, 100, [ip_address("127.0.7.1")], *map(ip_address, HOSTS.values()))
+        good = advert.write(
+            advert.Advert(9, 200, 100, (ip_address("127.0.7.1"),)), *map(ip_address, HOSTS.values())
+        )
         for sender in (HOSTS["n1"], "127.9.9.9"):
             station.advert_came(good, sender)
         station.handover_came(b"x", ("127.9.9.9", 7113))
--- a/tests/test_vrrp.py
+++ b/tests/test_vrrp.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 from spurdeal.vrrp import advert
-from spurdeal.vrrp.advert import Dropped
+from spurdeal.vrrp.advert import Advert, DroppedError
 from spurdeal.vrrp.groups import Groups, Tracked
-from spurdeal.vrrp.handover import Facts, Handover
+from spurdeal.vrrp.handover import Facts, Handover, HandoverSettings, Membership
 from spurdeal.vrrp.machine import NEVER, Act, Machine, State, Terms, active_down_interval, skew_time
 from spurdeal.vrrp.marks import Door, Marks
-from spurdeal.vrrp.sealed import Keys, Refused, Session
+from spurdeal.vrrp.sealed import Keys, RefusedError, Session
 from spurdeal.vrrp.tenure import Tenure
 
 ONE, TWO = ip_address("127.0.8.1"), ip_address("127.0.8.2")
@@ -27,25 +27,25 @@
 class Datagrams(unittest.TestCase):
     def test_as_the_rfc_lays_them_out(self) -> None:
         """Section 5.2, with the sum of its five words folded by hand."""
-        text = advert.write(7, 200, 1000, [ip_address("10.0.0.1")], ONE, TWO)
+        text = advert.write(Advert(7, 200, 1000, (ip_address("10.0.0.1"),)), ONE, TWO)
         total = 0x3107 + 0xC801 + 0x0064 + 0x0A00 + 0x0001
         folded = (total & 0xFFFF) + (total >> 16)
         self.assertEqual(text.hex(), f"3107c8010064{~folded & 0xFFFF:04x}0a000001")
         self.assertEqual(advert.read(text, ONE, TWO), (7, 200, 1000.0, (ip_address("10.0.0.1"),)))
 
     def test_both_readings_of_the_checksum_over_ipv4_and_the_one_over_ipv6(self) -> None:
-        text = bytearray(advert.write(7, 200, 1000, [ip_address("10.0.0.1")], ONE, TWO))
+        text = bytearray(advert.write(Advert(7, 200, 1000, (ip_address("10.0.0.1"),)), ONE, TWO))
         text[6:8] = b"\0\0"
         with_header = ~advert.ones_sum(advert.pseudo_header(ONE, TWO, len(text)) + text) & 0xFFFF
         text[6:8] = with_header.to_bytes(2, "big")
         self.assertEqual(advert.read(bytes(text), ONE, TWO)[0], 7)
-        six = advert.write(7, 200, 1000, [SIX, SEVEN], SIX, SEVEN)
+        six = advert.write(Advert(7, 200, 1000, (SIX, SEVEN)), SIX, SEVEN)
         self.assertEqual(advert.read(six, SIX, SEVEN)[3], (SIX, SEVEN))
-        with self.assertRaisesRegex(Dropped, "checksum"):
+        with self.assertRaisesRegex(DroppedError, "checksum"):
             advert.read(six, SIX, SIX)
 
     def test_each_receive_check_has_a_reason(self) -> None:
-        good = advert.write(7, 200, 1000, [ip_address("10.0.0.1")], ONE, TWO)
+        good = advert.write(Advert(7, 200, 1000, (ip_address("10.0.0.1"),)), ONE, TWO)
 
         def spoilt(at: int, value: int) -> bytes:
             text = bytearray(good)
@@ -63,14 +63,14 @@
             ("interval", good[:4] + b"\0\0" + good[6:], None),
             ("checksum", spoilt(2, 199), None),
         ):
-            with self.subTest(reason), self.assertRaises(Dropped) as caught:
+            with self.subTest(reason), self.assertRaises(DroppedError) as caught:
                 advert.read(text, ONE, TWO, ttl)
             self.assertEqual(caught.exception.reason, reason)
         self.assertEqual(advert.read(good, ONE, TWO, 255)[0], 7)
 
     def test_noise_is_dropped_and_nothing_else(self) -> None:
         chance = random.Random(5)
-        good = advert.write(7, 200, 1000, [ip_address("10.0.0.1")], ONE, TWO)
+        good = advert.write(Advert(7, 200, 1000, (ip_address("10.0.0.1"),)), ONE, TWO)
         taken = 0
         for _ in range(20_000):
             text = bytearray(good if chance.random() < 0.7 else chance.randbytes(chance.randrange(40)))
@@ -80,7 +80,7 @@
             try:
                 advert.read(bytes(text), ONE, TWO)
                 taken += 1
-            except Dropped:
+            except DroppedError:
                 pass
         # Flips that undo each other, or make up a one's complement sum, are all that can pass.
         self.assertLess(taken, 20_000 // 50)
@@ -230,7 +230,7 @@
         texts = [one.write(10 + number, {"n": number}) for number in range(5)]
         for text in (texts[3], texts[0], texts[4]):
             two.read(20, text)
-            with self.assertRaisesRegex(Refused, "replayed"):
+            with self.assertRaisesRegex(RefusedError, "replayed"):
                 two.read(21, text)
 
     def test_an_earlier_start_replayed_is_not_believed(self) -> None:
@@ -240,7 +240,7 @@
         again.read(40, two.greet(40, again.write(40, {})))
         two.read(41, again.write(41, {"new": 1}))
         for text in old:
-            with self.assertRaisesRegex(Refused, "unproven"):
+            with self.assertRaisesRegex(RefusedError, "unproven"):
                 two.read(42, text)
         self.assertEqual(two.read(43, again.write(43, {"new": 2}))[0], {"new": 2})
 
@@ -253,7 +253,7 @@
         two.read(51, one.write(51, {}))
         two.keys = Keys({2: new})
         two.read(52, one.write(52, {}))
-        with self.assertRaisesRegex(Refused, "key"):
+        with self.assertRaisesRegex(RefusedError, "key"):
             two.read(53, Session("one", "two", 9, KEYS).write(53, {}))
 
     def test_spoilt_forged_and_cut_ones_change_nothing(self) -> None:
@@ -264,10 +264,10 @@
             text = bytearray(good)
             text[chance.randrange(len(text))] ^= 1 << chance.randrange(8)
             for spoilt in (bytes(text), good[: chance.randrange(len(good))], chance.randbytes(60)):
-                with self.assertRaises(Refused):
+                with self.assertRaises(RefusedError):
                     two.read(61, spoilt)
         forged = Session("one", "two", 11, Keys({1: b"x" * 16}))
-        with self.assertRaisesRegex(Refused, "seal"):
+        with self.assertRaisesRegex(RefusedError, "seal"):
             two.read(62, forged.write(62, {}))
         self.assertEqual(before, (two.peer_boot, two.newest, two.behind, two.number))
         self.assertEqual(two.read(63, good)[0], {"n": 1})
@@ -279,7 +279,10 @@
     def make(self, name: str, peer: str, boot: int, now: float = 0.0, **more: object) -> Handover:
         told: dict[str, Any] = {"ahead": True, "ahead_wait": 50.0, "alone_after": None, "without": 10_000.0}
         marks = Marks(int(str(more.pop("most", 1000))), 60_000)
-        return Handover(name, [peer], boot, KEYS, Tenure(2, 1500, 1000, now), marks, now, **(told | more))
+        settings = HandoverSettings(**(told | more))
+        return Handover(
+            Membership(name, (peer,), boot, KEYS), settings, Tenure(2, 1500, 1000, now), marks, now
+        )
 
     def talk(self, one: Handover, two: Handover, now: float, times: int = 4) -> list[object]:
         """Each tells the other in turn; greetings as the station sends them. Verdicts of both."""
@@ -289,7 +292,7 @@
                 text = here.compose(now, other, self.FACTS, idle=False)
                 try:
                     verdicts += there.take(now, name, text)
-                except Refused as fault:
+                except RefusedError as fault:
                     self.assertEqual(fault.reason, "unproven")
                     here.take(now, other, there.sessions[name].greet(now, text))
         return verdicts
@@ -373,9 +376,9 @@
             {"clear": [[""]]},
             {"marks": [["x", 1]] * 65},
         ):
-            with self.subTest(body), self.assertRaisesRegex(Refused, "body"):
+            with self.subTest(body), self.assertRaisesRegex(RefusedError, "body"):
                 two.take(20, "one", one.sessions["two"].write(20, body))
         self.assertEqual((two.known["one"], two.marks.known), (known, {}))
         raw = struct.pack("!I", 7)
-        with self.assertRaises(Refused):
+        with self.assertRaises(RefusedError):
             two.take(21, "one", raw)
