--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -127,7 +127,7 @@
         """The external processor."""
         from ..extproc.bounds import Bounds
         from ..extproc.calls import Terms
-        from ..extproc.server import Server
+        from ..extproc.server import Runtime, Server, ServerSettings
 
         site, configured = self.service.configuration.site, self.service.configuration
         if site.drain_grace and part.use_within >= site.drain_grace:
@@ -161,15 +161,8 @@
         return Server(
             self.link,
             self.service.engines,
-            configured.workloads,
-            terms,
-            bounds,
-            longest,
-            site.most_come_back,
-            self.loop,
-            self.service.clock,
-            self.counters,
-            self.log,
+            ServerSettings(configured.workloads, terms, bounds, longest, site.most_come_back),
+            Runtime(self.loop, self.service.clock, self.counters, self.log),
         )
 
     def start(self) -> None:
--- a/spurdeal/extproc/answers.py
+++ b/spurdeal/extproc/answers.py
@@ -8,7 +8,7 @@
 from google.protobuf.message import DecodeError
 
 from . import processor_pb2 as pb
-from .calls import BadCall
+from .calls import BadCallError
 
 PHASES = (
     "request_headers",
@@ -22,18 +22,23 @@
 
 
 def read(data: bytes) -> tuple[str, Any]:
-    """The phase and its message; BadCall for bytes that are none. Unknown fields are passed over."""
+    """The phase and its message; unknown fields are passed over.
+
+    Raises:
+        BadCallError: The bytes are no message, or one of no phase that is known.
+    """
     try:
         request = pb.ProcessingRequest.FromString(data)
     except DecodeError:
-        raise BadCall(400, "a message cannot be read") from None
+        raise BadCallError(400, "a message cannot be read") from None
     for phase in PHASES:
         if request.HasField(phase):
             return phase, getattr(request, phase)
-    raise BadCall(400, "a message has no phase that is known")
+    raise BadCallError(400, "a message has no phase that is known")
 
 
-def pairs(message: Any) -> Iterable[tuple[str, str, bytes]]:
+def pairs(message: pb.HttpHeaders) -> Iterable[tuple[str, str, bytes]]:
+    """The headers of a message: name, text, and bytes where the caller sent those instead."""
     return ((header.key, header.value, header.raw_value) for header in message.headers.headers)
 
 
--- a/spurdeal/extproc/bounds.py
+++ b/spurdeal/extproc/bounds.py
@@ -34,6 +34,7 @@
         self.controls: deque[float] = deque()
 
     def too_many(self, now: float, times: deque[float], most: int) -> bool:
+        """Note that it happened once more; whether it has happened more than `most` times within SPAN."""
         times.append(now)
         while times and times[0] <= now - SPAN:
             times.popleft()
@@ -58,6 +59,7 @@
         self.refused: Counter[str] = Counter()
 
     def connect(self) -> bool:
+        """Another connection; False where it is refused."""
         if self.connections >= self.bounds.connections:
             self.refused["connections"] += 1
             return False
@@ -65,6 +67,7 @@
         return True
 
     def left(self, meter: Meter) -> None:
+        """A connection is over, and with it all that it had in hand."""
         self.connections -= 1
         self.calls -= meter.calls
         meter.calls = 0
@@ -79,5 +82,6 @@
         return True
 
     def ended(self, meter: Meter) -> None:
+        """A call is over."""
         meter.calls -= 1
         self.calls -= 1
--- a/spurdeal/extproc/calls.py
+++ b/spurdeal/extproc/calls.py
@@ -1,7 +1,7 @@
-"""What a caller's messages mean, free of I/O and clocks: a call read from headers, its times, and its
-outcome.
+"""What a caller's messages mean: a call read from headers, its times, and its outcome.
 
-Times are ms. Header names are lower case, as HTTP/2 has them."""
+Free of I/O and clocks. Times are ms. Header names are lower case, as HTTP/2 has them.
+"""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 MOST_HEADERS, LARGEST_HEADERS = 128, 16_384
 
 
-class BadCall(Exception):
+class BadCallError(Exception):
     """A call that cannot be used; it is answered with this status, and nothing of it is sent."""
 
     def __init__(self, status: int, why: str) -> None:
@@ -51,14 +51,21 @@
 
 
 def header_map(pairs: Iterable[tuple[str, str, bytes]]) -> dict[bytes, bytes]:
-    """By lower-case name; the last of a repeated one counts, as for a proxy that overwrites."""
+    """Headers by lower-case name, as text.
+
+    A pseudo-header that comes again overwrites; others are joined by commas, so that two different numbers
+    are no number.
+
+    Raises:
+        BadCallError: They are more than MOST_HEADERS, or longer than LARGEST_HEADERS bytes.
+    """
     found: dict[bytes, bytes] = {}
     size = 0
     for count, (key, value, raw) in enumerate(pairs, 1):
         text = raw or value.encode()
         size += len(key) + len(text)
         if count > MOST_HEADERS or size > LARGEST_HEADERS:
-            raise BadCall(431, "the headers are too many or too long")
+            raise BadCallError(431, "the headers are too many or too long")
         name = key.lower().encode()
         if name in found and found[name] != text and not name.startswith(b":"):
             text = b", ".join((found[name], text))  # one number twice is then no number
@@ -67,29 +74,41 @@
 
 
 def number(headers: Mapping[bytes, bytes], name: bytes, default: float | None = None) -> float:
+    """The number in a header.
+
+    Raises:
+        BadCallError: It is missing, and has no default, or it is no number.
+    """
     text = headers.get(name)
     if text is None and default is not None:
         return default
     if text is None or not NUMBER.fullmatch(text):
-        raise BadCall(400, f"{name.decode()} is missing or no number")
+        raise BadCallError(400, f"{name.decode()} is missing or no number")
     return float(text)
 
 
 def read_ask(headers: Mapping[bytes, bytes], terms: Terms, longest: float) -> Ask:
-    """The call that request headers bring; BadCall where they cannot be used.
+    """The call that request headers bring.
 
-    longest bounds what a client may say that it waits. A group of tables comes by a header, as there is no
-    body.
+    A group of tables comes by a header, as there is no body.
+
+    Args:
+        headers: As `header_map` gives them.
+        terms: Names of headers.
+        longest: Most that a client may say that it waits, in ms.
+
+    Raises:
+        BadCallError: They cannot be used.
     """
     path = headers.get(b":path", b"")
     if headers.get(b":method", b"") != b"POST" or not path.startswith(b"/"):
-        raise BadCall(405, "calls are POSTs to a path")
+        raise BadCallError(405, "calls are POSTs to a path")
     ident = headers.get(terms.id_header, b"")
     if not IDENT.fullmatch(ident):
-        raise BadCall(400, f"{terms.id_header.decode()} is missing or no id")
+        raise BadCallError(400, f"{terms.id_header.decode()} is missing or no id")
     wait = number(headers, b"req-wait-ms")
     if wait <= 0:
-        raise BadCall(400, "req-wait-ms cannot be used")
+        raise BadCallError(400, "req-wait-ms cannot be used")
     return Ask(
         ident,
         path.partition(b"?")[0].rpartition(b"/")[2],
@@ -121,8 +140,14 @@
 
 
 def times(terms: Terms, wait: float, told: float | None) -> Times:
-    """The stream's own timeout (told) bounds all; within it the caller's message timeout, or what it grants
-    more."""
+    """When an answer must have left.
+
+    Args:
+        terms: How long the caller waits for a message.
+        wait: How long the client waits.
+        told: The stream's own timeout, which bounds all; None where it has none. Within it the caller's
+            message timeout holds, or what it grants more.
+    """
     bound = wait if told is None else min(wait, told)
     plain = min(bound, terms.message_timeout)
     most = min(bound, terms.most_timeout)
--- a/spurdeal/extproc/connection.py
+++ b/spurdeal/extproc/connection.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING, Any
 
-import h2.events as events
+from h2 import events
 from h2.config import H2Configuration
 from h2.connection import H2Connection
 from h2.errors import ErrorCodes
@@ -122,7 +122,7 @@
 
     # HTTP/2.
 
-    def happened(self, event: Any) -> None:
+    def happened(self, event: events.Event) -> None:
         """One event of HTTP/2; those that need nothing of us are passed over."""
         call = self.calls.get(getattr(event, "stream_id", 0) or 0)
         match event:
@@ -173,7 +173,7 @@
             if each.unsent:
                 self.flush(each)
 
-    def request(self, stream: int, headers: Any) -> None:
+    def request(self, stream: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
         """A new stream: a call, or an answer of headers alone that says why not."""
         self.highest = max(self.highest, stream)
         told: Mapping[bytes, bytes] = dict(headers)
@@ -215,8 +215,10 @@
         self.push()
 
     def finish(self, call: Call) -> None:
-        """The last message and the end of the stream in one write, where the caller's window lets it
-        through."""
+        """The last message and the end of the stream in one write.
+
+        Where the caller's window does not let it through, the message waits for that.
+        """
         try:
             if not call.ended and len(call.unsent) <= self.h2.local_flow_control_window(call.stream):
                 self.h2.send_data(call.stream, call.unsent)
--- a/spurdeal/extproc/framing.py
+++ b/spurdeal/extproc/framing.py
@@ -20,7 +20,7 @@
     UNIMPLEMENTED = 12
 
 
-class BadFrame(Exception):
+class BadFrameError(Exception):
     """Bytes that cannot be taken as a message; the call ends with this status."""
 
     def __init__(self, status: Status, why: str) -> None:
@@ -53,15 +53,15 @@
         """The next whole message; None until more bytes have come.
 
         Raises:
-            BadFrame: It is compressed, or longer than `most`.
+            BadFrameError: It is compressed, or longer than `most`.
         """
         if len(self.unread) < PREFIX.size:
             return None
         packed, size = PREFIX.unpack_from(self.unread)
         if packed:
-            raise BadFrame(Status.UNIMPLEMENTED, "messages are not compressed here")
+            raise BadFrameError(Status.UNIMPLEMENTED, "messages are not compressed here")
         if size > self.most:
-            raise BadFrame(Status.RESOURCE_EXHAUSTED, "a message is too large")
+            raise BadFrameError(Status.RESOURCE_EXHAUSTED, "a message is too large")
         end = PREFIX.size + size
         if len(self.unread) < end:
             return None
--- a/spurdeal/extproc/granter.py
+++ b/spurdeal/extproc/granter.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred
 
@@ -73,13 +73,14 @@
         call.say(seat.host, seat.port, told.wait, told.rank)
         return True
 
-    def weigh(self, trip: Any, rank: int) -> None:
+    def weigh(self, trip: Lease, rank: int) -> None:
         """A caller is told a rank once, with its grant."""
 
-    def give_up(self, trip: Any, ending: Ending) -> None:
+    def give_up(self, trip: Lease, ending: Ending) -> None:
         """The link waits no more for that trip's outcome."""
         seen = Seen.SILENT if ending == Ending.TIME_OUT else Seen.CALLED_OFF
-        trip.call.forget()
+        if trip.call is not None:
+            trip.call.forget()
         self.end(trip.number, self.grants.happens(trip.number, seen))
 
     def end(self, number: int, ending: Ending | None) -> None:
--- a/spurdeal/extproc/grants.py
+++ b/spurdeal/extproc/grants.py
@@ -1,7 +1,8 @@
 """Grants as leases, free of I/O and clocks: what is known of a trip that somebody else carries.
 
 A grant is HELD from the call on, SAID once its answer has left for the caller, and over with exactly one
-ending. What each end proves stands in `ENDS`, and in docs/extproc.md as a table. Times are ms."""
+ending. What each end proves stands in `ENDS`, and in docs/extproc.md as a table. Times are ms.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +13,8 @@
 
 
 class Stage(Enum):
+    """How far a grant has come."""
+
     HELD = "held"
     SAID = "said"
     OVER = "over"
@@ -60,6 +63,7 @@
         self.late = self.crossed = 0
 
     def room(self) -> bool:
+        """Whether another grant can be held."""
         return len(self.open) < self.most
 
     def hold(self, number: int, ident: bytes) -> None:
--- a/spurdeal/extproc/server.py
+++ b/spurdeal/extproc/server.py
@@ -4,10 +4,11 @@
 
 import logging
 from collections.abc import Callable, Mapping
-from typing import Any
+from dataclasses import dataclass
 
 from twisted.internet.protocol import ServerFactory
 
+from ..eventloop import Scheduler
 from ..net.counters import Counters
 from ..net.engines import Engines
 from ..net.link import SocketLink
@@ -17,11 +18,40 @@
 from .granter import Granter
 from .stream import Call
 
-__all__ = ["METHOD", "Server"]
+__all__ = ["METHOD", "Runtime", "Server", "ServerSettings"]
 
 LOOK = 0.005  # seconds between two looks at what is held
 
 
+@dataclass(frozen=True)
+class ServerSettings:
+    """What callers may ask for, and within which bounds. Times in ms.
+
+    Attributes:
+        workloads: The number of each workload, by name.
+        terms: What the operator tells of the callers.
+        bounds: How much they may hold and send.
+        longest: Most that a client may say that it waits.
+        come_back: When a call that is refused may come back.
+    """
+
+    workloads: Mapping[bytes, int]
+    terms: Terms
+    bounds: Bounds
+    longest: float
+    come_back: float
+
+
+@dataclass(frozen=True)
+class Runtime:
+    """The parts of the process that the service uses. clock gives the link's ms."""
+
+    reactor: Scheduler
+    clock: Callable[[], float]
+    counters: Counters
+    log: logging.Logger
+
+
 class Server(ServerFactory):
     """All callers' connections, within their bounds."""
 
@@ -31,21 +61,15 @@
         self,
         link: SocketLink,
         engines: Engines,
-        workloads: Mapping[bytes, int],
-        terms: Terms,
-        bounds: Bounds,
-        longest: float,
-        come_back: float,
-        reactor: Any,
-        clock: Callable[[], float],
-        counters: Counters,
-        log: logging.Logger,
+        settings: ServerSettings,
+        runtime: Runtime,
     ) -> None:
-        self.link, self.workloads, self.terms, self.bounds = link, workloads, terms, bounds
-        self.longest, self.come_back = longest, come_back
-        self.reactor, self.clock, self.counters, self.log = reactor, clock, counters, log
-        self.granter = Granter(engines, clock, terms, bounds.calls, counters)
-        self.door = Door(bounds)
+        self.link, self.workloads, self.terms = link, settings.workloads, settings.terms
+        self.bounds, self.longest, self.come_back = settings.bounds, settings.longest, settings.come_back
+        self.reactor, self.clock = runtime.reactor, runtime.clock
+        self.counters, self.log = runtime.counters, runtime.log
+        self.granter = Granter(engines, self.clock, self.terms, self.bounds.calls, self.counters)
+        self.door = Door(self.bounds)
         self.connections: dict[Processor, None] = {}
         self.held: dict[Call, None] = {}
         self.numbers = 0
@@ -73,7 +97,7 @@
             self.looking = True
             self.reactor.callLater(LOOK, self.look)
 
-    def buildProtocol(self, addr: Any) -> Processor:
+    def buildProtocol(self, addr: object) -> Processor:
         """A caller's connection, for Twisted."""
         return Processor(self)
 
--- a/spurdeal/extproc/stream.py
+++ b/spurdeal/extproc/stream.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
 from ..net.link import Answer, BrokenOff, Granted, Shed
 from . import answers
-from .calls import Ask, BadCall, header_map, outcome, read_ask, times
-from .framing import BadFrame, MessageReader, Status, framed
+from . import processor_pb2 as pb
+from .calls import Ask, BadCallError, header_map, outcome, read_ask, times
+from .framing import BadFrameError, MessageReader, Status, framed
 from .grants import Seen
 
 if TYPE_CHECKING:
@@ -42,14 +44,14 @@
         try:
             while not self.over and (message := self.reader.take()) is not None:
                 self.message(message)
-        except BadFrame as fault:
+        except BadFrameError as fault:
             self.fail(fault.status, str(fault))
 
     def message(self, data: bytes) -> None:
         """One message; where it cannot be used, it is answered or the call ends."""
         try:
             self.phase(*answers.read(data))
-        except BadCall as fault:
+        except BadCallError as fault:
             self.server.counters.add("extproc_bad_calls")
             if self.asked:
                 self.fail(Status.INVALID_ARGUMENT, str(fault))
@@ -57,15 +59,15 @@
                 self.asked = True
                 self.immediate(fault.status, str(fault), 0.0)
 
-    def phase(self, phase: str, message: Any) -> None:
+    def phase(self, phase: str, message: pb.HttpHeaders) -> None:
         """A message of a phase.
 
         Raises:
-            BadCall: It cannot be used.
+            BadCallError: It cannot be used.
         """
         if phase == "request_headers":
             if self.asked:
-                raise BadCall(400, "request_headers come once")
+                raise BadCallError(400, "request_headers come once")
             self.begin(message)
             return
         if not self.asked:
@@ -83,17 +85,17 @@
         else:
             self.write(answers.GO_ON[phase])
 
-    def begin(self, message: Any) -> None:
+    def begin(self, message: pb.HttpHeaders) -> None:
         """The call itself; one that cannot be used is answered at once."""
         self.asked = True
         try:
             self.ask(message)
-        except BadCall as fault:
+        except BadCallError as fault:
             self.server.counters.add("extproc_bad_calls")
             self.immediate(fault.status, str(fault), 0.0)
 
-    def ask(self, message: Any) -> None:
-        """Read the call and take it, or refuse it. Raises BadCall for one that cannot be used."""
+    def ask(self, message: pb.HttpHeaders) -> None:
+        """Read the call and take it, or refuse it. Raises BadCallError for one that cannot be used."""
         server, terms = self.server, self.server.terms
         headers = header_map(answers.pairs(message))
         if self.patience is not None:
@@ -101,7 +103,7 @@
         ask = read_ask(headers, terms, server.longest)
         kind = server.workloads.get(ask.workload)
         if kind is None:
-            raise BadCall(404, "the workload is not known")
+            raise BadCallError(404, "the workload is not known")
         self.ident = ask.ident.lower()
         if server.stopping or not server.granter.grants.room():
             server.counters.add("extproc_refused")
@@ -109,7 +111,7 @@
             return
         open_now = server.granter.calls.get(self.ident)
         if open_now is not None and not open_now.said:  # a granted one is for the door to judge
-            raise BadCall(409, "a submission with this id is open")
+            raise BadCallError(409, "a submission with this id is open")
         server.granter.calls[self.ident] = self
         server.granter.grants.hold(self.number, self.ident)
         self.take(ask, kind)
@@ -118,7 +120,7 @@
         """Hand the submission to the link, and await what becomes of it.
 
         Raises:
-            BadCall: One with its id is open.
+            BadCallError: One with its id is open.
         """
         server, terms = self.server, self.server.terms
         answer = server.link.take(
@@ -126,7 +128,7 @@
         )
         if answer is None:
             self.let_go(Seen.CANCELLED)
-            raise BadCall(409, "a submission with this id is open")
+            raise BadCallError(409, "a submission with this id is open")
         self.answer = answer
         until = times(terms, ask.wait, ask.patience)
         now = server.clock()
@@ -178,7 +180,7 @@
         """Answer the client at once with this status. come_back: ms, told with 503."""
         self.over = True
         headers = [("content-type", b"application/json")]
-        if status == 503 and come_back > 0:
+        if status == HTTPStatus.SERVICE_UNAVAILABLE and come_back > 0:
             headers.append(("srv-wait-ms", b"%d" % round(come_back)))
         self.server.counters.add(f"extproc_answers_{status}")
         self.write(
@@ -208,7 +210,7 @@
 
     # Ends.
 
-    def outcome(self, message: Any) -> None:
+    def outcome(self, message: pb.HttpHeaders) -> None:
         """What the caller tells of a granted trip; one that comes late changes nothing."""
         if not self.said:
             if self.answer is not None and not self.over:
--- a/spurdeal/extproc/tls.py
+++ b/spurdeal/extproc/tls.py
@@ -2,22 +2,29 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from OpenSSL import SSL, crypto
 from twisted.internet import ssl
 
 
 class Context(ssl.ContextFactory):
-    """What listenSSL asks for each new connection. ValueError or OSError for files that cannot be used."""
+    """What listenSSL asks for each new connection.
+
+    Raises:
+        OSError: A file cannot be read.
+        ValueError: A file cannot be used.
+    """
 
     def __init__(self, certificate: str, key: str) -> None:
         self.certificate, self.key = certificate, key
-        self.current: Any = None
         self.load()
 
     def load(self) -> None:
-        """Reads both files again; one that cannot be used leaves the old pair in force."""
+        """Read both files again; one that cannot be used leaves the old pair in force.
+
+        Raises:
+            OSError: A file cannot be read.
+            ValueError: A file cannot be used.
+        """
         try:
             with open(self.certificate, "rb") as source:
                 text = source.read()
@@ -39,7 +46,8 @@
             context.check_privatekey()
         except (SSL.Error, crypto.Error) as fault:
             raise ValueError(f"certificate or key cannot be used: {fault}") from None
-        self.current = context
+        self.current: SSL.Context = context
 
-    def getContext(self) -> Any:
+    def getContext(self) -> SSL.Context:
+        """See ssl.ContextFactory."""
         return self.current
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -20,9 +20,9 @@
 from spurdeal.extproc import processor_pb2
 from spurdeal.extproc.answers import wait_longer
 from spurdeal.extproc.bounds import Bounds, Door, Meter
-from spurdeal.extproc.calls import BadCall, Terms, header_map, outcome, patience, read_ask, times
+from spurdeal.extproc.calls import BadCallError, Terms, header_map, outcome, patience, read_ask, times
 from spurdeal.extproc.grants import ENDS, Grants, Seen, Stage
-from spurdeal.extproc.server import METHOD, Server
+from spurdeal.extproc.server import METHOD, Runtime, Server, ServerSettings
 from spurdeal.interface import NEVER_RAN, Ending, Life
 from spurdeal.lab.proxy import Asked, request, response
 from spurdeal.net.link import at_most_once
@@ -61,9 +61,9 @@
             (b":path", b"ops"),
             (b"req-wait-ms", b"0"),
         ):
-            with self.subTest(name=name, value=value), self.assertRaises(BadCall):
+            with self.subTest(name=name, value=value), self.assertRaises(BadCallError):
                 read_ask(self.GOOD | {name: value}, Terms(), 1000.0)
-        with self.assertRaises(BadCall):
+        with self.assertRaises(BadCallError):
             header_map((f"h{number}", "x", b"") for number in range(500))
         self.assertEqual(header_map([("A", "", b"1"), ("a", "2", b"")]), {b"a": b"1, 2"})
 
@@ -239,15 +239,8 @@
         self.server = Server(
             service.link,
             service.engines,
-            service.configuration.workloads,
-            terms,
-            self.bounds,
-            20_000,
-            500.0,
-            self.world.reactor,
-            self.world.now,
-            service.counters,
-            service.log,
+            ServerSettings(service.configuration.workloads, terms, self.bounds, 20_000, 500.0),
+            Runtime(self.world.reactor, self.world.now, service.counters, service.log),
         )
 
     def ledger(self) -> None:
