--- a/spurdeal/benchlink/__main__.py
+++ b/spurdeal/benchlink/__main__.py
@@ -2,14 +2,19 @@
 
 import sys
 
-from .frames import BadInput
+from .frames import BadInputError
 from .host import Host
 
 
 def main() -> int:
+    """Serve until input ends.
+
+    Returns:
+        The exit code: 0 at the end of input, 1 where the bench has gone, 2 for input that cannot be used.
+    """
     try:
         Host().serve(sys.stdin.buffer, sys.stdout.buffer)
-    except BadInput as fault:
+    except BadInputError as fault:
         print(f"spurdeal: {fault}", file=sys.stderr)
         return 2
     except (BrokenPipeError, KeyboardInterrupt):
--- a/spurdeal/benchlink/host.py
+++ b/spurdeal/benchlink/host.py
@@ -3,12 +3,12 @@
 import json
 import struct
 from collections.abc import Callable
-from typing import Any, BinaryIO
+from typing import Any, BinaryIO, NamedTuple
 
 from ..deployment import deployment
 from ..interface import Ending, Life, Listed, Word
 from ..rules import Dispatcher
-from .frames import BadInput, Reader, read_frame, write_frame
+from .frames import BadInputError, Reader, read_frame, write_frame
 
 CODE = struct.Struct("<B")
 PROVISION = struct.Struct("<HQI")
@@ -27,10 +27,42 @@
 DELTA, FULL, CACHED, FAILED = range(4)
 MOST_LISTS = 16
 ESTIMATED = 1
+BILL_SHIFT, BILL_MASK, BILL_UNIT = 12, 4095, 4
 LONGEST_TEXT = 400
 LONGEST_SLEEP = 71 * 60_000.0
 
 
+class TripResult(NamedTuple):
+    """How a trip has ended, as a frame tells it.
+
+    Attributes:
+        trip: Its number within the submission.
+        engine: Our index of the engine.
+        ending: The value of an Ending.
+        took: How long it took, in ms.
+        final: Whether the submission is over with it.
+        bill: Work in the bits from BILL_SHIFT on, and below them memory in units of BILL_UNIT MB.
+        report: What the engine tells of itself.
+    """
+
+    trip: int
+    engine: int
+    ending: int
+    took: float
+    final: int
+    bill: int
+    report: tuple[float, ...]
+
+
+class Notice(NamedTuple):
+    """What an engine says of a trip: its number, our index of the engine, the value of a Word, a level."""
+
+    trip: int
+    engine: int
+    word: int
+    level: float
+
+
 class Instance:
     """One dispatcher of the bench: its rules, its indices, and the records of its reply."""
 
@@ -42,7 +74,7 @@
         try:
             self.site = deployment(json.loads(options))
         except ValueError as fault:
-            raise BadInput(f"settings of instance {who}: {fault}") from None
+            raise BadInputError(f"settings of instance {who}: {fault}") from None
         self.records: list[bytes] = []
         self.numbers: dict[int, int] = {}
         self.names: dict[int, int] = {}
@@ -53,21 +85,36 @@
         self.addresses: list[bytes] = []
 
     def start(self, now: float, seed: int) -> None:
+        """Make the rules, which decide from the seed alone."""
         self.rules = Dispatcher(self.site, seed, self, now)
 
     def turn(self, now: float) -> None:
+        """All events of a batch are told."""
         self.rules.turn(now)
 
     def woken(self, now: float, token: int) -> None:
+        """A timer of the rules is due."""
         self.rules.woken(now, token)
 
     def engine(self, address: bytes) -> int:
+        """Our index of the engine at that address.
+
+        Raises:
+            BadInputError: It was in no list.
+        """
         try:
             return self.engines[address]
         except KeyError:
-            raise BadInput(f"instance {self.who}: node {address.hex()} was in no list") from None
+            raise BadInputError(f"instance {self.who}: node {address.hex()} was in no list") from None
 
     def listed(self, now: float, scope: int, entries: list[tuple[Any, ...]]) -> None:
+        """An engine list has come, or could not be had.
+
+        Args:
+            now: In ms.
+            scope: DELTA, FULL, CACHED or FAILED.
+            entries: Fields of ENTRY.
+        """
         if scope == FAILED:
             self.rules.list_failed(now)
             return
@@ -80,27 +127,27 @@
         self.rules.listed(now, lines, scope != DELTA)
 
     def submitted(self, now: float, tid: int, fields: tuple[Any, ...]) -> None:
+        """A submission has come.
+
+        Args:
+            now: In ms.
+            tid: The bench's number of it.
+            fields: Of INBOUND, without the first two.
+
+        Raises:
+            BadInputError: That number came before and is open.
+        """
         kind, customer, key, expiry, cost, memory, group, bits = fields
         if tid in self.numbers:
-            raise BadInput(f"instance {self.who}: submission {tid} came twice")
+            raise BadInputError(f"instance {self.who}: submission {tid} came twice")
         number = self.taken
         self.taken += 1
         self.numbers[tid], self.names[number], self.trips_out[number] = number, tid, 0
         cost = cost if bits & ESTIMATED else 0.0
         self.rules.submitted(now, number, kind, customer, key, expiry, cost, memory, int(group))
 
-    def settled(
-        self,
-        now: float,
-        tid: int,
-        trip: int,
-        engine: int,
-        ending: int,
-        took: float,
-        final: int,
-        bill: int,
-        report: tuple[float, ...],
-    ) -> None:
+    def settled(self, now: float, tid: int, result: TripResult) -> None:
+        """A trip has ended; late ones, of submissions that are over, are passed over."""
         number = self.numbers.get(tid)
         if number is None:
             return
@@ -108,27 +155,31 @@
         self.rules.ended(
             now,
             number,
-            trip,
-            engine,
-            Ending(ending),
-            took,
-            bool(final),
-            float(bill >> 12),
-            float((bill & 4095) * 4),
-            report,
+            result.trip,
+            result.engine,
+            Ending(result.ending),
+            result.took,
+            bool(result.final),
+            float(result.bill >> BILL_SHIFT),
+            float((result.bill & BILL_MASK) * BILL_UNIT),
+            result.report,
         )
-        if final:
+        if result.final:
             self.over.add(number)
         self.forget(number)
 
     def withdrawn(self, now: float, number: int) -> None:
+        """The client has left."""
         self.rules.withdrawn(now, number)
         self.closed(number)
 
-    def noted(self, now: float, number: int, trip: int, engine: int, word: int, level: float) -> None:
+    def noted(self, now: float, number: int, notice: Notice) -> None:
+        """An engine has said something of a trip under way."""
+        trip, engine, word, level = notice
         self.rules.noted(now, number, trip, engine, Word(word), level)
 
     def closed(self, number: int) -> None:
+        """The submission is over."""
         self.over.add(number)
         self.forget(number)
 
@@ -141,34 +192,43 @@
     # What the rules ask for.
 
     def send(self, number: int, engine: int, time_limit: float) -> None:
+        """Send a submission to an engine; the limit is in ms, 0 for none."""
         self.trips_out[number] += 1
         address = self.addresses[engine]
         self.records.append(struct.pack("<BHQ6sd", 0, self.who, self.names[number], address, time_limit))
 
     def terms(self, number: int, memory: float, priority: int) -> None:
+        """Memory and priority with which the submission is sent next."""
         self.records.append(struct.pack("<BHQfB", 12, self.who, self.names[number], memory, priority))
 
     def shed(self, number: int, come_back: float) -> None:
+        """Refuse a submission; it may come back after so many ms."""
         self.records.append(struct.pack("<BHQd", 1, self.who, self.names[number], come_back))
         self.closed(number)
 
     def break_off(self, number: int) -> None:
+        """End a submission that may have run."""
         self.records.append(struct.pack("<BHQ", 2, self.who, self.names[number]))
         self.closed(number)
 
     def call_off(self, number: int, trip: int) -> None:
+        """Ask for the end of a trip."""
         self.records.append(struct.pack("<BHQB", 3, self.who, self.names[number], trip))
 
     def wake(self, delay: float, token: int) -> None:
+        """Ask to be woken after so many ms; LONGEST_SLEEP at most."""
         self.records.append(struct.pack("<BHdI", 4, self.who, min(delay, LONGEST_SLEEP), token))
 
     def watch(self) -> None:
+        """Ask for notices of trips under way."""
         self.records.append(struct.pack("<BHB", 10, self.who, 1))
 
     def log(self, line: str) -> None:
+        """A line of the rules."""
         self.records.append(self.text(8, line))
 
     def text(self, code: int, line: str) -> bytes:
+        """A record that holds a line, cut to LONGEST_TEXT bytes."""
         words = line.encode()[:LONGEST_TEXT]
         return struct.pack("<BHH", code, self.who, len(words)) + words
 
@@ -197,6 +257,11 @@
         }
 
     def serve(self, source: BinaryIO, sink: BinaryIO) -> None:
+        """Answer batches until input ends.
+
+        Raises:
+            BadInputError: A frame or record cannot be used; the text says which.
+        """
         batch = 0
         while (frame := read_frame(source)) is not None:
             batch += 1
@@ -206,43 +271,50 @@
                 try:
                     (code,) = reader.take(CODE)
                     if code not in self.readers:
-                        raise BadInput(f"code {code} is not known")
+                        raise BadInputError(f"code {code} is not known")
                     self.readers[code](now, reader)
-                except BadInput as fault:
-                    raise BadInput(f"batch {batch}, record {place + 1}: {fault}") from None
+                except BadInputError as fault:
+                    raise BadInputError(f"batch {batch}, record {place + 1}: {fault}") from None
             if reader.at < len(reader.body):
                 left = len(reader.body) - reader.at
-                raise BadInput(f"batch {batch}: {left} bytes left after the last record")
+                raise BadInputError(f"batch {batch}: {left} bytes left after the last record")
             for instance in self.touched.values():
                 self.guarded(instance, instance.turn, now)
                 self.replies += instance.records
                 instance.records = []
             write_frame(sink, self.replies)
 
-    def guarded(self, instance: Instance, call: Callable[..., None], *words: Any) -> None:
+    def guarded(self, instance: Instance, call: Callable[..., None], *arguments: object) -> None:
         """A fault of the rules is reported for its instance, which then decides nothing more."""
         if instance.broken:
             return
         try:
-            call(*words)
-        except BadInput:
+            call(*arguments)
+        except BadInputError:
             raise
         except Exception as fault:
             instance.broken = True
             instance.records.append(instance.text(9, f"{type(fault).__name__}: {fault}"))
 
     def instance(self, who: int) -> Instance:
+        """The instance of that number, which is given a turn at the batch's end.
+
+        Raises:
+            BadInputError: There is none.
+        """
         if who not in self.instances:
-            raise BadInput(f"instance {who} is not known")
+            raise BadInputError(f"instance {who} is not known")
         return self.touched.setdefault(who, self.instances[who])
 
     def provision(self, now: float, reader: Reader) -> None:
+        """A new instance, also in place of one of that number."""
         who, seed, size = reader.take(PROVISION)
         self.retired(who)
         instance = self.instances[who] = self.touched[who] = Instance(who, reader.take_bytes(size))
         self.guarded(instance, instance.start, now, seed)
 
     def retire(self, now: float, reader: Reader) -> None:
+        """An instance ends."""
         (who,) = reader.take(RETIRE)
         self.instance(who)
         self.retired(who)
@@ -253,72 +325,84 @@
         self.touched.pop(who, None)
 
     def page(self, now: float, reader: Reader) -> None:
+        """A list that `membership` refers to by its number."""
         number, count = reader.take(PAGE)
         if number >= MOST_LISTS:
-            raise BadInput(f"list number {number} is out of range")
+            raise BadInputError(f"list number {number} is out of range")
         entries = [reader.take(ENTRY) for _ in range(count)]
         for entry in entries:
             if entry[4] > max(Life):
-                raise BadInput(f"node state {entry[4]} is out of range")
+                raise BadInputError(f"node state {entry[4]} is out of range")
         self.lists[number] = entries
 
     def membership(self, now: float, reader: Reader) -> None:
+        """An instance is given a list, or told that it failed."""
         who, scope, _, number = reader.take(MEMBERSHIP)
         instance = self.instance(who)
         if scope > FAILED:
-            raise BadInput(f"list scope {scope} is out of range")
+            raise BadInputError(f"list scope {scope} is out of range")
         if scope != FAILED and number not in self.lists:
-            raise BadInput(f"list {number} was never sent")
+            raise BadInputError(f"list {number} was never sent")
         self.guarded(instance, instance.listed, now, scope, [] if scope == FAILED else self.lists[number])
 
     def inbound(self, now: float, reader: Reader) -> None:
+        """A submission for an instance."""
         who, tid, *fields = reader.take(INBOUND)
         instance = self.instance(who)
         if fields[0] >= len(instance.site.workloads):
-            raise BadInput(f"class {fields[0]} is out of range")
+            raise BadInputError(f"class {fields[0]} is out of range")
         self.guarded(instance, instance.submitted, now, tid, tuple(fields))
 
     def head(self, now: float, reader: Reader) -> None:
+        """The first byte of an answer: it is read and not used."""
         who, _, _, address, _ = reader.take(HEAD)
         instance = self.instance(who)
         instance.engine(address)
 
     def settled(self, now: float, reader: Reader) -> None:
+        """A trip has ended."""
         who, tid, trip, address, ending, took, final, bill, count = reader.take(SETTLED)
         report = reader.take(struct.Struct(f"<{count}f"))
         instance = self.instance(who)
         engine = instance.engine(address)
         if ending > max(Ending):
-            raise BadInput(f"ending {ending} is out of range")
-        self.guarded(instance, instance.settled, now, tid, trip, engine, ending, took, final, bill, report)
+            raise BadInputError(f"ending {ending} is out of range")
+        result = TripResult(trip, engine, ending, took, final, bill, report)
+        self.guarded(instance, instance.settled, now, tid, result)
 
     def aborted(self, now: float, reader: Reader) -> None:
+        """A client has left."""
         who, tid = reader.take(ABORTED)
         instance = self.instance(who)
         if tid in instance.numbers:
             self.guarded(instance, instance.withdrawn, now, instance.numbers[tid])
 
     def wakeup(self, now: float, reader: Reader) -> None:
+        """A timer of an instance is due."""
         who, token = reader.take(WAKEUP)
         instance = self.instance(who)
         self.guarded(instance, instance.woken, now, token)
 
     def checked(self, now: float, reader: Reader) -> None:
+        """The result of a check of an engine: it is read and not used."""
         who, address, ending, _, count = reader.take(CHECKED)
         reader.take(struct.Struct(f"<{count}f"))
         instance = self.instance(who)
         if ending > max(Ending):
-            raise BadInput(f"ending {ending} is out of range")
+            raise BadInputError(f"ending {ending} is out of range")
         instance.engine(address)
 
     def peer(self, now: float, reader: Reader) -> None:
+        """A message of another dispatcher: it is read and not used."""
         who, _, size = reader.take(PEER)
         reader.take_bytes(size)
         self.instance(who)
 
     def update(self, now: float, reader: Reader) -> None:
+        """What an engine says of a trip under way; unknown words are passed over."""
         who, tid, word, address, trip, level = reader.take(UPDATE)
         instance = self.instance(who)
         engine = instance.engine(address)
         if tid in instance.numbers and 1 <= word <= max(Word):
-            self.guarded(instance, instance.noted, now, instance.numbers[tid], trip, engine, word, level)
+            notice = Notice(trip, engine, word, level)
+            self.guarded(instance, instance.noted, now, instance.numbers[tid], notice)
