--- a/spurdeal/early.py
+++ b/spurdeal/early.py
@@ -14,6 +14,7 @@
         self.act: Callable[[int], object] = self.kept.append
 
     def catch(self) -> None:
+        """Take the three signals from here on; to be called again once another handler was set."""
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda number, _: self.act(number))
 
--- a/spurdeal/histogram.py
+++ b/spurdeal/histogram.py
@@ -15,10 +15,12 @@
         self.total = 0.0
 
     def add(self, value: float, weight: float = 1.0) -> None:
+        """Count a value with a weight."""
         self._counts[bisect_right(self._edges, value)] += weight
         self.total += weight
 
     def halve(self) -> None:
+        """Halve all counts, so that newer values weigh more."""
         self._counts = [count / 2 for count in self._counts]
         self.total /= 2
 
--- a/spurdeal/steady.py
+++ b/spurdeal/steady.py
@@ -7,11 +7,11 @@
 
 
 class Steady:
-    """Unix ms that never jump: anchored at the start, carried on by the monotonic clock, drawn to the Unix
-    one.
+    """Unix ms that never jump.
 
-    A step of the system's clock would end each open submission at once, or none for an hour. What others tell
-    in Unix ms (an engine's start) is then off by the rest of the step for a while, which `behind` tells.
+    They are anchored at the start, carried on by the monotonic clock, and drawn to the Unix one. A step of
+    the system's clock would end each open submission at once, or none for an hour. What others tell in Unix
+    ms (an engine's start) is then off by the rest of the step for a while, which `behind` tells.
     """
 
     def __init__(self, unix: Callable[[], float], monotonic: Callable[[], float]) -> None:
