--- a/spurdeal/eventloop.py
+++ b/spurdeal/eventloop.py
@@ -21,7 +21,7 @@
 class Scheduler(Protocol):
     """An event loop that runs calls later."""
 
-    def callLater(self, seconds: float, call: Callable[..., Any], /, *arguments: Any) -> Timer:  # noqa: ANN401
+    def callLater(self, seconds: float, call: Callable[..., Any], /, *arguments: object) -> Timer:
         """Schedule a call."""
 
 
