--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -92,7 +92,8 @@
         refuse(f"{file}: no group {number}")
     for peer in found.peers[:1] if as_hex else found.peers:
         source, target = found.vrrp.listen[0], peer.adverts[0]
-        text = adverts.write(number, group.priority, group.interval, group.addresses, source, target).hex()
+        told = adverts.Advert(number, group.priority, group.interval, tuple(group.addresses))
+        text = adverts.write(told, source, target).hex()
         click.echo(text if as_hex else f"{source} to {target}: {text}")
 
 
@@ -165,11 +166,11 @@
     """Reads audit logs; one that cannot be read is told, and ends the process."""
     from pathlib import Path
 
-    from ..fleet.asking import Unreadable, read_log
+    from ..fleet.asking import UnreadableLogError, read_log
 
     try:
         return [read_log(Path(folder), strict) for folder in folders]
-    except (Unreadable, OSError) as fault:
+    except (UnreadableLogError, OSError) as fault:
         refuse(fault)
 
 
--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -79,9 +79,14 @@
         self.server: Server | None = None
         self.context: Context | None = None
         if plan.vrrp is not None:
-            from ..vrrp.station import Station
+            from ..vrrp.station import Runtime, Station
 
-            self.station = Station(service, plan, loop, monotonic_ms, secrets.randbits(63) | 1, self.log)
+            self.station = Station(
+                service,
+                plan,
+                secrets.randbits(63) | 1,
+                Runtime(loop, monotonic_ms, service.counters, self.log),
+            )
         if plan.ledger is not None:
             self.ledger = self.open_ledger(plan.ledger)
         if plan.fleet is not None:
@@ -91,7 +96,7 @@
 
     def make_fleet(self) -> FleetStation:
         """The part that takes part in the fleet."""
-        from ..fleet.station import FleetStation
+        from ..fleet.station import Clocks, FleetStation, StationSettings
 
         assert self.plan.fleet is not None
         keys = read_keys(self.path, "fleet", self.plan.fleet)
@@ -100,13 +105,9 @@
             configuration = Path(self.configuration).read_bytes()
             return FleetStation(
                 self.service,
-                self.plan,
-                keys,
-                configuration,
+                StationSettings(self.plan, keys, configuration),
                 self.loop,
-                monotonic_ms,
-                self.service.clock,
-                self.unix,
+                Clocks(monotonic_ms, self.service.clock, self.unix),
                 self.log,
             )
         except OSError as fault:
@@ -115,10 +116,10 @@
 
     def open_ledger(self, part: LedgerPart) -> Ledger:
         """The durable record, recovered from its disk."""
-        from ..store.ledger import Ledger
+        from ..store.ledger import Ledger, LedgerSettings
 
         try:
-            return Ledger(Path(part.path), start.unix_ms, part.flush, part.ids, part.bytes)
+            return Ledger(Path(part.path), start.unix_ms, LedgerSettings(part.flush, part.ids, part.bytes))
         except OSError as fault:
             raise SettingsError(f"{self.path}: ledger.path: {fault.strerror}: {part.path}") from None
 
@@ -126,7 +127,7 @@
         """The external processor."""
         from ..extproc.bounds import Bounds
         from ..extproc.calls import Terms
-        from ..extproc.server import Server
+        from ..extproc.server import Runtime, Server, ServerSettings
 
         site, configured = self.service.configuration.site, self.service.configuration
         if site.drain_grace and part.use_within >= site.drain_grace:
@@ -160,15 +161,8 @@
         return Server(
             self.link,
             self.service.engines,
-            configured.workloads,
-            terms,
-            bounds,
-            longest,
-            site.most_come_back,
-            self.loop,
-            self.service.clock,
-            self.counters,
-            self.log,
+            ServerSettings(configured.workloads, terms, bounds, longest, site.most_come_back),
+            Runtime(self.loop, self.service.clock, self.counters, self.log),
         )
 
     def start(self) -> None:
@@ -187,17 +181,13 @@
     def guard_with_ledger(self, ledger: Ledger, part: LedgerPart) -> None:
         """What must not run twice is on the disk before it is sent."""
         from ..net.link import at_most_once
-        from ..store.guard import LedgerGuard
+        from ..store.guard import GuardRuntime, GuardSettings, LedgerGuard
 
         site = self.service.configuration.site
         self.link.guard = LedgerGuard(
             ledger,
-            at_most_once(site),
-            part.keep,
-            site.most_come_back,
-            self.loop,
-            self.counters,
-            self.log,
+            GuardSettings(at_most_once(site), part.keep, site.most_come_back),
+            GuardRuntime(self.loop, self.counters, self.log),
             self.link.guard,
         )
         if self.station is not None:
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -4,6 +4,7 @@
 import struct
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -19,14 +20,14 @@
 from spurdeal.extproc import processor_pb2
 from spurdeal.extproc.answers import wait_longer
 from spurdeal.extproc.bounds import Bounds, Door, Meter
-from spurdeal.extproc.calls import BadCall, Terms, header_map, outcome, patience, read_ask, times
+from spurdeal.extproc.calls import BadCallError, Terms, header_map, outcome, patience, read_ask, times
 from spurdeal.extproc.grants import ENDS, Grants, Seen, Stage
-from spurdeal.extproc.server import METHOD, Server
+from spurdeal.extproc.server import METHOD, Runtime, Server, ServerSettings
 from spurdeal.interface import NEVER_RAN, Ending, Life
 from spurdeal.lab.proxy import Asked, request, response
 from spurdeal.net.link import at_most_once
-from spurdeal.store.guard import LedgerGuard
-from spurdeal.store.ledger import Ledger
+from spurdeal.store.guard import GuardRuntime, GuardSettings, LedgerGuard
+from spurdeal.store.ledger import Ledger, LedgerSettings
 from tests.helpers import Caller, Pipe, World
 
 HEAD = [
@@ -60,9 +61,9 @@
             (b":path", b"ops"),
             (b"req-wait-ms", b"0"),
         ):
-            with self.subTest(name=name, value=value), self.assertRaises(BadCall):
+            with self.subTest(name=name, value=value), self.assertRaises(BadCallError):
                 read_ask(self.GOOD | {name: value}, Terms(), 1000.0)
-        with self.assertRaises(BadCall):
+        with self.assertRaises(BadCallError):
             header_map((f"h{number}", "x", b"") for number in range(500))
         self.assertEqual(header_map([("A", "", b"1"), ("a", "2", b"")]), {b"a": b"1, 2"})
 
@@ -238,29 +239,18 @@
         self.server = Server(
             service.link,
             service.engines,
-            service.configuration.workloads,
-            terms,
-            self.bounds,
-            20_000,
-            500.0,
-            self.world.reactor,
-            self.world.now,
-            service.counters,
-            service.log,
+            ServerSettings(service.configuration.workloads, terms, self.bounds, 20_000, 500.0),
+            Runtime(self.world.reactor, self.world.now, service.counters, service.log),
         )
 
     def ledger(self) -> None:
         service = self.world.service
-        made = Ledger(self.path, self.world.now, "never")
+        made = Ledger(self.path, self.world.now, LedgerSettings("never"))
         self.addCleanup(made.close)
         service.link.guard = LedgerGuard(
             made,
-            at_most_once(service.configuration.site),
-            60_000,
-            500.0,
-            self.world.reactor,
-            service.counters,
-            service.log,
+            GuardSettings(at_most_once(service.configuration.site), 60_000, 500.0),
+            GuardRuntime(self.world.reactor, service.counters, service.log),
         )
 
     def engines(self) -> Any:
@@ -377,7 +367,7 @@
 
     def test_a_full_disk_sheds_what_at_most_once_and_reads_go_on(self) -> None:
         guard: Any = self.world.service.link.guard
-        guard.ledger.most_bytes = guard.ledger.bytes + 3
+        guard.ledger.settings = replace(guard.ledger.settings, max_bytes=guard.ledger.bytes + 3)
         proxy = Proxy(self)
         stream, read = proxy.ask(1, "load"), proxy.ask(2, "lookup")
         self.world.go(100)
