Tests and lab proofs with sockets use a loopback network of their own run

Two runs on one machine had the same fixed addresses (127.0.29.1:7001, 127.0.101.2:7001, 127.0.61.x, 127.0.63.x, 127.0.8.1:7099) and met: "Address already in use", or answers of the other run's processes.

spurdeal/lab/loopback.py has the one rule, which tests/processes.py and lab/capacity/dispatcher.py each had for themselves: the second octet comes from the id of the process that owns the run. Processes that it starts are told their addresses; the engines of the external processor's proof get the network as an argument. The rig, the takeover proof, that proof, and the tests with real sockets or processes use it. What the tests check is unchanged.

The two children of test_holding that a SIGHUP ended were of this kind: the test waits until its hosts answer, but the other run's dispatchers answered, so the signal reached the children before their first line.

--- a/spurdeal/lab/asking.py
+++ b/spurdeal/lab/asking.py
@@ -17,19 +17,21 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 from urllib.request import urlopen
 
 from .engines import Fleet
+from .loopback import Network
 from .names import Names, Seat
 from .platform_settings import Platform
 from .processes import Outages, cpu_seconds, run_module, start_dispatcher
 from .proxy import Asked, Proxy
 from .spread import spread
 
-NET = 28
-HOST, PORT, ASK, NAMES = f"127.0.{NET}.1", 7001, 7443, (f"127.0.{NET}.9", 5300)
+PORT, ASK, NAMES_PORT = 7001, 7443, 5300
+DISPATCHER_SUBNET, ENGINES_SUBNET = 28, 29
 ENGINES, CORES, WAIT, COST, HEAVY = 4, 8, 2500.0, 6.0, 0.3
 MESSAGE_TIMEOUT, MOST_TIMEOUT = 200.0, 1000.0
 RETRIES, PAUSE, RATE = 4, 0.05, 250.0
@@ -38,45 +40,68 @@
 SIZES = {"tiny": (100, 700, 1), "quick": (800, 2400, 2), "full": (3000, 9000, 2)}  # clean, chaotic, kills
 
 
-def settings(folder: Path, ledger: bool) -> str:
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """Where the dispatcher and its sides are, in the network of the process that runs the proof."""
+
+    network: Network
+
+    @property
+    def dispatcher(self) -> str:
+        """The host of both of its fronts."""
+        return self.network.host(DISPATCHER_SUBNET, 1)
+
+    @property
+    def names(self) -> str:
+        """The host of the name service."""
+        return self.network.host(DISPATCHER_SUBNET, 9)
+
+    def seats(self) -> list[Seat]:
+        """The engines, all warm."""
+        hosts = [self.network.host(ENGINES_SUBNET, number + 1) for number in range(ENGINES)]
+        return [Seat(f"s-{number}", host, PORT) for number, host in enumerate(hosts)]
+
+
+def settings(addresses: Addresses, folder: Path, ledger: bool) -> str:
     """The operator's file."""
     kept = f"ledger: {{path: {folder}/ledger, flush: turn, keep: 60s}}" if ledger else ""
     return f"""
 name: n1
 {kept}
 extproc:
-  listen: {HOST}:{ASK}
+  listen: {addresses.dispatcher}:{ASK}
   message_timeout: {MESSAGE_TIMEOUT:.0f}ms
   most_timeout: {MOST_TIMEOUT:.0f}ms
 """
 
 
-def configuration(known: dict[str, Any]) -> dict[str, Any]:
+def configuration(addresses: Addresses, known: dict[str, Any]) -> dict[str, Any]:
     """What the platform tells the dispatcher."""
     platform = Platform(1, WAIT, CORES, 250, 8000, 0.3, 2, 1500, sockets=4096, extra={"priorities": True})
-    return platform.configuration("n1", f"{HOST}:{PORT}", "8c1f", f"{NAMES[0]}:{NAMES[1]}", known)
+    listen, nameserver = f"{addresses.dispatcher}:{PORT}", f"{addresses.names}:{NAMES_PORT}"
+    return platform.configuration("n1", listen, "8c1f", nameserver, known)
 
 
 class Dispatcher:
     """The real process, its CPU and its counters."""
 
-    def __init__(self, folder: Path, known: dict[str, Any]) -> None:
-        self.folder = folder
-        (folder / "n1.json").write_text(json.dumps(configuration(known)))
+    def __init__(self, addresses: Addresses, folder: Path, known: dict[str, Any]) -> None:
+        self.addresses, self.folder = addresses, folder
+        (folder / "n1.json").write_text(json.dumps(configuration(addresses, known)))
         self.child: subprocess.Popen[bytes] | None = None
         self.outages = Outages()
         self.ledger: Counter[str] = Counter()
 
     def start(self, ledger: bool = True) -> None:
         """Start it, with or without its ledger."""
-        (self.folder / "n1.yaml").write_text(settings(self.folder, ledger))
+        (self.folder / "n1.yaml").write_text(settings(self.addresses, self.folder, ledger))
         self.child = start_dispatcher(
             self.folder / "n1.yaml", self.folder / "n1.json", self.folder / "n1.log", ("extproc", "serve")
         )
 
     def counters(self) -> dict[str, int]:
         """Its counters. Raises OSError where it does not answer."""
-        with urlopen(f"http://{HOST}:{PORT}/counters", timeout=5) as answer:
+        with urlopen(f"http://{self.addresses.dispatcher}:{PORT}/counters", timeout=5) as answer:
             found: dict[str, int] = json.load(answer)
             return found
 
@@ -124,31 +149,27 @@
         return cpu_seconds(self.child.pid)
 
 
-def seats() -> list[Seat]:
-    """The engines, all warm."""
-    return [Seat(f"s-{number}", f"127.0.{NET + 1}.{number + 1}", PORT) for number in range(ENGINES)]
-
-
-def run_engines() -> None:
+def run_engines(addresses: Addresses) -> None:
     """Engines and name service, until SIGTERM; then prints how often each id ran."""
     from twisted.internet import reactor
 
     loop: Any = reactor
-    fleet, names = Fleet(loop, CORES, 8000, 0.3, 2.0, 1500), Names(seats())
-    for seat in seats():
+    seats = addresses.seats()
+    fleet, names = Fleet(loop, CORES, 8000, 0.3, 2.0, 1500), Names(seats)
+    for seat in seats:
         fleet.start(seat.ident, seat.host, seat.port, cold=False)
-    loop.listenUDP(NAMES[1], names, interface=NAMES[0])
+    loop.listenUDP(NAMES_PORT, names, interface=addresses.names)
     loop.callWhenRunning(lambda: print("ready", flush=True))
     loop.run()
     print(json.dumps({ident.decode(): count for ident, count in fleet.runs.items()}), flush=True)
 
 
-async def by_http(asked: Asked, wait: float) -> int:
+async def by_http(host: str, asked: Asked, wait: float) -> int:
     """The HTTP front, on a connection of its own; as Proxy.go."""
     asked.ways.append("http")
     workload, body = "load" if asked.irreversible else "lookup", f"SELECT 1 /* cost={asked.cost:.2f} */"
     try:
-        reader, writer = await asyncio.open_connection(HOST, PORT)
+        reader, writer = await asyncio.open_connection(host, PORT)
     except OSError:
         return -1
     try:
@@ -170,12 +191,14 @@
 
     def __init__(self, folder: Path, size: str, say: Callable[[str], None]) -> None:
         self.size, self.say, self.chance = size, say, random.Random(11)
+        self.addresses = Addresses(Network.of_this_process())
         self.engines = subprocess.Popen(
-            [sys.executable, "-m", "spurdeal.lab.asking", "engines"], stdout=subprocess.PIPE
+            [sys.executable, "-m", "spurdeal.lab.asking", "engines", str(self.addresses.network.number)],
+            stdout=subprocess.PIPE,
         )
         assert self.engines.stdout is not None
         self.engines.stdout.readline()  # they listen
-        self.dispatcher = Dispatcher(folder, Names(seats()).known())
+        self.dispatcher = Dispatcher(self.addresses, folder, Names(self.addresses.seats()).known())
         self.runs: Counter[str] = Counter()
         self.proxies: list[Proxy] = []
         self.asked: list[Asked] = []
@@ -216,7 +239,7 @@
                 break
             began = time.time()
             if attempt and self.chance.random() < 0.4:
-                status = await by_http(asked, left)
+                status = await by_http(self.addresses.dispatcher, asked, left)
             else:
                 before = proxy.counts["caller_timeouts"], proxy.counts["timeouts_injected"]
                 status = await proxy.go(asked, left)
@@ -246,7 +269,7 @@
         rate = RATE
         self.dispatcher.start(ledger=False)
         await self.dispatcher.ready()
-        target = f"{HOST}:{ASK}"
+        target = f"{self.addresses.dispatcher}:{ASK}"
         plain = [Proxy(f"p{place}", target, place, MESSAGE_TIMEOUT, 0.0) for place in (1, 2)]
         for proxy in plain:
             proxy.dial()
@@ -255,7 +278,7 @@
             asked.answers.append(await plain[len(self.asked) % 2].go(asked, WAIT))
 
         async def forward(asked: Asked) -> None:
-            asked.answers.append(await by_http(asked, WAIT))
+            asked.answers.append(await by_http(self.addresses.dispatcher, asked, WAIT))
 
         await self.paced(200, rate, ask)  # warm: imports, connections
         unledgered = await self.clean(count, rate, ask)
@@ -360,7 +383,7 @@
 
 if __name__ == "__main__":
     if sys.argv[1] == "engines":
-        run_engines()
+        run_engines(Addresses(Network(int(sys.argv[2]))))
     else:
         os.environ["GRPC_ENABLE_FORK_SUPPORT"] = "0"  # or its channels stand still after we start a process
         print(json.dumps(one_run(sys.argv[1], lambda line: print(line, flush=True))))
--- a/spurdeal/lab/audited/faults.py
+++ b/spurdeal/lab/audited/faults.py
@@ -281,7 +281,8 @@
     def start_twin(self, name: str) -> Process:
         """A second process of that name, with a plug of its own."""
         number = FIRST_TWIN + len(self.twins)
-        twin = Process(name, f"127.0.{self.rig.net}.{number}", self.rig.folder / f"twin-{number}", number)
+        host = self.rig.network.host(self.rig.subnet, number)
+        twin = Process(name, host, self.rig.folder / f"twin-{number}", number)
         twin.folder.mkdir()
         self.rig.cables.add(name + "'", twin.host)
         self.rig.launch(twin, "twin")
--- a/spurdeal/lab/audited/one_run.py
+++ b/spurdeal/lab/audited/one_run.py
@@ -12,7 +12,7 @@
 from .judging import run_figures
 from .run import SIZES, Run
 
-BARE_NET = 10  # the run without the fleet has loopback addresses so far on
+BARE_SUBNET = 10  # the run without the fleet has its subnet so far on
 
 
 def one_run(fleet: bool, size: str, seed: int, say: Callable[[str], None]) -> dict[str, Any]:
@@ -31,8 +31,8 @@
 
     loop: Any = reactor
     folder = Path(tempfile.mkdtemp(prefix="spurdeal-lab-"))
-    net, count, engines, kinds = SIZES[size]
-    rig = Rig(loop, net if fleet else net + BARE_NET, folder, count, seed, fleet, engines=engines)
+    subnet, count, engines, kinds = SIZES[size]
+    rig = Rig(loop, subnet if fleet else subnet + BARE_SUBNET, folder, count, seed, fleet, engines=engines)
     run = Run(rig, say)
     runner = ScriptRunner(loop, run.script(kinds))
     try:
--- a/spurdeal/lab/audited/run.py
+++ b/spurdeal/lab/audited/run.py
@@ -19,9 +19,9 @@
 
 
 class Size(NamedTuple):
-    """How large a run is. net: which loopback addresses it has."""
+    """How large a run is. subnet: which loopback addresses it has in its network."""
 
-    net: int
+    subnet: int
     dispatchers: int
     engines: int
     faults: tuple[str, ...]
--- a/spurdeal/lab/capacity/dispatcher.py
+++ b/spurdeal/lab/capacity/dispatcher.py
@@ -11,31 +11,32 @@
 from urllib.request import urlopen
 
 from ..engines import Fleet
+from ..loopback import Network
 from ..names import Names, Seat
 from . import design
 from .request_path import CORES, SETTINGS
 
 PORT, NAMES_PORT = 7001, 5300
-ADDRESSES_PER_NET = 250
+DISPATCHER_SUBNET, ENGINES_SUBNET = 78, 79
 READY_WITHIN = 30.0  # seconds
 
 
 class Place(NamedTuple):
     """Loopback addresses that no other run uses at the same time."""
 
-    net: int
+    network: Network
 
     @property
     def dispatcher(self) -> str:
-        return f"127.78.{self.net}.1"
+        return self.network.host(DISPATCHER_SUBNET, 1)
 
     def engine(self, number: int) -> str:
-        return f"127.79.{self.net}.{number + 1}"
+        return self.network.host(ENGINES_SUBNET, number + 1)
 
 
 def own_place() -> Place:
-    """A net of this process's own, as far as the process ids tell."""
-    return Place(os.getpid() % ADDRESSES_PER_NET)
+    """In the network of this process."""
+    return Place(Network.of_this_process())
 
 
 class StandIns:
--- a/spurdeal/lab/rig.py
+++ b/spurdeal/lab/rig.py
@@ -20,6 +20,7 @@
 from .cables import Place
 from .engines import Engine, Fleet
 from .front import Asked
+from .loopback import Network
 from .mesh import CABLE, FLEET, Cables
 from .names import Names, Seat
 from .platform_settings import Platform
@@ -33,12 +34,16 @@
 
 
 class Rig:
-    """All of it. `net` tells the loopback addresses apart from other runs'; `fleet` off is the baseline."""
+    """All of it, in the loopback network of this process; `fleet` off is the baseline.
+
+    Attributes:
+        subnet: Of the dispatchers; the engines have the next.
+    """
 
     def __init__(
         self,
         reactor: Any,
-        net: int,
+        subnet: int,
         folder: Path,
         count: int,
         seed: int,
@@ -46,7 +51,8 @@
         terms: Mapping[str, str] | None = None,
         engines: int = 6,
     ) -> None:
-        self.reactor, self.net, self.folder, self.fleet_on = reactor, net, folder, fleet
+        self.reactor, self.folder, self.fleet_on = reactor, folder, fleet
+        self.network, self.subnet = Network.of_this_process(), subnet
         self.terms = {
             "period": "100ms",
             "lease": "900ms",
@@ -73,7 +79,7 @@
     def new_engine(self, cold: bool) -> Seat:
         """Start another engine; its entry for the list."""
         number, self.next_engine = self.next_engine, self.next_engine + 1
-        host = f"127.0.{self.net + 1}.{number % 250 + 1}"
+        host = self.network.host(self.subnet + 1, number % 250 + 1)
         self.engines.start(f"s-{number}", host, PORT, cold)
         return Seat(f"s-{number}", host, PORT, started=int(time.time() * 1000) if cold else 0)
 
@@ -83,7 +89,7 @@
 
     def add(self, number: int) -> Process:
         """Its places on the net; it is not started yet."""
-        name, host = f"d{number}", f"127.0.{self.net}.{number + 1}"
+        name, host = f"d{number}", self.network.host(self.subnet, number + 1)
         process = self.processes[name] = Process(name, host, self.folder, number)
         self.cables.add(name, host)
         self.names[name], self.follows[name] = Names(self.list.seats), True
--- a/spurdeal/lab/takeover.py
+++ b/spurdeal/lab/takeover.py
@@ -27,6 +27,7 @@
 from .cables import Cable, Switch
 from .engines import Fleet
 from .front import Asked, Front
+from .loopback import Network
 from .model import figures as models
 from .names import Names, Seat
 from .processes import run_module
@@ -50,6 +51,7 @@
 )
 
 ENGINES = 4
+GUARDED_SUBNET, BARE_SUBNET = 8, 18
 RATE, HEAVY, COST = 120.0, 0.25, 20.0
 SIGNALS = {"kill": signal.SIGKILL, "pause": signal.SIGSTOP, "stop": signal.SIGTERM}
 TAKEOVER_MOST = 8  # seconds until a takeover counts as missed
@@ -263,7 +265,8 @@
 
     loop: Any = reactor
     folder = Path(tempfile.mkdtemp(prefix="spurdeal-lab-"))
-    proof = Proof(loop, Net(8 if guarded else 18), folder, guarded, seed, say)
+    net = Net(Network.of_this_process(), GUARDED_SUBNET if guarded else BARE_SUBNET)
+    proof = Proof(loop, net, folder, guarded, seed, say)
     script = proof.script(faults)
     runner = ScriptRunner(loop, script)
     try:
--- a/spurdeal/lab/takeover_process.py
+++ b/spurdeal/lab/takeover_process.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+from .loopback import Network
 from .platform_settings import Platform
 from .processes import Outages, start_dispatcher
 
@@ -25,17 +26,17 @@
 
 
 class Net:
-    """Loopback addresses of one run, so that two can go on side by side."""
+    """Loopback addresses of one run: a subnet for the dispatchers, the next for the engines."""
 
-    def __init__(self, number: int) -> None:
-        self.number = number
-        self.hosts = {"n1": f"127.0.{number}.1", "n2": f"127.0.{number}.2"}
-        self.names, self.switch = (f"127.0.{number}.9", 5300), (f"127.0.{number}.9", 5400)
-        self.address = f"127.0.{number}.100"
+    def __init__(self, network: Network, subnet: int) -> None:
+        self.network, self.engines_subnet = network, subnet + 1
+        self.hosts = {"n1": network.host(subnet, 1), "n2": network.host(subnet, 2)}
+        self.names, self.switch = (network.host(subnet, 9), 5300), (network.host(subnet, 9), 5400)
+        self.address = network.host(subnet, 100)
 
     def engine(self, number: int) -> str:
         """The host of that engine."""
-        return f"127.0.{self.number + 1}.{number % 250 + 1}"
+        return self.network.host(self.engines_subnet, number % 250 + 1)
 
 
 def installation(net: Net, name: str, guarded: bool) -> str:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -13,11 +13,11 @@
 from typing import Any
 from urllib.request import urlopen
 
+from spurdeal.lab.loopback import Network
 from tests.helpers import configuration, instance
 
 ROOT = Path(__file__).parent.parent
 ENGINES, FIRST_ENGINE_PORT, NAMES_PORT = 2, 7001, 5300
-FIRST_NETWORK, NETWORKS = 20, 200  # of 127.0.0.0/8, by the process that runs the tests
 READY_WITHIN = 30.0  # seconds, on a busy machine
 STAND_INS = """
 import sys
@@ -41,7 +41,7 @@
 class Addresses:
     """Where the dispatcher of one test module and its sides are.
 
-    Each module has a network of its own, and so has each run of the tests, as several may run on a machine.
+    Each module has a subnet of its own, and each run of the tests a network, as several may run on a machine.
     """
 
     dispatcher: str
@@ -50,9 +50,9 @@
     port: int = 7001
 
     @classmethod
-    def in_network(cls, number: int) -> "Addresses":
-        network = f"127.{FIRST_NETWORK + os.getpid() % NETWORKS}.{number}"
-        return cls(f"{network}.1", f"{network}.9", f"{network}.20")
+    def in_subnet(cls, subnet: int) -> "Addresses":
+        network = Network.of_this_process()
+        return cls(network.host(subnet, 1), network.host(subnet, 9), network.host(subnet, 20))
 
     def configuration(self, **more: Any) -> dict[str, Any]:
         instances = [
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -12,12 +12,13 @@
 from twisted.internet.epollreactor import EPollReactor
 
 from spurdeal.lab import names
+from spurdeal.lab.loopback import Network
 from spurdeal.net.logs import logger
 from spurdeal.net.resp import ArrayParser, command
 from spurdeal.net.start import Service, read_configuration
 from tests.helpers import BASE, SETTINGS, configuration
 
-HOST, LEAST_BUFFER = "127.0.63.1", 4096
+HOST, LEAST_BUFFER = Network.of_this_process().host(63, 1), 4096
 ROW = b"a\t1\tx\n"
 
 
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -21,10 +21,12 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from envoy.service.ext_proc.v3 import external_processor_pb2_grpc as service
 
+from spurdeal.lab.loopback import Network
 from spurdeal.lab.proxy import Asked, request
 from tests.helpers import configuration
 
-HOST = "127.0.63.1"
+NETWORK = Network.of_this_process()
+HOST, NAMES_HOST = NETWORK.host(63, 1), NETWORK.host(63, 9)
 PLAN = """
 name: n1
 extproc:
@@ -80,7 +82,7 @@
         first = certificate(folder, "first")
         (folder / "n1.yaml").write_text(PLAN.format(host=HOST, folder=folder))
         (folder / "n1.json").write_text(
-            json.dumps(configuration(0, listen=f"{HOST}:7302", nameserver="127.0.63.9:5300"))
+            json.dumps(configuration(0, listen=f"{HOST}:7302", nameserver=f"{NAMES_HOST}:5300"))
         )
         child = subprocess.Popen(
             [
--- a/tests/test_confined.py
+++ b/tests/test_confined.py
@@ -31,7 +31,7 @@
 
 
 class Confined(ProcessCase):
-    addresses = Addresses.in_network(62)
+    addresses = Addresses.in_subnet(62)
 
     def setUp(self) -> None:
         super().setUp()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,6 +12,7 @@
 from twisted.internet.error import TimeoutError as ConnectTimeout
 
 from spurdeal.lab import names
+from spurdeal.lab.loopback import Network
 from spurdeal.net.start import Configuration, Unusable, read_configuration
 from tests.helpers import SETTINGS, Caller, World, configuration
 from tests.steps import Steps, Talk, settings
@@ -566,7 +567,9 @@
     def test_both_are_kept_and_carried_out(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
-            path.write_text(json.dumps(configuration(listen="127.0.63.2:7099")))
+            network = Network.of_this_process()
+            listen, nameserver = f"{network.host(63, 2)}:7099", f"{network.host(63, 9)}:5300"
+            path.write_text(json.dumps(configuration(listen=listen, nameserver=nameserver)))
             done = self.run_with("signal.SIGHUP, signal.SIGTERM", path)
             self.assertEqual(done.returncode, 0, done.stderr)
             for event in ("ready", "configuration_read", "stopping", "stopped"):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -190,7 +190,7 @@
 class Crowded(ProcessCase):
     """A dispatcher whose descriptors the kernel limits, before a crowd of 2,000."""
 
-    addresses = Addresses.in_network(65)
+    addresses = Addresses.in_subnet(65)
 
     def setUp(self) -> None:
         super().setUp()
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -19,6 +19,7 @@
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
+from spurdeal.lab.loopback import Network
 from spurdeal.net.counters import Counters
 from spurdeal.net.logs import logger
 from spurdeal.vrrp.address import MOST_COMMANDS, Commands, Listener
@@ -112,13 +113,15 @@
 peers: [{{name: {other}, adverts: "{far}:7312", handover: "{far}:7313"}}]
 vrrp:
   listen: {host}:7312
-  groups: [{{group: 1, priority: {priority}, interval: 50ms, addresses: [127.0.61.1]}}]
+  groups: [{{group: 1, priority: {priority}, interval: 50ms, addresses: [{shared}]}}]
   holder: {{kind: listen, port: 7301}}
   bar: 500ms
 handover: {{listen: "{host}:7313", keys: [{{id: 1, hex: {key}}}], every: 20ms, ahead: true}}
 tenure: {{lease: 200ms}}
 """
-HOSTS = {"n1": "127.0.61.11", "n2": "127.0.61.12"}
+NETWORK = Network.of_this_process()
+SHARED, NAMES_HOST = NETWORK.host(61, 1), NETWORK.host(61, 9)
+HOSTS = {"n1": NETWORK.host(61, 11), "n2": NETWORK.host(61, 12)}
 
 
 class Processes(unittest.TestCase):
@@ -129,10 +132,11 @@
             other=other,
             host=HOSTS[name],
             far=HOSTS[other],
+            shared=SHARED,
             key="ab" * 16,
             priority={"n1": 200, "n2": 100}[name],
         )
-        told = configuration(0, name=name, listen=f"{HOSTS[name]}:7302", nameserver="127.0.61.9:5300")
+        told = configuration(0, name=name, listen=f"{HOSTS[name]}:7302", nameserver=f"{NAMES_HOST}:5300")
         (self.folder / f"{name}.yaml").write_text(plan if text is None else text)
         (self.folder / f"{name}.json").write_text(json.dumps(told))
         child = subprocess.Popen(
@@ -149,7 +153,7 @@
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
 
-    def who(self, within: float, host: str = "127.0.61.1", port: int = 7301) -> dict[str, int]:
+    def who(self, within: float, host: str = SHARED, port: int = 7301) -> dict[str, int]:
         """The counters of whoever answers there, once somebody does."""
         until = time.monotonic() + within
         while True:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,12 +13,14 @@
 
 from twisted.internet.error import TimeoutError as NotUp
 
+from spurdeal.lab.loopback import Network
 from spurdeal.net.engines import Connection
 from spurdeal.net.logs import logger
 from spurdeal.net.start import Configuration, load_configuration, read_configuration
 from spurdeal.state import Submission
 from tests.helpers import BASE, SETTINGS, Caller, World, configuration, started_process
 
+NETWORK = Network.of_this_process()
 ROW = b"a\t1\tx\n"
 SHED, BROKEN = (503, "TryLater"), (500, "Aborted")
 
@@ -548,13 +550,18 @@
     def test_signals_read_the_configuration_again_and_stop(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
-            path.write_text(json.dumps(configuration(listen="127.0.8.1:7099")))
+            host, names_host = NETWORK.host(64, 1), NETWORK.host(64, 9)
+            first, second = (
+                json.dumps(configuration(listen=f"{host}:{port}", nameserver=f"{names_host}:5300"))
+                for port in (7099, 7001)
+            )
+            path.write_text(first)
             with started_process(path) as process:
                 assert process.stderr is not None
                 for text, sent, wanted in (
                     (None, None, "event=ready"),
                     ("{", SIGHUP, "configuration_kept"),
-                    (json.dumps(configuration()), SIGHUP, "configuration_read"),
+                    (second, SIGHUP, "configuration_read"),
                     (None, SIGTERM, "event=stopped"),
                 ):
                     path.write_text(text or path.read_text())
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -77,7 +77,7 @@
 class Discovery(ProcessCase):
     """`known` is all that a start needs of the list."""
 
-    addresses = Addresses.in_network(66)
+    addresses = Addresses.in_subnet(66)
 
     def setUp(self) -> None:
         super().setUp()
@@ -129,7 +129,7 @@
 class AddressInUse(ProcessCase):
     """The predecessor's listener, held by the test."""
 
-    addresses = Addresses.in_network(67)
+    addresses = Addresses.in_subnet(67)
 
     def setUp(self) -> None:
         super().setUp()
