extproc serve keeps signals from the first line on, as run does

Cause: __main__ caught signals for no sub-command and for run only, and serve set SIGHUP to be ignored. Change: extproc is among what serves, nothing is ignored. Result: the new test fails without the change.

--- a/spurdeal/__main__.py
+++ b/spurdeal/__main__.py
@@ -5,10 +5,12 @@
 
 from .early import SIGNALS
 
+SERVING = ([], ["run"], ["extproc"])  # what serves until a signal ends it
+
 
 def main() -> int:
     """Without a sub-command nothing but the dispatcher is imported."""
-    if sys.argv[1:2] in ([], ["run"]):
+    if sys.argv[1:2] in SERVING:
         SIGNALS.catch()  # before the long imports
     if len(sys.argv) > 1:
         from .cli.main import spurdeal
--- a/spurdeal/cli/main.py
+++ b/spurdeal/cli/main.py
@@ -5,7 +5,6 @@
 import importlib
 import json
 import os
-import signal
 import sys
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NamedTuple, NoReturn
@@ -128,7 +127,6 @@
 @click.option("--settings", type=click.Path(), required=True, help="an operator's YAML file")
 def serve(settings: str) -> None:
     """Runs the external processor."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if installation(settings).extproc is None:
         refuse(f"{settings}: extproc: this key is missing")
     from .running import run_with
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -1,12 +1,15 @@
 """The external processor: what calls mean, what ends of grants prove, and the service on HTTP/2 in memory."""
 
 import random
+import signal
 import struct
+import sys
 import tempfile
 import unittest
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import h2.events
 from envoy.config.core.v3 import base_pb2
@@ -17,6 +20,9 @@
 from h2.connection import H2Connection
 from h2.errors import ErrorCodes
 
+from spurdeal.__main__ import main
+from spurdeal.cli.main import serve
+from spurdeal.early import SIGNALS
 from spurdeal.extproc import processor_pb2
 from spurdeal.extproc.answers import wait_longer
 from spurdeal.extproc.bounds import Bounds, Door, Meter
@@ -532,3 +538,31 @@
     def frame(stream: int, message: bytes) -> bytes:
         text = struct.pack("!BI", 0, len(message)) + message
         return struct.pack("!I", len(text))[1:] + b"\0\0" + struct.pack("!I", stream) + text
+
+
+class EarlySignals(unittest.TestCase):
+    """A signal that comes before the loop is kept, as where a dispatcher serves clients itself."""
+
+    def setUp(self) -> None:
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        self.kept = list[int]()
+        self.enterContext(mock.patch.object(SIGNALS, "act", self.kept.append))
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    def test_from_the_first_line_until_the_settings_are_read(self) -> None:
+        def sub_command(prog_name: str) -> None:
+            signal.raise_signal(signal.SIGHUP)
+            read = mock.patch("spurdeal.cli.main.installation", side_effect=LookupError)
+            with read, self.assertRaises(LookupError):
+                assert serve.callback is not None
+                serve.callback("processor.yaml")
+            signal.raise_signal(signal.SIGHUP)
+
+        words = mock.patch.object(
+            sys, "argv", ["spurdeal", "extproc", "serve", "--settings", "processor.yaml"]
+        )
+        with words, mock.patch("spurdeal.cli.main.spurdeal", sub_command):
+            with mock.patch("spurdeal.net.start.main", return_value=0):
+                main()
+        self.assertEqual(self.kept, [signal.SIGHUP, signal.SIGHUP])
