--- a/spurdeal/__main__.py
+++ b/spurdeal/__main__.py
@@ -5,7 +5,7 @@
 
 from .early import SIGNALS
 
-SERVING = ([], ["run"], ["extproc"])  # what serves until a signal ends it
+SERVING: tuple[list[str], ...] = ([], ["run"], ["extproc"])  # what serves until a signal ends it
 
 
 def main() -> int:
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -559,10 +559,11 @@
                 serve.callback("processor.yaml")
             signal.raise_signal(signal.SIGHUP)
 
-        words = mock.patch.object(
-            sys, "argv", ["spurdeal", "extproc", "serve", "--settings", "processor.yaml"]
-        )
-        with words, mock.patch("spurdeal.cli.main.spurdeal", sub_command):
-            with mock.patch("spurdeal.net.start.main", return_value=0):
-                main()
+        command = ["spurdeal", "extproc", "serve", "--settings", "processor.yaml"]
+        with (
+            mock.patch.object(sys, "argv", command),
+            mock.patch("spurdeal.cli.main.spurdeal", sub_command),
+            mock.patch("spurdeal.net.start.main", return_value=0),
+        ):
+            main()
         self.assertEqual(self.kept, [signal.SIGHUP, signal.SIGHUP])
