--- a/spurdeal/benchlink/host.py
+++ b/spurdeal/benchlink/host.py
@@ -3,27 +3,31 @@
 import json
 import struct
 from collections.abc import Callable
-from typing import Any, BinaryIO, NamedTuple
+from typing import Any, BinaryIO
 
 from ..deployment import deployment
 from ..interface import Ending, Life, Listed, Word
 from ..rules import Dispatcher
 from .frames import BadInputError, Reader, read_frame, write_frame
+from .records import (
+    ABORTED,
+    CHECKED,
+    CODE,
+    ENTRY,
+    HEAD,
+    INBOUND,
+    MEMBERSHIP,
+    PAGE,
+    PEER,
+    PROVISION,
+    RETIRE,
+    SETTLED,
+    UPDATE,
+    WAKEUP,
+    Notice,
+    TripResult,
+)
 
-CODE = struct.Struct("<B")
-PROVISION = struct.Struct("<HQI")
-MEMBERSHIP = struct.Struct("<HBQH")
-INBOUND = struct.Struct("<HQHIQddffH")
-HEAD = struct.Struct("<HQB6sd")
-SETTLED = struct.Struct("<HQB6sHdBIB")
-ABORTED = struct.Struct("<HQ")
-WAKEUP = struct.Struct("<HI")
-CHECKED = struct.Struct("<H6sHdB")
-PEER = struct.Struct("<HIH")
-RETIRE = struct.Struct("<H")
-UPDATE = struct.Struct("<HQB6sBf")
-PAGE = struct.Struct("<HI")
-ENTRY = struct.Struct("<6sBHHBfd")
 DELTA, FULL, CACHED, FAILED = range(4)
 MOST_LISTS = 16
 ESTIMATED = 1
@@ -32,37 +36,6 @@
 LONGEST_SLEEP = 71 * 60_000.0
 
 
-class TripResult(NamedTuple):
-    """How a trip has ended, as a frame tells it.
-
-    Attributes:
-        trip: Its number within the submission.
-        engine: Our index of the engine.
-        ending: The value of an Ending.
-        took: How long it took, in ms.
-        final: Whether the submission is over with it.
-        bill: Work in the bits from BILL_SHIFT on, and below them memory in units of BILL_UNIT MB.
-        report: What the engine tells of itself.
-    """
-
-    trip: int
-    engine: int
-    ending: int
-    took: float
-    final: int
-    bill: int
-    report: tuple[float, ...]
-
-
-class Notice(NamedTuple):
-    """What an engine says of a trip: its number, our index of the engine, the value of a Word, a level."""
-
-    trip: int
-    engine: int
-    word: int
-    level: float
-
-
 class Instance:
     """One dispatcher of the bench: its rules, its indices, and the records of its reply."""
 
--- a/spurdeal/fleet/members.py
+++ b/spurdeal/fleet/members.py
@@ -23,6 +23,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from .probes import Probe, Probes, Suspicion
+
 Address = tuple[str, int]
 MOST_MEMBERS = 1024
 SPREAD = 3  # times log2 of the fleet: how often each piece of news is told
@@ -70,32 +72,6 @@
     why: str
 
 
-class Probe(NamedTuple):
-    """One that waits for its answer."""
-
-    name: str
-    due: float  # no answer by then: others are asked
-    end: float  # no answer by then: it failed
-    nacks: int  # others that were asked and owe a word
-
-
-class Probes(NamedTuple):
-    """Whom to probe now, and whom to ask to probe for us the one that did not answer."""
-
-    target: str | None
-    helpers: list[str]
-
-
-class Suspicion(NamedTuple):
-    """A suspicion of one member, in ms: since when, its end, its least and most time, and who says so."""
-
-    since: float
-    end: float
-    least: float
-    most: float
-    by: frozenset[str]
-
-
 class Members:
     """One dispatcher's view of the fleet. `own` is its own record."""
 
--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import random
 import secrets
@@ -24,9 +23,10 @@
 from ..net.service import Service
 from ..vrrp.sealed import Keys
 from .audit import COLD, DOUBTFUL, Kind
-from .fleet import READY, TICK, Fleet, FleetSettings, Terms, Told
+from .fleet import READY, TICK, Fleet, FleetSettings, Told
 from .journal import Journal, JournalSettings
-from .versions import Line, Row, Version, digest_of, list_digest, rows_of
+from .local_versions import configured, keyed, program, terms_of
+from .versions import Line, Row, Version, list_digest, rows_of
 
 if TYPE_CHECKING:
     from ..settings.installation import FleetPart, Installation
@@ -38,53 +38,6 @@
 QUIET = ("page",)  # told too often for the log lines
 
 
-def program() -> Version:
-    """The program as it stands on the disk: the digest of its sources."""
-    root = Path(__file__).parent.parent
-    parts = [
-        part
-        for file in sorted(root.rglob("*.py"))
-        for part in (str(file.relative_to(root)).encode(), file.read_bytes())
-    ]
-    return Version(0, 0, digest_of(*parts))
-
-
-def configured(configuration: bytes, plan: Installation) -> Version:
-    """The version of what all dispatchers of a fleet share of configuration and operator's file.
-
-    Their own names and places are left out.
-    """
-    assert plan.fleet is not None
-    settings = dict(json.loads(configuration).get("settings", {}))
-    settings.pop("index", None)
-    own = {"listen", "advertise", "keys", "seeds", "audit", "clock_file"}
-    shared = plan.fleet.model_dump(mode="json", exclude=own)
-    return Version(0, plan.fleet.revision, digest_of(json.dumps([settings, shared], sort_keys=True).encode()))
-
-
-def keyed(keys: Keys) -> Version:
-    """Which keys are in use; nothing can be learnt of them from it."""
-    return Version(
-        0,
-        keys.sealing,
-        digest_of(*[bytes([ident]) + keys.seal(ident, b"fleet") for ident in sorted(keys.keys)]),
-    )
-
-
-def terms_of(part: FleetPart) -> Terms:
-    """The settings that all members share."""
-    return Terms(
-        part.period,
-        part.lease,
-        part.part,
-        part.forget,
-        part.behind_for,
-        part.shut_after,
-        part.most_shut,
-        part.clock_off,
-    )
-
-
 @dataclass(frozen=True)
 class Clocks:
     """The clocks of a dispatcher, each in ms.
