--- a/spurdeal/lab/capacity/events.py
+++ b/spurdeal/lab/capacity/events.py
@@ -23,7 +23,7 @@
 EVENTS = (
     Event(
         "one machine",
-        "suspected, then gone; its wardens know when its lease has ended",
+        "suspected, then gone; its grantors know when its lease has ended",
         "what it held; its clients ask another",
         "tests/test_fleet.py; `spurdeal lab audit`, kill",
     ),
@@ -56,7 +56,7 @@
     Event(
         "a region cut for minutes and healed",
         "each part holds the other for gone; both go on",
-        "at members whose wardens lie beyond the cut: what must run at most once, until wardens change",
+        "at members whose grantors lie beyond the cut: what must run at most once, until grantors change",
         "this command, storms, a cut of 15 s into halves; 5 minutes and a region not run",
         "two halves heal",
     ),
--- a/spurdeal/lab/capacity/membership.py
+++ b/spurdeal/lab/capacity/membership.py
@@ -72,9 +72,9 @@
         Role(
             "membership and leases",
             "members",
-            "Fleet, spurdeal/fleet/fleet.py; Members, members.py; Lease and Wards, lease.py",
+            "Fleet, spurdeal/fleet/fleet.py; Members, members.py; Lease and Grantor, lease.py",
             "a record, a claim and a session of each member",
-            "a probe and its answer each period, three renewals a lease with each warden, tables compared "
+            "a probe and its answer each period, three renewals a lease with each grantor, tables compared "
             "every ten periods",
             (
                 quantity(
--- a/spurdeal/settings/installation.py
+++ b/spurdeal/settings/installation.py
@@ -241,8 +241,10 @@
         default_factory=list, max_length=32, description="whom a new one asks; one that lives is enough"
     )
     period: Duration = Field(200.0, ge=50, le=10_000, description="between two probes")
-    lease: Duration = Field(1500.0, ge=300, le=60_000, description="so long an answer of a warden counts")
-    part: float = Field(0.34, gt=0.0, le=1.0, description="of the wardens: so many must answer")
+    lease: Duration = Field(
+        1500.0, ge=300, le=60_000, description="so long an answer of a lease grantor counts"
+    )
+    part: float = Field(0.34, gt=0.0, le=1.0, description="of the lease grantors: so many must answer")
     forget: Duration = Field(600_000.0, description="one that is gone counts to the fleet for so long")
     behind_for: Duration = Field(2000.0, description="so long behind the newest list, and it has lapsed")
     shut_after: Duration = Field(4000.0, description="so long lapsed with no way back, and it is shut out")
