--- a/spurdeal/benchlink/host.py
+++ b/spurdeal/benchlink/host.py
@@ -6,7 +6,7 @@
 from typing import Any, BinaryIO
 
 from ..deployment import deployment
-from ..interface import Ending, Life, Listed, Word
+from ..interface import Ending, EndReason, Life, Listed, Word
 from ..rules import Dispatcher
 from .frames import BadInputError, Reader, read_frame, write_frame
 from .records import (
@@ -174,12 +174,12 @@
         """Memory and priority with which the submission is sent next."""
         self.records.append(struct.pack("<BHQfB", 12, self.who, self.names[number], memory, priority))
 
-    def shed(self, number: int, come_back: float) -> None:
+    def shed(self, number: int, come_back: float, reason: EndReason) -> None:
         """Refuse a submission; it may come back after so many ms."""
         self.records.append(struct.pack("<BHQd", 1, self.who, self.names[number], come_back))
         self.closed(number)
 
-    def break_off(self, number: int) -> None:
+    def break_off(self, number: int, reason: EndReason) -> None:
         """End a submission that may have run."""
         self.records.append(struct.pack("<BHQ", 2, self.who, self.names[number]))
         self.closed(number)
--- a/spurdeal/cli/clocks.py
+++ b/spurdeal/cli/clocks.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, cast
 
-from ..net.start import unix_ms
+from ..clocks import monotonic_ms, unix_ms
 
 if TYPE_CHECKING:
     from twisted.internet.epollreactor import EPollReactor
@@ -31,11 +31,6 @@
     return reactor
 
 
-def monotonic_ms() -> float:
-    """Ms that never step back."""
-    return time.monotonic() * 1000
-
-
 def shifted_unix_ms(path: str) -> Callable[[], float]:
     """For tests: Unix time with the ms added that a file holds; it is looked at every 50 ms."""
     looked, shift = float("-inf"), 0.0
--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -12,11 +12,12 @@
 from twisted.internet.error import CannotListenError
 from twisted.logger import globalLogBeginner
 
+from ..clocks import monotonic_ms, unix_ms
 from ..net import start
 from ..net.descriptors import ProcessDescriptors
 from ..settings.reading import SettingsError, read
 from ..steady import Steady
-from .clocks import monotonic_ms, shifted_unix_ms, steady_reactor
+from .clocks import shifted_unix_ms, steady_reactor
 from .structured_logs import logger
 
 if TYPE_CHECKING:
@@ -119,7 +120,7 @@
         from ..store.ledger import Ledger, LedgerSettings
 
         try:
-            return Ledger(Path(part.path), start.unix_ms, LedgerSettings(part.flush, part.ids, part.bytes))
+            return Ledger(Path(part.path), unix_ms, LedgerSettings(part.flush, part.ids, part.bytes))
         except OSError as fault:
             raise SettingsError(f"{self.path}: ledger.path: {fault.strerror}: {part.path}") from None
 
@@ -260,7 +261,7 @@
     configured = start.load_configuration(configuration)
     loop = steady_reactor()
     file = plan.fleet.clock_file if plan.fleet is not None else None
-    unix = shifted_unix_ms(file) if file is not None else start.unix_ms
+    unix = shifted_unix_ms(file) if file is not None else unix_ms
     clock = Steady(unix, monotonic_ms)
     log = logger(configured.name or "spurdeal", sys.stderr)
     process = ProcessDescriptors.of_this_process()
--- a/spurdeal/interface.py
+++ b/spurdeal/interface.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 from typing import NamedTuple, Protocol
 
 
@@ -43,6 +43,19 @@
 NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.MOOT, Ending.CONNECT_TIMEOUT)
 
 
+class EndReason(StrEnum):
+    """Why the rules end a submission without a result, as logs and counters name it."""
+
+    NO_TIME = "no_time_left"
+    TOO_LATE = "too_late_to_be_of_use"
+    CROWDED = "too_many_open"
+    ERRORS = "failed_on_several_engines"
+    TIMED_OUT = "attempt_timed_out"
+    ATTEMPTS = "no_attempt_left"
+    BUDGET = "retry_budget_spent"
+    MAY_HAVE_RUN = "may_have_run"
+
+
 class Life(IntEnum):
     GONE = 0
     DRAINING = 1
@@ -181,8 +194,8 @@
 
     def send(self, number: int, engine: int, time_limit: float) -> None: ...
     def terms(self, number: int, memory: float, priority: int) -> None: ...
-    def shed(self, number: int, come_back: float) -> None: ...
-    def break_off(self, number: int) -> None: ...
+    def shed(self, number: int, come_back: float, reason: EndReason) -> None: ...
+    def break_off(self, number: int, reason: EndReason) -> None: ...
     def call_off(self, number: int, trip: int) -> None: ...
     def wake(self, delay: float, token: int) -> None: ...
     def watch(self) -> None: ...
--- a/spurdeal/lab/virtual.py
+++ b/spurdeal/lab/virtual.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from ..interface import Deployment, Effect, Ending, Life, Listed
+from ..interface import Deployment, Effect, Ending, EndReason, Life, Listed
 from ..rules import Dispatcher
 from .model_engine import Engine, Job, Kind
 from .observer import Observer
@@ -123,7 +123,7 @@
     def overdue(self, life: int, number: int) -> None:
         if life == self.life and (taken := self.taken.get(number)) is not None and not taken.answered:
             self.world.counts["not_answered_in_time"] += 1
-            self.break_off(number)
+            self.answer(taken, "broken_off")
 
     def finish(self, taken: Taken, trip: int, ending: Ending) -> None:
         found = taken.out.pop(trip, None)
@@ -171,10 +171,10 @@
     def terms(self, number: int, memory: float, priority: int) -> None:
         """Weights are not carried here."""
 
-    def shed(self, number: int, come_back: float) -> None:
+    def shed(self, number: int, come_back: float, reason: EndReason) -> None:
         self.answer(self.taken[number], "shed")
 
-    def break_off(self, number: int) -> None:
+    def break_off(self, number: int, reason: EndReason) -> None:
         self.answer(self.taken[number], "broken_off")
 
     def answer(self, taken: Taken, what: str) -> None:
--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -359,6 +359,7 @@
 
     def expire(self) -> None:
         """What waits for nothing is closed; what does not read is cut."""
+        self.clients.counters.add(f"client_closed_{self.state_at_close()}")
         if self.written:
             self.transport.loseConnection()
         elif self.clogged or self.closing:
@@ -368,6 +369,14 @@
         else:
             self.close_if_idle()
 
+    def state_at_close(self) -> str:
+        """In what state it is closed by us, as the counters name it."""
+        if self.written:
+            return "lingering"
+        if self.clogged or self.closing:
+            return "unread"
+        return "unfinished" if self.parser.left() else "idle"
+
     def refuse_unfinished(self) -> None:
         """Its descriptor is needed: what has come of a call is dropped, and it may come again."""
         self.clients.counters.add("unfinished_refused")
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -158,6 +158,10 @@
         """How many connections one engine may have, so that there are some for each."""
         return max(1, self.most_connections // max(1, len(self.engines)))
 
+    def name_of(self, engine: int) -> str:
+        """The engine's id, for the log; that of one which is gone may not be known any more."""
+        return self.engines[engine].seat.ident if engine in self.engines else f"engine-{engine}"
+
     def ready(self, engine: int) -> bool:
         return engine in self.engines and self.engines[engine].seat.life == Life.READY
 
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -9,7 +9,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred, fail, succeed
 
-from ..interface import NEVER_RAN, Deployment, Ending, Life
+from ..interface import NEVER_RAN, Deployment, Ending, EndReason, Life
 from ..rules import Dispatcher
 from .answers import COUNTED, Answer, BrokenOff, Delivered, Granted, Shed
 from .counters import Counters
@@ -17,6 +17,7 @@
 from .engines import Engines
 from .names import Seat
 from .ordered import OrderedArrivals
+from .request_log import RequestLog
 from .submissions import Carrier, EarlyWithdrawals, Guard, Taken, at_most_once
 from .trips import Outcome, SendTerms
 from .turns import Turns
@@ -45,6 +46,7 @@
     ) -> None:
         super().__init__(reactor, clock, counters, log)
         self.engines = engines
+        self.request_log = RequestLog(log, clock, counters)
         self.priorities, self.nobody = site.priorities, len(site.quotas)  # nobody: a customer without a share
         self.taken: dict[int, Taken] = {}
         self.by_ident: dict[bytes, Taken] = {}
@@ -160,6 +162,7 @@
             self.engines.listed(self.index.place_of(ident), seat)
             if seat.life == Life.GONE:
                 self.index.forget(ident)
+        self.request_log.states(self.seats, seats)
         self.seats = dict(seats)
         ready = sum(seat.life == Life.READY for seat in seats.values())
         self.logger.info("listed", extra={"figures": {"engines": len(seats), "ready": ready}})
@@ -208,16 +211,20 @@
 
     def send(self, number: int, engine: int, time_limit: float) -> None:
         taken = self.taken[number]
+        if taken.made:
+            self.request_log.retried(taken, taken.made, self.engines.name_of(engine))
         self.asked.append((self.carry, (taken, taken.made, engine, time_limit)))
         taken.made += 1
 
     def terms(self, number: int, memory: float, priority: int) -> None:
         self.asked.append((self.weigh, (self.taken[number], priority)))
 
-    def shed(self, number: int, come_back: float) -> None:
+    def shed(self, number: int, come_back: float, reason: EndReason) -> None:
+        self.request_log.refused(self.taken[number], reason)
         self.asked.append((self.conclude, (self.taken[number], Shed(come_back))))
 
-    def break_off(self, number: int) -> None:
+    def break_off(self, number: int, reason: EndReason) -> None:
+        self.request_log.aborted(self.taken[number], reason)
         self.asked.append((self.conclude, (self.taken[number], BrokenOff())))
 
     def call_off(self, number: int, trip: int) -> None:
@@ -374,7 +381,11 @@
 
     def ended(self, now: float, taken: Taken, trip: int, engine: int, sent: float, outcome: Outcome) -> None:
         taken.trips.pop(trip, None)
+        taken.last_ending = outcome.ending
         delivered = outcome.ending == Ending.DELIVERED
+        if not delivered and self.at_most_once[taken.kind]:
+            server = self.engines.name_of(engine)
+            self.request_log.attempt_failed(taken, trip, server, outcome.ending, now - sent)
         if (
             self.guard is not None
             and taken.answered
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -16,6 +16,7 @@
 SERVICE = "_api._tcp.svc.local"
 ASK_EVERY = 0.2  # seconds; an answer lost is then made good well before changes count as told
 MOST_OPEN = 32  # questions whose answer may still come
+SILENT_AFTER = 2.0  # seconds without an answer: told in the log
 LIVES = {"SERVING": Life.READY, "DRAINING": Life.DRAINING, "DELETED": Life.GONE}
 WEIGHT_SCALE = 10
 
@@ -154,8 +155,11 @@
         self.next_question: Any = None  # the delayed call
         self.on_unchanged: Callable[[dict[str, Seat]], None] | None = None
         self.answered_at = float("-inf")
+        self.heard_or_began = reactor.seconds()  # since when silence counts
+        self.silent = False
 
     def startProtocol(self) -> None:
+        self.heard_or_began = self.reactor.seconds()
         self.ask()
 
     def stopProtocol(self) -> None:
@@ -171,6 +175,7 @@
 
     def ask(self) -> None:
         """Sends the next question. Nothing waits for its answer."""
+        self.watch_silence()
         self.question_id = (self.question_id + 1) & 0xFFFF
         self.open_questions[self.question_id] = None
         if len(self.open_questions) > MOST_OPEN:
@@ -179,8 +184,37 @@
         try:
             self.transport.write(dns.question(self.question_id, SERVICE, dns.SRV), self.address)
             self.counters.add("names_asked")
-        except OSError:
+        except OSError as fault:
             self.counters.add("names_not_sent")
+            self.counters.add(f"names_not_sent_errno_{fault.errno}")
+
+    def watch_silence(self) -> None:
+        """Tells, once, that the list in force may be out of date."""
+        silence = self.reactor.seconds() - self.heard_or_began
+        if silence > SILENT_AFTER:
+            self.counters.most("names_longest_silence_ms", silence * 1000)
+        if silence > SILENT_AFTER and not self.silent:
+            self.silent = True
+            self.tell("discovery_silent", silence)
+
+    def heard(self) -> None:
+        """The name service has answered with a list."""
+        now = self.reactor.seconds()
+        silence, self.answered_at = now - self.heard_or_began, now
+        self.heard_or_began = now
+        if self.silent:
+            self.silent = False
+            self.tell("discovery_answers_again", silence)
+
+    def tell(self, event: str, silence: float) -> None:
+        figures = {
+            "after_ms": silence * 1000,
+            "address": f"{self.address.host}:{self.address.port}",
+            "list_number": self.number,
+            "asked": self.counters.sums["names_asked"],
+            "answered": self.counters.sums["names_answered"],
+        }
+        self.log.warning(event, extra={"figures": figures})
 
     def datagramReceived(self, datagram: bytes, address: tuple[str, int]) -> None:
         if address[:2] != self.address or len(datagram) < 2:
@@ -210,7 +244,7 @@
         if serial is None:
             raise dns.BadDatagram("no serial")
         self.counters.add("names_answered")
-        self.answered_at = self.reactor.seconds()
+        self.heard()
         if serial > self.number:
             seats = answered_seats(services, addresses, texts)
             self.number = serial
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -8,6 +8,7 @@
 
 from twisted.internet.task import LoopingCall
 
+from ..clocks import monotonic_ms, unix_ms
 from .clients import BACKLOG, Clients
 from .configuration import Configuration, Unusable
 from .counters import Counters
@@ -15,6 +16,7 @@
 from .engines import Engines
 from .link import SocketLink
 from .names import NameService
+from .wall_clock import WallClockWatch
 
 SWEEP_EVERY = 0.25  # seconds
 KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
@@ -46,6 +48,7 @@
         log: logging.Logger,
         done: Callable[[], None],
         process: ProcessDescriptors = UNKNOWN_PROCESS,
+        wall_clock: Callable[[], float] = unix_ms,
     ) -> None:
         self.configuration, self.reactor, self.clock = configuration, reactor, clock
         self.process = process
@@ -77,6 +80,7 @@
             log,
         )
         self.seats = configuration.known.seats
+        self.wall_clock = WallClockWatch(wall_clock, monotonic_ms, self.counters, log)
         self.retry: Any = None
         self.sweeping = LoopingCall(self.sweep)
         self.sweeping.clock = reactor
@@ -171,7 +175,8 @@
             self.log.error("unhandled", extra={"figures": {"trace": event["log_failure"].getTraceback()}})
 
     def sweep(self) -> None:
-        """Closes clients' and engines' connections that have rested for too long."""
+        """Closes clients' and engines' connections that have rested for too long; looks at the wall clock."""
+        self.wall_clock.look()
         self.clients.sweep()
         self.engines.sweep()
 
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -13,6 +13,7 @@
 from twisted.internet.error import CannotListenError
 from twisted.logger import globalLogBeginner
 
+from ..clocks import unix_ms
 from ..early import SIGNALS
 from .configuration import Configuration, Unusable, load_configuration, read_configuration
 from .descriptors import ProcessDescriptors
@@ -36,10 +37,6 @@
 BIND_EVERY = 0.05  # seconds
 
 
-def unix_ms() -> float:
-    return time.time() * 1000
-
-
 def on_signals(loop: Any, again: Callable[[], None], stop: Callable[[], None]) -> None:
     """SIGHUP, and SIGTERM or SIGINT, in the loop's own time; what came before this, first."""
     SIGNALS.hand_over(lambda number: loop.callFromThread(again if number == signal.SIGHUP else stop))
--- a/spurdeal/net/submissions.py
+++ b/spurdeal/net/submissions.py
@@ -110,6 +110,7 @@
     made: int = 0
     trips: dict[int, Carried] = field(default_factory=dict)
     waiting: dict[int, int] = field(default_factory=dict)  # trips with no verdict yet, and engines
+    last_ending: Ending | None = None  # of the trip that ended last
 
 
 class EarlyWithdrawals(dict[bytes, float]):
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -14,7 +14,19 @@
 from . import state
 from .chance import Chance
 from .histogram import Histogram
-from .interface import NEVER_RAN, WAITS_FOR_LOAD, Deployment, Effect, Ending, Life, Link, Listed, Reach, Word
+from .interface import (
+    NEVER_RAN,
+    WAITS_FOR_LOAD,
+    Deployment,
+    Effect,
+    Ending,
+    EndReason,
+    Life,
+    Link,
+    Listed,
+    Reach,
+    Word,
+)
 from .running_mean import RunningMean
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
@@ -223,7 +235,7 @@
 
     def duty_stage(self, s: Submission) -> bool:
         if self.now >= s.expiry - LAST_MOMENT:
-            self.end(s)
+            self.end(s, EndReason.NO_TIME)
         return not s.over
 
     def share_stage(self, s: Submission) -> bool:
@@ -462,36 +474,42 @@
             self.rests[s.key] = now + self.order_rest
         if final or s.over:
             self.close(s)
-        elif now >= s.expiry - 1.0 or (
-            not s.out
-            and (
-                len(s.erred) > 1  # it fails anywhere
-                or now >= s.expiry - LAST_MOMENT
-                or ending == Ending.TIME_OUT
-                or s.made >= self.most_trips + min(s.unsent, MOST_UNSENT)
-                or self.further_credit < 1.0
-                or (s.ran and s.workload.effect == Effect.IRREVERSIBLE)
-            )
-        ):
-            self.end(s)
+        elif (reason := self.reason_to_end(s, ending)) is not None:
+            self.end(s, reason)
         elif not s.out:
             s.avoid.append(e)
             self.pass_on(s, self.chain.index(self.line_stage))
 
+    def reason_to_end(self, s: Submission, ending: Ending) -> EndReason | None:
+        """Why a submission whose trip has just ended without a result is not tried again, or None."""
+        if self.now >= s.expiry - 1.0:
+            return EndReason.NO_TIME
+        if s.out:
+            return None
+        reasons = {
+            EndReason.ERRORS: len(s.erred) > 1,  # it fails anywhere
+            EndReason.NO_TIME: self.now >= s.expiry - LAST_MOMENT,
+            EndReason.TIMED_OUT: ending == Ending.TIME_OUT,
+            EndReason.ATTEMPTS: s.made >= self.most_trips + min(s.unsent, MOST_UNSENT),
+            EndReason.BUDGET: self.further_credit < 1.0,
+            EndReason.MAY_HAVE_RUN: s.ran is not None and s.workload.effect == Effect.IRREVERSIBLE,
+        }
+        return next((reason for reason, holds in reasons.items() if holds), None)
+
     def withdrawn(self, now: float, number: int) -> None:
         self.now = now
         if (s := self.open.get(number)) is not None:
             self.call_off(list(s.out.values()))
             self.close(s)
 
-    def end(self, s: Submission) -> None:
+    def end(self, s: Submission, reason: EndReason) -> None:
         """Shed where trying again is harmless, broken off where it may not be."""
         w = s.workload
         harmless = w.effect == Effect.REDOABLE or (w.effect == Effect.LABELLED and w.reach == Reach.ALL)
         if harmless or not (s.ran or s.out):
-            self.link.shed(s.number, self.come_back)
+            self.link.shed(s.number, self.come_back, reason)
         else:
-            self.link.break_off(s.number)
+            self.link.break_off(s.number, reason)
         self.call_off(list(s.out.values()))
         self.close(s)
 
@@ -525,15 +543,17 @@
         """What can no longer be worth its wait is answered at once."""
         for s in [s for s in self.held if not s.over]:
             late = (done := self.now + max(LAST_MOMENT, s.due * self.middle)) > s.agreed
-            if done >= s.expiry or (late and s.workload.late_utility < LATE_WORTH_IT):
-                self.end(s)
+            if done >= s.expiry:
+                self.end(s, EndReason.NO_TIME)
+            elif late and s.workload.late_utility < LATE_WORTH_IT:
+                self.end(s, EndReason.TOO_LATE)
             elif late and not s.late:
                 s.late = True
                 s.rank = self.rank(s)
         self.held = sorted((s for s in self.held if not s.over), key=lambda held: held.rank)
         self.demand += sum(s.workload.threads for s in self.held) + sum(e.threads for e in self.ready)
         while self.held and len(self.open) > CROWDED * self.ways_in:  # or new ones find no way in
-            self.end(self.held.pop())
+            self.end(self.held.pop(), EndReason.CROWDED)
 
     def watch_engines(self) -> None:
         """Looks only where something of ours is out: idle engines cost nothing."""
@@ -573,7 +593,7 @@
             and w.late_utility < LATE_WORTH_IT
             and self.now > s.taken + TOO_LATE * (s.agreed - s.taken)
         ):
-            self.end(s)  # its answer is worth nothing any more, and its trip holds an engine
+            self.end(s, EndReason.TOO_LATE)  # its trip holds an engine for nothing
         if self.notes:
             lost = quiet > LOST_NOTES * self.notes
             e.stand(t, t.stands or lost)
--- /dev/null
+++ b/tests/test_request_log.py
@@ -0,0 +1,109 @@
+"""What the log and the counters tell of requests, of engines' states, of discovery and the wall clock."""
+
+import io
+import unittest
+
+from spurdeal.interface import EndReason
+from spurdeal.net.counters import Counters
+from spurdeal.net.limited_log import MOST_LINES, WINDOW, LimitedLog
+from spurdeal.net.logs import logger
+from spurdeal.net.wall_clock import WallClockWatch
+from tests.helpers import Caller, World
+
+DRAINING = ("s-0.east.hosts", "127.0.9.0:7001", 1, "kind=std cell=0 started=0")
+
+
+class Lines(unittest.TestCase):
+    """Lines of a dispatcher on transports in memory."""
+
+    def lines(self, world: World, event: str) -> list[str]:
+        return [line for line in world.log.getvalue().splitlines() if f"event={event} " in line]
+
+    def test_a_retry_tells_its_id_its_server_and_why(self) -> None:
+        world = World(self, engines=2)
+        Caller(world).post(7)
+        world.peer().up().say(7, "500")
+        (line,) = self.lines(world, "attempt_retried")
+        for part in (f"id={7:016x}", "workload=lookup", "attempt=1", "before=error", "attempts_out=0"):
+            self.assertIn(part, line)
+        self.assertEqual(world.count("attempts_further"), 1)
+
+    def test_an_attempt_that_must_not_run_twice_tells_how_it_ended(self) -> None:
+        world = World(self, engines=2)
+        caller = Caller(world)
+        caller.post(7, "load")
+        world.peer().up().lose()
+        (line,) = self.lines(world, "attempt_failed")
+        self.assertIn("ending=reset", line)
+        (line,) = self.lines(world, "request_aborted")
+        self.assertIn(f"reason={EndReason.MAY_HAVE_RUN}", line)
+        self.assertEqual(world.count("request_aborted_may_have_run"), 1)
+
+    def test_a_refusal_tells_why(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.post(7, wait=60)
+        self.assertEqual(caller.answers()[0][0], 503)
+        (line,) = self.lines(world, "request_refused")
+        self.assertIn(f"reason={EndReason.NO_TIME}", line)
+
+    def test_a_server_that_drains_and_goes(self) -> None:
+        world = World(self, engines=2)
+        world.list(2, DRAINING)
+        told = {line.split("server=")[1].split(" started")[0] for line in self.lines(world, "server_state")}
+        self.assertEqual(
+            told,
+            {
+                "s-0 before=gone after=ready",
+                "s-1 before=gone after=ready",
+                "s-0 before=ready after=draining",
+                "s-1 before=ready after=gone",
+            },
+        )
+
+    def test_discovery_that_falls_silent_and_answers_again(self) -> None:
+        world = World(self)
+        world.list(1)
+        world.go(1900)
+        self.assertEqual(self.lines(world, "discovery_silent"), [])
+        world.go(3000)
+        self.assertEqual(len(self.lines(world, "discovery_silent")), 1)
+        world.list(2, DRAINING)
+        (line,) = self.lines(world, "discovery_answers_again")
+        self.assertRegex(line, r"after_ms=5[01]\d\d\.")
+        self.assertGreaterEqual(world.count("names_longest_silence_ms"), 4900)
+
+
+class Bounds(unittest.TestCase):
+    """Very many lines of one event cost few."""
+
+    def test_lines_over_the_bound_are_counted(self) -> None:
+        stream, now = io.StringIO(), [0.0]
+        log = LimitedLog(logger("n1", stream), lambda: now[0])
+        for _ in range(MOST_LINES + 5):
+            log.write("one")
+        log.write("other")
+        self.assertEqual(stream.getvalue().count("event=one"), MOST_LINES)
+        self.assertEqual(stream.getvalue().count("event=other"), 1)
+        now[0] = WINDOW
+        log.write("one")
+        self.assertIn("event=one lines_left_out=5", stream.getvalue())
+
+
+class WallClock(unittest.TestCase):
+    """Steps of the wall clock are told and counted; its slow drift is not."""
+
+    def test_steps_either_way(self) -> None:
+        wall, steady, counters, stream = [1e12], [5.0], Counters(), io.StringIO()
+        watch = WallClockWatch(lambda: wall[0], lambda: steady[0], counters, logger("n1", stream))
+        for step, told in ((0.0, 0), (20.0, 0), (20_000.0, 1), (-3_600_000.0, 2)):
+            steady[0] += 250.0
+            wall[0] += 250.0 + step
+            watch.look()
+            self.assertEqual(stream.getvalue().count("event=wall_clock_stepped"), told)
+        self.assertEqual(counters.sums["wall_clock_steps"], 2)
+        self.assertEqual(counters.sums["wall_clock_largest_step_ms"], 3_600_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any
 
-from spurdeal.interface import Deployment, Effect, Ending, Life, Listed, Reach, Word, Workload
+from spurdeal.interface import Deployment, Effect, Ending, EndReason, Life, Listed, Reach, Word, Workload
 from spurdeal.rules import Dispatcher
 
 FOLDER = Path(__file__).parent / "scenarios"
@@ -74,10 +74,10 @@
         self.made[number] = self.made.get(number, 0) + 1
         self.did.append(f"send {number} {engine}")
 
-    def shed(self, number: int, come_back: float) -> None:
+    def shed(self, number: int, come_back: float, reason: EndReason) -> None:
         self.did.append(f"shed {number}")
 
-    def break_off(self, number: int) -> None:
+    def break_off(self, number: int, reason: EndReason) -> None:
         self.did.append(f"break {number}")
 
     def call_off(self, number: int, trip: int) -> None:
