--- a/tests/processes.py
+++ b/tests/processes.py
@@ -81,7 +81,9 @@
     def configure(self, **more: Any) -> None:
         self.configured.write_text(json.dumps(self.addresses.configuration(**more)))
 
-    def start(self, *command: str, descriptors: int | None = None) -> subprocess.Popen[str]:
+    def start(
+        self, *command: str, descriptors: int | None = None, environment: dict[str, str] | None = None
+    ) -> subprocess.Popen[str]:
         """Starts a command at the root, held by the kernel to so many descriptors if given."""
 
         def limit() -> None:
@@ -94,7 +96,7 @@
             cwd=ROOT,
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
-            env=os.environ | {"ROUTER_CONFIG": str(self.configured)},
+            env=os.environ | {"ROUTER_CONFIG": str(self.configured)} | (environment or {}),
             preexec_fn=limit,  # noqa: PLW1509 - no thread of this process runs then
         )
         self.addCleanup(child.communicate)
--- /dev/null
+++ b/tests/stepped_process.py
@@ -0,0 +1,38 @@
+"""The dispatcher with a wall clock that a test steps: the system's, plus a number in a file that both share.
+
+A program of its own, as time.time must be replaced before any other module takes hold of it. The monotonic
+clock is the system's own.
+"""
+
+import mmap
+import os
+import struct
+import sys
+import time
+
+
+def step_the_wall_clock(path: str) -> None:
+    """Replace each way in which Python reads the wall clock."""
+    number = struct.Struct("d")  # seconds
+    with open(path, "r+b") as file:
+        shared = mmap.mmap(file.fileno(), number.size)
+    real_time, real_gettime = time.time, time.clock_gettime
+
+    def offset() -> float:
+        seconds: float = number.unpack_from(shared)[0]
+        return seconds
+
+    def gettime(clock: int) -> float:
+        return real_gettime(clock) + (offset() if clock == time.CLOCK_REALTIME else 0.0)
+
+    time.time = lambda: real_time() + offset()
+    time.time_ns = lambda: int((real_time() + offset()) * 1e9)
+    time.clock_gettime = gettime
+
+
+if __name__ == "__main__":
+    step_the_wall_clock(os.environ["STEPPED_CLOCK_FILE"])
+    sys.argv = sys.argv[:1]
+    from spurdeal.__main__ import main
+
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_clock_steps.py
@@ -0,0 +1,154 @@
+"""Steps of the wall clock, either way, on real processes; and a request that the link answered by itself."""
+
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from typing import Any
+
+from spurdeal.lab import names
+from tests.helpers import Caller, World
+from tests.processes import FIRST_ENGINE_PORT, NAMES_PORT, ROOT, Addresses, ProcessCase
+from tests.stepped_clock import OFFSET_FILE, NameService, Server, SteppedClock
+
+HOUR = 3600.0  # seconds
+LEARNED_WITHIN = 0.6  # seconds: a poll each 0.2 s, one of which may be lost; and the machine's
+
+
+class Answer:
+    """One request, sent in a thread of its own: its status, or the error that its client saw."""
+
+    def __init__(self, addresses: Addresses, number: int, wait_ms: int, workload: str) -> None:
+        self.addresses, self.number, self.wait_ms, self.workload = addresses, number, wait_ms, workload
+        self.status: int | None = None
+        self.error: Exception | None = None
+        self.took = 0.0
+        self.thread = threading.Thread(target=self.ask, daemon=True)
+        self.thread.start()
+
+    def ask(self) -> None:
+        """Send it, and wait for the answer."""
+        began = time.monotonic()
+        client = HTTPConnection(self.addresses.dispatcher, self.addresses.port, timeout=20)
+        fields = {"Req-Id": f"{self.number:016x}", "Req-Wait-Ms": str(self.wait_ms)}
+        try:
+            client.request("POST", f"/ops/{self.workload}", "SELECT a FROM s_1.t", fields)
+            self.status = client.getresponse().status
+        except (OSError, HTTPException) as error:
+            self.error = error
+        finally:
+            client.close()
+        self.took = time.monotonic() - began
+
+    def result(self) -> int | Exception | None:
+        """The status, or the client's error."""
+        self.thread.join(30)
+        return self.error or self.status
+
+
+class SteppedCase(ProcessCase):
+    """A dispatcher with a wall clock that the test steps, two servers and the name service."""
+
+    addresses = Addresses.in_subnet(67)
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.clock = SteppedClock(Path(folder.name) / "offset")
+        where = self.addresses
+        self.servers = [Server(where.engines, FIRST_ENGINE_PORT + number) for number in range(2)]
+        seats = [names.Seat(f"s-{number}", each.host, each.port) for number, each in enumerate(self.servers)]
+        self.names = NameService(where.names, NAMES_PORT, seats)
+        for server in self.servers:
+            self.addCleanup(server.close)
+        self.addCleanup(self.names.close)
+        self.configure()
+        self.sent = 0
+
+    def dispatcher(self) -> subprocess.Popen[str]:
+        """A dispatcher that is ready."""
+        self.environment = {OFFSET_FILE: str(self.clock.path), "PYTHONPATH": str(ROOT)}
+        child = self.start(sys.executable, "-O", "tests/stepped_process.py", environment=self.environment)
+        self.await_ready(child)
+        return child
+
+    def ask(self, wait_ms: int = 5000, workload: str = "lookup") -> Answer:
+        """One more request."""
+        self.sent += 1
+        return Answer(self.addresses, self.sent, wait_ms, workload)
+
+
+class Discovery(SteppedCase):
+    """Drains are learned in real time, whatever the wall clock does."""
+
+    def drained_after(self, step: float) -> None:
+        """A drain is announced right after a step: half a second later nothing goes there any more."""
+        self.dispatcher()
+        self.assertEqual([self.ask().result() for _ in range(4)], [200] * 4)
+        self.clock.step_to(step)
+        time.sleep(0.3)
+        self.names.drain("s-0")
+        told = time.monotonic()
+        time.sleep(LEARNED_WITHIN)
+        answers = [self.ask() for _ in range(30)]
+        self.assertEqual([answer.result() for answer in answers], [200] * 30)
+        self.assertEqual(self.servers[0].since(told + LEARNED_WITHIN), [])
+        self.assertGreaterEqual(len([at for at in self.names.asked if at > told]), 2)
+
+    def test_a_drain_after_a_step_back(self) -> None:
+        self.drained_after(-HOUR)
+
+
+class Shutdown(SteppedCase):
+    """What is open at SIGTERM is answered, whatever the wall clock does."""
+
+    def test_a_step_forward_while_it_shuts_down(self) -> None:
+        for server in self.servers:
+            server.takes = 1.0
+        child = self.dispatcher()
+        answer = self.ask()
+        while not any(server.arrivals for server in self.servers):
+            time.sleep(0.01)
+        child.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        self.clock.step_to(HOUR)
+        self.assertEqual(answer.result(), 200)
+        self.assertEqual(child.wait(10), 0)
+
+
+class LeftBehind(unittest.TestCase):
+    """A request that the link has answered for the decisions must not disturb the others of the queue."""
+
+    def test_a_request_answered_late_sends_no_other_twice(self) -> None:
+        world = World(self, engines=4)
+        link, missed = world.service.link, list[str]()
+        rules: Any = link.rules
+
+        def must(holds: object, what: str) -> bool:  # as in a release build
+            missed.extend([] if holds else [what])
+            return bool(holds)
+
+        link.counters.must = must  # type: ignore[method-assign]
+        rules.choose = lambda *_, **__: None  # all wait in the queue
+        rules.watch_held = lambda: None  # the decisions miss a deadline, and the link answers for them
+        callers = [Caller(world) for _ in range(3)]
+        for number, caller in enumerate(callers):
+            caller.post(number, "load", wait=400 if number == 1 else 15000)
+        world.go(500)
+        self.assertEqual([status for status, _, _ in callers[1].answers()], [500])
+        self.assertEqual(missed, ["answer_in_time"])
+        del rules.choose, rules.watch_held
+        world.go(300)
+        peers = [world.peer(place).up() for place in range(len(world.reactor.tcpClients))]
+        served = [said[1] for peer in peers for said in peer.heard() if said[0] == "serve"]
+        self.assertEqual(sorted(served), [f"{0:016x}", f"{2:016x}"])
+
+
+if __name__ == "__main__":
+    unittest.main()
