Spans of time go by the monotonic clock; a fault amid a turn sends nothing twice

Now: the queue is settled also after a fault, the link withdraws what it answers, and of what must not run twice no second attempt is carried while one is out.

Related: starts of engines are Unix times of other machines; a restart with a wall clock ahead took a cold engine for warm. spurdeal/slow_start.py bounds a start by the lists that did and did not name it.

Class: wall-clock time used for spans; and state left half changed by a fault amid a batch.

Test changed: a step is followed slowly -> not at all, as the slew itself was at fault.

--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -12,12 +12,12 @@
 from twisted.internet.error import CannotListenError
 from twisted.logger import globalLogBeginner
 
-from ..clocks import monotonic_ms, unix_ms
+from ..clocks import SteadyClock, monotonic_ms, unix_ms
 from ..net import start
 from ..net.descriptors import ProcessDescriptors
+from ..net.monotonic_reactor import install_monotonic_reactor
 from ..settings.reading import SettingsError, read
-from ..steady import Steady
-from .clocks import shifted_unix_ms, steady_reactor
+from .clocks import shifted_unix_ms
 from .structured_logs import logger
 
 if TYPE_CHECKING:
@@ -259,13 +259,13 @@
     if not configuration:
         raise start.Unusable("ROUTER_CONFIG is not set")
     configured = start.load_configuration(configuration)
-    loop = steady_reactor()
+    loop = install_monotonic_reactor()
     file = plan.fleet.clock_file if plan.fleet is not None else None
     unix = shifted_unix_ms(file) if file is not None else unix_ms
-    clock = Steady(unix, monotonic_ms)
+    clock = SteadyClock(unix)
     log = logger(configured.name or "spurdeal", sys.stderr)
     process = ProcessDescriptors.of_this_process()
-    service = start.Service(configured, loop, clock.now, log, lambda: installed.done(), process)  # noqa: PLW0108 - not bound yet
+    service = start.Service(configured, loop, clock.now, log, lambda: installed.done(), process, unix)  # noqa: PLW0108 - not bound yet
     installed = Installed(service, plan, loop, Files(path, configuration), unix)
 
     def again() -> None:
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from ..interface import Ending, Life
+from ..slow_start import leads_to_predecessor
 from .connection import Connection, Dial
 from .counters import Counters
 from .names import Seat
@@ -34,7 +35,11 @@
     def reseat(self, seat: Seat) -> None:
         before, self.seat = self.seat, seat
         for connection in list(self.connections):
-            if seat.started != before.started and connection.up and connection.opened < seat.started:
+            if (
+                seat.started != before.started
+                and connection.up
+                and leads_to_predecessor(connection.opened, seat.started, self.engines.clock())
+            ):
                 connection.transport.abortConnection()  # the process that it led to is no more
                 connection.lost()
             elif seat.life == Life.GONE or seat[1:3] != before[1:3]:
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -11,6 +11,7 @@
 
 from ..interface import NEVER_RAN, Deployment, Ending, EndReason, Life
 from ..rules import Dispatcher
+from ..slow_start import StartTimes
 from .answers import COUNTED, Answer, BrokenOff, Delivered, Granted, Shed
 from .counters import Counters
 from .engine_index import EngineIndex
@@ -57,6 +58,7 @@
         self.ordered = OrderedArrivals(site.order_rest or 0.0)
         self.index = EngineIndex(locations, kinds)
         self.seats: dict[str, Seat] = {}
+        self.starts = StartTimes()
         self.numbers = count()
         self.until = float("inf")
         self.guard: Guard | None = None
@@ -154,7 +156,8 @@
         """The whole list. An engine's place goes with it: nothing outlives what is gone."""
         guard = self.guard
         told = [(ident, seat if guard is None else guard.seat(seat)) for ident, seat in seats.items()]
-        lines = [self.index.line(ident, seat) for ident, seat in told]
+        began = self.starts.listed(self.clock(), {ident: seat.started for ident, seat in told})
+        lines = [self.index.line(ident, seat._replace(started=began[ident])) for ident, seat in told]
         # Told first: what the engines' connections then give back must not be sent there again.
         self.gather(self.rules.listed, lines, True)
         gone = {ident: seat._replace(life=Life.GONE) for ident, seat in self.seats.items()}
@@ -167,6 +170,10 @@
         ready = sum(seat.life == Life.READY for seat in seats.values())
         self.logger.info("listed", extra={"figures": {"engines": len(seats), "ready": ready}})
 
+    def list_confirmed(self) -> None:
+        """The name service knows no newer list than the one in force."""
+        self.starts.confirm(self.clock())
+
     def stop(self, until: float) -> None:
         """All that is taken, and what still comes, is answered by then."""
         self.until = until
@@ -206,6 +213,7 @@
         taken = self.taken.get(number)
         if taken is not None and not self.counters.must(taken.answered, "answer_in_time"):
             self.asked.append((self.conclude, (taken, BrokenOff())))
+            self.gather(self.rules.withdrawn, number)  # or they would go on with it
 
     # What the rules ask for: kept until their turn is over.
 
@@ -249,7 +257,8 @@
 
     def carry(self, taken: Taken, trip: int, engine: int, time_limit: float) -> None:
         now = self.clock()
-        if taken.answered:  # its client left before this turn: it is not sent at all
+        if taken.answered or not self.may_run_again(taken):
+            # Its client left before this turn, or it was answered for want of time: it is not sent at all.
             self.gather(self.ended, taken, trip, engine, now, Outcome(Ending.MOOT))
             return
         if self.guard is not None:
@@ -263,6 +272,11 @@
             del taken.waiting[trip]
         self.depart(taken, trip, engine, time_limit, now)
 
+    def may_run_again(self, taken: Taken) -> bool:
+        """Whether another attempt can do no harm: what must not run twice has one out at most."""
+        alone = not self.at_most_once[taken.kind] or not (taken.trips or taken.waiting)
+        return self.counters.must(alone, "one_attempt_at_a_time")
+
     def told(self, taken: Taken, trip: int, engine: int, time_limit: float, verdict: bool | None) -> None:
         """The verdict on a trip that waited for one: sent, not sent, or (None) it may have run elsewhere."""
         now = self.clock()
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -133,6 +133,7 @@
         address: Where the name service is.
         number: The number of the last event that is in force.
         on_list: Takes each newer list.
+        on_confirmed: Called with each answer that tells the list in force.
         on_unchanged: Takes each answer without news, where somebody compares them.
         answered_at: When an answer last told of the list, in the reactor's seconds.
     """
@@ -153,6 +154,7 @@
         self.question_id = 0
         self.open_questions = dict[int, None]()
         self.next_question: Any = None  # the delayed call
+        self.on_confirmed: Callable[[], None] = lambda: None
         self.on_unchanged: Callable[[dict[str, Seat]], None] | None = None
         self.answered_at = float("-inf")
         self.heard_or_began = reactor.seconds()  # since when silence counts
@@ -249,5 +251,7 @@
             seats = answered_seats(services, addresses, texts)
             self.number = serial
             self.on_list(seats)
-        elif serial == self.number and self.on_unchanged is not None:
-            self.on_unchanged(answered_seats(services, addresses, texts))
+        elif serial == self.number:
+            self.on_confirmed()
+            if self.on_unchanged is not None:
+                self.on_unchanged(answered_seats(services, addresses, texts))
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -36,7 +36,8 @@
         budget: How its descriptors are shared out, by the limits now in force.
         seats: The engines known at the start.
         retry: The delayed call that reads an unusable configuration again.
-        stopped_at: When it was told to end, in Unix milliseconds; 0 before.
+        stopped_at: When it was told to end, by its clock; 0 before.
+        wall_clock: Tells of steps of the system's wall clock, by which nothing goes.
         stop_within: How many milliseconds after that the last call is answered.
     """
 
@@ -79,6 +80,7 @@
             self.counters,
             log,
         )
+        self.names.on_confirmed = self.link.list_confirmed
         self.seats = configuration.known.seats
         self.wall_clock = WallClockWatch(wall_clock, monotonic_ms, self.counters, log)
         self.retry: Any = None
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -13,11 +13,12 @@
 from twisted.internet.error import CannotListenError
 from twisted.logger import globalLogBeginner
 
-from ..clocks import unix_ms
+from ..clocks import SteadyClock
 from ..early import SIGNALS
 from .configuration import Configuration, Unusable, load_configuration, read_configuration
 from .descriptors import ProcessDescriptors
 from .logs import logger
+from .monotonic_reactor import install_monotonic_reactor
 from .service import SWEEP_EVERY, Service
 
 __all__ = [
@@ -30,7 +31,6 @@
     "on_signals",
     "read_configuration",
     "serve",
-    "unix_ms",
 ]
 
 BIND_WITHIN = 5.0  # seconds; a predecessor told to end is gone, or killed, 3.7 s later at the latest
@@ -55,11 +55,11 @@
     if not path:
         raise Unusable("ROUTER_CONFIG is not set")
     configuration = load_configuration(path)
-    from twisted.internet import reactor
-
-    loop: Any = reactor
+    loop: Any = install_monotonic_reactor()
     log = logger(configuration.name or "spurdeal", sys.stderr)
-    service = Service(configuration, loop, unix_ms, log, loop.stop, ProcessDescriptors.of_this_process())
+    service = Service(
+        configuration, loop, SteadyClock().now, log, loop.stop, ProcessDescriptors.of_this_process()
+    )
     globalLogBeginner.beginLoggingTo([cast(Any, service.unhandled)], redirectStandardIO=False)
     try:
         if not start_within(BIND_WITHIN, service, SIGNALS.end_asked):
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -326,16 +326,19 @@
         """Held ones leave, lowest aged cost per utility first, each to the engine with most room."""
         self.now, self.promised, kept, ripe = now, None, list[Submission](), False
         stuck = [False for _ in self.workloads]  # nothing frees room within a turn: one speaks for its kind
-        for s in self.held:
-            if s.over or (not stuck[s.kind] and self.pass_on(s, self.chain.index(self.choice_stage))):
-                continue
-            kept.append(s)
-            stuck[s.kind] |= not s.made and self.in_turn(s)
-            if not ripe and now - s.taken > RIPE and self.in_turn(s):
-                ripe = True
-                wide = [e for e in self.allowed(s) if e.bound >= s.workload.threads]
-                self.promised = max(wide, key=Engine.room, default=None)
-        self.held = kept
+        waiting = iter(self.held)
+        try:
+            for s in waiting:
+                if s.over or (not stuck[s.kind] and self.pass_on(s, self.chain.index(self.choice_stage))):
+                    continue
+                kept.append(s)
+                stuck[s.kind] |= not s.made and self.in_turn(s)
+                if not ripe and now - s.taken > RIPE and self.in_turn(s):
+                    ripe = True
+                    wide = [e for e in self.allowed(s) if e.bound >= s.workload.threads]
+                    self.promised = max(wide, key=Engine.room, default=None)
+        finally:  # also after a fault at one of them: what was sent is not held any more
+            self.held = kept + list(waiting)
 
     # The choice of engine, with its guards and the bound.
 
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -1,6 +1,7 @@
 """Steps of the wall clock, either way, on real processes; and a request that the link answered by itself."""
 
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -13,8 +14,8 @@
 
 from spurdeal.lab import names
 from tests.helpers import Caller, World
-from tests.processes import FIRST_ENGINE_PORT, NAMES_PORT, ROOT, Addresses, ProcessCase
-from tests.stepped_clock import OFFSET_FILE, NameService, Server, SteppedClock
+from tests.processes import FIRST_ENGINE_PORT, NAMES_PORT, ROOT, Addresses, ProcessCase, counters_at_exit
+from tests.stepped_clock import OFFSET_FILE, Arrival, NameService, Server, SteppedClock
 
 HOUR = 3600.0  # seconds
 LEARNED_WITHIN = 0.6  # seconds: a poll each 0.2 s, one of which may be lost; and the machine's
@@ -73,8 +74,8 @@
 
     def dispatcher(self) -> subprocess.Popen[str]:
         """A dispatcher that is ready."""
-        self.environment = {OFFSET_FILE: str(self.clock.path), "PYTHONPATH": str(ROOT)}
-        child = self.start(sys.executable, "-O", "tests/stepped_process.py", environment=self.environment)
+        environment = {OFFSET_FILE: str(self.clock.path), "PYTHONPATH": str(ROOT)}
+        child = self.start(sys.executable, "-O", "tests/stepped_process.py", environment=environment)
         self.await_ready(child)
         return child
 
@@ -104,6 +105,76 @@
     def test_a_drain_after_a_step_back(self) -> None:
         self.drained_after(-HOUR)
 
+    def test_a_drain_after_a_step_back_by_seconds(self) -> None:
+        self.drained_after(-3.0)
+
+    def test_a_drain_after_a_step_forward(self) -> None:
+        self.drained_after(HOUR)
+
+    def test_the_step_is_told_in_the_log(self) -> None:
+        child = self.dispatcher()
+        self.clock.step_to(-HOUR)
+        time.sleep(0.8)
+        child.send_signal(signal.SIGTERM)
+        said = child.communicate(timeout=30)[1]
+        self.assertEqual(said.count("event=wall_clock_stepped ms=-3600000."), 1, said)
+        self.assertEqual(counters_at_exit(said)["wall_clock_steps"], 1)
+
+
+class Deadlines(SteppedCase):
+    """A request has the time that its client gave it, whatever the wall clock does meanwhile."""
+
+    def test_a_step_forward_cuts_no_request_short(self) -> None:
+        for server in self.servers:
+            server.takes = 1.0
+        self.dispatcher()
+        answers = [self.ask(4000), self.ask(15000, "load")]
+        time.sleep(0.4)
+        self.clock.step_to(HOUR)
+        time.sleep(0.1)
+        answers += [self.ask(4000), self.ask(15000, "load")]
+        self.assertEqual([answer.result() for answer in answers], [200] * 4)
+        waits = {arrival.ident: wait_of(arrival) for server in self.servers for arrival in server.arrivals}
+        for number, asked in ((1, 4000), (2, 15000), (3, 4000), (4, 15000)):
+            self.assertTrue(asked - 400 < waits[f"{number:016x}"] <= asked, waits)
+
+    def test_a_step_back_keeps_no_request_past_its_time(self) -> None:
+        for server in self.servers:
+            server.takes = None
+        self.dispatcher()
+        answers = [self.ask(1200), self.ask(1200, "load")]
+        time.sleep(0.3)
+        self.clock.step_to(-HOUR)
+        time.sleep(0.1)
+        answers += [self.ask(1200), self.ask(1200, "load")]
+        self.assertEqual([answer.result() for answer in answers], [503, 500, 503, 500])
+        for answer in answers:
+            self.assertTrue(0.9 < answer.took < 1.7, answer.took)
+
+
+class Connections(SteppedCase):
+    """Idle connections rest for their time, whatever the wall clock does."""
+
+    def test_a_step_forward_ends_no_idle_connection(self) -> None:
+        self.dispatcher()
+        client = HTTPConnection(self.addresses.dispatcher, self.addresses.port, timeout=10)
+        self.addCleanup(client.close)
+        for number, step in enumerate((0.0, HOUR, -HOUR)):
+            self.clock.step_to(step)
+            time.sleep(0.6)
+            fields = {"Req-Id": f"{number:016x}", "Req-Wait-Ms": "2000"}
+            client.request("POST", "/ops/lookup", "SELECT a FROM s_1.t", fields)
+            answer = client.getresponse()
+            self.assertEqual((answer.status, answer.read()[:8]), (200, b'{"result'))
+
+    def test_a_step_back_does_not_keep_one_that_is_over_its_time(self) -> None:
+        self.dispatcher()
+        with socket.create_connection((self.addresses.dispatcher, self.addresses.port), 10) as silent:
+            self.clock.step_to(-HOUR)
+            began = time.monotonic()
+            self.assertEqual(silent.recv(1), b"")  # one who never says a word is let go after 2 s
+            self.assertTrue(1.5 < time.monotonic() - began < 4.0)
+
 
 class Shutdown(SteppedCase):
     """What is open at SIGTERM is answered, whatever the wall clock does."""
@@ -121,6 +192,22 @@
         self.assertEqual(answer.result(), 200)
         self.assertEqual(child.wait(10), 0)
 
+    def test_a_step_back_while_it_shuts_down(self) -> None:
+        child = self.dispatcher()
+        self.assertEqual(self.ask().result(), 200)
+        child.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        self.clock.step_to(-HOUR)
+        began = time.monotonic()
+        self.assertEqual(child.wait(10), 0)
+        self.assertLess(time.monotonic() - began, 2.5)
+
+
+def wait_of(arrival: Arrival) -> int:
+    """The time that a server was given, in ms."""
+    fields = dict(pair.split("=") for pair in arrival.fields.split(","))
+    return int(fields["wait"])
+
 
 class LeftBehind(unittest.TestCase):
     """A request that the link has answered for the decisions must not disturb the others of the queue."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,9 +8,9 @@
 from pathlib import Path
 
 from spurdeal.cli.structured_logs import logger as structured
+from spurdeal.clocks import SteadyClock
 from spurdeal.net.logs import logger as plain
 from spurdeal.settings.reading import SettingsError, keys, read, read_text
-from spurdeal.steady import Steady
 
 EXAMPLE = Path(__file__).parent.parent / "deploy" / "installation-n1.yaml"
 TEXT = EXAMPLE.read_text()
@@ -117,17 +117,12 @@
 
 
 class Clocks(unittest.TestCase):
-    def test_a_step_is_followed_slowly(self) -> None:
+    def test_a_step_is_not_followed_at_all(self) -> None:
         unix, mono = [1e12], [0.0]
-        steady = Steady(lambda: unix[0], lambda: mono[0])
-        for step, passed, least, most in (
-            (0, 1000, 1000, 1000),
-            (3_600_000, 1000, 1000, 1005),
-            (0, 1000, 1000, 1005),
-            (-7_200_000, 1000, 995, 1000),
-        ):
+        steady = SteadyClock(lambda: unix[0], lambda: mono[0])
+        self.assertEqual(steady.now(), 1e12)
+        for step, passed in ((0, 1000), (3_600_000, 1000), (0, 1000), (-7_200_000, 1000), (40, 30_000)):
             before = steady.now()
             unix[0] += passed + step
             mono[0] += passed
-            self.assertTrue(least <= steady.now() - before <= most + 1e-3, (step, steady.now() - before))
-        self.assertEqual(steady.steps, 2)
+            self.assertEqual(steady.now() - before, passed, step)
--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,106 @@
+"""Starts of engines as a list tells them, where clocks differ: slow start is kept, and ends in time."""
+
+import unittest
+from typing import Any
+
+from spurdeal.slow_start import NEWS_DELAY, StartTimes, began, leads_to_predecessor
+from tests.helpers import BASE, SETTINGS, Caller, World, instance
+
+HOUR = 3_600_000.0
+COLD = SETTINGS["rules"]["cold"]
+
+
+class Began(unittest.TestCase):
+    """Since when a start counts."""
+
+    def test_the_bounds_of_a_start(self) -> None:
+        cases = (
+            ("long ago", 0.0, 0.0),
+            ("as told", 95.0, 95.0),
+            ("told before the last list without it", 10.0, 90.0),
+            ("told far in the past, as our clock is ahead", 100.0 - HOUR, 90.0),
+            ("told in the future, as our clock is behind", 100.0 + HOUR, 100.0),
+        )
+        for name, told, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(began(told, earliest=90.0, now=100.0), expected)
+
+    def test_the_first_list_proves_nothing_of_what_was_before(self) -> None:
+        starts = StartTimes()
+        self.assertEqual(starts.listed(100.0, {"a": 0.0, "b": 50.0}), {"a": 0.0, "b": 100.0})
+
+    def test_a_start_keeps_its_time_while_it_is_told_the_same(self) -> None:
+        starts = StartTimes()
+        starts.listed(100.0, {"a": 0.0})
+        starts.confirm(200.0)
+        self.assertEqual(starts.listed(300.0, {"a": 0.0, "b": 5.0}), {"a": 0.0, "b": 200.0})
+        starts.confirm(400.0)
+        self.assertEqual(starts.listed(500.0, {"b": 5.0}), {"b": 200.0})
+        self.assertEqual(starts.listed(600.0, {"b": 6.0}), {"b": 500.0})
+        self.assertEqual(list(starts.starts), ["b"])
+
+    def test_which_connections_lead_to_a_process_that_is_gone(self) -> None:
+        self.assertTrue(leads_to_predecessor(opened=10.0, told=20.0, now=30.0))
+        self.assertFalse(leads_to_predecessor(opened=25.0, told=20.0, now=30.0))
+        now = 100_000.0
+        self.assertFalse(leads_to_predecessor(now - NEWS_DELAY + 1, told=now + HOUR, now=now))
+        self.assertTrue(leads_to_predecessor(now - NEWS_DELAY - 1, told=now + HOUR, now=now))
+
+
+class Budgets(unittest.TestCase):
+    """What the decisions make of a start, with a dispatcher whose clock is off by an hour."""
+
+    def known(self, started: float) -> dict[str, Any]:
+        instances = [instance(0, startedAtMs=started), instance(1)]
+        roster = {"generation": 1, "reset": True, "instances": instances}
+        return {"known": {"no": 1, "items": [{"no": 1, "roster": roster}]}}
+
+    def cold_for(self, world: World, ident: str) -> float:
+        """Ms for which slow start still limits an engine."""
+        rules = world.service.link.rules
+        return float(rules.engines[world.service.link.index.places[ident]].warm_at - world.now())
+
+    def test_in_the_list_of_the_start(self) -> None:
+        for off in (HOUR, 20_000.0, -HOUR):
+            with self.subTest(off):
+                world = World(self, **self.known(BASE - off))
+                self.assertEqual(self.cold_for(world, "s-0"), COLD)
+                self.assertLess(self.cold_for(world, "s-1"), 0.0)
+
+    def test_one_that_joins_later(self) -> None:
+        for off in (HOUR, 20_000.0, 0.0, -HOUR):
+            with self.subTest(off):
+                world = World(self)
+                world.list(1)  # the list in force is confirmed
+                joined = world.now()
+                told = f"kind=std cell=0 started={joined - off:.0f}"
+                rows = [("s-0.east.hosts", "127.0.9.0:7001", 0, "kind=std cell=0 started=0")]
+                world.list(2, *rows, ("s-9.east.hosts", "127.0.9.9:7001", 0, told))
+                self.assertTrue(
+                    COLD - 250 <= self.cold_for(world, "s-9") <= COLD, self.cold_for(world, "s-9")
+                )
+                world.go(COLD)
+                self.assertLessEqual(self.cold_for(world, "s-9"), 0.0)
+
+    def test_a_restart_with_a_clock_ahead_sends_no_more_than_slow_start_allows(self) -> None:
+        """Right after a restart of ours nothing goes to an engine that may have just started."""
+        world = World(self, **self.known(BASE - HOUR))
+        for number in range(12):
+            Caller(world).post(number)
+        cold = [client for client in world.reactor.tcpClients if client[0] == "127.0.9.0"]
+        self.assertEqual(cold, [])
+
+    def test_a_connection_to_an_engine_that_started_anew_while_our_clock_is_behind(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        caller.post(1, "load")
+        peer = world.peer().up()
+        told = f"kind=std cell=0 started={world.now() + HOUR:.0f}"
+        world.list(2, ("s-0.east.hosts", "127.0.9.0:7001", 0, told))
+        self.assertFalse(peer.pipe.aborted)  # it may lead to the new process: its attempt is not cut
+        peer.say(1, "200", "parts=1", b"a\t1\tx\n")
+        self.assertEqual([status for status, _, _ in caller.answers()], [200])
+
+
+if __name__ == "__main__":
+    unittest.main()
