Discovery survives its socket's errors, lists are applied whole, ledgers outlive clock steps

Same class, wall clock: the ledger compared ends on the steady clock with the raw wall clock, and a restart after a step forgot what may have run; it goes by the service's clock now, and what an earlier process wrote counts for its usual time from the start on. Starts of engines are bounded by the latest start that is told: our clock cannot be further ahead than that.

Same symptom: an error on reading the name service's UDP socket (ENOMEM, ENOBUFS, EHOSTUNREACH, ETIMEDOUT) made Twisted close it for good, and a socket that could not be opened at the start ended the start; it is opened again. ENFILE, EMFILE, ENOBUFS, ENOMEM, EAGAIN at the listener are retried for 5 s as EADDRINUSE is.

--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -119,8 +119,10 @@
         """The durable record, recovered from its disk."""
         from ..store.ledger import Ledger, LedgerSettings
 
+        longest = part.keep + max(workload.expiry for workload in self.service.configuration.site.workloads)
+        settings = LedgerSettings(part.flush, part.ids, part.bytes, longest)
         try:
-            return Ledger(Path(part.path), unix_ms, LedgerSettings(part.flush, part.ids, part.bytes))
+            return Ledger(Path(part.path), self.service.clock, settings)
         except OSError as fault:
             raise SettingsError(f"{self.path}: ledger.path: {fault.strerror}: {part.path}") from None
 
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -193,8 +193,12 @@
     def write_held(self) -> None:
         """Hands over the trips whose terms did not let them leave at once."""
         held, self.held = self.held, []
-        for connection in held:
-            connection.write_held()
+        waiting = iter(held)
+        try:
+            for connection in waiting:
+                connection.write_held()
+        finally:  # also after a fault at one of them
+            self.held += waiting
 
     def weigh(self, trip: Trip, rank: int) -> None:
         if trip.connection is not None and trip.written and not trip.parts:
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -154,15 +154,16 @@
 
     def listed(self, seats: Mapping[str, Seat]) -> None:
         """The whole list. An engine's place goes with it: nothing outlives what is gone."""
-        guard = self.guard
-        told = [(ident, seat if guard is None else guard.seat(seat)) for ident, seat in seats.items()]
-        began = self.starts.listed(self.clock(), {ident: seat.started for ident, seat in told})
-        lines = [self.index.line(ident, seat._replace(started=began[ident])) for ident, seat in told]
+        began = self.starts.listed(self.clock(), {ident: seat.started for ident, seat in seats.items()})
+        told = {ident: seat._replace(started=began[ident]) for ident, seat in seats.items()}
+        if self.guard is not None:
+            told = {ident: self.guard.seat(seat) for ident, seat in told.items()}
+        lines = [self.index.line(ident, seat) for ident, seat in told.items()]
         # Told first: what the engines' connections then give back must not be sent there again.
         self.gather(self.rules.listed, lines, True)
         gone = {ident: seat._replace(life=Life.GONE) for ident, seat in self.seats.items()}
         for ident, seat in (gone | dict(seats)).items():
-            self.engines.listed(self.index.place_of(ident), seat)
+            self.guarded(self.engines.listed, self.index.place_of(ident), seat)
             if seat.life == Life.GONE:
                 self.index.forget(ident)
         self.request_log.states(self.seats, seats)
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -135,6 +135,7 @@
         on_list: Takes each newer list.
         on_confirmed: Called with each answer that tells the list in force.
         on_unchanged: Takes each answer without news, where somebody compares them.
+        on_closed: Called when its socket has ended, by a failure of the system's.
         answered_at: When an answer last told of the list, in the reactor's seconds.
     """
 
@@ -156,6 +157,7 @@
         self.next_question: Any = None  # the delayed call
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_unchanged: Callable[[dict[str, Seat]], None] | None = None
+        self.on_closed: Callable[[], None] = lambda: None
         self.answered_at = float("-inf")
         self.heard_or_began = reactor.seconds()  # since when silence counts
         self.silent = False
@@ -165,6 +167,13 @@
         self.ask()
 
     def stopProtocol(self) -> None:
+        """Its socket has ended: an error on reading ends it for good."""
+        self.cancel_question()
+        self.counters.add("names_socket_ended")
+        self.on_closed()
+
+    def cancel_question(self) -> None:
+        """Asks no more, until it is told to."""
         if self.next_question is not None and self.next_question.active():
             self.next_question.cancel()
         self.next_question = None
@@ -172,17 +181,18 @@
     def move(self, address: Address) -> None:
         """The name service is elsewhere now; the numbers of its events go on."""
         self.address = address
-        self.stopProtocol()
-        self.ask()
+        self.cancel_question()
+        if self.transport is not None:
+            self.ask()
 
     def ask(self) -> None:
         """Sends the next question. Nothing waits for its answer."""
-        self.watch_silence()
         self.question_id = (self.question_id + 1) & 0xFFFF
         self.open_questions[self.question_id] = None
         if len(self.open_questions) > MOST_OPEN:
             del self.open_questions[next(iter(self.open_questions))]
         self.next_question = self.reactor.callLater(ASK_EVERY, self.ask)
+        self.watch_silence()
         try:
             self.transport.write(dns.question(self.question_id, SERVICE, dns.SRV), self.address)
             self.counters.add("names_asked")
@@ -218,6 +228,15 @@
         }
         self.log.warning(event, extra={"figures": figures})
 
+    def put_in_force(self, serial: int, seats: dict[str, Seat]) -> None:
+        """Passes a newer list on; one that could not be taken is asked for again."""
+        before, self.number = self.number, serial
+        try:
+            self.on_list(seats)
+        except Exception:
+            self.number = before
+            raise
+
     def datagramReceived(self, datagram: bytes, address: tuple[str, int]) -> None:
         if address[:2] != self.address or len(datagram) < 2:
             self.counters.add("names_foreign")
@@ -249,8 +268,7 @@
         self.heard()
         if serial > self.number:
             seats = answered_seats(services, addresses, texts)
-            self.number = serial
-            self.on_list(seats)
+            self.put_in_force(serial, seats)
         elif serial == self.number:
             self.on_confirmed()
             if self.on_unchanged is not None:
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
 from ..clocks import monotonic_ms, unix_ms
@@ -19,6 +20,8 @@
 from .wall_clock import WallClockWatch
 
 SWEEP_EVERY = 0.25  # seconds
+REOPEN_AFTER = 0.1  # seconds until the name service's socket is opened again
+LARGEST_DATAGRAM = 65_535  # bytes of an answer of the name service
 KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
 STOP_NOT_BEFORE = 900.0  # ms after SIGTERM; new connections and calls on open ones come until 600
 OVERTIME = 200.0  # ms in which the last answers may still be written
@@ -81,6 +84,7 @@
             log,
         )
         self.names.on_confirmed = self.link.list_confirmed
+        self.names.on_closed = self.open_names_later
         self.seats = configuration.known.seats
         self.wall_clock = WallClockWatch(wall_clock, monotonic_ms, self.counters, log)
         self.retry: Any = None
@@ -152,7 +156,7 @@
             self.configuration.port, self.clients, backlog=BACKLOG, interface=self.configuration.host
         )
         self.clients.admit()
-        self.reactor.listenUDP(0, self.names, interface=self.configuration.host, maxPacketSize=65535)
+        self.open_names()
         self.link.listed(self.seats)
         self.clients.ready = True
         self.sweeping.start(SWEEP_EVERY, now=False)
@@ -170,6 +174,21 @@
             },
         )
 
+    def open_names(self) -> None:
+        """Opens the socket to the name service; where the system cannot, it is tried again soon."""
+        try:
+            self.reactor.listenUDP(
+                0, self.names, interface=self.configuration.host, maxPacketSize=LARGEST_DATAGRAM
+            )
+        except CannotListenError as fault:
+            self.counters.add("names_socket_not_opened")
+            self.log.warning("names_socket_not_opened", extra={"figures": {"why": str(fault.socketError)}})
+            self.open_names_later()
+
+    def open_names_later(self) -> None:
+        """The name service's socket has ended or was not opened: without one no drain would be learned."""
+        self.reactor.callLater(REOPEN_AFTER, self.open_names)
+
     def unhandled(self, event: Mapping[str, Any]) -> None:
         """A fault that a protocol let through: Twisted ends its connection, and the log tells why."""
         if "log_failure" in event:
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -35,6 +35,15 @@
 
 BIND_WITHIN = 5.0  # seconds; a predecessor told to end is gone, or killed, 3.7 s later at the latest
 BIND_EVERY = 0.05  # seconds
+START_DELAYED = {errno.EADDRINUSE: "address_in_use"}
+PASSING_FAULTS = {
+    errno.EADDRINUSE,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.EAGAIN,
+}  # of the system, which may be over within a moment
 
 
 def on_signals(loop: Any, again: Callable[[], None], stop: Callable[[], None]) -> None:
@@ -92,11 +101,13 @@
             service.start()
             return True
         except CannotListenError as fault:
-            if fault.socketError.errno != errno.EADDRINUSE or time.monotonic() >= until:
+            if fault.socketError.errno not in PASSING_FAULTS or time.monotonic() >= until:
                 raise
+            why = fault.socketError
         if end_asked():
             return False
         if not logged:
             logged = True
-            service.log.warning("address_in_use", extra={"figures": {"retried_for_s": seconds}})
+            figures = {"retried_for_s": seconds, "why": str(why)}
+            service.log.warning(START_DELAYED.get(why.errno, "start_delayed"), extra={"figures": figures})
         time.sleep(BIND_EVERY)
--- a/spurdeal/slow_start.py
+++ b/spurdeal/slow_start.py
@@ -1,10 +1,11 @@
 """When engines were started, on our own clock: since when slow start limits what they get. Free of I/O.
 
-The list tells starts in Unix ms of some other machine's wall clock. Ours may have been stepped before this
-process began, theirs too, so a start that is told bounds nothing by itself: with our clock ahead, an engine
-that has just started looks warm. What we know for certain is when a list did not name that start yet, and
-when one did. So a start is never taken to lie before the last list without it, nor in the future. Where both
-clocks are right, that makes it later than it was by the way of the news at most, which is on the safe side.
+The list tells starts in Unix ms of another machine. Our clock may be off from that, as the wall clock may
+have been stepped before this process began: with ours ahead, an engine that has just started would look warm.
+Ours is a steady clock, so what it is off by stays the same, and each list bounds it: no start lies in the
+future, so our clock is not further ahead than the latest start that is told lies in our past. A start counts
+as late as that allows, and not before the last list without it. Where both clocks are right, that makes it
+later than it was by the way of the news at most, or at our own start by the age of the latest one.
 """
 
 from __future__ import annotations
@@ -27,11 +28,13 @@
 
     Attributes:
         current_at: When the list in force was last told to be the newest; None before the first.
+        most_ahead: By how much our clock may be ahead of the list's at most, in ms.
     """
 
     def __init__(self) -> None:
         self.starts: dict[str, Start] = {}
         self.current_at: float | None = None
+        self.most_ahead = float("inf")
 
     def confirm(self, at: float) -> None:
         """The name service has told, by now, no newer list than the one in force."""
@@ -47,20 +50,22 @@
         Returns:
             By engine, its start on our clock; 0 for long ago.
         """
-        earliest = now if self.current_at is None else min(now, self.current_at)
-        self.starts = {
-            ident: known
-            if (known := self.starts.get(ident)) and known.told == start
-            else Start(start, began(start, earliest, now))
-            for ident, start in told.items()
-        }
+        latest = max(told.values(), default=0.0)
+        if latest:
+            self.most_ahead = min(self.most_ahead, max(0.0, now - latest))
+        self.starts = {ident: self.start(ident, start, now) for ident, start in told.items()}
         self.confirm(now)
         return {ident: start.began for ident, start in self.starts.items()}
 
-
-def began(told: float, earliest: float, now: float) -> float:
-    """A start that is new to us, on our clock: as told, but not before `earliest` nor after now."""
-    return min(now, max(told, earliest)) if told else 0.0
+    def start(self, ident: str, told: float, now: float) -> Start:
+        """One engine's start: as it was taken when it was first told."""
+        known = self.starts.get(ident)
+        if known is not None and known.told == told:
+            return known
+        if not told:
+            return Start(0.0, 0.0)
+        earliest = float("-inf") if self.current_at is None else self.current_at
+        return Start(told, min(now, max(told + self.most_ahead, earliest)))
 
 
 def leads_to_predecessor(opened: float, told: float, now: float) -> bool:
--- a/spurdeal/store/ledger.py
+++ b/spurdeal/store/ledger.py
@@ -14,7 +14,7 @@
 
 import errno
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
@@ -28,6 +28,7 @@
 TURN = 0.05  # seconds between two flushes with `turn`
 GROWN = 2.0  # a log so many times its snapshot's size is written anew
 LEAST = 65_536  # bytes below which it is not
+MOST_STEP = 2 * 3_600_000.0  # ms by which the wall clock may have been stepped between two processes
 TRY_EVERY = 1000.0  # ms between two tries to write anew after a failure
 
 
@@ -43,18 +44,22 @@
         flush: How much an appended record outlives; see the module.
         max_ids: Most ids that are kept at once.
         max_bytes: Most bytes of the log on disk.
+        longest: For how long an id usually counts from its record on, in ms. What an earlier process wrote
+            counts for so long at least from the start on, as the clock may have been stepped meanwhile; None:
+            as long as it tells.
     """
 
     flush: Flush = "turn"
     max_ids: int = 1_000_000
     max_bytes: int = 256 * 1_048_576
+    longest: float | None = None
 
 
 class Ledger:
     """Ids that may have run, with their ends.
 
-    path is a directory of the ledger's own. clock gives Unix ms, since ends must outlive a restart of the
-    machine.
+    path is a directory of the ledger's own. clock gives ms that run on evenly while the process lives, from
+    an origin close to Unix time, since ends must outlive a restart of the machine.
     """
 
     def __init__(
@@ -91,8 +96,7 @@
             self.apply(record)
         if data and end < len(data):
             self.torn += 1
-        now = self.clock()
-        self.ends = {ident: until for ident, until in self.ends.items() if until > now}
+        self.ends = recovered(self.ends, self.clock(), self.settings)
         self.recovered = len(self.ends)
         self.rewrite()
 
@@ -258,3 +262,18 @@
         self.bytes_most = max(self.bytes_most, self.bytes)
         self.rewritten += 1
         self.dirty = False
+
+
+def recovered(ends: Mapping[bytes, float], now: float, settings: LedgerSettings) -> dict[bytes, float]:
+    """The ids of an earlier process that still count, with their ends on the clock of this one.
+
+    The ends were written by a wall clock that may have been stepped since, either way, by MOST_STEP at most.
+    So an end that lies in the past by less proves nothing: the id counts for its usual time from now on.
+    Where there are more than may be kept, those with the latest ends are.
+    """
+    if settings.longest is None:
+        return {ident: until for ident, until in ends.items() if until > now}
+    may_count = [(until, ident) for ident, until in ends.items() if until > now - MOST_STEP]
+    may_count.sort(reverse=True)
+    least, most = now + settings.longest, now + settings.longest + MOST_STEP
+    return {ident: min(max(until, least), most) for until, ident in may_count[: settings.max_ids]}
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -51,6 +51,35 @@
         self.addCleanup(made.close)
         return made
 
+    def test_a_step_of_the_wall_clock_between_two_processes_forgets_nothing(self) -> None:
+        """What may have run counts for its whole time from a restart on, and not for ever."""
+        longest = 80_000.0
+        for step in (0.0, 20_000.0, 3_600_000.0, -20_000.0, -3_600_000.0):
+            with self.subTest(step):
+                self.now[0] = 1e12
+                one = self.ledger(longest=longest)
+                long_over = self.now[0] - 3.1 * 3_600_000.0
+                one.append([may(b"id", self.now[0] + longest), may(b"ended", long_over)])
+                one.close()
+                self.now[0] += 1000.0 + step  # as the clock of the next process shows it
+                again = self.ledger(longest=longest)
+                self.assertTrue(again.may_have_run(b"id"))
+                self.assertFalse(step >= 0 and again.may_have_run(b"ended"))
+                self.now[0] += longest - 1.0
+                self.assertTrue(again.may_have_run(b"id"))
+                self.now[0] += 1.0 + max(0.0, -step)
+                self.assertFalse(again.may_have_run(b"id"))
+                again.forget()
+                again.rewrite()
+                again.close()
+
+    def test_no_more_ids_are_recovered_than_may_be_kept(self) -> None:
+        one = self.ledger(longest=1000.0)
+        one.append([may(b"id-%d" % number, self.now[0] + number) for number in range(1, 31)])
+        one.close()
+        again = self.ledger(longest=1000.0, max_ids=10)
+        self.assertEqual(set(again.ends), {b"id-%d" % number for number in range(21, 31)})
+
     def test_a_kill_at_any_byte_loses_nothing_that_was_written(self) -> None:
         one = self.ledger()
         for number in range(30):
