The backlog is not closed over while accept fails; questions not sent are asked again soon

Mended: the name service's socket is opened again after 20 ms, a question not sent is asked again after 50 ms; at the end the port stays open while connections wait that accept did not hand over (test fails without it). Suite: 522 tests, OK.

--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -13,6 +13,7 @@
 from .counters import Counters
 from .eviction import LEAST_AGE, evict
 from .link import SocketLink
+from .pending import has_waiting_connections
 from .watch import AcceptWatch, Unpolled
 
 # Connections that may wait to be accepted. Past it the system drops a first packet, sent again after 1 s.
@@ -185,17 +186,22 @@
     def stop_accepting(self) -> bool:
         """Accepts what waits in the backlog, and closes the port.
 
-        Closing a port resets the connections that wait in its backlog, and whole calls with them.
+        Closing a port resets the connections that wait in its backlog, and whole calls with them. So it stays
+        open while the system does not hand them over.
 
         Returns:
-            Whether this was the first time.
+            Whether there may be connections that were not looked at yet.
         """
-        first, self.accept_ended = not self.accept_ended, True
-        if first:
-            self.drain_backlog()
-            self.link.reactor.callLater(0, self.drain_backlog)  # just before the port's own end
-            self.port.stopListening()
-        return first
+        if self.accept_ended:
+            return False
+        self.drain_backlog()
+        if has_waiting_connections(self.port):
+            self.counters.add("accept_failed_at_exit")
+            return True
+        self.accept_ended = True
+        self.link.reactor.callLater(0, self.drain_backlog)  # just before the port's own end
+        self.port.stopListening()
+        return True
 
     def drain_backlog(self) -> None:
         """Accepts until the backlog is empty, or there is no room for more."""
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -15,6 +15,7 @@
 
 SERVICE = "_api._tcp.svc.local"
 ASK_EVERY = 0.2  # seconds; an answer lost is then made good well before changes count as told
+ASK_AGAIN = 0.05  # seconds after a question that the system did not send
 MOST_OPEN = 32  # questions whose answer may still come
 SILENT_AFTER = 2.0  # seconds without an answer: told in the log
 LIVES = {"SERVING": Life.READY, "DRAINING": Life.DRAINING, "DELETED": Life.GONE}
@@ -197,6 +198,7 @@
             self.transport.write(dns.question(self.question_id, SERVICE, dns.SRV), self.address)
             self.counters.add("names_asked")
         except OSError as fault:
+            self.next_question.reset(ASK_AGAIN)
             self.counters.add("names_not_sent")
             self.counters.add(f"names_not_sent_errno_{fault.errno}")
 
--- a/spurdeal/net/pending.py
+++ b/spurdeal/net/pending.py
@@ -1,5 +1,6 @@
-"""A look at what a connection's far side has sent and nobody has read yet."""
+"""A look at what has come on a socket and nobody has taken yet: bytes, or connections."""
 
+import select
 import socket
 from typing import Any
 
@@ -16,3 +17,12 @@
         return None
     except OSError:
         return b""
+
+
+def has_waiting_connections(port: Any) -> bool:
+    """Whether connections wait in a port's backlog; none do where it is closed."""
+    if not port.connected:
+        return False
+    poll = select.poll()
+    poll.register(port.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -20,7 +20,7 @@
 from .wall_clock import WallClockWatch
 
 SWEEP_EVERY = 0.25  # seconds
-REOPEN_AFTER = 0.1  # seconds until the name service's socket is opened again
+REOPEN_AFTER = 0.02  # seconds until the name service's socket is opened again
 LARGEST_DATAGRAM = 65_535  # bytes of an answer of the name service
 KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
 STOP_NOT_BEFORE = 900.0  # ms after SIGTERM; new connections and calls on open ones come until 600
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,6 +20,7 @@
 from spurdeal.net.start import Service, read_configuration
 
 BASE = 1_790_000_000_000.0
+QUIET = socket.socket(type=socket.SOCK_DGRAM)  # nothing ever comes on it
 SETTINGS: dict[str, Any] = {
     "grades": [
         {"name": "lookup", "aim": 1000, "aim_stretch": 2, "deadline": 5000, "late_worth": 0.5},
@@ -152,6 +153,10 @@
         if self.waiting:
             self.waiting.pop(0)()
 
+    def fileno(self) -> int:
+        """Of a socket that has nothing to read."""
+        return QUIET.fileno()
+
     def stopListening(self) -> None:
         self.connected = False
 
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -197,6 +197,11 @@
         stub, started = self.run_with(errno.EADDRINUSE, errno.EADDRINUSE)
         self.assertEqual((stub.starts, started), (3, True))
 
+    def test_a_want_of_the_systems_is_tried_again(self) -> None:
+        wants = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN)
+        stub, started = self.run_with(*wants)
+        self.assertEqual((stub.starts, started), (len(wants) + 1, True))
+
     def test_only_so_long(self) -> None:
         with self.assertRaises(CannotListenError):
             self.run_with(errno.EADDRINUSE, seconds=0.0)
