Restart with a wall clock that is off, as a process test; silence counts over reopened sockets

A dispatcher that starts with its wall clock an hour or 20 s ahead or an hour behind sends nothing to a server that has just started within the first window (fails without the bound on starts). The time without an answer of the name service counts on where its socket is opened anew.

--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -164,7 +164,6 @@
         self.silent = False
 
     def startProtocol(self) -> None:
-        self.heard_or_began = self.reactor.seconds()
         self.ask()
 
     def stopProtocol(self) -> None:
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -1,5 +1,6 @@
 """Steps of the wall clock, either way, on real processes; and a request that the link answered by itself."""
 
+import json
 import signal
 import socket
 import subprocess
@@ -13,11 +14,12 @@
 from typing import Any
 
 from spurdeal.lab import names
-from tests.helpers import Caller, World
+from tests.helpers import SETTINGS, Caller, World
 from tests.processes import FIRST_ENGINE_PORT, NAMES_PORT, ROOT, Addresses, ProcessCase, counters_at_exit
 from tests.stepped_clock import OFFSET_FILE, Arrival, NameService, Server, SteppedClock
 
 HOUR = 3600.0  # seconds
+WINDOW = 8.0  # seconds in which a cold server's budget counts
 LEARNED_WITHIN = 0.6  # seconds: a poll each 0.2 s, one of which may be lost; and the machine's
 
 
@@ -176,6 +178,33 @@
             self.assertTrue(1.5 < time.monotonic() - began < 4.0)
 
 
+class Restart(SteppedCase):
+    """A dispatcher that starts with a wall clock that is off keeps the slow start of servers."""
+
+    def configure_started(self, ident: str, unix_ms: int) -> None:
+        """The lists of the start and of the name service: one server was started then, the other long ago."""
+        self.names.change(lambda seat: seat._replace(started=unix_ms if seat.ident == ident else 0))
+        instances = [seat.told() for seat in self.names.seats]
+        roster = {"generation": 1, "reset": True, "instances": instances}
+        known = {"no": self.names.serial, "items": [{"no": self.names.serial, "roster": roster}]}
+        rules = SETTINGS["rules"] | {"tip_after": WINDOW * 1000}
+        more = {"known": known, "settings": SETTINGS | {"rules": rules}}
+        self.configured.write_text(json.dumps(self.addresses.configuration() | more))
+
+    def test_a_server_that_has_just_started_gets_no_more_than_its_part(self) -> None:
+        for step in (HOUR, 20.0, -HOUR):
+            with self.subTest(step):
+                self.clock.step_to(step)
+                self.configure_started("s-0", int(time.time() * 1000) - 1000)
+                child = self.dispatcher()
+                began = time.monotonic()
+                self.assertEqual([self.ask().result() for _ in range(40)], [200] * 40)
+                self.assertLess(time.monotonic() - began, WINDOW)  # the first counts as spent before
+                self.assertEqual(self.servers[0].since(began), [])
+                child.kill()
+                child.wait()
+
+
 class Shutdown(SteppedCase):
     """What is open at SIGTERM is answered, whatever the wall clock does."""
 
