Connects that fail for want of our own means count against no engine

EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL and EAGAIN of socket or connect ended as connect timeouts, which are strikes: a moment without descriptors set healthy engines aside.

--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -4,7 +4,8 @@
 import unittest
 from typing import Any
 
-from twisted.internet.error import CannotListenError
+from twisted.internet.error import CannotListenError, ConnectError
+from twisted.python.failure import Failure
 
 from spurdeal.interface import Life
 from spurdeal.net.engines import Engines
@@ -112,6 +113,35 @@
         self.assertEqual(world.service.link.seats["s-0"].life, Life.DRAINING)
 
 
+class Connecting(unittest.TestCase):
+    """A connection that our own machine cannot make tells nothing of the engine."""
+
+    def refused_by(self, error: int) -> tuple[World, Any]:
+        """One request whose first dial fails so: the world, and the engine as the decisions see it."""
+        world = World(self, engines=2)
+        Caller(world).post(1, "load")
+        peer = world.peer()
+        peer.factory.clientConnectionFailed(None, Failure(ConnectError(error, "by the test")))
+        world.go()
+        number = world.service.link.index.places[f"s-{peer.host.rpartition('.')[2]}"]
+        return world, world.service.link.rules.engines[number]
+
+    def test_a_want_of_our_own_counts_against_no_engine_and_the_request_goes_on(self) -> None:
+        for error in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL):
+            with self.subTest(errno.errorcode[error]):
+                world, engine = self.refused_by(error)
+                self.assertEqual((engine.strikes, engine.errors), (0.0, 0.0))
+                self.assertEqual(world.count("dials_failed_here"), 1)
+                self.assertEqual(len(world.peer(1).up().heard()), 1)
+
+    def test_a_way_that_does_not_lead_there_counts(self) -> None:
+        for error in (errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ETIMEDOUT):
+            with self.subTest(errno.errorcode[error]):
+                world, engine = self.refused_by(error)
+                self.assertEqual((engine.strikes, engine.errors), (1.0, 1.0))
+                self.assertEqual(world.count("dials_not_up"), 1)
+
+
 class Accepting(unittest.TestCase):
     """Connections that the system does not hand over for a moment are not lost."""
 
