--- /dev/null
+++ b/spurdeal/net/datagram_reading.py
@@ -0,0 +1,42 @@
+"""Reads of a datagram socket that fail for a moment: the socket, and what waits on it, is kept."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .counters import Counters
+
+READ_AGAIN = 0.02  # seconds after an error
+MOST_ERRORS = 25  # in a row; then the socket is given up, as Twisted does at the first
+
+
+class TolerantReading:
+    """Takes the place of a Twisted UDP port's `doRead`, which ends the port at an error."""
+
+    def __init__(self, port: Any, reactor: Any, counters: Counters) -> None:
+        self.port, self.reactor, self.counters = port, reactor, counters
+        self.read = port.doRead
+        self.errors = 0
+        port.doRead = self.read_or_wait
+
+    def read_or_wait(self) -> None:
+        """Read what waits; after an error, read again a little later.
+
+        Raises:
+            OSError: Too many reads in a row have failed.
+        """
+        try:
+            self.read()
+            self.errors = 0
+        except OSError:
+            self.errors += 1
+            self.counters.add("datagram_read_errors")
+            if self.errors > MOST_ERRORS:
+                raise
+            self.port.stopReading()
+            self.reactor.callLater(READ_AGAIN, self.resume)
+
+    def resume(self) -> None:
+        """Look for datagrams again, unless the port has ended meanwhile."""
+        if self.port.connected:
+            self.port.startReading()
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -13,6 +13,7 @@
 from .clients import BACKLOG, Clients
 from .configuration import Configuration, Unusable
 from .counters import Counters
+from .datagram_reading import TolerantReading
 from .descriptors import OPENED_AT_START, DescriptorBudget, ProcessDescriptors
 from .engines import Engines
 from .link import SocketLink
@@ -177,9 +178,10 @@
     def open_names(self) -> None:
         """Opens the socket to the name service; where the system cannot, it is tried again soon."""
         try:
-            self.reactor.listenUDP(
+            port = self.reactor.listenUDP(
                 0, self.names, interface=self.configuration.host, maxPacketSize=LARGEST_DATAGRAM
             )
+            TolerantReading(port, self.reactor, self.counters)
         except CannotListenError as fault:
             self.counters.add("names_socket_not_opened")
             self.log.warning("names_socket_not_opened", extra={"figures": {"why": str(fault.socketError)}})
