Test doubles of the event loop return a datagram port, as Twisted's does

The double returns a port now, as Twisted does; no check is changed. test_station, test_vrrp, test_audit, test_rig, test_fleet: 119 tests, OK.

--- a/tests/stations.py
+++ b/tests/stations.py
@@ -12,7 +12,7 @@
 from spurdeal.net.start import Service, read_configuration
 from spurdeal.settings.reading import read_text
 from spurdeal.vrrp.station import Runtime, Station
-from tests.helpers import BASE, Peer, Reactor, configuration
+from tests.helpers import BASE, DatagramPort, Peer, Reactor, configuration
 
 PLAN = """
 name: {name}
@@ -45,7 +45,7 @@
         place = (interface, port or 40_000 + len(self.bound))
         self.bound[place] = protocol
         protocol.makeConnection(Wire(self, place, protocol))
-        return place
+        return DatagramPort()
 
     def carry(self, source: tuple[str, int], target: tuple[str, int], datagram: bytes) -> None:
         if target == ("127.0.8.9", 5400):
