Tell which step of discovery failed, and which requests leave by an unconfirmed list

Change: log lines and counters of questions not sent, datagrams not read, sockets opened and ended, calls on the poller that fail, a configuration that is given up, and attempts that leave by a list not confirmed for over 1 s. No behaviour changes.

--- a/spurdeal/net/datagram_reading.py
+++ b/spurdeal/net/datagram_reading.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import logging
 from typing import Any
 
 from .counters import Counters
@@ -13,8 +15,8 @@
 class TolerantReading:
     """Takes the place of a Twisted UDP port's `doRead`, which ends the port at an error."""
 
-    def __init__(self, port: Any, reactor: Any, counters: Counters) -> None:
-        self.port, self.reactor, self.counters = port, reactor, counters
+    def __init__(self, port: Any, reactor: Any, counters: Counters, log: logging.Logger) -> None:
+        self.port, self.reactor, self.counters, self.log = port, reactor, counters, log
         self.read = port.doRead
         self.errors = 0
         port.doRead = self.read_or_wait
@@ -28,14 +30,23 @@
         try:
             self.read()
             self.errors = 0
-        except OSError:
+        except OSError as fault:
             self.errors += 1
             self.counters.add("datagram_read_errors")
+            self.counters.add(f"datagram_read_errno_{fault.errno}")
+            if self.errors == 1:
+                self.tell("datagram_read_failed", fault)
             if self.errors > MOST_ERRORS:
+                self.tell("datagram_socket_given_up", fault)
                 raise
             self.port.stopReading()
             self.reactor.callLater(READ_AGAIN, self.resume)
 
+    def tell(self, event: str, fault: OSError) -> None:
+        """Log an error on reading, by the name of its number."""
+        figures = {"error": errno.errorcode.get(fault.errno or 0, str(fault.errno)), "in_a_row": self.errors}
+        self.log.warning(event, extra={"figures": figures})
+
     def resume(self) -> None:
         """Look for datagrams again, unless the port has ended meanwhile."""
         if self.port.connected:
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -27,6 +27,7 @@
 
 ANSWER_WAY = 40.0  # ms kept of a client's time for the answer's way back
 LEFT_LATE = 100.0  # ms after a client's leaving from which on an attempt of its counts as late
+UNCONFIRMED = 1000.0  # ms without an answer of the name service after which attempts by its list are told
 OVERDUE = 20.0  # ms after a submission's time at which the rules must have answered
 
 
@@ -331,6 +332,8 @@
             return None
         if self.guard is not None and not self.guard.departs(taken, trip, engine):
             return None
+        if (age := now - (self.starts.current_at or now)) > UNCONFIRMED:
+            self.request_log.left_unconfirmed(taken, self.engines.name_of(engine), age)
         wait = min(time_limit, taken.expiry - now) if time_limit else taken.expiry - now
         return SendTerms(
             wait,
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 from collections.abc import Callable, Mapping, Sequence
 from ipaddress import IPv4Address
@@ -162,6 +163,7 @@
         self.answered_at = float("-inf")
         self.heard_or_began = reactor.seconds()  # since when silence counts
         self.silent = False
+        self.unsent = 0  # questions in a row
 
     def startProtocol(self) -> None:
         self.ask()
@@ -170,6 +172,8 @@
         """Its socket has ended: an error on reading ends it for good."""
         self.cancel_question()
         self.counters.add("names_socket_ended")
+        figures = {"unheard_ms": (self.reactor.seconds() - self.heard_or_began) * 1000}
+        self.log.warning("discovery_socket_ended", extra={"figures": figures})
         self.on_closed()
 
     def cancel_question(self) -> None:
@@ -196,10 +200,19 @@
         try:
             self.transport.write(dns.question(self.question_id, SERVICE, dns.SRV), self.address)
             self.counters.add("names_asked")
+            self.unsent = 0
         except OSError as fault:
             self.next_question.reset(ASK_AGAIN)
-            self.counters.add("names_not_sent")
-            self.counters.add(f"names_not_sent_errno_{fault.errno}")
+            self.not_sent(fault)
+
+    def not_sent(self, fault: OSError) -> None:
+        """A question has not left; the first of several in a row is told in the log."""
+        self.counters.add("names_not_sent")
+        self.counters.add(f"names_not_sent_errno_{fault.errno}")
+        self.unsent += 1
+        if self.unsent == 1:
+            figures = {"error": errno.errorcode.get(fault.errno or 0, str(fault.errno))}
+            self.log.warning("discovery_not_asked", extra={"figures": figures})
 
     def watch_silence(self) -> None:
         """Tells, once, that the list in force may be out of date."""
--- a/spurdeal/net/request_log.py
+++ b/spurdeal/net/request_log.py
@@ -62,6 +62,13 @@
             attempts_out=len(request.trips),
         )
 
+    def left_unconfirmed(self, request: Taken, server: str, age: float) -> None:
+        """An attempt leaves by a list that was not confirmed for long."""
+        self.counters.add("attempts_on_unconfirmed_list")
+        self.lines.write(
+            "attempt_on_unconfirmed_list", **self.figures(request), server=server, list_age_ms=age
+        )
+
     def states(self, before: Mapping[str, Seat], after: Mapping[str, Seat]) -> None:
         """A new list of engines is in force."""
         for ident in before.keys() | after.keys():
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -126,6 +126,10 @@
                 self.log.error("configuration_kept", extra={"figures": {"why": str(fault)}})
             if tries < RETRIES and not self.stopped_at:
                 self.retry = self.reactor.callLater(RETRY_FIRST * 2**tries, self.read_again, read, tries + 1)
+            else:
+                self.counters.add("configurations_given_up")
+                figures = {"why": str(fault), "tries": tries + 1}
+                self.log.error("configuration_given_up", extra={"figures": figures})
             return
         self.counters.add("configurations_read")
         self.bound(configuration)
@@ -181,7 +185,8 @@
             port = self.reactor.listenUDP(
                 0, self.names, interface=self.configuration.host, maxPacketSize=LARGEST_DATAGRAM
             )
-            TolerantReading(port, self.reactor, self.counters)
+            TolerantReading(port, self.reactor, self.counters, self.log)
+            self.counters.add("names_sockets_opened")
         except CannotListenError as fault:
             self.counters.add("names_socket_not_opened")
             self.log.warning("names_socket_not_opened", extra={"figures": {"why": str(fault.socketError)}})
--- a/spurdeal/net/watch.py
+++ b/spurdeal/net/watch.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from .counters import Counters
+from .limited_log import LimitedLog
 
 COUNTED_GAP = 100.0  # ms between two polls from which on waiting bytes are dated back; timers come every 50
 LOGGED_GAP = 200.0  # ms
@@ -33,6 +35,7 @@
         self.installed, self.round = False, 0
         self.polled_at = self.readable_since = clock()
         self.next_log = 0.0
+        self.lines = LimitedLog(log, clock)
         self.turn_time, self.turn_events = 0.0, 0  # of the turns since the last poll
 
     def install(self, reactor: Any) -> None:
@@ -65,6 +68,12 @@
             figures = {"ms": gap, "turns_ms": self.turn_time, "events": self.turn_events}
             self.log.warning("poll_gap", extra={"figures": figures})
 
+    def refused(self, call: str, descriptor: int, fault: OSError) -> None:
+        """A call on the poller has failed."""
+        self.counters.add(f"{call}_failed_errno_{fault.errno}")
+        error = errno.errorcode.get(fault.errno or 0, str(fault.errno))
+        self.lines.write("poller_call_failed", call=call, descriptor=descriptor, error=error)
+
     def arrival(self, unpolled: Unpolled | None = None) -> float:
         """The earliest time at which bytes that are read now can have come, on a socket that was not always
         polled before."""
@@ -80,11 +89,38 @@
 
     def __init__(self, poller: Any, watch: LoopWatch) -> None:
         self.poller, self.watch = poller, watch
-        self.register, self.modify = poller.register, poller.modify
-        self.unregister, self.close = poller.unregister, poller.close
+        self.close = poller.close
+
+    def register(self, descriptor: int, events: int) -> None:
+        """Watch a descriptor."""
+        self.control("add", descriptor, self.poller.register, events)
+
+    def modify(self, descriptor: int, events: int) -> None:
+        """Change what a descriptor is watched for."""
+        self.control("mod", descriptor, self.poller.modify, events)
+
+    def unregister(self, descriptor: int) -> None:
+        """Watch a descriptor no more."""
+        self.control("del", descriptor, self.poller.unregister)
+
+    def control(self, call: str, descriptor: int, change: Callable[..., None], *events: int) -> None:
+        """Make a change; an error is counted and told, then raised as it came.
+
+        Raises:
+            OSError: The system has refused it.
+        """
+        try:
+            change(descriptor, *events)
+        except OSError as fault:
+            self.watch.refused(f"epoll_{call}", descriptor, fault)
+            raise
 
     def poll(self, timeout: float, most: int) -> list[tuple[int, int]]:
-        found: list[tuple[int, int]] = self.poller.poll(timeout, most)
+        try:
+            found: list[tuple[int, int]] = self.poller.poll(timeout, most)
+        except OSError as fault:
+            self.watch.refused("epoll_wait", -1, fault)
+            raise
         self.watch.polled()
         return found
 
