--- /dev/null
+++ b/tests/fault_table.py
@@ -0,0 +1,71 @@
+"""Which system calls of a process fail: a table in a file that the test writes and the process reads."""
+
+import errno
+import mmap
+import struct
+from pathlib import Path
+
+FAULTS_FILE = "FAULTS_FILE"  # the environment variable that names the table's file
+FOREVER = -1
+CALLS = (
+    "udp.socket",
+    "udp.bind",
+    "udp.getsockname",
+    "udp.recvfrom",
+    "udp.sendto",
+    "udp.epoll_add",
+    "udp.epoll_mod",
+    "udp.epoll_del",
+    "tcp.socket",
+    "tcp.connect",
+    "tcp.accept",
+    "tcp.recv",
+    "tcp.send",
+    "tcp.getsockname",
+    "tcp.getpeername",
+    "tcp.setsockopt",
+    "tcp.epoll_add",
+    "tcp.epoll_mod",
+    "tcp.epoll_del",
+    "epoll_wait",
+    "open",
+)
+ENTRY = struct.Struct("iii")  # error, how often (FOREVER without end), how often it has failed
+
+
+class FaultTable:
+    """The faults of one process, shared through a file."""
+
+    def __init__(self, path: Path, *, create: bool = False) -> None:
+        if create:
+            path.write_bytes(bytes(ENTRY.size * len(CALLS)))
+        with path.open("r+b") as file:
+            self.shared = mmap.mmap(file.fileno(), ENTRY.size * len(CALLS))
+
+    def fail(self, call: str, error: int, times: int = FOREVER) -> None:
+        """Let a call fail with an error from now on, so many times."""
+        place = CALLS.index(call) * ENTRY.size
+        ENTRY.pack_into(self.shared, place, error, times, self.failed(call))
+
+    def heal(self, *calls: str) -> None:
+        """Let these calls succeed again; all, where none is named."""
+        for call in calls or CALLS:
+            self.fail(call, 0, 0)
+
+    def failed(self, call: str) -> int:
+        """How often a call has failed by the test's will."""
+        count: int = ENTRY.unpack_from(self.shared, CALLS.index(call) * ENTRY.size)[2]
+        return count
+
+    def check(self, call: str) -> None:
+        """Called by the process before the real call.
+
+        Raises:
+            OSError: The test wants it to fail.
+        """
+        place = CALLS.index(call) * ENTRY.size
+        error, times, failed = ENTRY.unpack_from(self.shared, place)
+        if times == 0:
+            return
+        ENTRY.pack_into(self.shared, place, error, times - 1 if times > 0 else times, failed + 1)
+        raise OSError(error, f"{errno.errorcode[error]} by the test")
