Discovery outlives each failed call, and a list that own faults keep old is not followed

Change: RetryingPoller keeps a refused epoll_ctl until it is taken; DiscoverySocket opens again after any error and looks each 0.25 s whether socket, reading and questions go on; questions go by the socket itself, as Twisted passes over ECONNREFUSED; a file that cannot be read is tried again for as long as that lasts; ListFreshness, a decision: no request leaves by a list while our own faults keep it from being refreshed for longer than a drain may go unheard. The three shared sets of transient errors are one. test_new_days: a leap of 16 s without a question now needs an answer first.

--- a/spurdeal/net/configuration.py
+++ b/spurdeal/net/configuration.py
@@ -22,6 +22,10 @@
     """A configuration that cannot be used; the text says why in one line."""
 
 
+class Unreadable(Unusable):
+    """A configuration that the system does not let us read, which may be over within a moment."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Configuration:
     """What a dispatcher is configured with.
@@ -118,10 +122,11 @@
     """Reads a configuration from a file.
 
     Raises:
-        Unusable: The file cannot be read, or holds no configuration that can be used.
+        Unreadable: The file cannot be read.
+        Unusable: It holds no configuration that can be used.
     """
     try:
         with open(path, "rb") as source:
             return read_configuration(source.read())
     except OSError as fault:
-        raise Unusable(f"configuration: {fault.strerror}: {path}") from None
+        raise Unreadable(f"configuration: {fault.strerror}: {path}") from None
--- a/spurdeal/net/connection.py
+++ b/spurdeal/net/connection.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import errno
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
@@ -20,6 +19,7 @@
 from . import immediate
 from .pending import pending
 from .resp import ArrayParser, BadAnswer, command
+from .transient_errors import OWN_SHORTAGE
 from .trips import Outcome, SendTerms, Trip
 
 if TYPE_CHECKING:
@@ -31,14 +31,6 @@
 STALL, STALL_LEAST, STALL_PART = 2.0, 200.0, 0.5  # for one answer: times the time to connect, ms, and of what
 # its trip still has
 ABANDONED_WITHIN = 50.0  # ms in which the system must take the rest of a trip that nobody waits for any more
-LOCAL_WANTS = {  # of descriptors, memory or ports on our machine: they tell nothing of an engine
-    errno.EMFILE,
-    errno.ENFILE,
-    errno.ENOBUFS,
-    errno.ENOMEM,
-    errno.EADDRNOTAVAIL,
-    errno.EAGAIN,
-}
 DRAIN_PART = 0.5  # of the drain's grace: bytes that the system has not taken by then are cut off
 
 
@@ -398,7 +390,7 @@
         """Refused or never up: either way not a byte of a trip has left."""
         if isinstance(reason.value, ConnectionRefusedError):
             counter, ending = "dials_refused", Ending.UNREACHED
-        elif getattr(reason.value, "osError", None) in LOCAL_WANTS:
+        elif getattr(reason.value, "osError", None) in OWN_SHORTAGE:
             counter, ending = "dials_failed_here", Ending.MOOT
         else:
             counter, ending = "dials_not_up", Ending.CONNECT_TIMEOUT
--- a/spurdeal/net/datagram_reading.py
+++ b/spurdeal/net/datagram_reading.py
@@ -2,23 +2,29 @@
 
 from __future__ import annotations
 
-import errno
 import logging
+from collections.abc import Callable
 from typing import Any
 
 from .counters import Counters
+from .transient_errors import name_of
 
 READ_AGAIN = 0.02  # seconds after an error
 MOST_ERRORS = 25  # in a row; then the socket is given up, as Twisted does at the first
 
 
 class TolerantReading:
-    """Takes the place of a Twisted UDP port's `doRead`, which ends the port at an error."""
+    """Takes the place of a Twisted UDP port's `doRead`, which ends the port at an error.
+
+    Attributes:
+        on_failed: Called with each read that has failed.
+    """
 
     def __init__(self, port: Any, reactor: Any, counters: Counters, log: logging.Logger) -> None:
         self.port, self.reactor, self.counters, self.log = port, reactor, counters, log
         self.read = port.doRead
         self.errors = 0
+        self.on_failed: Callable[[], None] = lambda: None
         port.doRead = self.read_or_wait
 
     def read_or_wait(self) -> None:
@@ -34,6 +40,7 @@
             self.errors += 1
             self.counters.add("datagram_read_errors")
             self.counters.add(f"datagram_read_errno_{fault.errno}")
+            self.on_failed()
             if self.errors == 1:
                 self.tell("datagram_read_failed", fault)
             if self.errors > MOST_ERRORS:
@@ -44,7 +51,7 @@
 
     def tell(self, event: str, fault: OSError) -> None:
         """Log an error on reading, by the name of its number."""
-        figures = {"error": errno.errorcode.get(fault.errno or 0, str(fault.errno)), "in_a_row": self.errors}
+        figures = {"error": name_of(fault), "in_a_row": self.errors}
         self.log.warning(event, extra={"figures": figures})
 
     def resume(self) -> None:
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -176,6 +176,18 @@
         """The name service knows no newer list than the one in force."""
         self.starts.confirm(self.clock())
 
+    def list_asked(self) -> None:
+        """A question for the list has left."""
+        self.rules.list_asked(self.clock())
+
+    def list_unread(self) -> None:
+        """Answers may have come that cannot be read."""
+        self.rules.list_unread(self.clock())
+
+    def list_answered(self) -> None:
+        """An answer has told of the list; it is put in force right after this."""
+        self.rules.list_answered(self.clock())
+
     def stop(self, until: float) -> None:
         """All that is taken, and what still comes, is answered by then."""
         self.until = until
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 from collections.abc import Callable, Mapping, Sequence
 from ipaddress import IPv4Address
@@ -13,6 +12,7 @@
 from ..interface import Life
 from . import dns
 from .counters import Counters
+from .transient_errors import name_of
 
 SERVICE = "_api._tcp.svc.local"
 ASK_EVERY = 0.2  # seconds; an answer lost is then made good well before changes count as told
@@ -138,6 +138,9 @@
         on_confirmed: Called with each answer that tells the list in force.
         on_unchanged: Takes each answer without news, where somebody compares them.
         on_closed: Called when its socket has ended, by a failure of the system's.
+        on_asked: Called with each question that has left.
+        on_unread: Called when answers may have come that cannot be read.
+        on_answered: Called with each answer that tells a list.
         answered_at: When an answer last told of the list, in the reactor's seconds.
     """
 
@@ -160,6 +163,9 @@
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_unchanged: Callable[[dict[str, Seat]], None] | None = None
         self.on_closed: Callable[[], None] = lambda: None
+        self.on_asked: Callable[[], None] = lambda: None
+        self.on_unread: Callable[[], None] = lambda: None
+        self.on_answered: Callable[[], None] = lambda: None
         self.answered_at = float("-inf")
         self.heard_or_began = reactor.seconds()  # since when silence counts
         self.silent = False
@@ -172,7 +178,7 @@
         """Its socket has ended: an error on reading ends it for good."""
         self.cancel_question()
         self.counters.add("names_socket_ended")
-        figures = {"unheard_ms": (self.reactor.seconds() - self.heard_or_began) * 1000}
+        figures = {"unheard_ms": self.unheard() * 1000}
         self.log.warning("discovery_socket_ended", extra={"figures": figures})
         self.on_closed()
 
@@ -198,12 +204,27 @@
         self.next_question = self.reactor.callLater(ASK_EVERY, self.ask)
         self.watch_silence()
         try:
-            self.transport.write(dns.question(self.question_id, SERVICE, dns.SRV), self.address)
-            self.counters.add("names_asked")
-            self.unsent = 0
+            # Not by the transport's own write, which passes over some errors in silence.
+            question = dns.question(self.question_id, SERVICE, dns.SRV)
+            self.transport.getHandle().sendto(question, self.address)
         except OSError as fault:
             self.next_question.reset(ASK_AGAIN)
             self.not_sent(fault)
+            return
+        self.counters.add("names_asked")
+        self.unsent = 0
+        self.on_asked()
+
+    def ask_on(self) -> None:
+        """Ask, unless the next question is due at some time anyway."""
+        if self.next_question is None or not self.next_question.active():
+            self.counters.add("names_asked_on")
+            self.ask()
+
+    def unheard(self) -> float:
+        """For how many seconds no answer has come."""
+        silence: float = self.reactor.seconds() - self.heard_or_began
+        return silence
 
     def not_sent(self, fault: OSError) -> None:
         """A question has not left; the first of several in a row is told in the log."""
@@ -211,12 +232,11 @@
         self.counters.add(f"names_not_sent_errno_{fault.errno}")
         self.unsent += 1
         if self.unsent == 1:
-            figures = {"error": errno.errorcode.get(fault.errno or 0, str(fault.errno))}
-            self.log.warning("discovery_not_asked", extra={"figures": figures})
+            self.log.warning("discovery_not_asked", extra={"figures": {"error": name_of(fault)}})
 
     def watch_silence(self) -> None:
         """Tells, once, that the list in force may be out of date."""
-        silence = self.reactor.seconds() - self.heard_or_began
+        silence = self.unheard()
         if silence > SILENT_AFTER:
             self.counters.most("names_longest_silence_ms", silence * 1000)
         if silence > SILENT_AFTER and not self.silent:
@@ -280,6 +300,7 @@
             raise dns.BadDatagram("no serial")
         self.counters.add("names_answered")
         self.heard()
+        self.on_answered()
         if serial > self.number:
             seats = answered_seats(services, addresses, texts)
             self.put_in_force(serial, seats)
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -6,28 +6,26 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
 from ..clocks import monotonic_ms, unix_ms
 from .clients import BACKLOG, Clients
-from .configuration import Configuration, Unusable
+from .configuration import Configuration, Unreadable, Unusable
 from .counters import Counters
-from .datagram_reading import TolerantReading
 from .descriptors import OPENED_AT_START, DescriptorBudget, ProcessDescriptors
+from .discovery_socket import DiscoverySocket
 from .engines import Engines
 from .link import SocketLink
-from .names import NameService
+from .names import KnownList, NameService
 from .wall_clock import WallClockWatch
 
 SWEEP_EVERY = 0.25  # seconds
-REOPEN_AFTER = 0.02  # seconds until the name service's socket is opened again
-LARGEST_DATAGRAM = 65_535  # bytes of an answer of the name service
 KILL_AFTER, KILL_MOST, KILL_MARGIN = 700.0, 3000.0, 400.0  # ms: behind SIGTERM and the longest expiry, up to
 STOP_NOT_BEFORE = 900.0  # ms after SIGTERM; new connections and calls on open ones come until 600
 OVERTIME = 200.0  # ms in which the last answers may still be written
 LOOK_EVERY = 0.05  # s
 RETRY_FIRST, RETRIES = 0.1, 6  # s until an unusable configuration is read again, then twice that, and so on
+RETRY_MOST = 3.2  # s; a file that the system cannot read is tried again for as long as that lasts
 UNKNOWN_PROCESS = ProcessDescriptors()
 
 
@@ -85,13 +83,17 @@
             log,
         )
         self.names.on_confirmed = self.link.list_confirmed
-        self.names.on_closed = self.open_names_later
+        self.names.on_asked = self.link.list_asked
+        self.names.on_unread = self.link.list_unread
+        self.names.on_answered = self.link.list_answered
+        self.discovery = DiscoverySocket(self.names, reactor, configuration.host, self.counters, log)
         self.seats = configuration.known.seats
         self.wall_clock = WallClockWatch(wall_clock, monotonic_ms, self.counters, log)
         self.retry: Any = None
         self.sweeping = LoopingCall(self.sweep)
         self.sweeping.clock = reactor
         self.stopped_at = 0.0
+        self.may_leave = False
         longest = min(KILL_MOST, max(workload.expiry for workload in configuration.site.workloads))
         self.stop_within = longest + KILL_AFTER - KILL_MARGIN
 
@@ -115,30 +117,41 @@
         """Reads the configuration again: name service, newer events and limits are in force at once.
 
         The rest is in force at a start. A configuration that cannot be used may be half written: it is read
-        again some times, at growing distances."""
+        again some times, at growing distances; one that the system cannot read, until it can."""
         if self.retry is not None and self.retry.active():
             self.retry.cancel()
         try:
             configuration = read()
         except Unusable as fault:
-            if not tries:
-                self.counters.add("configurations_unusable")
-                self.log.error("configuration_kept", extra={"figures": {"why": str(fault)}})
-            if tries < RETRIES and not self.stopped_at:
-                self.retry = self.reactor.callLater(RETRY_FIRST * 2**tries, self.read_again, read, tries + 1)
-            else:
-                self.counters.add("configurations_given_up")
-                figures = {"why": str(fault), "tries": tries + 1}
-                self.log.error("configuration_given_up", extra={"figures": figures})
+            self.read_later(read, tries, fault)
             return
         self.counters.add("configurations_read")
-        self.bound(configuration)
-        if configuration.known.number > self.names.number:
-            self.names.number = configuration.known.number
-            self.link.listed(configuration.known.seats)
-        if configuration.nameserver != self.names.address:
-            self.names.move(configuration.nameserver)
+        self.take_again(configuration)
+
+    def read_later(self, read: Callable[[], Configuration], tries: int, fault: Unusable) -> None:
+        """A configuration could not be used: the old one stays, and it may be read once more."""
+        if not tries:
+            self.counters.add("configurations_unusable")
+            self.log.error("configuration_kept", extra={"figures": {"why": str(fault)}})
+        if self.stopped_at:
+            return
+        if tries < RETRIES or isinstance(fault, Unreadable):
+            delay = min(RETRY_MOST, RETRY_FIRST * 2 ** min(tries, RETRIES))
+            self.retry = self.reactor.callLater(delay, self.read_again, read, tries + 1)
+            return
+        self.counters.add("configurations_given_up")
+        figures = {"why": str(fault), "tries": tries + 1}
+        self.log.error("configuration_given_up", extra={"figures": figures})
+
+    def take_again(self, configuration: Configuration) -> None:
+        """Puts a configuration in force. Discovery first: it outlives a fault at the rest."""
         nameserver = configuration.nameserver
+        if nameserver != self.names.address:
+            self.names.move(nameserver)
+        known = configuration.known
+        if known.number > self.names.number:
+            self.guarded("list", lambda: self.take_list(known))
+        self.bound(configuration)
         later = configuration.rest_differs(self.configuration)
         self.log.info(
             "configuration_read",
@@ -151,6 +164,11 @@
             },
         )
 
+    def take_list(self, known: KnownList) -> None:
+        """Noted as in force once it is: else the name service's next answer tells it again."""
+        self.link.listed(known.seats)
+        self.names.number = known.number
+
     def start(self) -> None:
         """Listens, and puts the list of the start in force.
 
@@ -161,7 +179,8 @@
             self.configuration.port, self.clients, backlog=BACKLOG, interface=self.configuration.host
         )
         self.clients.admit()
-        self.open_names()
+        self.link.list_asked()  # the configuration tells the list as of now
+        self.discovery.open()
         self.link.listed(self.seats)
         self.clients.ready = True
         self.sweeping.start(SWEEP_EVERY, now=False)
@@ -179,23 +198,6 @@
             },
         )
 
-    def open_names(self) -> None:
-        """Opens the socket to the name service; where the system cannot, it is tried again soon."""
-        try:
-            port = self.reactor.listenUDP(
-                0, self.names, interface=self.configuration.host, maxPacketSize=LARGEST_DATAGRAM
-            )
-            TolerantReading(port, self.reactor, self.counters, self.log)
-            self.counters.add("names_sockets_opened")
-        except CannotListenError as fault:
-            self.counters.add("names_socket_not_opened")
-            self.log.warning("names_socket_not_opened", extra={"figures": {"why": str(fault.socketError)}})
-            self.open_names_later()
-
-    def open_names_later(self) -> None:
-        """The name service's socket has ended or was not opened: without one no drain would be learned."""
-        self.reactor.callLater(REOPEN_AFTER, self.open_names)
-
     def unhandled(self, event: Mapping[str, Any]) -> None:
         """A fault that a protocol let through: Twisted ends its connection, and the log tells why."""
         if "log_failure" in event:
@@ -203,10 +205,21 @@
             self.log.error("unhandled", extra={"figures": {"trace": event["log_failure"].getTraceback()}})
 
     def sweep(self) -> None:
-        """Closes clients' and engines' connections that have rested for too long; looks at the wall clock."""
-        self.wall_clock.look()
-        self.clients.sweep()
-        self.engines.sweep()
+        """Closes connections that have rested for too long, and looks at the wall clock and at discovery.
+
+        Each by itself: a fault in one would end all sweeps to come."""
+        self.guarded("wall_clock", self.wall_clock.look)
+        self.guarded("discovery", self.discovery.look)
+        self.guarded("clients", self.clients.sweep)
+        self.guarded("engines", self.engines.sweep)
+
+    def guarded(self, step: str, call: Callable[[], object]) -> None:
+        """A fault in one step must not take the next ones with it; it is logged whole and counted."""
+        try:
+            call()
+        except Exception:
+            self.counters.add("faults")
+            self.log.exception("fault", extra={"figures": {"call": f"service_{step}"}})
 
     def stop(self) -> None:
         """Told to end: goes on accepting, answers all that it has taken, then ends."""
@@ -217,23 +230,29 @@
             self.clients.ending = True
             self.leave()
 
-    def leave(self) -> None:
-        """Ends once all is answered and no more can come; answers on their way out are written first."""
-        passed = self.clock() - self.stopped_at
-        over = passed >= self.stop_within + OVERTIME
-        if not over and (
+    def look_to_leave(self, passed: float) -> None:
+        """So many ms after it was told to end: whether all is answered and no more can come."""
+        self.may_leave = not (
             passed < STOP_NOT_BEFORE
             or self.link.by_ident
             or self.clients.close_idle()
             or self.clients.stop_accepting()
-        ):
+        )
+
+    def leave(self) -> None:
+        """Ends once all is answered and no more can come; answers on their way out are written first."""
+        passed = self.clock() - self.stopped_at
+        self.may_leave = passed >= self.stop_within + OVERTIME
+        if not self.may_leave:
+            self.guarded("leave", lambda: self.look_to_leave(passed))
+        if not self.may_leave:
             self.reactor.callLater(LOOK_EVERY, self.leave)
             return
         if self.retry is not None and self.retry.active():
             self.retry.cancel()
         self.counters.must(not self.link.by_ident, "all_answered_at_exit")
         self.sweeping.stop()
-        self.engines.close()
+        self.guarded("close", self.engines.close)
         self.log.info("counters", extra={"figures": self.counters.figures()})
         self.log.info("stopped", extra={"figures": {"after_ms": passed}})
         self.done()
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -20,6 +20,7 @@
 from .logs import logger
 from .monotonic_reactor import install_monotonic_reactor
 from .service import SWEEP_EVERY, Service
+from .transient_errors import TRANSIENT
 
 __all__ = [
     "SWEEP_EVERY",
@@ -36,14 +37,7 @@
 BIND_WITHIN = 5.0  # seconds; a predecessor told to end is gone, or killed, 3.7 s later at the latest
 BIND_EVERY = 0.05  # seconds
 START_DELAYED = {errno.EADDRINUSE: "address_in_use"}
-PASSING_FAULTS = {
-    errno.EADDRINUSE,
-    errno.EMFILE,
-    errno.ENFILE,
-    errno.ENOBUFS,
-    errno.ENOMEM,
-    errno.EAGAIN,
-}  # of the system, which may be over within a moment
+MAY_PASS = (TRANSIENT - {errno.EADDRNOTAVAIL}) | {errno.EADDRINUSE}  # an address that is not ours stays so
 
 
 def on_signals(loop: Any, again: Callable[[], None], stop: Callable[[], None]) -> None:
@@ -101,7 +95,7 @@
             service.start()
             return True
         except CannotListenError as fault:
-            if fault.socketError.errno not in PASSING_FAULTS or time.monotonic() >= until:
+            if fault.socketError.errno not in MAY_PASS or time.monotonic() >= until:
                 raise
             why = fault.socketError
         if end_asked():
--- a/spurdeal/net/watch.py
+++ b/spurdeal/net/watch.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -14,6 +13,8 @@
 
 from .counters import Counters
 from .limited_log import LimitedLog
+from .retrying_poller import RetryingPoller
+from .transient_errors import name_of
 
 COUNTED_GAP = 100.0  # ms between two polls from which on waiting bytes are dated back; timers come every 50
 LOGGED_GAP = 200.0  # ms
@@ -39,9 +40,11 @@
         self.turn_time, self.turn_events = 0.0, 0  # of the turns since the last poll
 
     def install(self, reactor: Any) -> None:
-        """Times each poll of Twisted's epoll reactor; others are left as they are."""
+        """Times each poll of Twisted's epoll reactor, and outlives calls on it that fail for a moment.
+
+        Other reactors are left as they are."""
         if hasattr(reactor, "_poller"):
-            reactor._poller = TimedPoller(reactor._poller, self)
+            reactor._poller = RetryingPoller(TimedPoller(reactor._poller, self))
             self.installed, self.polled_at = True, self.clock()
 
     def polled(self) -> None:
@@ -71,8 +74,7 @@
     def refused(self, call: str, descriptor: int, fault: OSError) -> None:
         """A call on the poller has failed."""
         self.counters.add(f"{call}_failed_errno_{fault.errno}")
-        error = errno.errorcode.get(fault.errno or 0, str(fault.errno))
-        self.lines.write("poller_call_failed", call=call, descriptor=descriptor, error=error)
+        self.lines.write("poller_call_failed", call=call, descriptor=descriptor, error=name_of(fault))
 
     def arrival(self, unpolled: Unpolled | None = None) -> float:
         """The earliest time at which bytes that are read now can have come, on a socket that was not always
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -27,6 +27,7 @@
     Reach,
     Word,
 )
+from .list_freshness import ListFreshness
 from .running_mean import RunningMean
 
 TICK, WAKE_TICK, WAKE_WATCH = 50.0, 0, 1
@@ -141,6 +142,7 @@
         self.taken_times, self.further_times, self.held = deque[float](), deque[float](), list[Submission]()
         self.engines, self.open, self.ready = dict[int, Engine](), dict[int, Submission](), list[Engine]()
         self.promised: Engine | None = None
+        self.freshness, self.list_followed = ListFreshness(site.drain_grace), True
         self.lines, self.rests = dict[int, deque[Submission]](), dict[int, float]()
         self.usual, self.best = [0.0 for _ in site.workloads], [1.0 for _ in site.workloads]
         self.paces, self.pace = [Histogram(PACE_EDGES) for _ in site.workloads], Histogram(PACE_EDGES)
@@ -195,6 +197,15 @@
     def list_failed(self, now: float) -> None:
         self.link.wake(500.0 + 1000.0 * self.chance.draw(), WAKE_WATCH)
 
+    def list_asked(self, now: float) -> None:
+        self.freshness.asked(now)
+
+    def list_unread(self, now: float) -> None:
+        self.freshness.unread(now)
+
+    def list_answered(self, now: float) -> None:
+        self.freshness.answered()
+
     # Submissions on their way out: the stages.
 
     def submitted(
@@ -304,6 +315,7 @@
             or t.submission.over
             or now >= t.submission.expiry
             or e.line.life != Life.READY
+            or not self.freshness.followed(now)
             or e.line.started != t.started
             or not self.may_repeat(t.submission)
             or (now < e.warm_at and not t.cold)
@@ -325,6 +337,9 @@
     def turn(self, now: float) -> None:
         """Held ones leave, lowest aged cost per utility first, each to the engine with most room."""
         self.now, self.promised, kept, ripe = now, None, list[Submission](), False
+        if self.list_followed != self.freshness.followed(now):
+            self.list_followed = not self.list_followed
+            self.link.log("list followed again" if self.list_followed else "list not followed: own faults")
         stuck = [False for _ in self.workloads]  # nothing frees room within a turn: one speaks for its kind
         waiting = iter(self.held)
         try:
@@ -345,6 +360,8 @@
     def choose(self, s: Submission, fewest: bool) -> Engine | None:
         if not self.in_turn(s) or (s.made > s.unsent and not self.may_go_further()):
             return None
+        if not self.freshness.followed(self.now):
+            return None
         w, engines = s.workload, self.allowed(s)
         if not engines:
             return None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -303,7 +303,11 @@
 
     # The name service's side.
 
-    def write(self, datagram: bytes, address: object) -> None:
+    def getHandle(self) -> "World":
+        """Of the transport that the name service is asked on: its socket."""
+        return self
+
+    def sendto(self, datagram: bytes, address: object) -> None:
         self.names.append(datagram)
         self.asked.append(address)
 
--- a/tests/stations.py
+++ b/tests/stations.py
@@ -61,10 +61,15 @@
     def __init__(self, ether: Ether, place: tuple[str, int], owner: object) -> None:
         self.ether, self.place, self.owner = ether, place, owner
 
+    def getHandle(self) -> "Wire":
+        return self
+
     def write(self, datagram: bytes, address: tuple[str, int]) -> None:
         if self.ether.bound.get(self.place) is self.owner:  # else its process was killed
             self.ether.carry(self.place, address, datagram)
 
+    sendto = write  # of the socket, which is its own handle
+
 
 class Side:
     """One dispatcher's start."""
--- a/tests/test_new_days.py
+++ b/tests/test_new_days.py
@@ -494,6 +494,7 @@
                 if ender == "sweep":
                     steps.reactor.now += 16.0
                     steps.service.engines.sweep()
+                    steps.list(2)  # after so long without a question, the list holds with its next answer
                 else:
                     steps.list(2, steps.engines.index(engine))
                 steps.go()
