--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -18,6 +18,7 @@
 
 from ..eventloop import DatagramLoop
 from ..interface import Life
+from ..net.datagram_reading import TolerantReading
 from ..net.link import Answer, BrokenOff, Delivered, Granted, Guard, Shed, Taken, at_most_once
 from ..net.names import Seat
 from ..net.service import Service
@@ -136,7 +137,8 @@
         self.service.clients.fleet = lambda: self.fleet.status(self.monotonic())
         self.act_on(self.service.names.number, self.service.seats, "start")
         host, port = self.plan.fleet.listen
-        self.reactor.listenUDP(port, self.datagrams, interface=str(host), maxPacketSize=LARGEST)
+        opened = self.reactor.listenUDP(port, self.datagrams, interface=str(host), maxPacketSize=LARGEST)
+        TolerantReading(opened, self.reactor, self.counters, self.log, most_errors=None)
         if not self.fleet.allowed(self.monotonic()).doubtful:
             self.tell_parts(False)
         self.tick()
--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -17,6 +17,7 @@
 from .fields import IDENT, MARK, key_of, last_part, number_field, rows_of
 from .http import BadMessage, RequestParser, response
 from .link import Answer, BrokenOff, Delivered, Shed
+from .patient_socket import make_patient
 from .pending import pending
 from .statement import group_of
 from .watch import Unpolled
@@ -78,6 +79,7 @@
     # Twisted's calls.
 
     def connectionMade(self) -> None:
+        make_patient(self.transport)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self.clients.came(self)
--- a/spurdeal/net/connection.py
+++ b/spurdeal/net/connection.py
@@ -17,6 +17,7 @@
 
 from ..interface import Ending
 from . import immediate
+from .patient_socket import make_patient
 from .pending import pending
 from .resp import ArrayParser, BadAnswer, command
 from .transient_errors import OWN_SHORTAGE
@@ -68,6 +69,7 @@
     def connectionMade(self) -> None:
         self.up, self.opened = True, self.engines.clock()
         self.used = self.opened
+        make_patient(self.transport)
         self.transport.setTcpNoDelay(True)
         self.engines.counters.add("engine_connections")
         self.flush()
--- a/spurdeal/net/datagram_reading.py
+++ b/spurdeal/net/datagram_reading.py
@@ -10,18 +10,28 @@
 from .transient_errors import name_of
 
 READ_AGAIN = 0.02  # seconds after an error
-MOST_ERRORS = 25  # in a row; then the socket is given up, as Twisted does at the first
+MOST_ERRORS = 25  # in a row, where another socket can be opened: this one is given up then
 
 
 class TolerantReading:
     """Takes the place of a Twisted UDP port's `doRead`, which ends the port at an error.
 
+    most_errors: so many errors in a row end the port; None: none do.
+
     Attributes:
         on_failed: Called with each read that has failed.
     """
 
-    def __init__(self, port: Any, reactor: Any, counters: Counters, log: logging.Logger) -> None:
+    def __init__(
+        self,
+        port: Any,
+        reactor: Any,
+        counters: Counters,
+        log: logging.Logger,
+        most_errors: int | None = MOST_ERRORS,
+    ) -> None:
         self.port, self.reactor, self.counters, self.log = port, reactor, counters, log
+        self.most_errors = most_errors
         self.read = port.doRead
         self.errors = 0
         self.on_failed: Callable[[], None] = lambda: None
@@ -43,7 +53,7 @@
             self.on_failed()
             if self.errors == 1:
                 self.tell("datagram_read_failed", fault)
-            if self.errors > MOST_ERRORS:
+            if self.most_errors is not None and self.errors > self.most_errors:
                 self.tell("datagram_socket_given_up", fault)
                 raise
             self.port.stopReading()
--- a/spurdeal/net/discovery_socket.py
+++ b/spurdeal/net/discovery_socket.py
@@ -89,7 +89,7 @@
         try:
             self.port.doRead()
         except OSError:  # too many in a row
-            self.port.stopListening()
+            self.port.connectionLost()
             return
         if self.counters.sums["names_answered"] > answered and self.port is not None:
             self.counters.add("discovery_read_by_look")
--- a/spurdeal/vrrp/advertising.py
+++ b/spurdeal/vrrp/advertising.py
@@ -103,8 +103,10 @@
 
     def tick(self) -> None:
         """The groups are due."""
-        self.do(self.groups.tick(self.monotonic()))
-        self.rearm()
+        try:
+            self.do(self.groups.tick(self.monotonic()))
+        finally:  # also after a fault: without a timer nobody would take over, nor advertise
+            self.rearm()
 
     def do(self, done: Done) -> None:
         """Carry out what the groups have decided."""
--- a/spurdeal/vrrp/station.py
+++ b/spurdeal/vrrp/station.py
@@ -10,6 +10,7 @@
 from ipaddress import IPv4Address
 from typing import TYPE_CHECKING
 
+from ..net.datagram_reading import TolerantReading
 from ..net.service import Service
 from . import advert
 from .address import Announcer
@@ -107,6 +108,8 @@
         if isinstance(self.holder, Announcer):
             own = str(self.vrrp.listen[0])
             self.ports.append(self.reactor.listenUDP(0, self.holder, interface=own))
+        for opened in self.ports:
+            TolerantReading(opened, self.reactor, self.counters, self.log, most_errors=None)
 
     def stop(self) -> None:
         """A planned stop: resigns, leaves the addresses, and tells the peers what they need, until exit."""
--- a/tests/test_discovery_faults.py
+++ b/tests/test_discovery_faults.py
@@ -106,6 +106,25 @@
         self.drain_after(("udp.epoll_del", errno.ENOMEM, 1), ("udp.recvfrom", errno.ENOMEM, 1))
 
 
+class Registrations(FaultyCase):
+    """epoll_ctl fails for a moment, at the start and for a connection that was just accepted."""
+
+    def test_a_start(self) -> None:
+        for call in ("udp.epoll_add", "tcp.epoll_add"):
+            with self.subTest(call):
+                self.faults.fail(call, errno.ENOMEM, 3)
+                child = self.dispatcher()
+                self.assertEqual(self.faults.failed(call), 3)
+                self.ended(child)
+
+    def test_connections_just_accepted(self) -> None:
+        child = self.dispatcher()
+        self.faults.fail("tcp.epoll_add", errno.ENOMEM, 3)
+        self.assertEqual([self.ask().result() for _ in range(6)], [200] * 6)
+        said = self.ended(child)
+        self.assertIn("event=poller_call_failed call=epoll_add", said)
+
+
 class LongFaults(FaultyCase):
     """The list cannot be refreshed for longer than the grace: nothing is sent by it meanwhile."""
 
--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -1,6 +1,7 @@
 """System calls that fail for a moment, and faults in one step: discovery goes on, nothing is half done."""
 
 import errno
+import json
 import unittest
 from typing import Any
 
@@ -8,10 +9,13 @@
 from twisted.python.failure import Failure
 
 from spurdeal.interface import Life
+from spurdeal.net.configuration import Unreadable
 from spurdeal.net.engines import Engines
-from tests.helpers import Caller, World
+from spurdeal.net.start import read_configuration
+from tests.helpers import Caller, World, configuration, instance
 from tests.steps import Steps
 
+DRAINED = {"lifecycle": "DRAINING"}
 DRAINING = ("s-0.east.hosts", "127.0.9.0:7001", 1, "kind=std cell=0 started=0")
 SERVING = ("s-1.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0")
 
@@ -119,6 +123,197 @@
         self.assertEqual(world.service.names.number, 2)
         self.assertEqual(world.service.link.seats["s-0"].life, Life.DRAINING)
 
+    def test_a_question_that_twisted_would_drop_in_silence_is_counted(self) -> None:
+        for error in (errno.ECONNREFUSED, errno.EMSGSIZE):
+            with self.subTest(errno.errorcode[error]):
+                steps = Steps(self)
+                port = steps.service.names.transport
+                port.socket = FailingSocket(port.socket, "sendto", error)
+                steps.go(260)
+                self.assertEqual(steps.service.counters.sums[f"names_not_sent_errno_{error}"], 1)
+
+    def test_a_port_that_fails_in_an_unexpected_way_is_opened_again(self) -> None:
+        """Before it is the protocol's, and behind that: no half of it stays."""
+        for behind in (False, True):
+            with self.subTest(behind=behind):
+                failures = [errno.ENOBUFS, errno.ENOMEM]
+
+                def fail_at_first(
+                    service: Any, world: World, failures: list[int] = failures, behind: bool = behind
+                ) -> None:
+                    real = world.reactor.listenUDP
+
+                    def listen(port: int, protocol: Any, **more: Any) -> Any:
+                        if failures and behind:
+                            protocol.makeConnection(world)
+                        if failures:
+                            raise OSError(failures.pop(0), "by the test")
+                        return real(port, protocol, **more)
+
+                    world.reactor.listenUDP = listen
+
+                world = World(self, before=fail_at_first)
+                world.go(100)
+                self.assertEqual(world.count("names_socket_not_opened"), 2)
+                self.assertEqual(world.service.names.numPorts, 1)
+                asked = world.count("names_asked")
+                world.go(1000)
+                self.assertEqual(world.count("names_asked"), asked + 5)  # one chain of questions, not three
+
+    def test_questions_that_stopped_are_brought_on_again(self) -> None:
+        world = World(self)
+        world.service.names.cancel_question()
+        asked = world.count("names_asked")
+        world.go(1000)
+        self.assertGreaterEqual(world.count("names_asked"), asked + 4)
+        self.assertEqual(world.count("names_asked_on"), 1)
+
+    def test_a_socket_whose_end_was_not_told_is_opened_again(self) -> None:
+        world = World(self)
+        world.service.names.doStop()
+        world.service.discovery.reopening.cancel()
+        world.go(300)
+        self.assertEqual(world.count("discovery_reopened_by_look"), 1)
+        self.assertGreater(world.count("names_asked"), 1)
+
+    def test_answers_that_the_poller_does_not_tell_of_are_read(self) -> None:
+        steps = Steps(self)
+        steps.reactor.removeReader(steps.service.names.transport)
+        steps.list(2, 0)
+        steps.go(800)
+        self.assertEqual(steps.service.link.seats["s-0"].life, Life.DRAINING)
+        self.assertEqual(steps.service.counters.sums["discovery_read_by_look"], 1)
+        steps.list(3)  # it is told of again
+        self.assertEqual(steps.service.link.seats["s-0"].life, Life.READY)
+
+    def test_a_fault_in_one_sweep_ends_no_other(self) -> None:
+        world = World(self)
+        sweeps: list[float] = []
+        world.service.engines.sweep = lambda: sweeps.append(world.now())  # type: ignore[method-assign]
+        world.service.clients.sweep = lambda: 1 / 0  # type: ignore[assignment, method-assign]
+        world.go(1100)
+        self.assertEqual(len(sweeps), 4)
+        self.assertEqual(world.service.counters.sums.pop("faults"), 4)
+
+    def test_a_list_of_a_configuration_that_could_not_be_taken_is_asked_for(self) -> None:
+        world = World(self, engines=2)
+        link: Any = world.service.link
+        taken, failures = link.listed, [RuntimeError("by the test")]
+
+        def listed(seats: Any) -> None:
+            if failures:
+                raise failures.pop()
+            taken(seats)
+
+        link.listed = listed
+        world.service.names.on_list = listed
+        told = configuration(2, nameserver="127.0.8.10:5301")
+        told["known"]["items"].append(
+            {"no": 2, "roster": {"generation": 1, "reset": False, "instances": [instance(0) | DRAINED]}}
+        )
+        told["known"]["no"] = 2
+        world.service.read_again(lambda: read_configuration(json.dumps(told)))
+        self.assertEqual(world.service.counters.sums.pop("faults"), 1)
+        self.assertEqual(world.service.names.address, ("127.0.8.10", 5301))
+        self.assertEqual(world.service.names.number, 1)
+        world.list(2, DRAINING, SERVING, source=("127.0.8.10", 5301))
+        self.assertEqual(world.service.link.seats["s-0"].life, Life.DRAINING)
+
+    def test_a_file_that_cannot_be_read_is_read_until_it_can(self) -> None:
+        world, reads = World(self), list[float]()
+
+        def read() -> Any:
+            reads.append(world.now())
+            raise Unreadable("configuration: no descriptor")
+
+        world.service.read_again(read)
+        world.go(60_000)
+        self.assertGreater(len(reads), 20)
+        self.assertLess(len(reads), 30)
+        self.assertEqual(world.count("configurations_given_up"), 0)
+
+
+class StandingStill(unittest.TestCase):
+    """The process does not run for seconds: what it has to send waits for the list."""
+
+    def sent(self, world: World) -> int:
+        return world.count("trips_written")
+
+    def test_requests_wait_for_the_first_answer(self) -> None:
+        world = World(self, engines=2)
+        world.list(2, ("s-0.east.hosts", "127.0.9.0:7001", 0, "kind=std cell=0 started=0"), SERVING)
+        caller = Caller(world)
+        caller.post(1)
+        world.peer().up().say(1, "200", "parts=1", b"a\t1\tx\n")
+        self.assertEqual(self.sent(world), 1)
+        world.reactor.rightNow += 2.5  # no timer ran, no question left
+        caller.post(2)
+        caller.post(3, "load")
+        self.assertEqual(self.sent(world), 1)
+        world.list(3, DRAINING, SERVING)
+        world.go(60)
+        for place in range(len(world.reactor.tcpClients)):
+            world.peer(place).up()
+        world.go(60)
+        self.assertEqual(self.sent(world), 2)  # the second of the connection waits behind the first
+        self.assertEqual({peer.host for peer in (world.peer(-1),)}, {"127.0.9.1"})
+
+    def test_a_silent_name_service_holds_them_up_for_a_moment_only(self) -> None:
+        world = World(self)
+        caller = Caller(world)
+        world.reactor.rightNow += 2.5
+        caller.post(1)
+        world.go(100)
+        self.assertEqual(world.reactor.tcpClients, [])
+        world.go(300)
+        world.peer().up()
+        self.assertEqual(self.sent(world), 1)
+
+
+class Patience(unittest.TestCase):
+    """A connection outlives calls that fail for want of our own."""
+
+    def test_a_client_whose_reads_and_writes_fail_for_a_moment_is_answered(self) -> None:
+        for call in ("recv", "send"):
+            for error in (errno.ENOMEM, errno.ENOBUFS):
+                with self.subTest(call, error=errno.errorcode[error]):
+                    steps = Steps(self)
+                    client = steps.client()
+                    steps.go()
+                    (connection,) = steps.service.clients.connections
+                    patient = connection.transport.socket
+                    patient.real = FailingSocket(patient.real, call, error, times=5)
+                    client.post(1)
+                    talk = steps.until(steps.engines[0].accept)
+                    steps.until(talk.heard)
+                    talk.say(1)
+                    self.assertEqual(steps.until(client.status), 200)
+                    self.assertEqual(patient.real.times, 0)
+
+    def test_an_attempt_outlives_a_read_that_fails_for_a_moment(self) -> None:
+        steps = Steps(self)
+        client = steps.client()
+        client.post(1, "load")
+        talk = steps.until(steps.engines[0].accept)
+        steps.until(talk.heard)
+        (connection,) = steps.service.engines.engines[0].connections
+        patient = connection.transport.socket
+        patient.real = FailingSocket(patient.real, "recv", errno.ENOMEM, times=5)
+        talk.say(1)
+        self.assertEqual(steps.until(client.status), 200)
+
+    def test_a_real_end_is_still_one(self) -> None:
+        steps = Steps(self)
+        client = steps.client()
+        client.post(1)
+        talk = steps.until(steps.engines[0].accept)
+        steps.until(talk.heard)
+        (connection,) = steps.service.clients.connections
+        patient = connection.transport.socket
+        patient.real = FailingSocket(patient.real, "recv", errno.ETIMEDOUT)
+        client.socket.sendall(b"x")
+        steps.until(lambda: not steps.service.clients.connections)
+
 
 class Connecting(unittest.TestCase):
     """A connection that our own machine cannot make tells nothing of the engine."""
