--- a/spurdeal/net/discovery_socket.py
+++ b/spurdeal/net/discovery_socket.py
@@ -35,6 +35,7 @@
         self.port: Any = None
         self.reading: TolerantReading | None = None
         self.reopening: Any = None  # the delayed call
+        self.closed = False
         names.on_closed = self.ended
 
     def open(self) -> None:
@@ -64,9 +65,21 @@
     def ended(self) -> None:
         """The socket has ended, and with it answers that were on their way."""
         self.port = self.reading = None
+        if self.closed:
+            return
+        self.counters.add("names_socket_ended")
+        figures = {"unheard_ms": self.names.unheard() * 1000}
+        self.log.warning("discovery_socket_ended", extra={"figures": figures})
         self.names.on_unread()
         self.open_later()
 
+    def close(self) -> None:
+        """A planned end: no question follows, and nothing is opened again."""
+        self.closed = True
+        self.names.cancel_question()
+        if self.reopening is not None and self.reopening.active():
+            self.reopening.cancel()
+
     def open_later(self) -> None:
         """Without a socket no drain would be learned."""
         if self.reopening is None or not self.reopening.active():
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -177,9 +177,6 @@
     def stopProtocol(self) -> None:
         """Its socket has ended: an error on reading ends it for good."""
         self.cancel_question()
-        self.counters.add("names_socket_ended")
-        figures = {"unheard_ms": self.unheard() * 1000}
-        self.log.warning("discovery_socket_ended", extra={"figures": figures})
         self.on_closed()
 
     def cancel_question(self) -> None:
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -252,6 +252,7 @@
             self.retry.cancel()
         self.counters.must(not self.link.by_ident, "all_answered_at_exit")
         self.sweeping.stop()
+        self.discovery.close()
         self.guarded("close", self.engines.close)
         self.log.info("counters", extra={"figures": self.counters.figures()})
         self.log.info("stopped", extra={"figures": {"after_ms": passed}})
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -568,4 +568,5 @@
                     if sent is not None:
                         process.send_signal(sent)
                     self.assertTrue(any(wanted in line for line in process.stderr), wanted)
+                self.assertEqual(process.stderr.read(), "")  # nothing follows the last line
             self.assertEqual(process.returncode, 0)
--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -2,20 +2,38 @@
 
 import errno
 import json
+import logging
 import unittest
-from typing import Any
+from typing import Any, cast
 
 from twisted.internet.error import CannotListenError, ConnectError
+from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
+from spurdeal.fleet.station import Clocks, FleetStation, StationSettings
 from spurdeal.interface import Life
 from spurdeal.net.configuration import Unreadable
+from spurdeal.net.counters import Counters
+from spurdeal.net.datagram_reading import TolerantReading
 from spurdeal.net.engines import Engines
 from spurdeal.net.start import read_configuration
-from tests.helpers import Caller, World, configuration, instance
+from spurdeal.settings.reading import read_text
+from spurdeal.vrrp.sealed import Keys
+from tests.helpers import Caller, DatagramPort, World, configuration, instance
+from tests.stations import Pair
 from tests.steps import Steps
 
 DRAINED = {"lifecycle": "DRAINING"}
+FLEET_PLAN = b"""
+name: n1
+fleet:
+  listen: 127.0.8.1:7114
+  keys: [{id: 1, hex: 5f5f5f5f5f5f5f5f5f5f5f5f5f5f5f5f}]
+  lease: 1500ms
+  part: 0.34
+  revision: 1
+"""
+TOLERANT = [(TolerantReading, None)]
 DRAINING = ("s-0.east.hosts", "127.0.9.0:7001", 1, "kind=std cell=0 started=0")
 SERVING = ("s-1.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0")
 
@@ -269,6 +287,113 @@
         world.peer().up()
         self.assertEqual(self.sent(world), 1)
 
+    def test_what_was_dialled_for_waits_too(self) -> None:
+        world = World(self, engines=2)
+        Caller(world).post(1)
+        world.reactor.rightNow += 2.5
+        world.peer().up()
+        self.assertEqual(self.sent(world), 0)
+        seats = ((f"s-{n}.east.hosts", f"127.0.9.{n}:7001", 0, "kind=std cell=0 started=0") for n in (0, 1))
+        world.list(2, *seats)
+        world.go(60)
+        if len(world.reactor.tcpClients) > 1:  # it is dialled for at the other engine now
+            world.peer(1).up()
+        self.assertEqual(self.sent(world), 1)
+
+    def test_answers_that_were_lost_with_their_socket_may_have_told_of_a_drain(self) -> None:
+        world = World(self)
+        world.service.names.doStop()
+        world.go(170)  # another socket is open, its question is not answered yet
+        Caller(world).post(1)
+        self.assertEqual(world.count("names_sockets_opened"), 2)
+        self.assertEqual(world.reactor.tcpClients, [])
+        world.go(200)
+        world.peer().up()
+        self.assertEqual(self.sent(world), 1)
+
+
+class PlannedEnd(unittest.TestCase):
+    """A fault on the way does not keep the process from its end."""
+
+    def test_faults_while_it_leaves_and_closes(self) -> None:
+        world = World(self)
+        failures = [OSError(errno.ENOMEM, "by the test")]
+        close_idle = world.service.clients.close_idle
+
+        def close_idle_or_fail() -> bool:
+            if failures:
+                raise failures.pop()
+            return close_idle()
+
+        world.service.clients.close_idle = close_idle_or_fail  # type: ignore[method-assign]
+        world.service.engines.close = lambda: 1 / 0  # type: ignore[assignment, method-assign]
+        world.service.stop()
+        world.go(1500)
+        self.assertEqual(len(world.done), 1)
+        self.assertEqual(world.service.counters.sums.pop("faults"), 2)
+
+
+class OtherDatagramPorts(unittest.TestCase):
+    """Fleet and VRRP: a read that fails does not end their ports, and there is no other to be opened."""
+
+    def test_no_number_of_errors_ends_one(self) -> None:
+        class FailingPort(DatagramPort):
+            def doRead(self) -> None:
+                raise OSError(errno.ENOMEM, "by the test")
+
+            def stopReading(self) -> None:
+                self.reading = False
+
+            def startReading(self) -> None:
+                self.reading = True
+
+        clock, counters, port = Clock(), Counters(), FailingPort()
+        TolerantReading(port, clock, counters, logging.Logger("n1"), most_errors=None)
+        for _ in range(100):
+            port.doRead()
+            self.assertFalse(port.reading)
+            clock.advance(0.021)
+            self.assertTrue(port.reading)
+        self.assertEqual(counters.sums["datagram_read_errors"], 100)
+
+    def test_those_of_vrrp_are_read_so(self) -> None:
+        pair = Pair(self)
+        for side in pair.sides.values():
+            readers = [cast(Any, port).doRead.__self__ for port in side.station.ports]
+            self.assertEqual([(type(reader), reader.most_errors) for reader in readers], TOLERANT * 3)
+
+    def test_a_fault_in_a_tick_of_vrrp_ends_no_later_one(self) -> None:
+        pair = Pair(self)
+        advertising: Any = pair.sides["n1"].station.advertising
+        tick, failures = advertising.groups.tick, [ZeroDivisionError("by the test")]
+
+        def tick_or_fail(now: float) -> Any:
+            if failures:
+                raise failures.pop()
+            return tick(now)
+
+        advertising.groups.tick = tick_or_fail
+        advertising.ticking.cancel()
+        with self.assertRaises(ZeroDivisionError):
+            advertising.tick()
+        self.assertTrue(advertising.ticking.active())
+
+    def test_the_fleets_is_read_so(self) -> None:
+        world, ports = World(self), list[Any]()
+        listen = world.reactor.listenUDP
+
+        def listen_and_keep(*arguments: Any, **more: Any) -> Any:
+            ports.append(listen(*arguments, **more))
+            return ports[-1]
+
+        world.reactor.listenUDP = listen_and_keep
+        settings = StationSettings(read_text("plan", FLEET_PLAN), Keys({1: bytes(16)}), b"{}")
+        clocks = Clocks(world.now, world.now, world.now)
+        FleetStation(world.service, settings, world.reactor, clocks, world.service.log).start()
+        readers = [port.doRead.__self__ for port in ports]
+        self.assertEqual([(type(reader), reader.most_errors) for reader in readers], TOLERANT)
+        world.service.counters.sums.clear()
+
 
 class Patience(unittest.TestCase):
     """A connection outlives calls that fail for want of our own."""
