--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -79,7 +79,7 @@
     # Twisted's calls.
 
     def connectionMade(self) -> None:
-        make_patient(self.transport)
+        make_patient(self.transport, self.clients.link.loop)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self.clients.came(self)
@@ -360,7 +360,11 @@
         return not self.clogged and not self.closing and self.parser.left() > 0
 
     def expire(self) -> None:
-        """What waits for nothing is closed; what does not read is cut."""
+        """What waits for nothing is closed; what does not read is cut.
+
+        Bytes that came and were not read yet, as after a pause of the process, are read first."""
+        if self.is_unfinished() and pending(self.transport):
+            return
         self.clients.counters.add(f"client_closed_{self.state_at_close()}")
         if self.written:
             self.transport.loseConnection()
--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -13,6 +13,7 @@
 from .counters import Counters
 from .eviction import LEAST_AGE, evict
 from .link import SocketLink
+from .patient_socket import ACCEPT_AGAIN, PatientListener
 from .pending import has_waiting_connections
 from .watch import AcceptWatch, Unpolled
 
@@ -75,6 +76,23 @@
         if self.port is not None:
             self.settle_soon()
 
+    def take_port(self, port: Any) -> None:
+        """The listening port, whose accepts may fail for a moment."""
+        self.port = port
+        real = getattr(port, "socket", None)  # none on a transport in memory
+        if real is not None:
+            port.socket = PatientListener(real, self.link.loop, self.counters, self.pause_after_error)
+
+    def pause_after_error(self) -> None:
+        """An accept has failed; what waits in the backlog stays there."""
+        self.port.stopReading()
+        self.link.reactor.callLater(ACCEPT_AGAIN, self.resume_after_error)
+
+    def resume_after_error(self) -> None:
+        """Unless accepting is paused for another reason, or over."""
+        if not self.paused and not self.accept_ended and self.port.connected:
+            self.port.startReading()
+
     def workload_of(self, path: bytes) -> int | None:
         """The index of the workload that a path names, or None.
 
--- a/spurdeal/net/connection.py
+++ b/spurdeal/net/connection.py
@@ -69,7 +69,7 @@
     def connectionMade(self) -> None:
         self.up, self.opened = True, self.engines.clock()
         self.used = self.opened
-        make_patient(self.transport)
+        make_patient(self.transport, self.engines.watch)
         self.transport.setTcpNoDelay(True)
         self.engines.counters.add("engine_connections")
         self.flush()
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -14,6 +14,7 @@
 from .names import Seat
 from .resp import BadAnswer
 from .trips import Outcome, SendTerms, Trip
+from .watch import LoopWatch
 
 __all__ = ["Connection", "Engine", "Engines", "Outcome", "SendTerms", "Trip"]
 
@@ -111,6 +112,7 @@
         self.reactor, self.clock, self.counters, self.log = reactor, clock, counters, log
         self.report_fields, self.connections = tuple(report_fields), 0
         self.engines: dict[int, Engine] = {}
+        self.watch = LoopWatch(clock, counters, log)  # the link's, once there is one
         self.held: list[Connection] = []
 
     def bound(
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -47,7 +47,7 @@
         log: logging.Logger,
     ) -> None:
         super().__init__(reactor, clock, counters, log)
-        self.engines = engines
+        self.engines, engines.watch = engines, self.loop
         self.request_log = RequestLog(log, clock, counters)
         self.priorities, self.nobody = site.priorities, len(site.quotas)  # nobody: a customer without a share
         self.taken: dict[int, Taken] = {}
--- a/spurdeal/net/patient_socket.py
+++ b/spurdeal/net/patient_socket.py
@@ -1,23 +1,31 @@
-"""A stream socket on which a call that fails for a moment reads as one that would block.
+"""Stream sockets on which a call that fails for a moment reads as one that would block.
 
-Twisted ends a connection at the first error of recv or send, and with it the requests that are open there. An
-error that tells of a shortage on our own machine says nothing of the far side: the call is made again as the
-poller tells of the socket, which it does for as long as something is to be read or can be written.
+Twisted ends a connection at the first error of recv or send, and with it the requests that are open there;
+for want of descriptors it accepts connections only to close them. An error that tells of a shortage on our
+own machine says nothing of the far side: the call is made again, as the poller tells of the socket for as
+long as something waits there. What waited meanwhile counts from when the errors began, see `watch.LoopWatch`.
 """
 
 from __future__ import annotations
 
 import errno
+from collections.abc import Callable
 from typing import Any
 
+from .counters import Counters
+from .pending import is_readable
 from .transient_errors import TRANSIENT
+from .watch import LoopWatch
+
+ACCEPT_AGAIN = 0.01  # seconds after an error until connections are accepted again
 
 
 class PatientSocket:
     """Takes the place of a connected, non-blocking socket; all but recv and send are the socket's own."""
 
-    def __init__(self, real: Any) -> None:
-        self.real = real
+    def __init__(self, real: Any, watch: LoopWatch) -> None:
+        self.real, self.watch = real, watch
+        self.failing = False  # the last read
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.real, name)
@@ -32,9 +40,21 @@
         try:
             received: bytes = self.real.recv(size, flags)
         except OSError as fault:
+            if fault.errno in TRANSIENT and fault.errno != errno.EAGAIN:
+                self.failing = True
+                self.watch.delayed(self)
+            elif self.failing:
+                self.recovered()
             raise as_blocking(fault) from None
+        if self.failing:
+            self.recovered()
         return received
 
+    def recovered(self) -> None:
+        """Reading works again."""
+        self.failing = False
+        self.watch.caught_up(self)
+
     def send(self, data: bytes, flags: int = 0) -> int:
         """Write; see socket.send. Raises as `recv` does."""
         try:
@@ -43,6 +63,51 @@
             raise as_blocking(fault) from None
         return sent
 
+    def close(self) -> None:
+        """See socket.close."""
+        self.watch.caught_up(self)
+        self.real.close()
+
+
+class PatientListener:
+    """Takes the place of a listening, non-blocking socket; all but accept are the socket's own.
+
+    pause: called after an error, so that a lasting one does not keep the loop busy.
+    """
+
+    def __init__(self, real: Any, watch: LoopWatch, counters: Counters, pause: Callable[[], None]) -> None:
+        self.real, self.watch, self.counters, self.pause = real, watch, counters, pause
+        self.failing = False  # since when connections may have waited is kept until none waits
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.real, name)
+
+    def accept(self) -> Any:
+        """The next connection; see socket.accept.
+
+        Raises:
+            BlockingIOError: None waits, or it cannot be had just now.
+        """
+        try:
+            accepted = self.real.accept()
+        except BlockingIOError:
+            self.recover()
+            raise
+        except OSError as fault:
+            self.counters.add(f"accept_failed_errno_{fault.errno}")
+            self.failing = True
+            self.watch.delayed(self)
+            self.pause()
+            raise BlockingIOError(errno.EWOULDBLOCK, str(fault)) from None
+        if self.failing and not is_readable(self.real):
+            self.recover()
+        return accepted
+
+    def recover(self) -> None:
+        """Nothing that had to wait is left."""
+        self.failing = False
+        self.watch.caught_up(self)
+
 
 def as_blocking(fault: OSError) -> OSError:
     """The error as Twisted is to see it."""
@@ -51,8 +116,8 @@
     return fault
 
 
-def make_patient(transport: Any) -> None:
+def make_patient(transport: Any, watch: LoopWatch) -> None:
     """Let a transport's connection outlive calls that fail for a moment; those without a socket are left."""
     real = getattr(transport, "socket", None)
     if real is not None:
-        transport.socket = PatientSocket(real)
+        transport.socket = PatientSocket(real, watch)
--- a/spurdeal/net/pending.py
+++ b/spurdeal/net/pending.py
@@ -21,8 +21,11 @@
 
 def has_waiting_connections(port: Any) -> bool:
     """Whether connections wait in a port's backlog; none do where it is closed."""
-    if not port.connected:
-        return False
+    return bool(port.connected) and is_readable(port)
+
+
+def is_readable(source: Any) -> bool:
+    """Whether something waits on a descriptor: bytes, an end, or connections."""
     poll = select.poll()
-    poll.register(port.fileno(), select.POLLIN)
+    poll.register(source.fileno(), select.POLLIN)
     return bool(poll.poll(0))
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -175,8 +175,10 @@
         Raises:
             CannotListenError: Its address cannot be listened on. It can be started again then.
         """
-        self.clients.port = self.reactor.listenTCP(
-            self.configuration.port, self.clients, backlog=BACKLOG, interface=self.configuration.host
+        self.clients.take_port(
+            self.reactor.listenTCP(
+                self.configuration.port, self.clients, backlog=BACKLOG, interface=self.configuration.host
+            )
         )
         self.clients.admit()
         self.link.list_asked()  # the configuration tells the list as of now
--- a/spurdeal/net/watch.py
+++ b/spurdeal/net/watch.py
@@ -18,6 +18,7 @@
 
 COUNTED_GAP = 100.0  # ms between two polls from which on waiting bytes are dated back; timers come every 50
 LOGGED_GAP = 200.0  # ms
+MOST_DELAY = 3000.0  # ms by which failing reads date back at most; nothing waits longer for an answer then
 LOG_INTERVAL = 1000.0  # ms between two log lines
 
 
@@ -38,13 +39,16 @@
         self.next_log = 0.0
         self.lines = LimitedLog(log, clock)
         self.turn_time, self.turn_events = 0.0, 0  # of the turns since the last poll
+        self.poller: RetryingPoller | None = None
+        self.delays: dict[object, float] = {}  # since when reading from each source fails
+        self.over: set[object] = set()  # those that were read in this round
 
     def install(self, reactor: Any) -> None:
         """Times each poll of Twisted's epoll reactor, and outlives calls on it that fail for a moment.
 
         Other reactors are left as they are."""
         if hasattr(reactor, "_poller"):
-            reactor._poller = RetryingPoller(TimedPoller(reactor._poller, self))
+            reactor._poller = self.poller = RetryingPoller(TimedPoller(reactor._poller, self))
             self.installed, self.polled_at = True, self.clock()
 
     def polled(self) -> None:
@@ -52,12 +56,38 @@
         now = self.clock()
         gap = now - self.polled_at
         self.readable_since = self.polled_at if gap > COUNTED_GAP else now
+        self.date_back()
         self.polled_at = now
         self.round += 1
         if gap > COUNTED_GAP:
             self.report(now, gap)
         self.turn_time, self.turn_events = 0.0, 0
 
+    def delayed(self, source: object) -> None:
+        """Reading from a source fails: what comes there waits since the poll of this round."""
+        self.delays.setdefault(source, self.readable_since)
+        self.over.discard(source)
+
+    def caught_up(self, source: object) -> None:
+        """Reading from a source works again: what is read after this round did not wait."""
+        if source in self.delays:
+            self.over.add(source)
+
+    def date_back(self) -> None:
+        """Which source is read next is not known: while one is delayed, all that is read counts from then."""
+        for source in self.over:
+            del self.delays[source]
+        self.over.clear()
+        if self.poller is not None and self.poller.refused:
+            self.delayed(self.poller)
+        elif self.poller in self.delays:
+            self.over.add(self.poller)
+        oldest = self.polled_at - MOST_DELAY
+        self.delays = {source: since for source, since in self.delays.items() if since > oldest}
+        self.over &= self.delays.keys()
+        if self.delays:
+            self.readable_since = min(self.readable_since, *self.delays.values())
+
     def turned(self, took: float, events: int) -> None:
         """A turn of the dispatcher is over."""
         self.turn_time += took
--- a/tests/fault_table.py
+++ b/tests/fault_table.py
@@ -21,6 +21,8 @@
     "tcp.accept",
     "tcp.recv",
     "tcp.send",
+    "tcp.short_recv",  # its error is the most bytes that a call takes
+    "tcp.short_send",
     "tcp.getsockname",
     "tcp.getpeername",
     "tcp.setsockopt",
@@ -57,15 +59,20 @@
         count: int = ENTRY.unpack_from(self.shared, CALLS.index(call) * ENTRY.size)[2]
         return count
 
+    def take(self, call: str) -> int:
+        """Called by the process before the real call: the error that it is to fail with, or 0."""
+        place = CALLS.index(call) * ENTRY.size
+        error, times, failed = ENTRY.unpack_from(self.shared, place)
+        if times == 0:
+            return 0
+        ENTRY.pack_into(self.shared, place, error, times - 1 if times > 0 else times, failed + 1)
+        return int(error)
+
     def check(self, call: str) -> None:
         """Called by the process before the real call.
 
         Raises:
             OSError: The test wants it to fail.
         """
-        place = CALLS.index(call) * ENTRY.size
-        error, times, failed = ENTRY.unpack_from(self.shared, place)
-        if times == 0:
-            return
-        ENTRY.pack_into(self.shared, place, error, times - 1 if times > 0 else times, failed + 1)
-        raise OSError(error, f"{errno.errorcode[error]} by the test")
+        if error := self.take(call):
+            raise OSError(error, f"{errno.errorcode[error]} by the test")
--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -2,7 +2,8 @@
 
 A program of its own, as the socket class and the poller must be replaced before Twisted takes hold of them.
 The calls fail before the system is asked, as the C library's would where it was interposed. EINTR is retried
-below Python by the interpreter itself, but for connect.
+below Python by the interpreter itself, but for connect. Reads and writes may be short, and the wall clock may
+be stepped, as in `stepped_process`.
 """
 
 import builtins
@@ -14,6 +15,7 @@
 from typing import Any
 
 from tests.fault_table import FAULTS_FILE, FaultTable
+from tests.stepped_process import OFFSET_FILE, step_the_wall_clock
 
 REAL_EPOLL, REAL_OPEN = select.epoll, builtins.open
 REAL_SOCKET: Any = socket.socket
@@ -70,11 +72,15 @@
 
         def recv(self, *arguments: Any) -> bytes:
             self.check("recv")
+            if most := faults.take("tcp.short_recv"):
+                arguments = (min(most, arguments[0]), *arguments[1:])
             received: bytes = super().recv(*arguments)
             return received
 
         def send(self, *arguments: Any) -> int:
             self.check("send")
+            if most := faults.take("tcp.short_send"):
+                arguments = (memoryview(arguments[0])[:most], *arguments[1:])
             sent: int = super().send(*arguments)
             return sent
 
@@ -135,6 +141,8 @@
 
 
 if __name__ == "__main__":
+    if OFFSET_FILE in os.environ:
+        step_the_wall_clock(os.environ[OFFSET_FILE])
     let_calls_fail(FaultTable(Path(os.environ[FAULTS_FILE])))
     sys.argv = sys.argv[:1]
     from spurdeal.__main__ import main
--- a/tests/stepped_clock.py
+++ b/tests/stepped_clock.py
@@ -12,9 +12,11 @@
 
 from spurdeal.lab import names
 from spurdeal.net.resp import ArrayParser, command
+from tests.stepped_process import OFFSET_FILE
+
+__all__ = ["OFFSET_FILE", "Arrival", "NameService", "Server", "SteppedClock"]
 
 OFFSET = struct.Struct("d")  # seconds
-OFFSET_FILE = "STEPPED_CLOCK_FILE"
 LOOK_AGAIN = 0.05  # seconds, until a side that has been closed ends
 ROW = b"a\t1\tx\n"
 
--- a/tests/stepped_process.py
+++ b/tests/stepped_process.py
@@ -10,6 +10,8 @@
 import sys
 import time
 
+OFFSET_FILE = "STEPPED_CLOCK_FILE"
+
 
 def step_the_wall_clock(path: str) -> None:
     """Replace each way in which Python reads the wall clock."""
@@ -31,7 +33,7 @@
 
 
 if __name__ == "__main__":
-    step_the_wall_clock(os.environ["STEPPED_CLOCK_FILE"])
+    step_the_wall_clock(os.environ[OFFSET_FILE])
     sys.argv = sys.argv[:1]
     from spurdeal.__main__ import main
 
--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -312,6 +312,83 @@
         self.assertEqual(self.sent(world), 1)
 
 
+class Delayed(unittest.TestCase):
+    """What waited while calls of ours failed counts from then: engines are told what its client has left."""
+
+    def wait_told(self, steps: Steps, ident: int) -> int:
+        """What the engine is told for a request; it is answered."""
+        talk = steps.engines[0].talks[0] if steps.engines[0].talks else steps.until(steps.engines[0].accept)
+        (said,) = steps.until(talk.heard)
+        talk.say(ident)
+        return int(said[2].split("wait=")[1].split(",")[0])
+
+    def told_after(self, steps: Steps, heal: Any) -> None:
+        """The first request waited for 300 ms, the second for nothing."""
+        client = steps.clients[0]
+        steps.go(300)
+        heal()
+        steps.go(20)
+        self.assertLessEqual(self.wait_told(steps, 1), 5000 - 300 + 50)
+        self.assertEqual(steps.until(client.status), 200)
+        steps.go(50)
+        client.post(2)
+        self.assertGreaterEqual(self.wait_told(steps, 2), 4900)
+        self.assertEqual(steps.service.link.loop.delays, {})
+
+    def test_in_the_backlog_while_accept_fails(self) -> None:
+        for error in (errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EPROTO, errno.EHOSTUNREACH):
+            with self.subTest(errno.errorcode[error]):
+                steps = Steps(self)
+                listener = steps.service.clients.port.socket
+                listener.real = failing = FailingSocket(listener.real, "accept", error, times=1000)
+                steps.client().post(1)
+                self.told_after(steps, lambda failing=failing: setattr(failing, "times", 0))
+                self.assertLess(steps.service.counters.sums[f"accept_failed_errno_{error}"], 40)  # no spin
+
+    def test_unread_while_recv_fails(self) -> None:
+        steps = Steps(self)
+        client = steps.client()
+        steps.go()
+        (connection,) = steps.service.clients.connections
+        patient = connection.transport.socket
+        patient.real = failing = FailingSocket(patient.real, "recv", errno.ENOMEM, times=1_000_000)
+        client.post(1)
+        self.told_after(steps, lambda: setattr(failing, "times", 0))
+
+    def test_unwatched_while_epoll_ctl_fails(self) -> None:
+        steps = Steps(self)
+        timed: Any = steps.service.link.loop.poller
+        register = timed.poller.register
+
+        def refuse(*_: object) -> None:
+            raise OSError(errno.ENOSPC, "by the test")
+
+        client = steps.client()
+        timed.poller.register = refuse
+        steps.go()
+        client.post(1)
+        self.told_after(steps, lambda: setattr(timed.poller, "register", register))
+
+    def test_a_delay_without_end_dates_back_by_no_more_than_the_bound(self) -> None:
+        steps = Steps(self)
+        steps.service.link.loop.delayed("a source that is not read again")
+        steps.go(4000)
+        steps.client().post(1, wait=8000)
+        self.assertGreaterEqual(self.wait_told(steps, 1), 8000 - 100)
+
+    def test_the_rest_of_a_request_that_came_in_a_pause_is_read(self) -> None:
+        steps = Steps(self)
+        client = steps.client()
+        client.socket.sendall(b"POST /ops/lookup HTTP/1.1\r\nReq-Id: %016x\r\n" % 1)
+        steps.go()
+        client.socket.sendall(b"Req-Wait-Ms: 9000\r\nContent-Length: 1\r\n\r\nS")
+        steps.reactor.now += 2.5
+        steps.service.clients.sweep()  # before the loop polls
+        steps.list(2)
+        self.wait_told(steps, 1)
+        self.assertEqual(steps.until(client.status), 200)
+
+
 class PlannedEnd(unittest.TestCase):
     """A fault on the way does not keep the process from its end."""
 
