--- a/spurdeal/list_freshness.py
+++ b/spurdeal/list_freshness.py
@@ -6,16 +6,19 @@
 
 Two troubles make a list doubtful. No question has left for UNASKED_MOST: sends fail, there is no socket, or
 the process stood still. Or reading has failed, and answers may lie unread. A doubtful list is followed again
-with the next answer, or when a question that left after the trouble finds the name service silent.
+with the next answer, or when a question that left after the trouble finds the name service silent. Besides,
+no list is followed while sockets were not looked at for as long as an answer may lie unread.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 TOLD_WITHIN = 1500.0  # ms, by the protocol
 UNASKED_PART = 2 / 3  # of that; the rest is for the distance between two questions, and the way
 UNASKED_MOST = UNASKED_PART * TOLD_WITHIN
 UNREAD_PART = 0.5  # of the drain's grace: an answer that was not read may have told of a drain at once
-ANSWER_WITHIN = 250.0  # ms after a question; a name service that says nothing for so long is silent
+ANSWER_WITHIN = 1000.0  # ms after a question; a name service that says nothing for so long is silent
 
 
 class ListFreshness:
@@ -25,6 +28,7 @@
         asked_at: When a question left last; None where the list does not come by questions.
         doubtful_since: The beginning of a trouble that no answer has ended yet.
         asked_again_at: When the first question left since its last sign.
+        polled_at: Tells when sockets were looked at last, where that is known.
     """
 
     def __init__(self, drain_grace: float) -> None:
@@ -32,6 +36,7 @@
         self.asked_at: float | None = None
         self.doubtful_since: float | None = None
         self.asked_again_at: float | None = None
+        self.polled_at: Callable[[], float] | None = None
 
     def asked(self, now: float) -> None:
         """A question has left."""
@@ -55,9 +60,13 @@
         """Whether no question has left for too long."""
         return self.asked_at is not None and now - self.asked_at > UNASKED_MOST
 
+    def is_unpolled(self, now: float) -> bool:
+        """Whether an answer may lie unread for too long, as no socket was looked at."""
+        return self.polled_at is not None and now - self.polled_at() > self.unread_most
+
     def followed(self, now: float) -> bool:
         """Whether requests may be sent by the list."""
-        if self.is_unasked(now):
+        if self.is_unasked(now) or self.is_unpolled(now):
             return False
         if self.doubtful_since is None or now - self.doubtful_since <= self.unread_most:
             return True
--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -18,7 +18,7 @@
 from .http import BadMessage, RequestParser, response
 from .link import Answer, BrokenOff, Delivered, Shed
 from .patient_socket import make_patient
-from .pending import pending
+from .pending import may_have_come
 from .statement import group_of
 from .watch import Unpolled
 
@@ -333,7 +333,7 @@
 
     def close_if_idle(self) -> bool:
         """A call whose bytes have come and were not read yet is not closed over."""
-        idle = self.is_idle() and pending(self.transport) is None
+        idle = self.is_idle() and not may_have_come(self.transport)
         if idle:
             self.close()
         return idle
@@ -363,7 +363,7 @@
         """What waits for nothing is closed; what does not read is cut.
 
         Bytes that came and were not read yet, as after a pause of the process, are read first."""
-        if self.is_unfinished() and pending(self.transport):
+        if self.is_unfinished() and may_have_come(self.transport):
             return
         self.clients.counters.add(f"client_closed_{self.state_at_close()}")
         if self.written:
--- a/spurdeal/net/datagram_reading.py
+++ b/spurdeal/net/datagram_reading.py
@@ -1,7 +1,11 @@
-"""Reads of a datagram socket that fail for a moment: the socket, and what waits on it, is kept."""
+"""Reads of a datagram socket that fail for a moment: the socket, and what waits on it, is kept.
+
+Each failure is told. Twisted's own `doRead` passes over ECONNREFUSED without a word, and answers stay unread.
+"""
 
 from __future__ import annotations
 
+import errno
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -13,6 +17,23 @@
 MOST_ERRORS = 25  # in a row, where another socket can be opened: this one is given up then
 
 
+class TellingSocket:
+    """Takes the place of a datagram socket; all but recvfrom is the socket's own."""
+
+    def __init__(self, real: Any) -> None:
+        self.real = real
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.real, name)
+
+    def recvfrom(self, size: int) -> Any:
+        """See socket.recvfrom; ECONNREFUSED is raised as an error that Twisted tells of."""
+        try:
+            return self.real.recvfrom(size)
+        except ConnectionRefusedError as fault:
+            raise OSError(errno.EIO, str(fault)) from None
+
+
 class TolerantReading:
     """Takes the place of a Twisted UDP port's `doRead`, which ends the port at an error.
 
@@ -36,6 +57,8 @@
         self.errors = 0
         self.on_failed: Callable[[], None] = lambda: None
         port.doRead = self.read_or_wait
+        if (real := getattr(port, "socket", None)) is not None:  # none in memory
+            port.socket = TellingSocket(real)
 
     def read_or_wait(self) -> None:
         """Read what waits; after an error, read again a little later.
--- a/spurdeal/net/eviction.py
+++ b/spurdeal/net/eviction.py
@@ -6,7 +6,7 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
-from .pending import pending
+from .pending import may_have_come
 
 if TYPE_CHECKING:
     from .client import Client
@@ -61,7 +61,7 @@
             return False
         client.expire()
         return True
-    if (rank is not EvictionRank.IDLE and age < LEAST_AGE) or pending(client.transport) is not None:
+    if (rank is not EvictionRank.IDLE and age < LEAST_AGE) or may_have_come(client.transport):
         return False
     if client.parser.left():
         client.refuse_unfinished()
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -66,6 +66,8 @@
         for name in ("attempts_after_client_left", "attempts_late_after_client_left"):
             counters.add(name, 0)  # shown also where there is none
         self.rules = Dispatcher(site, seed, self, clock())
+        if self.loop.installed:
+            self.rules.freshness.polled_at = lambda: self.loop.polled_at
 
     # What comes from clients and from the list.
 
--- a/spurdeal/net/patient_socket.py
+++ b/spurdeal/net/patient_socket.py
@@ -42,6 +42,7 @@
         except OSError as fault:
             if fault.errno in TRANSIENT and fault.errno != errno.EAGAIN:
                 self.failing = True
+                self.watch.counters.add(f"recv_failed_errno_{fault.errno}")
                 self.watch.delayed(self)
             elif self.failing:
                 self.recovered()
@@ -60,6 +61,8 @@
         try:
             sent: int = self.real.send(data, flags)
         except OSError as fault:
+            if fault.errno in TRANSIENT and fault.errno != errno.EAGAIN:
+                self.watch.counters.add(f"send_failed_errno_{fault.errno}")
             raise as_blocking(fault) from None
         return sent
 
--- a/spurdeal/net/pending.py
+++ b/spurdeal/net/pending.py
@@ -19,6 +19,11 @@
         return b""
 
 
+def may_have_come(transport: Any) -> bool:
+    """Whether bytes or an end wait there, or reading fails just now, so that they may."""
+    return pending(transport) is not None or bool(getattr(transport.getHandle(), "failing", False))
+
+
 def has_waiting_connections(port: Any) -> bool:
     """Whether connections wait in a port's backlog; none do where it is closed."""
     return bool(port.connected) and is_readable(port)
--- a/spurdeal/net/retrying_poller.py
+++ b/spurdeal/net/retrying_poller.py
@@ -8,25 +8,45 @@
 from __future__ import annotations
 
 import select
-from typing import Any
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 from .transient_errors import TRANSIENT
 
-RETRY_EVERY = 0.02  # seconds
+RETRY_EVERY = 20.0  # ms
 ALWAYS_REPORTED = select.EPOLLERR | select.EPOLLHUP
 
 
+UNWANTED_REST = 0.002  # seconds after a poll that told of nothing wanted, which would return at once again
+
+
+class Refused(NamedTuple):
+    """A change that the system has refused.
+
+    Attributes:
+        events: What the descriptor is to be watched for; 0 for nothing any more.
+        watched: Whether the system watches it already, as far as is known.
+    """
+
+    events: int
+    watched: bool
+
+
 class RetryingPoller:
     """Takes the place of an epoll object, and keeps what the system has refused until it accepts it.
 
+    clock: tells ms.
+
     Attributes:
-        refused: By descriptor, the events that it is to be watched for; 0 for none any more.
+        refused: By descriptor, what is wanted of it.
     """
 
-    def __init__(self, poller: Any) -> None:
-        self.poller = poller
+    def __init__(self, poller: Any, clock: Callable[[], float]) -> None:
+        self.poller, self.clock = poller, clock
         self.close = poller.close
-        self.refused: dict[int, int] = {}
+        self.refused: dict[int, Refused] = {}
+        self.next_try = 0.0
 
     def register(self, descriptor: int, events: int) -> None:
         """Watch a descriptor.
@@ -34,51 +54,57 @@
         Raises:
             OSError: The system cannot, and will not a moment later.
         """
-        self.change(descriptor, events, self.poller.register)
+        self.change(descriptor, Refused(events, watched=False))
 
     def modify(self, descriptor: int, events: int) -> None:
         """Change what a descriptor is watched for. Raises as `register` does."""
-        self.change(descriptor, events, self.poller.modify)
+        self.change(descriptor, Refused(events, watched=True))
 
     def unregister(self, descriptor: int) -> None:
         """Watch a descriptor no more. Raises as `register` does."""
-        self.change(descriptor, 0, lambda descriptor, _: self.poller.unregister(descriptor))
+        self.change(descriptor, Refused(0, watched=True))
 
-    def change(self, descriptor: int, events: int, call: Any) -> None:
+    def change(self, descriptor: int, wanted: Refused) -> None:
         """Make a change at once, or note it."""
-        if descriptor in self.refused:
-            self.refused[descriptor] = events
+        if (before := self.refused.get(descriptor)) is not None:
+            self.refused[descriptor] = wanted._replace(watched=before.watched)
             self.try_again(descriptor)
             return
         try:
-            call(descriptor, events)
+            self.call(descriptor, wanted)
         except OSError as fault:
             if fault.errno not in TRANSIENT:
                 raise
-            self.refused[descriptor] = events
+            self.refused[descriptor] = wanted
 
-    def try_again(self, descriptor: int) -> None:
-        """Bring the system in line with what is wanted of a descriptor, as far as it lets us."""
-        try:
-            self.bring_in_line(descriptor, self.refused[descriptor])
-        except OSError as fault:
-            if fault.errno in TRANSIENT:
-                return  # the next poll tries again
-        del self.refused[descriptor]  # done, or closed meanwhile
-
-    def bring_in_line(self, descriptor: int, events: int) -> None:
-        """Whether the system watches the descriptor already is not known.
+    def call(self, descriptor: int, wanted: Refused) -> None:
+        """Ask the system for a change.
 
         Raises:
-            OSError: It cannot, or the descriptor is closed.
+            OSError: It cannot.
         """
-        if not events:
+        if not wanted.events:
             self.poller.unregister(descriptor)
-            return
+        elif wanted.watched:
+            self.poller.modify(descriptor, wanted.events)
+        else:
+            self.poller.register(descriptor, wanted.events)
+
+    def try_again(self, descriptor: int) -> None:
+        """Bring the system in line with what is wanted of a descriptor, as far as it lets us.
+
+        A descriptor that was closed meanwhile is watched no more, and may be another's by now."""
+        wanted = self.refused[descriptor]
         try:
-            self.poller.register(descriptor, events)
-        except FileExistsError:
-            self.poller.modify(descriptor, events)
+            self.call(descriptor, wanted)
+        except FileNotFoundError:
+            if wanted.events:
+                self.refused[descriptor] = wanted._replace(watched=False)
+                return
+        except OSError as fault:
+            if fault.errno in TRANSIENT:
+                return
+        del self.refused[descriptor]  # done, or closed
 
     def poll(self, timeout: float, most: int) -> list[tuple[int, int]]:
         """What is ready; changes that were refused are tried again first.
@@ -90,17 +116,25 @@
         if not self.refused:
             found: list[tuple[int, int]] = self.poller.poll(timeout, most)
             return found
-        for descriptor in list(self.refused):
-            self.try_again(descriptor)
+        if self.clock() >= self.next_try:
+            self.next_try = self.clock() + RETRY_EVERY
+            for descriptor in list(self.refused):
+                self.try_again(descriptor)
         if self.refused:
-            timeout = RETRY_EVERY if timeout < 0 else min(timeout, RETRY_EVERY)
-        return self.wanted(self.poller.poll(timeout, most))
+            longest = RETRY_EVERY / 1000
+            timeout = longest if timeout < 0 else min(timeout, longest)
+        found = self.poller.poll(timeout, most)
+        wanted = self.wanted(found)
+        if found and not wanted:
+            time.sleep(UNWANTED_REST)
+        return wanted
 
     def wanted(self, found: list[tuple[int, int]]) -> list[tuple[int, int]]:
         """Without what the system still tells of descriptors that are not to be watched for it any more."""
         left = []
         for descriptor, events in found:
-            wanted = self.refused.get(descriptor, events)
+            refused = self.refused.get(descriptor)
+            wanted = events if refused is None else refused.events
             told = events & (wanted | ALWAYS_REPORTED) if wanted else 0
             if told:
                 left.append((descriptor, told))
--- a/spurdeal/net/watch.py
+++ b/spurdeal/net/watch.py
@@ -42,19 +42,27 @@
         self.poller: RetryingPoller | None = None
         self.delays: dict[object, float] = {}  # since when reading from each source fails
         self.over: set[object] = set()  # those that were read in this round
+        self.looked_in_vain = False  # by the last poll, behind a gap
 
     def install(self, reactor: Any) -> None:
         """Times each poll of Twisted's epoll reactor, and outlives calls on it that fail for a moment.
 
         Other reactors are left as they are."""
         if hasattr(reactor, "_poller"):
-            reactor._poller = self.poller = RetryingPoller(TimedPoller(reactor._poller, self))
+            reactor._poller = self.poller = RetryingPoller(TimedPoller(reactor._poller, self), self.clock)
             self.installed, self.polled_at = True, self.clock()
 
-    def polled(self) -> None:
-        """A poll has returned."""
+    def polled(self, found: bool = True) -> None:
+        """A poll has returned, and has found something or not.
+
+        Python returns from one that was interrupted, as by a pause of the process, without a look at what has
+        come since: the first empty one behind a gap is taken for none."""
         now = self.clock()
         gap = now - self.polled_at
+        if gap > COUNTED_GAP and not found and not self.looked_in_vain:
+            self.looked_in_vain = True
+            return
+        self.looked_in_vain = False
         self.readable_since = self.polled_at if gap > COUNTED_GAP else now
         self.date_back()
         self.polled_at = now
@@ -153,7 +161,7 @@
         except OSError as fault:
             self.watch.refused("epoll_wait", -1, fault)
             raise
-        self.watch.polled()
+        self.watch.polled(bool(found))
         return found
 
 
