Short reads, and pauses behind a poll, make no request count as younger than it is

Change: the rest of an unfinished request is read at once; what a poll finds, and the next one, counts from before a gap.

--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -29,6 +29,7 @@
 LONGEST_PAUSE, LONGEST_UNFINISHED = 2000.0, 10_000.0  # ms between two pieces of one call; from first to last
 LONGEST_IDLE, LONGEST_UNREAD = 5000.0, 10_000.0  # ms; clients close after 4 s, but some keep theirs for good
 LONGEST_LINGER, MOST_DROPPED = 1000.0, 262_144  # ms and bytes that are read and dropped after our last answer
+MOST_SHORT_READS = 512  # behind one another, for one request
 MOST_ARRIVALS = 32  # times kept of what one connection has sent ahead
 MOST_CANCELLED_AHEAD = 16  # DELETEs behind an open call that are carried out before their turn
 MOST_IN_A_ROW = 16  # calls that one connection may have handled before others have their turn
@@ -85,6 +86,19 @@
         self.clients.came(self)
 
     def dataReceived(self, data: bytes) -> None:
+        """Takes what was read, and the rest of an unfinished request that waits behind it.
+
+        A read may be short of what has come: the rest would count from when it is read."""
+        self.take_data(data)
+        for _ in range(MOST_SHORT_READS):
+            if self.call is not None or not self.is_unfinished():
+                return
+            if not (more := immediate.receive(self.transport)):
+                return  # nothing, or an end, which the transport finds as well
+            self.take_data(more)
+
+    def take_data(self, data: bytes) -> None:
+        """Takes what was read."""
         if self.closing:
             self.dropped += len(data)
             if self.dropped > MOST_DROPPED:
--- a/spurdeal/net/watch.py
+++ b/spurdeal/net/watch.py
@@ -42,7 +42,7 @@
         self.poller: RetryingPoller | None = None
         self.delays: dict[object, float] = {}  # since when reading from each source fails
         self.over: set[object] = set()  # those that were read in this round
-        self.looked_in_vain = False  # by the last poll, behind a gap
+        self.gap_since: float | None = None  # the beginning of a gap that ended with the last poll
 
     def install(self, reactor: Any) -> None:
         """Times each poll of Twisted's epoll reactor, and outlives calls on it that fail for a moment.
@@ -52,18 +52,16 @@
             reactor._poller = self.poller = RetryingPoller(TimedPoller(reactor._poller, self), self.clock)
             self.installed, self.polled_at = True, self.clock()
 
-    def polled(self, found: bool = True) -> None:
-        """A poll has returned, and has found something or not.
+    def polled(self) -> None:
+        """A poll has returned.
 
-        Python returns from one that was interrupted, as by a pause of the process, without a look at what has
-        come since: the first empty one behind a gap is taken for none."""
+        The process may have stood still behind the system's look, or Python may have returned from a poll
+        that was interrupted without one. So what came in a gap may be found by the next poll only."""
         now = self.clock()
         gap = now - self.polled_at
-        if gap > COUNTED_GAP and not found and not self.looked_in_vain:
-            self.looked_in_vain = True
-            return
-        self.looked_in_vain = False
-        self.readable_since = self.polled_at if gap > COUNTED_GAP else now
+        before, self.gap_since = self.gap_since, self.polled_at if gap > COUNTED_GAP else None
+        known = [since for since in (before, self.gap_since) if since is not None]
+        self.readable_since = min(known, default=now)
         self.date_back()
         self.polled_at = now
         self.round += 1
@@ -161,7 +159,7 @@
         except OSError as fault:
             self.watch.refused("epoll_wait", -1, fault)
             raise
-        self.watch.polled(bool(found))
+        self.watch.polled()
         return found
 
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -76,6 +76,7 @@
         stalls: By dispatcher, from when to when it stood still.
         outages: From when to when the name service answered nobody, or lost answers.
         late: When the observer ran late, and by how much.
+        notes: What was done to the dispatchers, and when; for those who read the records.
     """
 
     requests: dict[str, Request] = field(default_factory=dict)
@@ -86,6 +87,7 @@
     outages: list[tuple[float, float]] = field(default_factory=list)
     late: list[tuple[float, float]] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
+    notes: list[tuple[float, str]] = field(default_factory=list)
 
     def lateness(self, at: float) -> float:
         """By how much the observer ran late around a time."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -274,6 +274,7 @@
         while monotonic() < end:
             (name,) = self.chance.choices(list(kinds), weights)
             self.troubles.append(name)
+            self.note(f"trouble: {name}")
             under_way.add(asyncio.ensure_future(self.carried_out(name, kinds[name][1])))
             await asyncio.sleep(self.chance.choice((0.0, 0.1, 0.3, 0.6, 1.2)))
         await asyncio.gather(*under_way)
@@ -294,12 +295,18 @@
     async def fail(self, dispatcher: Dispatcher, call: str) -> None:
         """One call, some times or for a while."""
         error = self.chance.choice(FAULTS[call])
+        self.note(f"{call} of n{dispatcher.number} fails with {errno.errorcode[error]}")
         if self.chance.random() < 0.5:
             dispatcher.faults.fail(call, error, self.chance.choice((1, 1, 2, 5, 30)))
             return
         dispatcher.faults.fail(call, error)
         await asyncio.sleep(self.chance.choice((0.02, 0.1, 0.3)))
         dispatcher.faults.heal(call)
+        self.note(f"{call} of n{dispatcher.number} heals")
+
+    def note(self, text: str) -> None:
+        """For those who read the records."""
+        self.records.notes.append((monotonic(), text))
 
     async def failing_calls(self) -> None:
         """Any calls of any dispatcher."""
@@ -317,9 +324,12 @@
             await asyncio.gather(*(self.fail(dispatcher, call) for call in calls))
             return
         for call in calls:
-            dispatcher.faults.fail(call, self.chance.choice(FAULTS[call]))
+            error = self.chance.choice(FAULTS[call])
+            dispatcher.faults.fail(call, error)
+            self.note(f"{call} of n{dispatcher.number} fails with {errno.errorcode[error]}")
         await asyncio.sleep(self.chance.choice((0.6, 1.5, 3.0)))
         dispatcher.faults.heal(*calls)
+        self.note(f"{calls} of n{dispatcher.number} heal")
 
     async def short_calls(self) -> None:
         """Reads and writes take some bytes at a time."""
@@ -515,6 +525,7 @@
         for number, all_of in soak.records.stalls.items()
         for began, ended in all_of
     ]
+    lines += [f"{at:.3f} {text}" for at, text in soak.records.notes]
     (folder / "records.txt").write_text("\n".join(sorted(lines)) + "\n")
 
 
--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -399,18 +399,33 @@
         self.wait_told(steps, 1)
         self.assertEqual(steps.until(client.status), 200)
 
-    def test_the_first_empty_poll_behind_a_gap_is_no_look(self) -> None:
-        """Python returns from an interrupted poll without one: the next finds what came in the pause."""
+    def test_what_came_in_a_gap_may_be_found_by_the_next_poll_only(self) -> None:
+        """The pause may lie behind the system's look, or the first poll may have been interrupted."""
         now = [0.0]
         watch = LoopWatch(lambda: now[0], Counters(), logging.Logger("n1"))
-        for found, since in (((False, True), 0.0), ((False, False, True), 2000.0)):
-            with self.subTest(found):
-                now[0] = 0.0
-                watch.polled()
-                now[0] = 2000.0
-                for each in found:
-                    watch.polled(each)
-                self.assertEqual(watch.readable_since, since)
+        watch.polled()
+        for at, since in ((2000.0, 0.0), (2001.0, 0.0), (2002.0, 2002.0), (3000.0, 2002.0), (4000.0, 2002.0)):
+            now[0] = at
+            watch.polled()
+            self.assertEqual(watch.readable_since, since)
+
+    def test_a_request_of_which_reads_bring_a_byte_each_is_read_at_once(self) -> None:
+        class ByteWise(FailingSocket):
+            def recv(self, size: int, flags: int = 0) -> bytes:
+                received: bytes = self.real.recv(min(size, 1), flags)
+                return received
+
+        steps = Steps(self)
+        client = steps.client()
+        steps.go()
+        (connection,) = steps.service.clients.connections
+        patient = connection.transport.socket
+        patient.real = ByteWise(patient.real, "none", 0)
+        client.post(1)
+        steps.round()
+        self.assertEqual(len(steps.service.link.by_ident), 1)
+        self.wait_told(steps, 1)
+        self.assertEqual(steps.until(client.status), 200)
 
     def test_an_idle_connection_is_not_closed_while_it_cannot_be_read(self) -> None:
         steps = Steps(self)
