--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -27,7 +28,7 @@
 from typing import Any
 
 from spurdeal.lab import names
-from spurdeal.lab.loopback import Network
+from spurdeal.lab.loopback import FIRST_NETWORK, NETWORKS, Network
 from tests.fault_table import FAULTS_FILE, FaultTable
 from tests.helpers import configuration
 from tests.soak.judge import STOP_TO_KILL, Judge, Records
@@ -185,7 +186,7 @@
     def __init__(self, seed: int, seconds: float, folder: Path, only: str | None = None) -> None:
         self.seed, self.seconds, self.folder, self.only = seed, seconds, folder, only
         self.chance = random.Random(seed)
-        self.network = Network.of_this_process()
+        self.network = free_network()
         self.names_host, self.engines_host = self.network.host(SUBNET, 100), self.network.host(SUBNET, 101)
         self.records = Records()
         self.dispatchers = [Dispatcher(self, number) for number in range(DISPATCHERS)]
@@ -477,6 +478,17 @@
         self.names.trouble()
 
 
+def free_network() -> Network:
+    """One that no other run on this machine uses just now, from this process's own on."""
+    first = Network.of_this_process().number
+    for number in range(first, first + NETWORKS):
+        network = Network(FIRST_NETWORK + (number - FIRST_NETWORK) % NETWORKS)
+        with socket.socket(type=socket.SOCK_DGRAM) as tried, suppress(OSError):
+            tried.bind((network.host(SUBNET, 100), NAMES_PORTS[0]))
+            return network
+    raise OSError(errno.EADDRINUSE, "no network of the loopback range is free")
+
+
 def play(seed: int, seconds: float, out: Path | None, only: str | None) -> dict[str, Any]:
     """One seed; what it found. Logs and records of one that breaks a rule are kept in `out`."""
     with tempfile.TemporaryDirectory() as folder:
