--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -586,7 +586,7 @@
         while waiting and len(running) < given.parallel:
             more = ["--out", str(given.out)] if given.out else []
             more += ["--only", given.only] if given.only else []
-        more += ["--leave-out", given.leave_out] if given.leave_out else []
+            more += ["--leave-out", given.leave_out] if given.leave_out else []
             command = [sys.executable, "-m", "tests.soak.run", "--seeds", str(waiting.pop(0))]
             running.append(subprocess.Popen([*command, "--seconds", str(given.seconds), *more], cwd=ROOT))
         done = running.pop(0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -107,7 +107,7 @@
 
 class ShortSoak(unittest.TestCase):
     def test_two_seeds_break_no_rule(self) -> None:
-        """Without sends that fail: what those break is known, and has a red test of its own (KNOWN-RED.txt)."""
+        """Without sends that fail: what those break is known, and has a red test (KNOWN-RED.txt)."""
         command = [sys.executable, "-m", "tests.soak.run", "--leave-out", "tcp.send"]
         command += ["--seconds", str(SECONDS), "--seeds"]
         runs = [
