--- a/spurdeal/list_freshness.py
+++ b/spurdeal/list_freshness.py
@@ -18,6 +18,7 @@
 UNASKED_PART = 2 / 3  # of that; the rest is for the distance between two questions, and the way
 UNASKED_MOST = UNASKED_PART * TOLD_WITHIN
 UNREAD_PART = 0.5  # of the drain's grace: an answer that was not read may have told of a drain at once
+UNREAD_LEAST = 100.0  # ms; a loop at rest polls each 50
 ANSWER_WITHIN = 3000.0  # ms after a question; a name service that says nothing for so long is silent
 
 
@@ -32,7 +33,8 @@
     """
 
     def __init__(self, drain_grace: float) -> None:
-        self.unread_most = UNREAD_PART * drain_grace
+        self.is_ruled = drain_grace > 0.0  # else the settings name no such rule
+        self.unread_most = max(UNREAD_LEAST, UNREAD_PART * drain_grace)
         self.asked_at: float | None = None
         self.doubtful_since: float | None = None
         self.asked_again_at: float | None = None
@@ -66,6 +68,8 @@
 
     def followed(self, now: float) -> bool:
         """Whether requests may be sent by the list."""
+        if not self.is_ruled:
+            return True
         if self.is_unasked(now) or self.is_unpolled(now):
             return False
         if self.doubtful_since is None or now - self.doubtful_since <= self.unread_most:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -307,10 +307,12 @@
         """Of the transport that the name service is asked on: its socket."""
         return self
 
-    def sendto(self, datagram: bytes, address: object) -> None:
+    def write(self, datagram: bytes, address: object) -> None:
         self.names.append(datagram)
         self.asked.append(address)
 
+    sendto = write  # of the socket, which is its own handle
+
     def list(
         self,
         serial: int,
--- a/tests/test_list_freshness.py
+++ b/tests/test_list_freshness.py
@@ -70,6 +70,13 @@
         self.assertTrue(self.list.followed(1000.0 + GRACE / 2))
         self.assertFalse(self.list.followed(1001.0 + GRACE / 2))
 
+    def test_without_a_grace_in_the_settings_there_is_no_rule(self) -> None:
+        free = ListFreshness(0.0)
+        free.polled_at = lambda: 0.0
+        free.asked(0.0)
+        free.unread(1.0)
+        self.assertTrue(free.followed(60_000.0))
+
     def test_a_process_that_stood_still_before_its_first_question(self) -> None:
         self.list.asked(0.0)
         self.assertFalse(self.list.followed(60_000.0))
