A read that fails right behind a pause is part of the trouble that the pause began

Change: with no question for too long, a trouble counts from the last question, whichever sign of it comes first. Measured: the new test fails without the change.

--- a/spurdeal/list_freshness.py
+++ b/spurdeal/list_freshness.py
@@ -42,18 +42,23 @@
 
     def asked(self, now: float) -> None:
         """A question has left."""
-        if self.is_unasked(now) and self.doubtful_since is None:
-            self.doubtful_since = self.asked_at
+        self.note_unasked(now)
         if self.doubtful_since is not None and self.asked_again_at is None:
             self.asked_again_at = now
         self.asked_at = now
 
     def unread(self, now: float) -> None:
         """Reading has failed, or the socket that answers would have come to has ended."""
+        self.note_unasked(now)
         if self.doubtful_since is None:
             self.doubtful_since = now
         self.asked_again_at = None
 
+    def note_unasked(self, now: float) -> None:
+        """Where no question has left for too long, the trouble began with that."""
+        if self.doubtful_since is None and self.is_unasked(now):
+            self.doubtful_since = self.asked_at
+
     def answered(self) -> None:
         """An answer has told of the list."""
         self.doubtful_since = self.asked_again_at = None
--- a/tests/test_list_freshness.py
+++ b/tests/test_list_freshness.py
@@ -70,6 +70,12 @@
         self.assertTrue(self.list.followed(1000.0 + GRACE / 2))
         self.assertFalse(self.list.followed(1001.0 + GRACE / 2))
 
+    def test_a_read_that_fails_right_behind_a_pause_is_no_new_trouble(self) -> None:
+        self.list.asked(0.0)
+        self.list.unread(2100.0)
+        self.list.asked(2101.0)
+        self.assertFalse(self.list.followed(2102.0))
+
     def test_without_a_grace_in_the_settings_there_is_no_rule(self) -> None:
         free = ListFreshness(0.0)
         free.polled_at = lambda: 0.0
