--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -19,8 +19,8 @@
 from ..eventloop import DatagramLoop
 from ..interface import Life
 from ..net.datagram_reading import TolerantReading
+from ..net.engine_list import Seat
 from ..net.link import Answer, BrokenOff, Delivered, Granted, Guard, Shed, Taken, at_most_once
-from ..net.names import Seat
 from ..net.service import Service
 from ..vrrp.sealed import Keys
 from .audit import COLD, DOUBTFUL, Kind
--- a/spurdeal/fleet/versions.py
+++ b/spurdeal/fleet/versions.py
@@ -80,7 +80,7 @@
 
 
 def rows_of(seats: Iterable[Any]) -> dict[str, Row]:
-    """Seats, as net.names has them, in one form whoever told them; by id."""
+    """Seats, as net.engine_list has them, in one form whoever told them; by id."""
     return {
         seat.ident: (
             seat.ident,
--- a/spurdeal/lab/capacity/engine_list.py
+++ b/spurdeal/lab/capacity/engine_list.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Sequence
 
 from ...net import dns
-from ...net.names import ASK_EVERY, SERVICE, answered_seats
+from ...net.engine_list import answered_seats
+from ...net.names import ASK_EVERY, SERVICE
 from ..names import Seat, answer
 from . import design
 from .fit import Form
--- a/spurdeal/lab/capacity/links_process.py
+++ b/spurdeal/lab/capacity/links_process.py
@@ -15,9 +15,9 @@
 
 from ...interface import Life
 from ...net.counters import Counters
+from ...net.engine_list import Seat
 from ...net.engines import Engines
 from ...net.logs import logger
-from ...net.names import Seat
 from ...net.start import SWEEP_EVERY
 from .measure import TRIES, process_cpu_us, require_descriptors, resident_kb
 from .request_path import Silent
--- a/spurdeal/lab/capacity/request_path.py
+++ b/spurdeal/lab/capacity/request_path.py
@@ -15,10 +15,10 @@
 from ...deployment import deployment
 from ...interface import Deployment, Ending, EndReason, Life, Listed
 from ...net.counters import Counters
+from ...net.engine_list import Seat
 from ...net.engines import Engines
 from ...net.link import SocketLink
 from ...net.logs import logger
-from ...net.names import Seat
 from ...rules import TICK, WAKE_TICK, Dispatcher
 from . import design
 from .measure import TRIES, cpu_us, require_memory, sample
--- a/spurdeal/net/configuration.py
+++ b/spurdeal/net/configuration.py
@@ -9,7 +9,7 @@
 
 from ..deployment import deployment, reported, without_nulls
 from ..interface import Deployment
-from .names import Address, KnownList, known_list, read_address
+from .engine_list import Address, KnownList, known_list, read_address
 
 DEFAULT_DESCRIPTORS = 1024
 DEFAULT_MEMORY_MB = 192.0
--- a/spurdeal/net/engine_index.py
+++ b/spurdeal/net/engine_index.py
@@ -6,7 +6,7 @@
 from itertools import count
 
 from ..interface import Listed
-from .names import Seat
+from .engine_list import Seat
 
 
 class EngineIndex:
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -11,7 +11,7 @@
 from ..slow_start import leads_to_predecessor
 from .connection import Connection, Dial
 from .counters import Counters
-from .names import Seat
+from .engine_list import Seat
 from .resp import BadAnswer
 from .trips import Outcome, SendTerms, Trip
 from .watch import LoopWatch
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -15,8 +15,8 @@
 from .answers import COUNTED, Answer, BrokenOff, Delivered, Granted, Shed
 from .counters import Counters
 from .engine_index import EngineIndex
+from .engine_list import Seat
 from .engines import Engines
-from .names import Seat
 from .ordered import OrderedArrivals
 from .request_log import RequestLog
 from .submissions import Carrier, EarlyWithdrawals, Guard, Taken, at_most_once
--- a/spurdeal/net/request_log.py
+++ b/spurdeal/net/request_log.py
@@ -7,8 +7,8 @@
 
 from ..interface import Ending, EndReason, Life
 from .counters import Counters
+from .engine_list import Seat
 from .limited_log import LimitedLog
-from .names import Seat
 from .submissions import Taken
 
 
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -14,9 +14,10 @@
 from .counters import Counters
 from .descriptors import OPENED_AT_START, DescriptorBudget, ProcessDescriptors
 from .discovery_socket import DiscoverySocket
+from .engine_list import KnownList
 from .engines import Engines
 from .link import SocketLink
-from .names import KnownList, NameService
+from .names import NameService
 from .wall_clock import WallClockWatch
 
 SWEEP_EVERY = 0.25  # seconds
--- a/spurdeal/net/submissions.py
+++ b/spurdeal/net/submissions.py
@@ -10,7 +10,7 @@
 
 from ..interface import Deployment, Effect, Ending, Reach
 from .answers import Answer
-from .names import Seat
+from .engine_list import Seat
 from .trips import Outcome, SendTerms
 
 MOST_EARLY, EARLY_KEPT = 256, 5000.0  # ids withdrawn before their call came, and ms for which it may come
--- a/spurdeal/store/guard.py
+++ b/spurdeal/store/guard.py
@@ -15,8 +15,8 @@
 
 from ..eventloop import Scheduler
 from ..net.counters import Counters
+from ..net.engine_list import Seat
 from ..net.link import Answer, BrokenOff, Guard, Shed, Taken
-from ..net.names import Seat
 from .ledger import TURN, Ledger, LedgerFullError
 from .records import Kind, Record
 
--- a/spurdeal/vrrp/guard.py
+++ b/spurdeal/vrrp/guard.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ..net.engine_list import Seat
 from ..net.link import Answer, BrokenOff, Shed, SocketLink, Taken, at_most_once
-from ..net.names import Seat
 from ..net.start import Service
 from .exchange import Exchange
 from .handover import Facts
