--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from twisted.internet.protocol import DatagramProtocol
 
@@ -18,6 +18,19 @@
 ASK_AGAIN = 0.05  # seconds after a question that the system did not send
 MOST_OPEN = 32  # questions whose answer may still come
 SILENT_AFTER = 2.0  # seconds without an answer: told in the log
+MISSED_LOGGED = 2  # questions in a row without an answer from which on the next answer tells of them
+
+
+class Question(NamedTuple):
+    """A question whose answer may still come.
+
+    Attributes:
+        asked_at: When it was made, in the reactor's seconds.
+        address: Whom it was sent to.
+    """
+
+    asked_at: float
+    address: Address
 
 
 class NameService(DatagramProtocol):
@@ -50,7 +63,8 @@
         self.reactor, self.address, self.number, self.on_list = reactor, address, number, on_list
         self.counters, self.log = counters, log
         self.question_id = 0
-        self.open_questions = dict[int, None]()
+        self.open_questions = dict[int, Question]()
+        self.missed = 0  # questions that have left since the one that was answered last
         self.next_question: Any = None  # the delayed call
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_unchanged: Callable[[dict[str, Seat]], None] | None = None
@@ -87,7 +101,7 @@
     def ask(self) -> None:
         """Sends the next question. Nothing waits for its answer."""
         self.question_id = (self.question_id + 1) & 0xFFFF
-        self.open_questions[self.question_id] = None
+        self.open_questions[self.question_id] = Question(self.reactor.seconds(), self.address)
         if len(self.open_questions) > MOST_OPEN:
             del self.open_questions[next(iter(self.open_questions))]
         self.next_question = self.reactor.callLater(ASK_EVERY, self.ask)
@@ -102,6 +116,7 @@
             return
         self.counters.add("names_asked")
         self.unsent = 0
+        self.missed += 1
         self.on_asked()
 
     def ask_on(self) -> None:
@@ -132,15 +147,27 @@
             self.silent = True
             self.tell("discovery_silent", silence)
 
-    def heard(self) -> None:
-        """The name service has answered with a list."""
+    def heard(self, question: Question) -> None:
+        """The name service has answered a question with a list."""
         now = self.reactor.seconds()
+        self.counters.most("names_longest_answer_ms", (now - question.asked_at) * 1000)
+        self.note_missed(now)
         silence, self.answered_at = now - self.heard_or_began, now
         self.heard_or_began = now
         if self.silent:
             self.silent = False
             self.tell("discovery_answers_again", silence)
 
+    def note_missed(self, now: float) -> None:
+        """Tells of questions that nobody answered before this answer came."""
+        open_now = len(self.open_questions)  # this one is out already
+        missed, self.missed = self.missed - 1, 0
+        if missed > 0:
+            self.counters.add("names_unanswered", missed)
+        if missed >= MISSED_LOGGED:
+            figures = {"questions": missed, "for_ms": (now - self.heard_or_began) * 1000, "open": open_now}
+            self.log.warning("discovery_answers_missed", extra={"figures": figures})
+
     def tell(self, event: str, silence: float) -> None:
         figures = {
             "after_ms": silence * 1000,
@@ -151,9 +178,15 @@
         }
         self.log.warning(event, extra={"figures": figures})
 
-    def put_in_force(self, serial: int, seats: dict[str, Seat]) -> None:
+    def put_in_force(self, serial: int, seats: dict[str, Seat], question: Question) -> None:
         """Passes a newer list on; one that could not be taken is asked for again."""
         before, self.number = self.number, serial
+        figures = {
+            "number": serial,
+            "before": before,
+            "asked_ms_ago": (self.reactor.seconds() - question.asked_at) * 1000,
+        }
+        self.log.info("list_answered", extra={"figures": figures})
         try:
             self.on_list(seats)
         except Exception:
@@ -163,6 +196,7 @@
     def datagramReceived(self, datagram: bytes, address: tuple[str, int]) -> None:
         if address[:2] != self.address or len(datagram) < 2:
             self.counters.add("names_foreign")
+            self.counters.add("names_foreign_address", address[:2] != self.address)
             return
         try:
             self.take_answer(datagram)
@@ -183,16 +217,17 @@
         if answer is None:
             self.counters.add("names_foreign")
             return
-        self.open_questions.pop(ident)
+        question = self.open_questions.pop(ident)
         serial, services, addresses, texts = answer
         if serial is None:
             raise dns.BadDatagram("no serial")
         self.counters.add("names_answered")
-        self.heard()
+        self.counters.add("names_older", serial < self.number)
+        self.heard(question)
         self.on_answered()
         if serial > self.number:
             seats = answered_seats(services, addresses, texts)
-            self.put_in_force(serial, seats)
+            self.put_in_force(serial, seats, question)
         elif serial == self.number:
             self.on_confirmed()
             if self.on_unchanged is not None:
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -195,6 +195,7 @@
                     "listen": self.configuration.host,
                     "port": self.configuration.port,
                     "engines": len(self.seats),
+                    "list_number": self.names.number,
                     "clients_most": self.budget.clients,
                     "engine_connections_most": self.budget.engines,
                 }
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -328,6 +328,16 @@
         **more: Any,
     ) -> None:
         self.go(200)  # the next question
+        self.answer(serial, *seats, source=source, **more)
+
+    def answer(
+        self,
+        serial: int,
+        *seats: tuple[str, str, int, str],
+        source: tuple[str, int] = ("127.0.8.9", 5300),
+        **more: Any,
+    ) -> None:
+        """The name service's answer to the last question."""
         answer = names.answer(self.names[-1], serial, *seats, **more)
         self.service.names.datagramReceived(answer, source)
         self.go()
