--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -58,6 +58,7 @@
     """A dispatcher with a wall clock that the test steps, two servers and the name service."""
 
     addresses = Addresses.in_subnet(67)
+    name_service: type[NameService] = NameService
 
     def setUp(self) -> None:
         super().setUp()
@@ -67,7 +68,7 @@
         where = self.addresses
         self.servers = [Server(where.engines, FIRST_ENGINE_PORT + number) for number in range(2)]
         seats = [names.Seat(f"s-{number}", each.host, each.port) for number, each in enumerate(self.servers)]
-        self.names = NameService(where.names, NAMES_PORT, seats)
+        self.names = self.name_service(where.names, NAMES_PORT, seats)
         for server in self.servers:
             self.addCleanup(server.close)
         self.addCleanup(self.names.close)
--- /dev/null
+++ b/tests/test_unheard_drains.py
@@ -0,0 +1,83 @@
+"""A drain that the name service has told, and that a real process has not heard: nothing goes there."""
+
+import sys
+import time
+import unittest
+
+from tests.faulty_names import Fault, FaultyNameService
+from tests.processes import Addresses
+from tests.test_discovery_faults import FaultyCase
+
+GRACE, SLACK = 0.25, 0.05  # seconds, as the settings and the protocol page have them
+NEWS_WITHIN = 7.0  # seconds after which a change counts as told, whether or not an answer arrived
+ASK_EACH = 0.01  # seconds
+
+
+class UnheardDrains(FaultyCase):
+    """Two servers, one of which drains, and requests all the while."""
+
+    addresses = Addresses.in_subnet(69)
+    name_service = FaultyNameService
+    names: FaultyNameService
+
+    def ask_until(self, end: float) -> None:
+        """Requests side by side, one each 10 ms."""
+        while time.monotonic() < end:
+            self.ask()
+            time.sleep(ASK_EACH)
+
+    def told(self) -> float:
+        """When the first answer with the list in force at the name service was sent."""
+        until = time.monotonic() + 5.0
+        while self.names.serial not in self.names.sent:
+            self.assertLess(time.monotonic(), until, "no question came")
+            self.ask()
+            time.sleep(ASK_EACH)
+        return self.names.sent[self.names.serial]
+
+    def late(self, told: float) -> list[float]:
+        """When requests came to the draining server after the grace, in seconds after it was told."""
+        arrivals = self.servers[0].since(told + GRACE + SLACK)
+        return [round(arrival.at - told, 3) for arrival in arrivals]
+
+    def serve_again(self) -> None:
+        """Both servers are ready, and the dispatcher knows."""
+        self.names.change(lambda seat: seat._replace(draining=False))
+        time.sleep(0.5)
+
+    def test_nothing_goes_to_a_server_whose_drain_was_told_in_lost_answers(self) -> None:
+        self.dispatcher()
+        for lost in (1, 2, 3, 5):
+            with self.subTest(lost=lost):
+                self.serve_again()
+                self.names.fail(Fault.LOST, lost)
+                self.names.drain("s-0")
+                told = self.told()
+                self.ask_until(told + 1.5)
+                self.assertEqual(self.late(told), [])
+
+    def test_nothing_goes_to_a_server_whose_drain_was_told_in_unusable_answers(self) -> None:
+        self.dispatcher()
+        self.names.fail(Fault.UNUSABLE, 3)
+        self.names.drain("s-0")
+        told = self.told()
+        self.ask_until(told + 1.5)
+        self.assertEqual(self.late(told), [])
+
+    def test_nothing_goes_by_a_list_that_is_older_than_news_may_take(self) -> None:
+        self.dispatcher()
+        self.names.fail(Fault.SILENT, sys.maxsize)
+        time.sleep(0.3)
+        self.names.drain("s-0")
+        told = time.monotonic() + NEWS_WITHIN
+        time.sleep(NEWS_WITHIN - 0.5)
+        self.ask_until(told + 1.5)
+        self.names.fail(Fault.SILENT, 0)
+        self.assertEqual(self.late(told), [])
+        self.ask_until(time.monotonic() + 0.5)
+        answers = [self.ask() for _ in range(10)]
+        self.assertEqual([answer.result() for answer in answers], [200] * 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
