No list is followed that is older than news of the name service may take

Callers saw: requests at draining servers for as long as the name service was silent, from 7 s behind the drain on (rule drain; 128 in 2.6 s of a probe). Change: a list is as old as the question whose answer brought or confirmed it, and is not followed once that is NEWS_DELAY and half of the grace ago. Requests wait then, and are refused at their time with a promise that nothing ran.

--- a/spurdeal/list_freshness.py
+++ b/spurdeal/list_freshness.py
@@ -3,7 +3,9 @@
 A change counts as told as soon as an answer that holds it is sent, whether or not that arrives. So the list
 is in doubt from the first question on that stays without an answer: it may have been answered with news.
 Where nothing answers for SILENT_AFTER although questions leave, the name service is taken for silent, and the
-list is followed.
+list is followed on. But a change counts as told NEWS_DELAY after it happened at the latest, also where the
+name service says nothing: so no list is followed that is older than that. It is as old as the question whose
+answer brought or confirmed it.
 
 Faults of our own make the list doubtful for longer. No question has left for UNASKED_MOST: sends fail, there
 is no socket, or the process stood still. Or reading has failed, and answers may lie unread. Then it is
@@ -18,6 +20,7 @@
 from enum import StrEnum
 
 from .answer_times import AnswerTimes
+from .slow_start import NEWS_DELAY
 
 TOLD_WITHIN = 1500.0  # ms, by the protocol
 UNASKED_PART = 2 / 3  # of that; the rest is for the distance between two questions, and the way
@@ -36,6 +39,7 @@
     UNPOLLED = "sockets were not looked at"
     UNREAD = "answers could not be read"
     UNANSWERED = "a question has no answer"
+    OUTDATED = "no answer for as long as news may take"
 
 
 class ListFreshness:
@@ -43,6 +47,7 @@
 
     Attributes:
         asked_at: When a question left last; None where the list does not come by questions.
+        current_at: When the question left whose answer brought or confirmed the list in force.
         open_since: When the questions left that have no answer, the oldest first.
         answer_times: How long answers take.
         doubtful_since: The beginning of a fault of our own that no answer has ended yet.
@@ -54,6 +59,7 @@
         self.is_ruled = drain_grace > 0.0  # else the settings name no such rule
         self.unread_most = max(UNREAD_LEAST, UNREAD_PART * drain_grace)
         self.asked_at: float | None = None
+        self.current_at = float("-inf")
         self.open_since = deque[float]()
         self.answer_times = AnswerTimes()
         self.doubtful_since: float | None = None
@@ -62,10 +68,12 @@
 
     def known(self, at: float) -> None:
         """The list of the start was read, which tells all until then."""
-        self.asked_at = at
+        self.asked_at = self.current_at = at
 
     def asked(self, now: float) -> None:
         """A question has left."""
+        if self.asked_at is None:
+            self.known(now)
         self.note_unasked(now)
         if self.doubtful_since is not None and self.asked_again_at is None:
             self.asked_again_at = now
@@ -88,6 +96,7 @@
     def answered(self, now: float, asked_at: float) -> None:
         """The list in force is that of an answer to the question which left at that time."""
         self.answer_times.measured(now - asked_at)
+        self.current_at = max(self.current_at, asked_at)
         while self.open_since and self.open_since[0] <= asked_at:
             self.open_since.popleft()
         self.doubtful_since = self.asked_again_at = None
@@ -113,6 +122,10 @@
         patience = max(self.unread_most, self.answer_times.repeat_after())
         return patience < now - self.open_since[0] <= SILENT_AFTER
 
+    def is_outdated(self, now: float) -> bool:
+        """Whether changes count as told that happened after the list in force was current."""
+        return self.asked_at is not None and now - self.current_at > NEWS_DELAY + self.unread_most
+
     def doubt(self, now: float) -> Doubt | None:
         """Why requests may not be sent by the list; None where they may."""
         if not self.is_ruled:
@@ -125,7 +138,7 @@
             return Doubt.UNREAD
         if self.is_unanswered(now):
             return Doubt.UNANSWERED
-        return None
+        return Doubt.OUTDATED if self.is_outdated(now) else None
 
     def followed(self, now: float) -> bool:
         """Whether requests may be sent by the list."""
--- a/tests/test_new_days.py
+++ b/tests/test_new_days.py
@@ -84,9 +84,18 @@
         self.answer(world, questions[0], 9, 0, 1)
         self.assertEqual((world.count("names_foreign"), world.service.names.number), (1, 1))
 
-    def test_a_drain_in_the_first_answer_takes_back_what_is_dialled_for(self) -> None:
+    def test_nothing_is_dialled_for_by_a_list_that_is_older_than_news_may_take(self) -> None:
         world, _ = self.silent(13_000)
         Caller(world).post(1)
+        world.go(1000)
+        self.assertEqual(world.reactor.tcpClients, [])
+        self.answer(world, world.names[-1], 2, 0)
+        world.go(60)
+        self.assertEqual([client[0] for client in world.reactor.tcpClients], ["127.0.9.1"])
+
+    def test_a_drain_in_the_first_answer_takes_back_what_is_dialled_for(self) -> None:
+        world, _ = self.silent(6_000)
+        Caller(world).post(1)
         dialled = int(world.peer().host[-1])
         self.answer(world, world.names[-1], 2, dialled)
         world.go()
