Questions to the name service do not count from 0 at each start; a start's old list waits

A restarted process at its predecessor's port would have taken a late answer to it for its own and then ignored newer lists with lower numbers: the first id is drawn.

--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import secrets
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -16,6 +17,7 @@
 SERVICE = "_api._tcp.svc.local"
 ASK_EVERY = 0.2  # seconds; an answer lost is then made good well before changes count as told
 ASK_AGAIN = 0.05  # seconds after a question that the system did not send
+IDENTS = 0x10000  # RFC 1035, section 4.1.1
 MOST_OPEN = 32  # questions whose answer may still come
 SILENT_AFTER = 2.0  # seconds without an answer: told in the log
 MISSED_LOGGED = 2  # questions in a row without an answer from which on the next answer tells of them
@@ -76,7 +78,8 @@
     ) -> None:
         self.reactor, self.address, self.number, self.on_list = reactor, address, number, on_list
         self.counters, self.log = counters, log
-        self.question_id = 0
+        # Not from 0 at each start: an answer to a predecessor at the same port would count as ours.
+        self.question_id = secrets.randbelow(IDENTS)
         self.open_questions = dict[int, Question]()
         self.missed = 0  # questions that have left since the one that was answered last
         self.next_question: Any = None  # the delayed call
@@ -114,7 +117,7 @@
 
     def ask(self) -> None:
         """Sends the next question. It is repeated soon where no answer comes."""
-        self.question_id = (self.question_id + 1) & 0xFFFF
+        self.question_id = (self.question_id + 1) % IDENTS
         self.next_question = self.reactor.callLater(ASK_EVERY, self.ask)
         self.watch_silence()
         try:
--- a/tests/test_list_freshness.py
+++ b/tests/test_list_freshness.py
@@ -1,8 +1,10 @@
 """Whether the list may be followed: questions that do not leave, answers that cannot be read, silence."""
 
 import unittest
+from unittest.mock import patch
 
 from spurdeal.answer_times import REPEAT_FIRST, REPEAT_LEAST
+from spurdeal.lab import names
 from spurdeal.list_freshness import (
     ANSWER_WITHIN,
     MOST_ASKED,
@@ -11,8 +13,9 @@
     Doubt,
     ListFreshness,
 )
+from spurdeal.net.service import Service
 from spurdeal.slow_start import NEWS_DELAY
-from tests.helpers import World
+from tests.helpers import Caller, World
 
 GRACE = 250.0
 
@@ -170,6 +173,25 @@
         freshness = world.service.link.rules.freshness
         self.assertEqual(freshness.doubt(world.now()), Doubt.UNANSWERED)
 
+    def test_a_list_that_was_old_when_the_dispatcher_could_start_waits_for_the_first_answer(self) -> None:
+        def wait(service: Service, world: World) -> None:
+            world.names_silent = True
+            world.reactor.advance(4.0)
+
+        world = World(self, before=wait)
+        Caller(world).post(1)
+        world.go(100)
+        self.assertEqual(world.reactor.tcpClients, [])
+        world.answer(2, ("s-1.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0"))
+        world.go(60)
+        self.assertEqual([client[0] for client in world.reactor.tcpClients], ["127.0.9.1"])
+
+    def test_an_answer_to_a_question_of_a_predecessor_is_foreign(self) -> None:
+        with patch("spurdeal.net.names.secrets.randbelow", side_effect=(7, 4000)):
+            before, world = World(self), World(self)
+        world.service.names.datagramReceived(names.answer(before.names[-1], 9), ("127.0.8.9", 5300))
+        self.assertEqual((world.count("names_foreign"), world.service.names.number), (1, 1))
+
     def test_an_answered_question_is_followed_by_the_next_at_the_usual_time(self) -> None:
         world = World(self)
         before = world.count("names_asked")
