--- a/spurdeal/answer_times.py
+++ b/spurdeal/answer_times.py
@@ -10,6 +10,7 @@
 DEVIATIONS = 4.0
 REPEAT_LEAST = 40.0  # ms; a loop at rest looks at its sockets each 50 at the latest
 REPEAT_FIRST = 50.0  # ms, before anything was measured
+REPEAT_MOST = 100.0  # ms; more would tell too little of whether a server is silent
 
 
 class AnswerTimes:
@@ -32,8 +33,10 @@
         self.deviation += DEVIATION_GAIN * (abs(took - self.mean) - self.deviation)
         self.mean += MEAN_GAIN * (took - self.mean)
 
+    def expected(self) -> float:
+        """After how many ms an answer that has not come may have been lost."""
+        return REPEAT_FIRST if self.mean is None else self.mean + DEVIATIONS * self.deviation
+
     def repeat_after(self) -> float:
         """After how many ms without an answer a question is repeated."""
-        if self.mean is None:
-            return REPEAT_FIRST
-        return max(REPEAT_LEAST, self.mean + DEVIATIONS * self.deviation)
+        return min(max(REPEAT_LEAST, self.expected()), REPEAT_MOST)
--- a/spurdeal/list_freshness.py
+++ b/spurdeal/list_freshness.py
@@ -2,7 +2,7 @@
 
 A change counts as told as soon as an answer that holds it is sent, whether or not that arrives. So the list
 is in doubt from the first question on that stays without an answer: it may have been answered with news.
-Where nothing answers for SILENT_AFTER although questions leave, the name service is taken for silent, and the
+Where SILENT_QUESTIONS in SILENT_AFTER have no answer, the name service is taken for silent, and the
 list is followed on. But a change counts as told NEWS_DELAY after it happened at the latest, also where the
 name service says nothing: so no list is followed that is older than that. It is as old as the question whose
 answer brought or confirmed it.
@@ -27,7 +27,8 @@
 UNASKED_MOST = UNASKED_PART * TOLD_WITHIN
 UNREAD_PART = 0.5  # of the drain's grace: an answer that was not read may have told of a drain at once
 UNREAD_LEAST = 100.0  # ms; a loop at rest polls each 50
-SILENT_AFTER = 1000.0  # ms without an answer to repeated questions: they were not lost one by one
+SILENT_AFTER = 1000.0  # ms without an answer to repeated questions, and
+SILENT_QUESTIONS = 20  # so many of them: they were not lost one by one
 ANSWER_WITHIN = 3000.0  # ms after a question behind a fault of our own
 MOST_ASKED = 64  # questions of which the time is kept
 
@@ -119,8 +120,14 @@
         """Whether an answer may have been lost, or is late: later than answers usually are."""
         if not self.open_since:
             return False
-        patience = max(self.unread_most, self.answer_times.repeat_after())
-        return patience < now - self.open_since[0] <= SILENT_AFTER
+        patience = max(self.unread_most, self.answer_times.expected())
+        return now - self.open_since[0] > patience and not self.is_silent(now)
+
+    def is_silent(self, now: float) -> bool:
+        """Whether so many questions have no answer that the name service itself says nothing."""
+        if len(self.open_since) < SILENT_QUESTIONS:
+            return False
+        return now - self.open_since[0] > SILENT_AFTER
 
     def is_outdated(self, now: float) -> bool:
         """Whether changes count as told that happened after the list in force was current."""
@@ -149,6 +156,4 @@
 
         Once the name service is taken for silent, the usual questions do.
         """
-        if self.open_since and now - self.open_since[0] > SILENT_AFTER:
-            return 0.0
-        return self.answer_times.repeat_after()
+        return 0.0 if self.is_silent(now) else self.answer_times.repeat_after()
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -18,7 +18,7 @@
 ASK_EVERY = 0.2  # seconds; an answer lost is then made good well before changes count as told
 ASK_AGAIN = 0.05  # seconds after a question that the system did not send
 IDENTS = 0x10000  # RFC 1035, section 4.1.1
-MOST_OPEN = 32  # questions whose answer may still come
+MOST_OPEN = 64  # questions whose answer may still come
 SILENT_AFTER = 2.0  # seconds without an answer: told in the log
 MISSED_LOGGED = 2  # questions in a row without an answer from which on the next answer tells of them
 
