Soak: what a lost answer held counts as told; outages over 7 s, all killed at once

Now the first answer that leaves counts, lost or not, and 7 s after a change it counts in any case. Questions get lost too. New troubles: an outage of 7.5 to 10 s, all dispatchers killed at once.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -11,6 +11,7 @@
 from enum import Enum
 
 TOLD_WITHIN = 1.5  # after an event, to a dispatcher that could have asked
+NEWS_WITHIN = 7.0  # after an event, whether or not an answer arrived
 GRACE = 0.25  # of a drain, as the settings have it
 SLACK = 0.05  # on each limit
 ANSWER_SLACK = 0.5  # after a request's time: later is lost
@@ -59,7 +60,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """From `at` on an engine drains or is gone; `told` is when each dispatcher's answer with it left."""
+    """From `at` on an engine drains or is gone; `told` is when each dispatcher's answer with it left.
+
+    It counts also where that answer was lost on its way.
+    """
 
     at: float
     engine: str
@@ -74,7 +78,7 @@
     Attributes:
         kills: By dispatcher, when it was killed, and whether that was the end of a planned stop.
         stalls: By dispatcher, from when to when it stood still.
-        outages: From when to when the name service answered nobody, or lost answers.
+        outages: From when to when the name service answered nobody, or the network lost datagrams.
         late: When the observer ran late, and by how much.
         notes: What was done to the dispatchers, and when; for those who read the records.
     """
@@ -195,4 +199,4 @@
         for began, ended in sorted(self.records.outages):
             if began <= due + TOLD_WITHIN and ended > due:
                 due = ended
-        return min(change.told.get(dispatcher, float("inf")), due + TOLD_WITHIN)
+        return min(change.told.get(dispatcher, float("inf")), due + TOLD_WITHIN, change.at + NEWS_WITHIN)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -265,12 +265,14 @@
             "unreadable": (1, self.unreadable),
             "restart": (3, self.restart),
             "kill": (1, self.killed),
+            "kill_all": (1, self.all_killed),
             "stall": (2, self.stall),
             "drain": (8, self.drain),
             "hang": (2, self.hang),
             "reset": (2, self.reset),
             "silent": (2, self.silent_names),
-            "lossy": (1, self.lossy_names),
+            "outage": (1, self.names_outage),
+            "lossy": (3, self.lossy_names),
             "slow": (1, self.slow_names),
             "crowd": (1, self.crowd),
         }
@@ -398,6 +400,14 @@
             await asyncio.sleep(self.chance.uniform(0.0, 0.5))
             await dispatcher.start()
 
+    async def all_killed(self) -> None:
+        """All at once, without notice; a server may drain while they are down."""
+        up = self.up()
+        for dispatcher in up:
+            dispatcher.kill(planned=False)
+        await asyncio.sleep(1.0)
+        await asyncio.gather(*(dispatcher.start() for dispatcher in up))
+
     async def stall(self) -> None:
         """One dispatcher stands still."""
         if up := self.up():
@@ -471,9 +481,15 @@
         await asyncio.sleep(self.chance.choice((0.3, 1.0, 3.0)))
         self.names.trouble()
 
+    async def names_outage(self) -> None:
+        """Discovery is down for longer than news may take."""
+        self.names.trouble(silent=True)
+        await asyncio.sleep(self.chance.uniform(7.5, 10.0))
+        self.names.trouble()
+
     async def lossy_names(self) -> None:
-        """Answers get lost."""
-        self.names.trouble(loses=self.chance.choice((0.3, 0.7)))
+        """Questions and answers get lost."""
+        self.names.trouble(loses=self.chance.choice((0.1, 0.3, 0.6)))
         await asyncio.sleep(2.0)
         self.names.trouble()
 
--- a/tests/soak/sides.py
+++ b/tests/soak/sides.py
@@ -127,8 +127,8 @@
         self.silent, self.loses, self.delay = silent, loses, delay
 
     def asked(self, question: bytes, asker: tuple[str, int], transport: Any) -> None:
-        """A question, at one of its addresses."""
-        if self.silent:
+        """A question, at one of its addresses; where the network loses datagrams it may not arrive either."""
+        if self.silent or self.chance.random() < self.loses / 2:
             return
         lost = self.chance.random() < self.loses
         answer = names.answer(question, self.number, *(seat.record() for seat in self.seats))
@@ -140,13 +140,14 @@
     def send(
         self, answer: bytes, number: int, asker: tuple[str, int], start: int, transport: Any, lost: bool
     ) -> None:
-        """An answer leaves, and what it holds counts as told, unless it is lost or its asker is gone."""
-        if lost or self.silent or start != self.starts[self.dispatchers[asker[0]]]:
+        """An answer leaves, and what it holds counts as told, even if it is lost. Its asker may be gone."""
+        if self.silent or start != self.starts[self.dispatchers[asker[0]]]:
             return
         for change in self.records.changes:
             if change.number <= number:
                 change.told.setdefault(self.dispatchers[asker[0]], monotonic())
-        transport.sendto(answer, asker)
+        if not lost:
+            transport.sendto(answer, asker)
 
 
 @dataclass
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -78,7 +78,7 @@
                 self.assertEqual(self.rules(seen), found)
 
     def test_drains(self) -> None:
-        """Told by an answer, by time, or by time after an outage."""
+        """Told by an answer, by time, by time after an outage, or by time whatever the outage."""
         for told, outage, at, found in (
             ({0: 8.0}, None, 8.2, []),
             ({0: 8.0}, None, 8.4, ["drain"]),
@@ -86,6 +86,8 @@
             ({}, None, 9.9, ["drain"]),
             ({}, (8.1, 9.0), 9.9, []),
             ({}, (8.1, 9.0), 11.0, ["drain"]),
+            ({}, (8.1, 18.0), 15.2, []),
+            ({}, (8.1, 18.0), 15.4, ["drain"]),
         ):
             with self.subTest(told=told, outage=outage, at=at):
                 request = served(sent_at=at - 0.01, ended_at=at + 0.1)
