A start whose configuration cannot be read for a moment is tried again

Cause: serve read the file once, and EMFILE, ENFILE, ENOMEM or EIO ended the process. Change: it is read again for up to 5 s, as the address is; a file that is missing or wrong still ends the start at once.

--- a/spurdeal/cli/running.py
+++ b/spurdeal/cli/running.py
@@ -13,6 +13,7 @@
 from twisted.logger import globalLogBeginner
 
 from ..clocks import SteadyClock, monotonic_ms, unix_ms
+from ..early import SIGNALS
 from ..net import start
 from ..net.descriptors import ProcessDescriptors
 from ..net.monotonic_reactor import install_monotonic_reactor
@@ -260,7 +261,7 @@
         read_keys(path, "handover", plan.handover)
     if not configuration:
         raise start.Unusable("ROUTER_CONFIG is not set")
-    configured = start.load_configuration(configuration)
+    configured = start.load_within(start.START_WITHIN, configuration, SIGNALS.end_asked)
     loop = install_monotonic_reactor()
     file = plan.fleet.clock_file if plan.fleet is not None else None
     unix = shifted_unix_ms(file) if file is not None else unix_ms
--- a/spurdeal/net/configuration.py
+++ b/spurdeal/net/configuration.py
@@ -10,6 +10,7 @@
 from ..deployment import deployment, reported, without_nulls
 from ..interface import Deployment
 from .engine_list import Address, KnownList, known_list, read_address
+from .transient_errors import READING_MAY_PASS
 
 DEFAULT_DESCRIPTORS = 1024
 DEFAULT_MEMORY_MB = 192.0
@@ -23,7 +24,15 @@
 
 
 class Unreadable(Unusable):
-    """A configuration that the system does not let us read, which may be over within a moment."""
+    """A configuration that the system does not let us read.
+
+    Attributes:
+        may_pass: Whether the error may be over within a moment.
+    """
+
+    def __init__(self, path: str, fault: OSError) -> None:
+        super().__init__(f"configuration: {fault.strerror}: {path}")
+        self.may_pass = fault.errno in READING_MAY_PASS
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -129,4 +138,4 @@
         with open(path, "rb") as source:
             return read_configuration(source.read())
     except OSError as fault:
-        raise Unreadable(f"configuration: {fault.strerror}: {path}") from None
+        raise Unreadable(path, fault) from None
--- a/spurdeal/net/start.py
+++ b/spurdeal/net/start.py
@@ -15,7 +15,7 @@
 
 from ..clocks import SteadyClock
 from ..early import SIGNALS
-from .configuration import Configuration, Unusable, load_configuration, read_configuration
+from .configuration import Configuration, Unreadable, Unusable, load_configuration, read_configuration
 from .descriptors import ProcessDescriptors
 from .logs import logger
 from .monotonic_reactor import install_monotonic_reactor
@@ -34,12 +34,28 @@
     "serve",
 ]
 
-BIND_WITHIN = 5.0  # seconds; a predecessor told to end is gone, or killed, 3.7 s later at the latest
-BIND_EVERY = 0.05  # seconds
+START_WITHIN = 5.0  # seconds; a predecessor told to end is gone, or killed, 3.7 s later at the latest
+START_EVERY = 0.05  # seconds
 START_DELAYED = {errno.EADDRINUSE: "address_in_use"}
 MAY_PASS = (TRANSIENT - {errno.EADDRNOTAVAIL}) | {errno.EADDRINUSE}  # an address that is not ours stays so
 
 
+def load_within(seconds: float, path: str, end_asked: Callable[[], bool]) -> Configuration:
+    """Reads the configuration of a start, again while the system is short of what that takes.
+
+    Raises:
+        Unusable: It cannot be used, or could not be read when the time was over or the process asked to end.
+    """
+    until = time.monotonic() + seconds
+    while True:
+        try:
+            return load_configuration(path)
+        except Unreadable as fault:
+            if not fault.may_pass or time.monotonic() >= until or end_asked():
+                raise
+        time.sleep(START_EVERY)
+
+
 def on_signals(loop: Any, again: Callable[[], None], stop: Callable[[], None]) -> None:
     """SIGHUP, and SIGTERM or SIGINT, in the loop's own time; what came before this, first."""
     SIGNALS.hand_over(lambda number: loop.callFromThread(again if number == signal.SIGHUP else stop))
@@ -57,7 +73,7 @@
 def serve(path: str) -> None:
     if not path:
         raise Unusable("ROUTER_CONFIG is not set")
-    configuration = load_configuration(path)
+    configuration = load_within(START_WITHIN, path, SIGNALS.end_asked)
     loop: Any = install_monotonic_reactor()
     log = logger(configuration.name or "spurdeal", sys.stderr)
     service = Service(
@@ -65,7 +81,7 @@
     )
     globalLogBeginner.beginLoggingTo([cast(Any, service.unhandled)], redirectStandardIO=False)
     try:
-        if not start_within(BIND_WITHIN, service, SIGNALS.end_asked):
+        if not start_within(START_WITHIN, service, SIGNALS.end_asked):
             return
     except CannotListenError as fault:
         where = f"{configuration.host}:{configuration.port}"
@@ -104,4 +120,4 @@
             logged = True
             figures = {"retried_for_s": seconds, "why": str(why)}
             service.log.warning(START_DELAYED.get(why.errno, "start_delayed"), extra={"figures": figures})
-        time.sleep(BIND_EVERY)
+        time.sleep(START_EVERY)
--- a/spurdeal/net/transient_errors.py
+++ b/spurdeal/net/transient_errors.py
@@ -12,6 +12,7 @@
     errno.EAGAIN,
 }
 TRANSIENT = OWN_SHORTAGE | {errno.EINTR}
+READING_MAY_PASS = TRANSIENT | {errno.EIO}  # of a file
 
 
 def name_of(fault: OSError) -> str:
--- a/tests/test_discovery_faults.py
+++ b/tests/test_discovery_faults.py
@@ -121,6 +121,15 @@
                 self.assertEqual(self.faults.failed(call) - before, 3)
                 self.ended(child)
 
+    def test_a_start_whose_configuration_cannot_be_opened_for_a_moment(self) -> None:
+        for error in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.EINTR):
+            with self.subTest(errno.errorcode[error]):
+                before = self.faults.failed("open")
+                self.faults.fail("open", error, 3)
+                child = self.dispatcher()
+                self.assertEqual(self.faults.failed("open") - before, 3)
+                self.ended(child)
+
     def test_connections_just_accepted(self) -> None:
         child = self.dispatcher()
         self.faults.fail("tcp.epoll_add", errno.ENOMEM, 3)
--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -255,7 +255,7 @@
 
         def read() -> Any:
             reads.append(world.now())
-            raise Unreadable("configuration: no descriptor")
+            raise Unreadable("config.json", OSError(errno.EMFILE, "no descriptor"))
 
         world.service.read_again(read)
         world.go(60_000)
