--- a/spurdeal/net/watch.py
+++ b/spurdeal/net/watch.py
@@ -42,7 +42,6 @@
         self.poller: RetryingPoller | None = None
         self.delays: dict[object, float] = {}  # since when reading from each source fails
         self.over: set[object] = set()  # those that were read in this round
-        self.gap_since: float | None = None  # the beginning of a gap that ended with the last poll
 
     def install(self, reactor: Any) -> None:
         """Times each poll of Twisted's epoll reactor, and outlives calls on it that fail for a moment.
@@ -53,15 +52,10 @@
             self.installed, self.polled_at = True, self.clock()
 
     def polled(self) -> None:
-        """A poll has returned.
-
-        The process may have stood still behind the system's look, or Python may have returned from a poll
-        that was interrupted without one. So what came in a gap may be found by the next poll only."""
+        """A poll has returned. What it finds behind a gap may have come at the gap's beginning."""
         now = self.clock()
         gap = now - self.polled_at
-        before, self.gap_since = self.gap_since, self.polled_at if gap > COUNTED_GAP else None
-        known = [since for since in (before, self.gap_since) if since is not None]
-        self.readable_since = min(known, default=now)
+        self.readable_since = self.polled_at if gap > COUNTED_GAP else now
         self.date_back()
         self.polled_at = now
         self.round += 1
