--- a/spurdeal/net/connection.py
+++ b/spurdeal/net/connection.py
@@ -9,25 +9,23 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPullProducer
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from ..interface import Ending
-from . import immediate
+from . import engine_answers, immediate
 from .patient_socket import make_patient
 from .pending import pending
 from .resp import ArrayParser, BadAnswer, command
-from .transient_errors import OWN_SHORTAGE
 from .trips import Outcome, SendTerms, Trip
 
 if TYPE_CHECKING:
     from .engines import Engine
 
-ENDINGS = {b"503": Ending.FULL, b"500": Ending.ERROR, b"504": Ending.MOOT}
-MOST_PAGES, LARGEST_RESULT, COLUMNS = 256, 96_000, 3
+LARGEST_RESULT = 96_000  # bytes
 MOST_PAST = 16  # trips remembered on a connection: more than can cross
 STALL, STALL_LEAST, STALL_PART = 2.0, 200.0, 0.5  # for one answer: times the time to connect, ms, and of what
 # its trip still has
@@ -36,16 +34,6 @@
 DRAIN_PART = 0.5  # of the drain's grace: bytes that the system has not taken by then are cut off
 
 
-def read_fields(text: memoryview) -> dict[str, str]:
-    words = bytes(text).decode("utf-8")
-    if words == "-":
-        return {}
-    pairs = [pair.partition("=") for pair in words.split(",")]
-    if not all(mark for _, mark, _ in pairs):
-        raise BadAnswer("fields cannot be read")
-    return {name: value for name, _, value in pairs}
-
-
 @implementer(IPullProducer)
 class Connection(Protocol):
     """One connection to an engine: trips go out on it, answers come back in any order."""
@@ -345,14 +333,8 @@
     # What is read.
 
     def answered(self, parts: list[memoryview]) -> None:
-        if len(parts) != 4:
-            raise BadAnswer(f"{len(parts)} parts where 4 were expected")
-        ident, word, fields = parts[0], bytes(parts[1]), read_fields(parts[2])
-        if word not in (b"200", b"chunk", *ENDINGS):
-            raise BadAnswer("an answer with an unknown word")
-        pages = int(fields.get("parts", "1")) if word == b"200" else 1
-        if not 1 <= pages <= MOST_PAGES:
-            raise BadAnswer("a result has no usable number of pages")
+        ident, word, fields, body = engine_answers.read(parts)
+        pages = engine_answers.number_of_pages(fields) if word == b"200" else 1
         trip = self.trips.get(ident)
         if trip is None or (word == b"200" and trip.parts):
             # It answers what was given up meanwhile, whose further pages are let go; or says 200 twice, or
@@ -364,7 +346,7 @@
             trip.parts, trip.report = pages, self.engines.report(fields.get("stats", ""))
             for page in range(1, pages):
                 self.write(b"read", ident, b"%d" % page)
-            self.page(trip, 0, parts[3])
+            self.page(trip, 0, body)
         elif word == b"chunk":
             number = int(fields.get("part_no", "-1"))
             if not 0 < number < trip.parts:
@@ -372,10 +354,10 @@
             if number in trip.pages:  # a second copy: good but too much
                 self.engines.counters.add("answers_crossed")
             else:
-                self.page(trip, number, parts[3])
+                self.page(trip, number, body)
         else:
             # Once it was delivered, whatever else is said of it only tells that its pages are lost.
-            ending = Ending.ERROR if trip.parts else ENDINGS[word]
+            ending = Ending.ERROR if trip.parts else engine_answers.ENDINGS[word]
             if trip.parts:
                 self.engines.counters.add("pages_lost")
                 self.write(b"release", ident)
@@ -385,40 +367,10 @@
         trip.size += len(text)
         if trip.size > LARGEST_RESULT:
             raise BadAnswer("a result is too large")
-        page = bytes(text)  # it outlives the buffer: the others are still to come
-        if page and (
-            not page.endswith(b"\n") or any(row.count(b"\t") != COLUMNS - 1 for row in page[:-1].split(b"\n"))
-        ):
-            raise BadAnswer("a page does not hold whole rows")
-        page.decode("utf-8")
+        page = engine_answers.page_of(text)
         trip.pages[number] = page
         if len(trip.pages) == trip.parts:
             if trip.parts > 1:
                 self.write(b"release", trip.ident)
             pages = tuple(trip.pages[place] for place in range(trip.parts))
             self.finish(trip, Outcome(Ending.DELIVERED, pages, trip.report))
-
-
-class Dial(ClientFactory):
-    noisy = False
-
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
-
-    def buildProtocol(self, addr: Any) -> Connection:
-        return self.connection
-
-    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
-        """Twisted's connector and transport hold each other; parted, they need no collector."""
-        connector.transport = None
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        """Refused or never up: either way not a byte of a trip has left."""
-        if isinstance(reason.value, ConnectionRefusedError):
-            counter, ending = "dials_refused", Ending.UNREACHED
-        elif getattr(reason.value, "osError", None) in OWN_SHORTAGE:
-            counter, ending = "dials_failed_here", Ending.MOOT
-        else:
-            counter, ending = "dials_not_up", Ending.CONNECT_TIMEOUT
-        self.connection.engines.counters.add(counter)
-        self.connection.lost(ending)
--- a/spurdeal/net/discovery_socket.py
+++ b/spurdeal/net/discovery_socket.py
@@ -33,7 +33,6 @@
         self.names, self.reactor, self.interface = names, reactor, interface
         self.counters, self.log = counters, log
         self.port: Any = None
-        self.reading: TolerantReading | None = None
         self.reopening: Any = None  # the delayed call
         self.closed = False
         names.on_closed = self.ended
@@ -48,8 +47,8 @@
         except (CannotListenError, OSError) as fault:
             self.not_opened(fault)
             return
-        self.reading = TolerantReading(self.port, self.reactor, self.counters, self.log)
-        self.reading.on_failed = self.names.on_unread
+        reading = TolerantReading(self.port, self.reactor, self.counters, self.log)
+        reading.on_failed = self.names.on_unread
         self.counters.add("names_sockets_opened")
 
     def not_opened(self, fault: Exception) -> None:
@@ -64,7 +63,7 @@
 
     def ended(self) -> None:
         """The socket has ended, and with it answers that were on their way."""
-        self.port = self.reading = None
+        self.port = None
         if self.closed:
             return
         self.counters.add("names_socket_ended")
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -9,8 +9,9 @@
 
 from ..interface import Ending, Life
 from ..slow_start import leads_to_predecessor
-from .connection import Connection, Dial
+from .connection import Connection
 from .counters import Counters
+from .dial import Dial
 from .engine_list import Seat
 from .resp import BadAnswer
 from .trips import Outcome, SendTerms, Trip
