What the poll behind a gap may have missed is dated back again

World's name service confirms nothing by itself where lists are compared (fleets): an answer without engines is a clash there.

--- a/spurdeal/net/watch.py
+++ b/spurdeal/net/watch.py
@@ -42,6 +42,7 @@
         self.poller: RetryingPoller | None = None
         self.delays: dict[object, float] = {}  # since when reading from each source fails
         self.over: set[object] = set()  # those that were read in this round
+        self.gap_since: float | None = None  # the beginning of a gap that ended with the last poll
 
     def install(self, reactor: Any) -> None:
         """Times each poll of Twisted's epoll reactor, and outlives calls on it that fail for a moment.
@@ -52,10 +53,15 @@
             self.installed, self.polled_at = True, self.clock()
 
     def polled(self) -> None:
-        """A poll has returned. What it finds behind a gap may have come at the gap's beginning."""
+        """A poll has returned.
+
+        On a busy machine the process may have lost its core behind the system's look, before Python returns.
+        So what came in a gap may be found by the next poll only."""
         now = self.clock()
         gap = now - self.polled_at
-        self.readable_since = self.polled_at if gap > COUNTED_GAP else now
+        before, self.gap_since = self.gap_since, self.polled_at if gap > COUNTED_GAP else None
+        known = [since for since in (before, self.gap_since) if since is not None]
+        self.readable_since = min(known, default=now)
         self.date_back()
         self.polled_at = now
         self.round += 1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -318,7 +318,7 @@
     def write(self, datagram: bytes, address: object) -> None:
         self.names.append(datagram)
         self.asked.append(address)
-        if not self.names_silent:
+        if not self.names_silent and self.service.names.on_unchanged is None:
             self.reactor.callLater(0, self.confirm, datagram, address)
 
     def confirm(self, question: bytes, source: Any) -> None:
--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -421,17 +421,12 @@
         self.wait_told(steps, 1)
         self.assertEqual(steps.until(client.status), 200)
 
-    def test_what_a_poll_finds_behind_a_gap_counts_from_its_beginning(self) -> None:
+    def test_what_came_in_a_gap_may_be_found_by_the_next_poll_only(self) -> None:
+        """The process may have lost its core behind the system's look."""
         now = [0.0]
         watch = LoopWatch(lambda: now[0], Counters(), logging.Logger("n1"))
         watch.polled()
-        for at, since in (
-            (2000.0, 0.0),
-            (2001.0, 2001.0),
-            (2050.0, 2050.0),
-            (3000.0, 2050.0),
-            (4000.0, 3000.0),
-        ):
+        for at, since in ((2000.0, 0.0), (2001.0, 0.0), (2002.0, 2002.0), (3000.0, 2002.0), (4000.0, 2002.0)):
             now[0] = at
             watch.polled()
             self.assertEqual(watch.readable_since, since)
