--- a/tests/test_unheard_drains.py
+++ b/tests/test_unheard_drains.py
@@ -16,7 +16,7 @@
 ASK_EACH = 0.01  # seconds
 
 
-class UnheardDrains(FaultyCase):
+class UnheardCase(FaultyCase):
     """Two servers, one of which drains, and requests all the while."""
 
     addresses = Addresses.in_subnet(69)
@@ -51,11 +51,19 @@
     def check_drain(self, fault: Fault, times: int, seconds: float, then: Fault | None = None) -> None:
         """A server drains as the next answers fail: nothing comes there later than the grace allows."""
         self.names.fail(fault, times, then)
+        self.check_drain_told(seconds)
+
+    def check_drain_told(self, seconds: float) -> None:
+        """A server drains: nothing comes there later than the grace allows, for so many seconds."""
         self.names.drain("s-0")
         told = self.told()
         self.ask_until(told + seconds)
         self.assertEqual(self.late(told), [])
 
+
+class UnheardDrains(UnheardCase):
+    """A drain that was told in answers which did not arrive."""
+
     def test_nothing_goes_to_a_server_whose_drain_was_told_in_lost_answers(self) -> None:
         self.dispatcher()
         for lost in (1, 2, 3, 5):
