The list is held on a lease: nothing but an answer that tells it lets requests go on

Cause: the list was followed unless a trouble was recognised, and a silence of 20 questions and 1 s, or answers that are usually slow, counted as none. Now the answer to a question renews the lease until the next question has been open for half of the grace; silence, faults of our own and old configurations need no cases of their own. Answers that are slow are awaited: the next question leaves 0.1 s behind an answer at the soonest, and a repetition waits 0.5 s at most.

--- a/spurdeal/answer_times.py
+++ b/spurdeal/answer_times.py
@@ -12,7 +12,7 @@
 LATE_PART = 1.5  # of the slowest recent answer: an answer later than that may have been lost
 REPEAT_LEAST = 40.0  # ms; a loop at rest looks at its sockets each 50 at the latest
 REPEAT_FIRST = 50.0  # ms, before anything was measured
-REPEAT_MOST = 100.0  # ms; more would tell too little of whether a server is silent
+REPEAT_MOST = 500.0  # ms
 
 
 class AnswerTimes:
@@ -25,10 +25,7 @@
         """An answer has taken so many ms."""
         self.recent.append(took)
 
-    def expected(self) -> float:
-        """After how many ms an answer that has not come may have been lost."""
-        return LATE_PART * max(self.recent) if self.recent else REPEAT_FIRST
-
     def repeat_after(self) -> float:
-        """After how many ms without an answer a question is repeated."""
-        return min(max(REPEAT_LEAST, self.expected()), REPEAT_MOST)
+        """After how many ms without an answer a question is repeated: it may have been lost."""
+        late = LATE_PART * max(self.recent) if self.recent else REPEAT_FIRST
+        return min(max(REPEAT_LEAST, late), REPEAT_MOST)
--- a/spurdeal/net/datagram_reading.py
+++ b/spurdeal/net/datagram_reading.py
@@ -7,7 +7,6 @@
 
 import errno
 import logging
-from collections.abc import Callable
 from typing import Any
 
 from .counters import Counters
@@ -38,9 +37,6 @@
     """Takes the place of a Twisted UDP port's `doRead`, which ends the port at an error.
 
     most_errors: so many errors in a row end the port; None: none do.
-
-    Attributes:
-        on_failed: Called with each read that has failed.
     """
 
     def __init__(
@@ -55,7 +51,6 @@
         self.most_errors = most_errors
         self.read = port.doRead
         self.errors = 0
-        self.on_failed: Callable[[], None] = lambda: None
         port.doRead = self.read_or_wait
         if (real := getattr(port, "socket", None)) is not None:  # none in memory
             port.socket = TellingSocket(real)
@@ -73,7 +68,6 @@
             self.errors += 1
             self.counters.add("datagram_read_errors")
             self.counters.add(f"datagram_read_errno_{fault.errno}")
-            self.on_failed()
             if self.errors == 1:
                 self.tell("datagram_read_failed", fault)
             if self.most_errors is not None and self.errors > self.most_errors:
--- a/spurdeal/net/discovery_socket.py
+++ b/spurdeal/net/discovery_socket.py
@@ -47,8 +47,7 @@
         except (CannotListenError, OSError) as fault:
             self.not_opened(fault)
             return
-        reading = TolerantReading(self.port, self.reactor, self.counters, self.log)
-        reading.on_failed = self.names.on_unread
+        TolerantReading(self.port, self.reactor, self.counters, self.log)
         self.counters.add("names_sockets_opened")
 
     def not_opened(self, fault: Exception) -> None:
@@ -58,7 +57,6 @@
         self.log.warning("names_socket_not_opened", extra={"figures": {"why": str(why)}})
         if self.names.transport is not None:  # it failed behind the protocol's start
             cast(Any, self.names).doStop()
-        self.names.on_unread()
         self.open_later()
 
     def ended(self) -> None:
@@ -69,7 +67,6 @@
         self.counters.add("names_socket_ended")
         figures = {"unheard_ms": self.names.unheard() * 1000}
         self.log.warning("discovery_socket_ended", extra={"figures": figures})
-        self.names.on_unread()
         self.open_later()
 
     def close(self) -> None:
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -188,12 +188,8 @@
         now = self.clock()
         return Asked(now, self.rules.list_asked(now))
 
-    def list_unread(self) -> None:
-        """Answers may have come that cannot be read."""
-        self.rules.list_unread(self.clock())
-
     def list_answered(self, asked_at: float) -> None:
-        """The list in force is that of an answer to the question which left at that time."""
+        """The answer to the question which left at that time tells the list in force."""
         self.rules.list_answered(self.clock(), asked_at)
 
     def stop(self, until: float) -> None:
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -16,6 +16,7 @@
 
 SERVICE = "_api._tcp.svc.local"
 ASK_EVERY = 0.2  # seconds; an answer lost is then made good well before changes count as told
+REST = 0.1  # seconds between an answer and the next question, at least
 ASK_AGAIN = 0.05  # seconds after a question that the system did not send
 IDENTS = 0x10000  # RFC 1035, section 4.1.1
 MOST_OPEN = 64  # questions whose answer may still come
@@ -28,7 +29,7 @@
 
     Attributes:
         at: When it left, by the clock of the decisions.
-        repeat_after: In how many ms it is repeated, if it has no answer; 0: not before the next one is due.
+        repeat_after: In how many ms it is repeated, if it has no answer; 0: when the next one is due.
     """
 
     at: float
@@ -60,7 +61,6 @@
         on_unchanged: Takes each answer without news, where somebody compares them.
         on_closed: Called when its socket has ended, by a failure of the system's.
         on_asked: Called with each question that has left; decides when it is repeated.
-        on_unread: Called when answers may have come that cannot be read.
         on_answered: Called once the list of an answer is in force, with the time at which its question left.
         answered_at: When an answer last told of the list, in the reactor's seconds.
     """
@@ -87,7 +87,6 @@
         self.on_unchanged: Callable[[dict[str, Seat]], None] | None = None
         self.on_closed: Callable[[], None] = lambda: None
         self.on_asked: Callable[[], Asked] = lambda: Asked(0.0, 0.0)
-        self.on_unread: Callable[[], None] = lambda: None
         self.on_answered: Callable[[float], None] = lambda _: None
         self.answered_at = float("-inf")
         self.heard_or_began = reactor.seconds()  # since when silence counts
@@ -138,14 +137,14 @@
         self.open_questions[ident] = question
         if len(self.open_questions) > MOST_OPEN:
             del self.open_questions[next(iter(self.open_questions))]
-        if 0.0 < question.asked.repeat_after < ASK_EVERY * 1000:
+        if question.asked.repeat_after > 0.0:
             self.next_question.reset(question.asked.repeat_after / 1000)
 
     def ask_in_time(self, answered: Question) -> None:
         """The question that left last is answered: the next is due as far behind it as usual."""
         if self.next_question is not None and self.next_question.active():
             passed = self.reactor.seconds() - answered.left_at
-            self.next_question.reset(max(0.0, ASK_EVERY - passed))
+            self.next_question.reset(max(REST, ASK_EVERY - passed))
 
     def ask_on(self) -> None:
         """Ask, unless the next question is due at some time anyway."""
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -87,7 +87,6 @@
         )
         self.names.on_confirmed = self.link.list_confirmed
         self.names.on_asked = self.link.list_asked
-        self.names.on_unread = self.link.list_unread
         self.names.on_answered = self.link.list_answered
         self.discovery = DiscoverySocket(self.names, reactor, configuration.host, self.counters, log)
         self.seats = configuration.known.seats
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -204,9 +204,6 @@
         self.freshness.asked(now)
         return self.freshness.repeat_after(now)
 
-    def list_unread(self, now: float) -> None:
-        self.freshness.unread(now)
-
     def list_answered(self, now: float, asked_at: float) -> None:
         self.freshness.answered(now, asked_at)
 
