--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -92,6 +92,7 @@
         self.heard_or_began = reactor.seconds()  # since when silence counts
         self.silent = False
         self.unsent = 0  # questions in a row
+        self.older_in_a_row = 0  # answers
 
     def startProtocol(self) -> None:
         self.ask()
@@ -220,6 +221,18 @@
             self.number = before
             raise
 
+    def note_older(self, serial: int, question: Question) -> None:
+        """Tells of an answer with an older list than the one in force; of many in a row, by powers of two."""
+        self.older_in_a_row += 1
+        if self.older_in_a_row & (self.older_in_a_row - 1) == 0:
+            figures = {
+                "number": serial,
+                "in_force": self.number,
+                "in_a_row": self.older_in_a_row,
+                "asked_ms_ago": (self.reactor.seconds() - question.left_at) * 1000,
+            }
+            self.log.warning("list_contradicted", extra={"figures": figures})
+
     def datagramReceived(self, datagram: bytes, address: tuple[str, int]) -> None:
         question = self.open_questions.get(int.from_bytes(datagram[:2], "big"))
         if question is None or address[:2] != question.address:
@@ -262,8 +275,12 @@
         """Puts a list in force if it is newer; seats may be None where it is not."""
         if serial > self.number:
             assert seats is not None
+            self.older_in_a_row = 0
             self.put_in_force(serial, seats, question)
-        elif serial == self.number:
+        elif serial < self.number:
+            self.note_older(serial, question)
+        else:
+            self.older_in_a_row = 0
             self.on_confirmed()
             if self.on_unchanged is not None and seats is not None:
                 self.on_unchanged(seats)
