Seven more orders of answers that break drain: slow ones that begin, lower numbers

Cause: an answer that was long on its way lengthens the patience for all open questions (1.5 times the slowest of two), so a list in doubt is followed again without news; an answer with a lower number than the list in force confirms it; behind 64 questions later ones are not kept as open.

--- a/tests/scripted_names.py
+++ b/tests/scripted_names.py
@@ -25,6 +25,7 @@
     CUT = "it is sent, and its end does not arrive"
     WRONG_ID = "it is sent under another question's id"
     OLD = "it holds the list before the newest"
+    FIRST = "it holds the first list"
     SILENT = "none is sent"
     OPEN_ID = "it arrives, once it can under the wrong id of an older question that has no answer yet"
     DRAIN = "no answer: the first server drains from here on"
@@ -129,7 +130,7 @@
             self.unanswered.add(int.from_bytes(question[:2], "big"))
         if step.how is Answering.SILENT:
             return
-        serial = max(1, self.serial - 1) if step.how is Answering.OLD else self.serial
+        serial = {Answering.OLD: max(1, self.serial - 1), Answering.FIRST: 1}.get(step.how, self.serial)
         self.note_told(step.how, serial)
         told = self.message(step.how, question, serial)
         if step.how is Answering.LOST:
--- a/tests/test_answer_orders.py
+++ b/tests/test_answer_orders.py
@@ -95,6 +95,14 @@
         failures = for_seconds(Answering.SERVER_FAILURE, 1.0)
         self.check(failures, DRAIN, LOST, failures)
 
+    def test_a_drain_lost_in_one_second_of_server_failures_and_silence(self) -> None:
+        self.check(for_seconds(Answering.SERVER_FAILURE, 0.5), DRAIN, LOST, silence(0.6))
+
+    def test_a_drain_in_lost_answers_behind_an_outage_in_which_more_questions_were_asked_than_kept(
+        self,
+    ) -> None:
+        self.check(silence(13.5), Step(Answering.SENT, delay=0.5), DRAIN, LOST._replace(times=8))
+
     def test_a_drain_in_answers_that_are_all_lost(self) -> None:
         self.check(DRAIN, for_seconds(Answering.LOST, 2.0), seconds=2.5)
 
@@ -114,6 +122,11 @@
     def test_five_old_answers_behind_a_lost_one(self) -> None:
         self.check(DRAIN, LOST, OLD._replace(times=5))
 
+    def test_answers_with_a_lower_number_than_the_list_in_force_behind_a_lost_one(self) -> None:
+        self.names.change(lambda seat: seat)
+        self.names.lists[2] = list(self.names.seats)
+        self.check(DRAIN, LOST, Step(Answering.FIRST, times=5))
+
     def test_lost_and_old_answers_by_turns(self) -> None:
         self.check(DRAIN, *(LOST, OLD) * 3)
 
@@ -138,6 +151,21 @@
     def test_answers_that_take_1_5_seconds(self) -> None:
         self.check_delay(1.5)
 
+    def check_begin(self, first: float) -> None:
+        """The answer before the drain takes so long, those from the drain on 1.2 s."""
+        slower = for_seconds(Answering.SENT, 2.0, delay=1.2)
+        self.check(Step(Answering.SENT, delay=first), DRAIN, slower)
+
+    def test_answers_that_begin_to_slow_down_by_one_of_0_47_seconds(self) -> None:
+        self.check_begin(0.47)
+
+    def test_answers_that_begin_to_slow_down_by_one_of_0_8_seconds(self) -> None:
+        self.check_begin(0.8)
+
+    def test_lost_answers_while_slow_ones_are_on_their_way(self) -> None:
+        slow = Step(Answering.SENT, times=3, delay=0.47)
+        self.check(slow, DRAIN, for_seconds(Answering.LOST, 0.9))
+
     def test_lost_answers_behind_two_slow_ones(self) -> None:
         slow = Step(Answering.SENT, times=2, delay=0.8)
         self.check(slow, silence(0.85), DRAIN, for_seconds(Answering.LOST, 1.5))
@@ -165,6 +193,9 @@
     def test_a_lost_answer_and_a_silence_behind_a_wrong_id(self) -> None:
         self.check_behind_wrong_id(LOST, silence(2.0))
 
+    def test_an_old_answer_between_lost_ones_behind_a_wrong_id(self) -> None:
+        self.check_behind_wrong_id(LOST, OLD, LOST._replace(times=3))
+
 
 class NewConfigurations(ScriptedCase):
     """SIGHUP gives another address, or another list, around the drain."""
