A list is in force by what answers agree on: a number taken wrongly no longer hides drains

Cause: one answer with a number too high (from before a restart, where numbers begin anew, or spoilt) was taken for the newest; each later list counted as older, was passed over without a word, and still counted as confirming the list in force. Now an answer is weighed by what it changes: what gets nothing any more is in force at once, what is to get requests again once a later question was answered alike; a lower number confirms nothing, and three in a row show that ours was wrong. A question without its own answer is settled by a newer list or six answers in a row. Answers to questions that were overtaken set no patience. Tests in which a new or returned engine had requests behind one answer wait for the second. Fleets of peers keep their rules.

--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -19,7 +19,7 @@
 from ..eventloop import DatagramLoop
 from ..interface import Life
 from ..net.datagram_reading import TolerantReading
-from ..net.engine_list import Seat
+from ..net.engine_list import KnownList, Seat
 from ..net.link import Answer, BrokenOff, Delivered, Granted, Guard, Shed, Taken, at_most_once
 from ..net.service import Service
 from ..vrrp.sealed import Keys
@@ -134,6 +134,7 @@
         self.inner, self.link.guard = self.link.guard, self
         self.service.names.on_list = self.listed
         self.service.names.on_unchanged = self.same
+        self.service.names.numbers_shared = True
         self.service.clients.fleet = lambda: self.fleet.status(self.monotonic())
         self.act_on(self.service.names.number, self.service.seats, "start")
         host, port = self.plan.fleet.listen
@@ -201,7 +202,8 @@
             )
             for ident, row in rows.items()
         }
-        self.service.names.number = max(self.service.names.number, version.number)
+        if version.number > self.service.names.number:
+            self.service.names.take_known(KnownList(version.number, seats))
         self.counters.add("lists_from_peers")
         self.acted_on("peer")
         self.link.listed(seats)
--- a/spurdeal/list_freshness.py
+++ b/spurdeal/list_freshness.py
@@ -1,10 +1,12 @@
 """Whether requests may be sent by the list of engines. Free of I/O.
 
 The list is held on a lease. A change counts as told as soon as an answer that holds it is sent, whether or
-not it arrives; and no answer is sent before its question has left. So an answer that tells the list in force
-renews the lease until the next question leaves, and for `patience` behind that; where no question leaves, for
-UNASKED_MOST behind the one that was answered. Nothing else renews it: not silence, not an answer that cannot
-be used, nor one that tells another list than the one in force.
+not it arrives; and no answer is sent before its question has left. So requests may be sent while each
+question that left more than `patience` ago has had its own answer, and that told the list in force. Nothing
+else renews the lease: not silence, not an answer that cannot be used, nor one that tells an older list. A
+question that stays without an answer is settled by a newer list, or by ROW answers in a row to later
+questions: a single one may come from a replica that lags. Where no question leaves, the lease ends
+UNASKED_MOST behind the one that was answered last.
 """
 
 from __future__ import annotations
@@ -22,6 +24,7 @@
 PATIENCE_LEAST = 100.0  # ms; a loop at rest polls each 50
 SILENT_AFTER = 1000.0  # ms without an answer to repeated questions, and
 SILENT_QUESTIONS = 20  # so many of them: from then on they are as far apart as usual
+ROW = 6  # answers in a row that tell the list in force, after a question without one
 MOST_OPEN = 64  # questions of which the time is kept
 
 
@@ -39,7 +42,10 @@
     Attributes:
         confirmed_at: When the question left whose answer last told the list in force, or the list of the
             start was read; None where the list does not come by questions.
-        open_since: When the later questions left, which have no such answer; the oldest first.
+        open_since: When the questions left that have no answer of their own; the oldest first.
+        row_since, row_length: When the first question of the latest answers in a row left, and how many these
+            are.
+        settled_from: When a question must have left at least, for its answer to settle earlier ones.
         answer_times: How long answers take.
         polled_at: Tells when sockets were looked at last, where that is known.
     """
@@ -49,6 +55,8 @@
         self.patience = max(PATIENCE_LEAST, PATIENCE_PART * drain_grace)
         self.confirmed_at: float | None = None
         self.open_since = deque[float]()
+        self.row_since, self.row_length = 0.0, 0
+        self.settled_from = float("-inf")
         self.answer_times = AnswerTimes()
         self.polled_at: Callable[[], float] | None = None
 
@@ -64,14 +72,35 @@
             del self.open_since[1]  # the oldest one begins the doubt, the later ones end it
         self.open_since.append(now)
 
-    def answered(self, now: float, asked_at: float) -> None:
-        """The answer to the question that left at that time tells the list in force."""
-        if self.confirmed_at is not None and asked_at < self.confirmed_at:
-            return  # a later one was answered before
-        self.answer_times.measured(now - asked_at)
-        self.confirmed_at = asked_at
-        while self.open_since and self.open_since[0] <= asked_at:
-            self.open_since.popleft()
+    def moved(self) -> None:
+        """Another name service is asked from now on: it may lag behind what the one before it has told."""
+        if self.open_since:
+            self.settled_from = self.open_since[-1] + TOLD_WITHIN
+
+    def answered(self, now: float, asked_at: float, newer: bool) -> None:
+        """The answer to the question that left at that time has told the list that is in force now."""
+        if self.confirmed_at is None or asked_at >= self.confirmed_at:
+            self.answer_times.measured(now - asked_at)
+            self.confirmed_at = asked_at
+        if asked_at in self.open_since:
+            self.open_since.remove(asked_at)
+        self.count_in_row(asked_at)
+        if asked_at >= self.settled_from and (newer or self.row_length >= ROW):
+            settled = asked_at if newer else self.row_since
+            self.open_since = deque(left for left in self.open_since if left > settled)
+
+    def count_in_row(self, asked_at: float) -> None:
+        """One more answer; a question without one between them ends the row."""
+        if asked_at < self.row_since:
+            return
+        if self.row_length and not any(self.row_since < left < asked_at for left in self.open_since):
+            self.row_length += 1
+        else:
+            self.row_since, self.row_length = asked_at, 1
+
+    def is_settling(self) -> bool:
+        """Whether answers to more questions are wanted soon."""
+        return bool(self.open_since)
 
     def doubt(self, now: float) -> Doubt | None:
         """Why requests may not be sent by the list; None where they may."""
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -188,9 +188,17 @@
         now = self.clock()
         return Asked(now, self.rules.list_asked(now))
 
-    def list_answered(self, asked_at: float) -> None:
-        """The answer to the question which left at that time tells the list in force."""
-        self.rules.list_answered(self.clock(), asked_at)
+    def list_moved(self) -> None:
+        """Another name service is asked from now on."""
+        self.rules.list_moved()
+
+    def list_answered(self, asked_at: float, newer: bool) -> bool:
+        """The answer to the question which left at that time has told the list that is in force now.
+
+        Returns:
+            Whether another question is to leave soon.
+        """
+        return self.rules.list_answered(self.clock(), asked_at, newer)
 
     def stop(self, until: float) -> None:
         """All that is taken, and what still comes, is answered by then."""
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -80,7 +80,7 @@
         self.names = NameService(
             reactor,
             configuration.nameserver,
-            configuration.known.number,
+            configuration.known,
             self.link.listed,
             self.counters,
             log,
@@ -149,6 +149,7 @@
         """Puts a configuration in force. Discovery first: it outlives a fault at the rest."""
         nameserver = configuration.nameserver
         if nameserver != self.names.address:
+            self.link.list_moved()
             self.names.move(nameserver)
         known = configuration.known
         if known.number > self.names.number:
@@ -169,7 +170,7 @@
     def take_list(self, known: KnownList) -> None:
         """Noted as in force once it is: else the name service's next answer tells it again."""
         self.link.listed(known.seats)
-        self.names.number = known.number
+        self.names.take_known(known)
 
     def start(self) -> None:
         """Listens, and puts the list of the start in force.
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -204,8 +204,12 @@
         self.freshness.asked(now)
         return self.freshness.repeat_after(now)
 
-    def list_answered(self, now: float, asked_at: float) -> None:
-        self.freshness.answered(now, asked_at)
+    def list_moved(self) -> None:
+        self.freshness.moved()
+
+    def list_answered(self, now: float, asked_at: float, newer: bool) -> bool:
+        self.freshness.answered(now, asked_at, newer)
+        return self.freshness.is_settling()
 
     # Submissions on their way out: the stages.
 
--- /dev/null
+++ b/tests/test_list_agreement.py
@@ -0,0 +1,125 @@
+"""Which list of engines is in force, by the numbers and the contents of the answers."""
+
+import unittest
+
+from spurdeal.interface import Life
+from spurdeal.list_agreement import RENUMBERED_AFTER, RENUMBERED_HOLD, Agreement, Verdict, judged
+from spurdeal.net.engine_list import Seat
+
+
+def seat(ident: str, life: Life = Life.READY, started: float = 0.0, weight: float = 1.0) -> Seat:
+    """One engine."""
+    return Seat(ident, "127.0.9.1", 7001, "east", "std", 0, life, weight, started)
+
+
+def listed(*seats: Seat) -> dict[str, Seat]:
+    """A list of these."""
+    return {each.ident: each for each in seats}
+
+
+A, B = seat("a"), seat("b")
+A_DRAINS, B_DRAINS = (each._replace(life=Life.DRAINING) for each in (A, B))
+
+
+class Agreeing(unittest.TestCase):
+    def setUp(self) -> None:
+        self.agreement = Agreement.of(5, listed(A, B))
+        self.now = 0.0
+
+    def answer(self, number: int, *seats: Seat, asked_at: float | None = None) -> Verdict:
+        """One answer, 200 ms behind the last, to a question that has just left."""
+        self.now += 200.0
+        asked_at = self.now - 1.0 if asked_at is None else asked_at
+        found = judged(self.agreement, number, listed(*seats), asked_at, self.now)
+        self.agreement = found.agreement
+        self.ask_again = found.ask_again
+        return found.verdict
+
+    def in_force(self) -> dict[str, str]:
+        """The state of each engine in force."""
+        return {ident: each.life.name for ident, each in self.agreement.in_force.items()}
+
+    def test_the_list_in_force_is_confirmed_whatever_its_weights(self) -> None:
+        self.assertEqual(self.answer(5, B, A._replace(weight=3.0)), Verdict.CONFIRMED)
+        self.assertFalse(self.ask_again)
+
+    def test_a_newer_list_that_takes_away_is_in_force_as_a_whole(self) -> None:
+        self.assertEqual(self.answer(6, A_DRAINS), Verdict.CHANGED)
+        self.assertEqual(self.in_force(), {"a": "DRAINING"})
+        self.assertIsNone(self.agreement.release_from)
+        self.assertFalse(self.ask_again)
+
+    def test_an_engine_that_joins_gets_requests_once_it_was_told_again(self) -> None:
+        self.assertEqual(self.answer(6, A_DRAINS, B, seat("c")), Verdict.CHANGED)
+        self.assertEqual(self.in_force(), {"a": "DRAINING", "b": "READY"})
+        self.assertTrue(self.ask_again)
+        self.assertEqual(self.answer(6, A_DRAINS, B, seat("c")), Verdict.CHANGED)
+        self.assertEqual(self.in_force(), {"a": "DRAINING", "b": "READY", "c": "READY"})
+        self.assertEqual(self.answer(6, A_DRAINS, B, seat("c")), Verdict.CONFIRMED)
+
+    def test_an_engine_that_has_drained_gets_requests_once_it_was_told_again(self) -> None:
+        self.answer(6, A_DRAINS, B)
+        self.answer(7, A, B)
+        self.assertEqual(self.in_force(), {"a": "DRAINING", "b": "READY"})
+        self.answer(7, A, B)
+        self.assertEqual(self.in_force(), {"a": "READY", "b": "READY"})
+
+    def test_a_late_answer_to_an_earlier_question_tells_nothing_again(self) -> None:
+        self.answer(6, A, B, seat("c"), asked_at=150.0)
+        self.assertEqual(self.answer(6, A, B, seat("c"), asked_at=100.0), Verdict.CONFIRMED)
+        self.assertEqual(self.in_force(), {"a": "READY", "b": "READY"})
+
+    def test_another_list_of_the_same_number_is_in_force(self) -> None:
+        self.assertEqual(self.answer(5, A, B_DRAINS), Verdict.CHANGED)
+        self.assertEqual(self.in_force(), {"a": "READY", "b": "DRAINING"})
+
+    def test_an_older_list_confirms_nothing_and_changes_nothing(self) -> None:
+        for _ in range(10):
+            for _ in range(RENUMBERED_AFTER - 1):
+                self.assertEqual(self.answer(4, A_DRAINS), Verdict.CONTRADICTED)
+                self.assertTrue(self.ask_again)
+            self.assertEqual(self.in_force(), {"a": "READY", "b": "READY"})
+            self.assertEqual(self.answer(5, A, B), Verdict.CONFIRMED)
+
+    def test_an_older_list_to_a_question_that_was_overtaken_is_no_contradiction(self) -> None:
+        self.answer(5, A, B)
+        for _ in range(RENUMBERED_AFTER):
+            self.assertEqual(self.answer(4, A_DRAINS, asked_at=10.0), Verdict.OVERTAKEN)
+        self.assertEqual(self.agreement.contradictions, 0)
+
+    def renumber(self, *seats: Seat) -> None:
+        """Answers in a row tell a list of number 2."""
+        for _ in range(RENUMBERED_AFTER - 1):
+            self.answer(2, *seats)
+        self.assertEqual(self.answer(2, *seats), Verdict.CHANGED)
+        self.assertEqual(self.agreement.number, 2)
+
+    def test_older_lists_in_a_row_show_that_the_number_in_force_was_wrong(self) -> None:
+        self.renumber(A_DRAINS, B)
+        self.assertEqual(self.in_force(), {"a": "DRAINING", "b": "READY"})
+        self.assertEqual(self.answer(3, A_DRAINS, B_DRAINS), Verdict.CHANGED)
+
+    def test_what_an_older_list_adds_waits_for_as_long_as_a_replica_may_lag(self) -> None:
+        self.answer(6, A_DRAINS, B)
+        self.renumber(A, B, seat("c"))
+        held_until = self.now + RENUMBERED_HOLD
+        while self.now <= held_until:
+            self.assertEqual(self.in_force(), {"a": "DRAINING", "b": "READY"})
+            self.answer(2, A, B, seat("c"))
+        self.answer(2, A, B, seat("c"))
+        self.assertEqual(self.in_force(), {"a": "READY", "b": "READY", "c": "READY"})
+
+    def test_what_an_older_list_lacks_drains_and_is_not_forgotten_yet(self) -> None:
+        self.renumber(A)
+        self.assertEqual(self.in_force(), {"a": "READY", "b": "DRAINING"})
+        self.now += RENUMBERED_HOLD
+        self.answer(2, A)
+        self.assertEqual(self.in_force(), {"a": "READY"})
+
+    def test_an_engine_that_was_started_anew_stays_in_force(self) -> None:
+        self.assertEqual(self.answer(6, A, seat("b", started=9.0)), Verdict.CHANGED)
+        self.assertEqual(self.in_force(), {"a": "READY", "b": "READY"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,7 +18,7 @@
 from spurdeal.net.logs import logger
 from spurdeal.net.start import Configuration, load_configuration, read_configuration
 from spurdeal.state import Submission
-from tests.helpers import BASE, SETTINGS, Caller, World, configuration, started_process
+from tests.helpers import AGREED, BASE, SETTINGS, Caller, World, configuration, started_process
 
 NETWORK = Network.of_this_process()
 ROW = b"a\t1\tx\n"
@@ -413,6 +413,7 @@
         for ident, peer in enumerate(peers):
             peer.say(ident, "200")
             self.assertTrue(peer.pipe.disconnecting)
+        world.go(AGREED)
         Caller(world).post(7)
         self.assertEqual(world.peer(3).host, "127.0.9.1")  # another engine there: a new connection
         again = world.peer(3).up()
@@ -478,6 +479,8 @@
         world.list(2, seat)  # the old one answers no more
         self.assertEqual(set(world.service.link.seats), {"s-0"})
         world.list(2, seat, source=("127.0.8.10", 5301))
+        self.assertEqual(set(world.service.link.seats), set())
+        world.go(AGREED)
         self.assertEqual(set(world.service.link.seats), {"s-1"})
 
         def unusable() -> Configuration:
--- a/tests/test_new_days.py
+++ b/tests/test_new_days.py
@@ -15,7 +15,7 @@
 from spurdeal.lab import names
 from spurdeal.net.link import BrokenOff
 from spurdeal.net.start import read_configuration
-from tests.helpers import Caller, Peer, World, configuration, started_process
+from tests.helpers import AGREED, Caller, Peer, World, configuration, started_process
 from tests.steps import HOST, ROW, Steps, Talk, free_port
 
 ROOT = Path(__file__).parent.parent
@@ -76,6 +76,10 @@
                 for question, serial in zip(questions[-3:], order, strict=True):
                     self.answer(world, question, serial, *((0,) if serial == 4 else (1,)))
                 world.go()
+                self.assertEqual(lives(world)["s-0"], "DRAINING")
+                self.assertEqual(world.service.names.number, 4)
+                world.names_silent = False
+                world.go(AGREED)
                 self.assertEqual(lives(world), {"s-0": "DRAINING", "s-1": "READY"})
                 self.assertEqual(world.service.names.number, 4)
 
