A connection in a crowd is dated by the accept queue's true length, not by a full one

Cause: no source was `delayed` (LoopWatch.delays was empty in all 20 traced calls). AcceptWatch dated them. It may say that a connection came after the accept queue was last empty, or after what was accepted a full queue ago, and took the queue for full, 4,097. 500 clients that come again at once keep some 460 in it at all times, so it is never seen empty, and with some 500 accepts a second 4,097 are not accepted within the test: `since` stays at the crowd's first round.

Change: AcceptWatch looks at the queue in each round that accepts. Linux tells the accept queue's length as tcpi_unacked of the listening socket (TCP_INFO), 0.6 us. The queue is first in, first out: of what is accepted later, all but the next so many entered it after the look. That is proven and needs no rate or guess. A count is believed from a socket in the state LISTEN only, and 0 only from a system that told of more before; else a full queue is assumed as before, which dates too early and never too late.

Accepts that fail: they made the listener a delayed source, and all that was read, on any connection, counted from the first failure until the queue was seen empty, in a crowd for 3 s. Now AcceptWatch keeps its dates over a failure and the pause behind it, so what waits behind a failing accept is dated by the queue, without the bound of 3 s, and connections that are read all the while are not dated back for it.

A model with random arrivals, failures and pauses holds each date between the last look before the connection came and the poll behind it, and also where the system does not count or tells 0. One attribute's name in test_in_a_flood_* is another, its bounds stay.

Not covered, as before: a handshake that the system drops since the queue is full (4,097) waits at the client.

--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -14,7 +14,7 @@
 from .eviction import LEAST_AGE, evict
 from .link import SocketLink
 from .patient_socket import ACCEPT_AGAIN, PatientListener
-from .pending import has_waiting_connections
+from .pending import count_waiting_connections, has_waiting_connections
 from .watch import AcceptWatch, Unpolled
 
 # Connections that may wait to be accepted. Past it the system drops a first packet, sent again after 1 s.
@@ -66,7 +66,7 @@
         self.fleet: Callable[[], object] | None = None
         self.pause_logged_at = float("-inf")
         self.ready = self.paused = self.ending = self.accept_ended = False
-        self.accepting = AcceptWatch(link.loop, BACKLOG + 1)  # Linux lets one more wait
+        self.accepting = AcceptWatch(link.loop, BACKLOG + 1, self.count_waiting)  # Linux lets one more wait
 
     def bound(self, most: int, accepts: int, memory_mb: float) -> None:
         """Sets how many connections there may be, how many are accepted a round, and the memory for all."""
@@ -81,16 +81,18 @@
         self.port = port
         real = getattr(port, "socket", None)  # none on a transport in memory
         if real is not None:
-            port.socket = PatientListener(real, self.link.loop, self.counters, self.pause_after_error)
+            port.socket = PatientListener(real, self.counters, self.pause_after_error)
 
     def pause_after_error(self) -> None:
         """An accept has failed; what waits in the backlog stays there."""
+        self.accepting.failed()
         self.port.stopReading()
         self.link.reactor.callLater(ACCEPT_AGAIN, self.resume_after_error)
 
     def resume_after_error(self) -> None:
         """Unless accepting is paused for another reason, or over."""
         if not self.paused and not self.accept_ended and self.port.connected:
+            self.accepting.resumed()
             self.port.startReading()
 
     def workload_of(self, path: bytes) -> int | None:
@@ -111,6 +113,10 @@
     def buildProtocol(self, addr: Any) -> Client:
         return Client(self)
 
+    def count_waiting(self) -> int | None:
+        """How many connections wait in the backlog, where the system tells."""
+        return count_waiting_connections(getattr(self.port, "socket", None))
+
     def accepted(self) -> Unpolled:
         return self.accepting.accepted(getattr(self.port, "numberAccepts", 0))
 
--- a/spurdeal/net/patient_socket.py
+++ b/spurdeal/net/patient_socket.py
@@ -3,7 +3,8 @@
 Twisted ends a connection at the first error of recv or send, and with it the requests that are open there;
 for want of descriptors it accepts connections only to close them. An error that tells of a shortage on our
 own machine says nothing of the far side: the call is made again, as the poller tells of the socket for as
-long as something waits there. What waited meanwhile counts from when the errors began, see `watch.LoopWatch`.
+long as something waits there. What waited meanwhile counts from when the errors began, see `watch.LoopWatch`,
+and connections from what is known of the accept queue, see `watch.AcceptWatch`.
 """
 
 from __future__ import annotations
@@ -13,7 +14,6 @@
 from typing import Any
 
 from .counters import Counters
-from .pending import is_readable
 from .transient_errors import TRANSIENT
 from .watch import LoopWatch
 
@@ -75,12 +75,11 @@
 class PatientListener:
     """Takes the place of a listening, non-blocking socket; all but accept are the socket's own.
 
-    pause: called after an error, so that a lasting one does not keep the loop busy.
+    failed: called after an error; it pauses accepting, so that a lasting one does not keep the loop busy.
     """
 
-    def __init__(self, real: Any, watch: LoopWatch, counters: Counters, pause: Callable[[], None]) -> None:
-        self.real, self.watch, self.counters, self.pause = real, watch, counters, pause
-        self.failing = False  # since when connections may have waited is kept until none waits
+    def __init__(self, real: Any, counters: Counters, failed: Callable[[], None]) -> None:
+        self.real, self.counters, self.failed = real, counters, failed
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.real, name)
@@ -92,24 +91,13 @@
             BlockingIOError: None waits, or it cannot be had just now.
         """
         try:
-            accepted = self.real.accept()
+            return self.real.accept()
         except BlockingIOError:
-            self.recover()
             raise
         except OSError as fault:
             self.counters.add(f"accept_failed_errno_{fault.errno}")
-            self.failing = True
-            self.watch.delayed(self)
-            self.pause()
+            self.failed()
             raise BlockingIOError(errno.EWOULDBLOCK, str(fault)) from None
-        if self.failing and not is_readable(self.real):
-            self.recover()
-        return accepted
-
-    def recover(self) -> None:
-        """Nothing that had to wait is left."""
-        self.failing = False
-        self.watch.caught_up(self)
 
 
 def as_blocking(fault: OSError) -> OSError:
--- a/spurdeal/net/watch.py
+++ b/spurdeal/net/watch.py
@@ -163,44 +163,71 @@
         return found
 
 
-class AcceptRound(NamedTuple):
-    """A round of the loop that accepted connections."""
+class QueueLook(NamedTuple):
+    """A look at the accept queue: what is accepted later than `newer_from` entered the queue after `at`."""
 
     at: float
-    total: int  # accepted before it
+    newer_from: int  # the first connection of which that is known, counted from the first accepted as 0
 
 
 class AcceptWatch:
     """Dates connections: since when one that is accepted now may have waited, with bytes of its own.
 
-    Not before the accept queue was last empty, nor before what was accepted a whole queue's length ago: the
-    queue is first in, first out, and holds no more than that."""
+    The accept queue is first in, first out. So a connection entered it after it was last empty, and after any
+    look at it once as many were accepted as waited then. Where the system does not tell how many wait, a full
+    queue is assumed.
 
-    def __init__(self, loop: LoopWatch, queue_length: int) -> None:
-        self.loop, self.queue_length = loop, queue_length
+    waiting: tells how many connections the queue holds, or None.
+    queue_length: How many it holds at most.
+    """
+
+    def __init__(
+        self, loop: LoopWatch, queue_length: int, waiting: Callable[[], int | None] = lambda: None
+    ) -> None:
+        self.loop, self.queue_length, self.waiting = loop, queue_length, waiting
         self.round, self.since = -1, 0.0
         self.count, self.most = 0, 0  # accepted in that round, and how many could be
         self.total = 0
-        self.rounds = deque[AcceptRound]()  # since the queue was last empty, up to its length
+        self.looks = deque[QueueLook]()  # since the queue was last empty, those that date nothing yet
+        self.is_told = False  # whether the system has told of a connection that waits
 
     def accepted(self, most: int) -> Unpolled:
         """One more, of so many at most in this round."""
         if self.loop.round != self.round:
             self.begin_round(most)
+            self.look(self.total + 1)
+        while self.looks and self.total >= self.looks[0].newer_from:
+            self.since = max(self.since, self.looks.popleft().at)
         self.count += 1
         self.total += 1
         return Unpolled(self.since, self.round + 1)
 
     def begin_round(self, most: int) -> None:
-        """The first accept of a round of the loop."""
+        """The first accept of a round of the loop, or the first that failed in it."""
         if self.loop.round > self.round + 1 or self.count < self.most:
             self.since = self.loop.arrival()
-            self.rounds.clear()
-        while self.rounds and self.total - self.rounds[0].total >= self.queue_length:
-            self.since = self.rounds.popleft().at
-        self.rounds.append(AcceptRound(self.loop.arrival(), self.total))
+            self.looks.clear()
         self.round, self.count, self.most = self.loop.round, 0, most
 
+    def look(self, taken: int) -> None:
+        """Notes how many connections wait now that so many were taken off the queue.
+
+        A count of 0 is believed only where a system has told of more before: it may not count them."""
+        at, waiting = self.loop.clock(), self.waiting()
+        self.is_told = self.is_told or bool(waiting)
+        if waiting is None or not self.is_told:
+            at, taken, waiting = self.loop.arrival(), self.total, self.queue_length
+        while self.looks and self.looks[-1].newer_from >= taken + waiting:
+            self.looks.pop()  # the new one dates all of its connections, and dates them later
+        self.looks.append(QueueLook(at, taken + waiting))
+
+    def failed(self) -> None:
+        """An accept has failed: the queue is not empty."""
+        if self.loop.round != self.round:
+            self.begin_round(0)
+            self.look(self.total)
+        self.count = self.most = 0
+
     def resumed(self) -> None:
         """Accepting goes on after a pause: what waits may have done so since the last was accepted."""
         self.round, self.count, self.most = self.loop.round, 0, 0
--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -25,6 +25,7 @@
 from tests.stations import Pair
 from tests.steps import Steps
 from tests.test_new_days import served
+from tests.test_turns import ANSWER_WAY, ROUND, CrowdedQueue
 
 DRAINED = {"lifecycle": "DRAINING"}
 FLEET_PLAN = b"""
@@ -360,6 +361,22 @@
                 self.told_after(steps, lambda failing=failing: setattr(failing, "times", 0))
                 self.assertLess(steps.service.counters.sums[f"accept_failed_errno_{error}"], 40)  # no spin
 
+    def test_behind_a_crowd_while_accept_fails(self) -> None:
+        """It counts from when it came; the crowd's next ones, after the accepts that failed, from then on."""
+        crowd = CrowdedQueue(self)
+        crowd.go(200)
+        listener = crowd.steps.service.clients.port.socket
+        listener.real = FailingSocket(listener.real, "accept", errno.ENFILE, times=20)
+        sent_at = crowd.post(1, wait=2000)
+        crowd.go(800)
+        self.assertEqual(listener.real.times, 0)
+        self.assertLessEqual(crowd.expiry(1) + ANSWER_WAY - sent_at, 2000)
+        self.assertGreaterEqual(crowd.expiry(1) + ANSWER_WAY - sent_at, 2000 - 2 * ROUND)
+        sent_at = crowd.post(2, wait=2000)
+        crowd.go(600)
+        self.assertLessEqual(crowd.expiry(2) + ANSWER_WAY - sent_at, 2000)
+        self.assertGreaterEqual(crowd.expiry(2) + ANSWER_WAY - sent_at, 2000 - 2 * ROUND)
+
     def test_unread_while_recv_fails(self) -> None:
         steps = Steps(self)
         client = steps.client()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,14 +1,25 @@
 """Stalls, shared connections, and what one turn may cost: each forced, on a clock moved by hand."""
 
+import io
+import random
+import socket
 import unittest
+from bisect import bisect_left
+from collections import deque
 from typing import Any, ClassVar
 
-from spurdeal.net.watch import AcceptWatch
+from spurdeal.net.counters import Counters
+from spurdeal.net.logs import logger
+from spurdeal.net.pending import count_waiting_connections
+from spurdeal.net.watch import AcceptWatch, LoopWatch
 from tests.helpers import Caller, World
 from tests.steps import Steps, Talk, settings
 
 STALL = 800.0  # ms
 ANSWER_WAY = 40  # ms that the dispatcher keeps for the way back
+ACCEPTS_A_ROUND, ROUND = 2, 10.0  # ms
+WAITING_CLIENTS = 8  # in the accept queue, at all times
+LONG_CROWD = 1000.0  # ms
 
 
 def stall(steps: Steps, ms: float = STALL) -> None:
@@ -112,7 +123,7 @@
             dated += [watch.accepted(2).since for _ in range(2)]
         now = steps.clock()
         self.assertAlmostEqual(now - dated[-1], 30.0, places=3)  # three rounds of two
-        self.assertLessEqual(len(watch.rounds), 4)
+        self.assertLessEqual(len(watch.looks), 4)
         steps.go(10)
         steps.go(10)  # a round with no accept: it was empty
         self.assertAlmostEqual(steps.clock() - watch.accepted(2).since, 0.0, places=3)
@@ -151,6 +162,187 @@
         )
 
 
+class CrowdedQueue:
+    """A dispatcher whose accept queue is never empty: in each round as many come as it accepts."""
+
+    def __init__(self, case: unittest.TestCase) -> None:
+        self.steps = Steps(case)
+        clients = self.steps.service.clients
+        clients.bound(most=40, accepts=ACCEPTS_A_ROUND, memory_mb=64.0)
+        self.steps.go()
+        self.silent = deque[Talk]()
+        self.come(WAITING_CLIENTS)
+
+    def come(self, count: int) -> None:
+        self.silent.extend(self.steps.client() for _ in range(count))
+
+    def go(self, ms: float) -> None:
+        """Rounds of 10 ms; who was accepted is closed by its own side, the oldest first."""
+        for _ in range(round(ms / ROUND)):
+            self.come(ACCEPTS_A_ROUND)
+            self.steps.reactor.now += ROUND / 1000
+            self.steps.round()
+            while len(self.silent) > WAITING_CLIENTS + ACCEPTS_A_ROUND:
+                self.silent.popleft().socket.close()
+
+    def post(self, ident: int, wait: int) -> float:
+        """A call on a new connection, behind all that wait; the time at which it was sent."""
+        self.steps.client().post(ident, wait=wait)
+        return self.steps.clock()
+
+    def expiry(self, ident: int) -> float:
+        return self.steps.service.link.by_ident[b"%016x" % ident].expiry
+
+
+class Backlog(unittest.TestCase):
+    """Connections wait in the accept queue behind others, which is first in, first out."""
+
+    def test_in_a_crowd_a_call_counts_from_no_earlier_than_the_queue_before_it(self) -> None:
+        crowd = CrowdedQueue(self)
+        crowd.go(LONG_CROWD)
+        sent_at = crowd.post(1, wait=2000)
+        crowd.go(100)
+        left_when_sent = crowd.expiry(1) + ANSWER_WAY - sent_at
+        self.assertLessEqual(left_when_sent, 2000)
+        self.assertGreaterEqual(left_when_sent, 2000 - 2 * ROUND)
+
+    def test_in_a_crowd_a_call_that_waited_long_counts_from_then(self) -> None:
+        crowd = CrowdedQueue(self)
+        crowd.go(LONG_CROWD)
+        sent_at = crowd.post(1, wait=2000)
+        crowd.come(100)
+        crowd.steps.reactor.now += 0.09  # under the gap from which on all that is read is dated back
+        crowd.go(200)
+        left_when_sent = crowd.expiry(1) + ANSWER_WAY - sent_at
+        self.assertLessEqual(left_when_sent, 2000)
+        self.assertGreaterEqual(left_when_sent, 2000 - 2 * ROUND)
+
+    def test_where_the_system_does_not_count_a_full_queue_is_assumed(self) -> None:
+        crowd = CrowdedQueue(self)
+        crowd.steps.service.clients.accepting.waiting = lambda: None
+        began = crowd.steps.clock()
+        crowd.go(LONG_CROWD)
+        crowd.post(1, wait=3000)
+        crowd.go(100)
+        self.assertAlmostEqual(crowd.expiry(1), began + ROUND + 3000 - ANSWER_WAY, places=3)
+
+    def test_the_first_count_above_0_ends_what_was_assumed_before(self) -> None:
+        steps = Steps(self)
+        counts = iter([0, 0, 2, 2, 2, 2, 2, 2])
+        watch = AcceptWatch(steps.service.link.loop, 1000, lambda: next(counts))
+        ages, kept = list[float](), list[int]()
+        for _ in range(8):
+            steps.reactor.now += ROUND / 1000
+            steps.round()
+            ages.append(round(steps.clock() - watch.accepted(1).since))
+            kept.append(len(watch.looks))
+        self.assertEqual(ages, [0, 10, 20, 30, 40, 30, 30, 30])
+        self.assertEqual(kept, [1, 2, 1, 2, 3, 3, 3, 3])
+
+    def test_a_listening_socket_tells_how_many_wait(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            counts = [count_waiting_connections(listener)]
+            callers = [socket.create_connection(listener.getsockname()) for _ in range(3)]
+            counts.append(count_waiting_connections(listener))
+            callers[0].close()  # it waits on, as an ended one
+            counts.append(count_waiting_connections(listener))
+            listener.accept()[0].close()
+            counts.append(count_waiting_connections(listener))
+            self.assertEqual(counts, [0, 3, 3, 2])
+            self.assertIsNone(count_waiting_connections(callers[1]))
+            for caller in callers:
+                caller.close()
+        with socket.socket(type=socket.SOCK_DGRAM) as other:
+            self.assertIsNone(count_waiting_connections(other))
+        self.assertIsNone(count_waiting_connections(None))
+
+    def test_no_connection_is_dated_later_than_the_poll_behind_its_coming(self) -> None:
+        """Random arrivals, accepts that fail and pauses, and systems that count, do not, or tell 0.
+
+        Between two polls of under 100 ms, what comes counts from the second, as bytes do."""
+        for seed in range(60):
+            for counts in ("true", "none", "zero"):
+                with self.subTest(seed=seed, counts=counts):
+                    model = QueueModel(random.Random(seed), counts)
+                    for _ in range(400):
+                        model.go_round()
+                    self.assertGreater(len(model.accepted), 100)
+                    for came, since, looked in model.accepted:
+                        self.assertLessEqual(since, model.next_poll(came))
+                        if counts == "true":
+                            self.assertGreaterEqual(since, looked)
+
+
+class QueueModel:
+    """An accept queue in memory, the loop that accepts from it, and when each connection came.
+
+    Attributes:
+        accepted: Of each connection, when it came, since when it may have waited as it was told, and the last
+            look at the queue before it came.
+    """
+
+    MOST = 12  # that the queue holds
+
+    def __init__(self, choice: random.Random, counts: str) -> None:
+        self.choice, self.counts, self.now = choice, counts, 0.0
+        self.loop = LoopWatch(lambda: self.now, Counters(), logger("n1", io.StringIO()))
+        self.loop.installed = True
+        self.watch = AcceptWatch(self.loop, self.MOST, self.count_waiting)
+        self.queue, self.looks = deque[float](), [0.0]
+        self.accepted = list[tuple[float, float, float]]()
+        self.polls = list[float]()
+        self.paused = 0  # rounds
+        self.busy = False  # more come than are accepted
+
+    def count_waiting(self) -> int | None:
+        if self.queue and self.counts == "true":
+            self.looks.append(self.now)
+        return {"true": len(self.queue), "none": None, "zero": 0}[self.counts]
+
+    def next_poll(self, came: float) -> float:
+        """The first poll after a connection came, whether or not the listener was watched then."""
+        found = bisect_left(self.polls, came)
+        return self.polls[found] if found < len(self.polls) else self.now
+
+    def pass_time(self, most: float, arrivals: int) -> None:
+        for _ in range(arrivals + 1):
+            self.now += self.choice.uniform(0.001, most / (arrivals + 1))
+            if arrivals and len(self.queue) < self.MOST:
+                self.queue.append(self.now)
+        self.now += 0.001
+
+    def go_round(self) -> None:
+        """Time passes, then a poll, then as many accepts as this round may make."""
+        if self.choice.random() < 0.02:
+            self.busy = not self.busy
+        self.pass_time(30.0, self.choice.randrange(1, 5) if self.busy else int(self.choice.random() < 0.3))
+        if self.paused:
+            self.paused -= 1
+            if not self.paused:
+                self.watch.resumed()
+        self.loop.polled()
+        self.polls.append(self.now)
+        if self.paused or not self.queue:
+            return
+        most = self.choice.randrange(1, 4)
+        for _ in range(most):
+            if not self.queue:
+                return
+            if self.choice.random() < 0.05:
+                self.watch.failed()
+                self.paused = self.choice.randrange(1, 4)
+                return
+            self.accept(most)
+            self.pass_time(1.0, int(self.choice.random() < 0.2))
+        if self.choice.random() < 0.05:
+            self.paused = self.choice.randrange(1, 10)
+
+    def accept(self, most: int) -> None:
+        came = self.queue.popleft()
+        looked = max(at for at in self.looks if at < came)
+        self.accepted.append((came, self.watch.accepted(most).since, looked))
+
+
 class HeldBack(unittest.TestCase):
     """Requests of one key that must keep an order may have waited at their client for those before them."""
 
