When a client's bytes came is kept by a module of its own, net/arrival_times.py

ArrivalTimes holds what dates a request: the places and times of what was read and not taken yet, and since when the connection was not polled before its first read or in a pause of reading. No change of behaviour; no test is changed.

--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -14,13 +14,13 @@
 from zope.interface import implementer
 
 from . import immediate
+from .arrival_times import ArrivalTimes
 from .fields import IDENT, MARK, key_of, last_part, number_field, rows_of
 from .http import BadMessage, RequestParser, response
 from .link import Answer, BrokenOff, Delivered, Shed
 from .patient_socket import make_patient
 from .pending import may_have_come
 from .statement import group_of
-from .watch import Unpolled
 
 if TYPE_CHECKING:
     from .clients import Clients
@@ -30,7 +30,6 @@
 LONGEST_IDLE, LONGEST_UNREAD = 5000.0, 10_000.0  # ms; clients close after 4 s, but some keep theirs for good
 LONGEST_LINGER, MOST_DROPPED = 1000.0, 262_144  # ms and bytes that are read and dropped after our last answer
 MOST_SHORT_READS = 512  # behind one another, for one request
-MOST_ARRIVALS = 32  # times kept of what one connection has sent ahead
 MOST_CANCELLED_AHEAD = 16  # DELETEs behind an open call that are carried out before their turn
 MOST_IN_A_ROW = 16  # calls that one connection may have handled before others have their turn
 
@@ -60,12 +59,11 @@
         self.brought = False  # it has sent a submission
         self.draining = False  # its next answer is its last
         self.since = self.last_read = clients.clock()
-        self.received = self.dropped = 0
-        self.arrivals = deque[tuple[int, float]]()  # bytes received by then
+        self.dropped = 0  # bytes
+        self.arrivals = ArrivalTimes(clients.link.loop, clients.accepted())
         self.cancelled_ahead = deque[tuple[int, bool]]()  # status and whether the connection is kept
         self.advancing: Any = None
         self.taking = False  # requests, within `advance`: one that is answered at once does not nest
-        self.unpolled = clients.accepted()
 
     @property
     def closing(self) -> bool:
@@ -110,11 +108,7 @@
         elif self.call is None and not self.is_advancing():
             self.arrivals.clear()  # one unfinished call: its time counts from its last byte
         self.parser.feed(data)
-        self.received += len(data)
-        if len(self.arrivals) >= MOST_ARRIVALS:  # in ever smaller pieces: the last counts from its first
-            self.arrivals[-1] = (self.received, self.arrivals[-1][1])
-        else:
-            self.arrivals.append((self.received, self.clients.link.loop.arrival(self.unpolled)))
+        self.arrivals.add(len(data))
         if self.call is not None and self.parser.left() > self.clients.ahead:
             self.clients.counters.add("client_ran_ahead")
             self.withdraw()
@@ -169,7 +163,7 @@
 
     def resumeProducing(self) -> None:
         self.clogged, self.last_read = False, self.clients.clock()
-        self.unpolled = Unpolled(self.since, self.clients.link.loop.round + 1)
+        self.arrivals.resume(self.since)
         self.transport.resumeProducing()
         self.advance()
 
@@ -202,8 +196,7 @@
             handled += 1
             try:
                 taken = self.parser.take()
-                while self.arrivals and self.arrivals[0][0] < self.received - self.parser.left():
-                    self.arrivals.popleft()
+                self.arrivals.forget_before(self.parser.left())
                 if taken is None:
                     return
                 self.since = self.clients.clock()
@@ -277,12 +270,11 @@
         owner, mark = bytes(fields.get(b"req-owner", b"")), bytes(fields.get(b"req-token", b""))
         if mark and not MARK.fullmatch(mark):
             raise BadMessage(400, "req-token cannot be used")
-        waited = max(0.0, self.clients.clock() - self.arrivals[0][1]) if self.arrivals else 0.0
         call = self.clients.link.take(
             ident,
             self.clients.names[kind],
             kind,
-            wait - waited,
+            wait - self.arrivals.waited(self.clients.clock()),
             cost,
             memory,
             group_of(statement),
