Taking in the backlog at the end keeps the bound on clients' connections

Seen: tests.test_descriptors six side by side beside a load of 16, once in six: test_it_ends_in_time_amid_a_crowd, 246 connections of 128 at once.

Cause: drain_backlog sets the port's numberAccepts to the room there is and lets it accept. Twisted raises the number by 20 when all of it was used, and the poll of the same round accepts as many again, before `settle` sets the number. Evidence: forced on real sockets on the untouched code, 8 allowed and 60 waiting: 36 connections behind one round.

Change: drain_backlog ends with `admit`, which sets the number from the room that is left, or pauses accepting. The new test fails without it (36 of 8) and holds exactly 8, then 8 more once the first have gone. test_it_ends_in_time_amid_a_crowd alone, six side by side beside a load of 16, twice: 12 of 12, with and without it.

--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -237,6 +237,7 @@
             self.port.doRead()
             if came == (came := self.counters.sums["client_connections"]):
                 break
+        self.admit()  # Twisted would accept 20 more than these in the same round
 
     def sweep(self) -> None:
         """Closes the connections that have held a descriptor for nothing for too long."""
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -23,6 +23,7 @@
 from tests.crowds import Crowd, Habit
 from tests.helpers import Caller, World
 from tests.processes import Addresses, ProcessCase, counters_at_exit
+from tests.steps import Steps
 
 CROWDED_LIMIT = 256  # of the dispatcher's process
 TIGHT_LIMIT = 96
@@ -187,6 +188,28 @@
         self.assertEqual(self.world.count("accept_paused"), 4)
 
 
+class BacklogAtTheEnd(unittest.TestCase):
+    """What waits in the backlog is taken in before the port is closed, within the bound on connections."""
+
+    MOST, WAITING = 8, 60
+
+    def test_the_round_that_takes_it_in_accepts_no_more_than_there_is_room_for(self) -> None:
+        steps = Steps(self)
+        clients = steps.service.clients
+        clients.bound(most=self.MOST, accepts=2, memory_mb=64.0)
+        steps.go()
+        waiting = [steps.client() for _ in range(self.WAITING)]
+        steps.reactor.callLater(0, clients.drain_backlog)
+        for _ in range(4):
+            steps.round()
+            self.assertEqual(len(clients.connections), self.MOST)
+        for client in waiting[: self.MOST]:
+            client.socket.close()
+        steps.go()
+        self.assertEqual(steps.service.counters.sums["client_connections"], 2 * self.MOST)
+        self.assertEqual(steps.service.counters.sums["most_client_connections"], self.MOST)
+
+
 class Crowded(ProcessCase):
     """A dispatcher whose descriptors the kernel limits, before a crowd of 2,000."""
 
