Soak: lossy, spoilt, old, slow and lagging answers of discovery; run.py by modules

The soak's name service could be silent, lose answers and be slow as a whole, for all dispatchers at once, and the end of one trouble ended the others of its kind. Conditions now hold side by side, for all dispatchers or for one: answers lost, SERVFAIL, cut short, under another question's id, with an older list, on their way for long, and changes shown with a lag. Outages excuse only whom they concern, and lost answers excuse nobody; 'slow_way' tells when the answer is sent. run.py is split into one module for each job.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -70,25 +70,72 @@
     told: dict[int, float]
 
 
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """A time in which the name service answered nobody, or questions were lost.
+
+    Attributes:
+        dispatchers: Whom it concerned; None: all of them.
+    """
+
+    began: float
+    ended: float
+    dispatchers: frozenset[int] | None = None
+
+    def concerns(self, dispatcher: int) -> bool:
+        """Whether this dispatcher could not ask."""
+        return self.dispatchers is None or dispatcher in self.dispatchers
+
+
+@dataclass(frozen=True, slots=True)
+class Datagram:
+    """A question as it came to the name service, an answer as it left, or its arrival.
+
+    Attributes:
+        start: Which start of the dispatcher it belongs to, from 1.
+        event: `question`, `answer` or `arrival`.
+        ident: The id as the datagram has it.
+        number: That of the list in an answer.
+        newest: That of the newest list.
+        fault: What befell it; none: an empty text.
+    """
+
+    at: float
+    dispatcher: int
+    start: int
+    event: str
+    ident: int
+    number: int
+    newest: int
+    fault: str
+
+    def __str__(self) -> str:
+        """One line of the records."""
+        told = f"list {self.number} of {self.newest} " if self.number else ""
+        return f"{self.at:.3f} n{self.dispatcher} {self.event} {self.ident:#06x} {told}{self.fault}".rstrip()
+
+
 @dataclass
 class Records:
     """All that was seen in a run.
 
     Attributes:
         kills: By dispatcher, when it was killed, and whether that was the end of a planned stop.
-        outages: From when to when the name service answered nobody, or the network lost datagrams.
+        outages: When dispatchers could not ask.
         late: When the observer ran late, and by how much.
         notes: What was done to the dispatchers, and when; for those who read the records.
+        datagrams: Each question and each answer, by time; for those who trace a break.
     """
 
     requests: dict[str, Request] = field(default_factory=dict)
     attempts: list[Attempt] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
     kills: dict[int, list[tuple[float, bool]]] = field(default_factory=lambda: defaultdict(list))
-    outages: list[tuple[float, float]] = field(default_factory=list)
+    outages: list[Outage] = field(default_factory=list)
     late: list[tuple[float, float]] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
     notes: list[tuple[float, str]] = field(default_factory=list)
+    datagrams: list[Datagram] = field(default_factory=list)
 
     def lateness(self, at: float) -> float:
         """By how much the observer ran late around a time."""
@@ -186,7 +233,7 @@
     def told_at(self, change: Change, dispatcher: int) -> float:
         """When a dispatcher counts as told of a change."""
         due = change.at
-        for began, ended in sorted(self.records.outages):
-            if began <= due + TOLD_WITHIN and ended > due:
-                due = ended
+        for outage in sorted(self.records.outages, key=lambda each: each.began):
+            if outage.concerns(dispatcher) and outage.began <= due + TOLD_WITHIN and outage.ended > due:
+                due = outage.ended
         return min(change.told.get(dispatcher, float("inf")), due + TOLD_WITHIN, change.at + NEWS_WITHIN)
--- a/tests/soak/sides.py
+++ b/tests/soak/sides.py
@@ -1,4 +1,4 @@
-"""The sides that dispatchers talk to in a soak, in one event loop: engines, the name service and clients."""
+"""The sides that dispatchers talk to in a soak, in one event loop: engines and clients."""
 
 from __future__ import annotations
 
@@ -9,11 +9,10 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from time import monotonic
-from typing import Any
 
 from spurdeal.lab import names
 from spurdeal.net.resp import ArrayParser, command
-from tests.soak.judge import Attempt, Change, End, Records, Request
+from tests.soak.judge import Attempt, End, Records, Request
 
 FULL, SLOWEST = 0.02, 0.12  # the share that an engine turns away; seconds that a request runs
 LEAVES, PIECES, RESTS, ONCE = 0.04, 0.1, 0.1, 0.3  # the shares of requests, or of pauses
@@ -79,77 +78,6 @@
             writer.write(command(*told))
 
 
-class NamesPort(asyncio.DatagramProtocol):
-    """One address of the name service."""
-
-    transport: Any
-
-    def __init__(self, service: NameService) -> None:
-        self.service = service
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """See DatagramProtocol."""
-        self.transport = transport
-
-    def datagram_received(self, question: bytes, asker: tuple[str, int]) -> None:
-        """A question."""
-        self.service.asked(question, asker, self.transport)
-
-
-class NameService:
-    """Answers with the list as it stands, after a delay, unless it is silent or the answer is lost."""
-
-    def __init__(self, records: Records, dispatchers: dict[str, int], chance: random.Random) -> None:
-        self.records, self.dispatchers, self.chance = records, dispatchers, chance
-        self.seats: list[names.Seat] = []
-        self.number = 1
-        self.silent, self.loses, self.delay = False, 0.0, 0.0
-        self.outage_began = 0.0
-        self.starts = dict.fromkeys(dispatchers.values(), 0)
-
-    def started(self, dispatcher: int) -> None:
-        """A dispatcher starts, with the list as it stands: what its predecessor was told is no matter."""
-        self.starts[dispatcher] += 1
-
-    def change(self, seats: list[names.Seat], ended: str | None = None) -> None:
-        """A newer list, in which that engine drains or is gone."""
-        self.seats, self.number = seats, self.number + 1
-        if ended is not None and not any(change.engine == ended for change in self.records.changes):
-            self.records.changes.append(Change(monotonic(), ended, self.number, {}))
-
-    def trouble(self, silent: bool = False, loses: float = 0.0, delay: float = 0.0) -> None:
-        """How it answers from now on."""
-        if silent or loses:
-            self.outage_began = self.outage_began or monotonic()
-        elif self.outage_began:
-            self.records.outages.append((self.outage_began, monotonic()))
-            self.outage_began = 0.0
-        self.silent, self.loses, self.delay = silent, loses, delay
-
-    def asked(self, question: bytes, asker: tuple[str, int], transport: Any) -> None:
-        """A question, at one of its addresses; where the network loses datagrams it may not arrive either."""
-        if self.silent or self.chance.random() < self.loses / 2:
-            return
-        lost = self.chance.random() < self.loses
-        answer = names.answer(question, self.number, *(seat.record() for seat in self.seats))
-        start = self.starts[self.dispatchers[asker[0]]]
-        asyncio.get_running_loop().call_later(
-            self.delay, self.send, answer, self.number, asker, start, transport, lost
-        )
-
-    def send(
-        self, answer: bytes, number: int, asker: tuple[str, int], start: int, transport: Any, lost: bool
-    ) -> None:
-        """An answer leaves, and what it holds counts as told, even if it is lost. Its asker may be gone."""
-        if self.silent or start != self.starts[self.dispatchers[asker[0]]]:
-            return
-        for change in self.records.changes:
-            if change.number <= number:
-                change.told.setdefault(self.dispatchers[asker[0]], monotonic())
-        if not lost:
-            transport.sendto(answer, asker)
-
-
 @dataclass
 class Door:
     """Where one dispatcher takes requests, and what clients may still do there."""
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,185 @@
+"""One soak: a handful of dispatchers as real processes, their sides, and a seeded chain of troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import random
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from itertools import count
+from pathlib import Path
+from time import monotonic
+
+from spurdeal.lab import names
+from spurdeal.lab.loopback import FIRST_NETWORK, NETWORKS, Network
+from tests.soak import engine_troubles, name_troubles, process_troubles, system_calls
+from tests.soak.judge import STOP_TO_KILL, Judge, Records
+from tests.soak.name_service import NameService, NamesPort
+from tests.soak.process import LOOK_EVERY, NAMES_PORTS, SUBNET, Dispatcher
+from tests.soak.sides import Clients, Engine
+
+ENGINE_PORT = 7001
+DISPATCHERS, ENGINES, CLIENTS = 3, 5, 8
+SETTLE, LATE = 4.5, 0.02  # seconds; LATE: how late the observer runs where that is recorded
+
+Trouble = Callable[["Soak", random.Random], Awaitable[None]]
+TROUBLES: dict[str, tuple[int, Trouble]] = {  # how often, in proportion, and what
+    "calls": (8, system_calls.failing_calls),
+    "discovery_calls": (6, system_calls.failing_discovery),
+    "short": (2, system_calls.short_calls),
+    "clock": (2, system_calls.stepped_clock),
+    "hangup": (3, process_troubles.hangups),
+    "unreadable": (1, process_troubles.unreadable),
+    "restart": (3, process_troubles.restart),
+    "kill": (1, process_troubles.killed),
+    "kill_all": (1, process_troubles.all_killed),
+    "crowd": (1, process_troubles.crowd),
+    "drain": (12, engine_troubles.drain),
+    "hang": (2, engine_troubles.hang),
+    "reset": (2, engine_troubles.reset),
+    "silent": (2, name_troubles.silent),
+    "outage": (1, name_troubles.outage),
+    "lossy": (3, name_troubles.lossy),
+    "slow": (1, name_troubles.slow),
+    "lost": (1, name_troubles.lost),
+    "servfail": (1, name_troubles.servfail),
+    "cut_short": (1, name_troubles.cut_short),
+    "wrong_id": (1, name_troubles.wrong_id),
+    "spoilt": (1, name_troubles.spoilt),
+    "old": (2, name_troubles.old),
+    "one_way": (1, name_troubles.one_way),
+    "slow_way": (1, name_troubles.slow_way),
+    "lag": (1, name_troubles.lag),
+    "mixed": (2, name_troubles.mixed),
+    "constant": (1, name_troubles.constant),
+    "outage_then_mixed": (1, name_troubles.outage_then_mixed),
+    "outage_then_one_way": (1, name_troubles.outage_then_one_way),
+    "restart_then_mixed": (1, name_troubles.restart_then_mixed),
+    "hangup_in_mixed": (1, name_troubles.hangup_in_mixed),
+}
+ONLY_WEIGHT, DRAIN_WEIGHT = 1, 2  # where one trouble is played alone, beside drains
+
+
+class Soak:
+    """One run: its sides, its dispatchers, and the troubles that its seed draws."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path, only: str | None = None) -> None:
+        self.seed, self.seconds, self.folder, self.only = seed, seconds, folder, only
+        self.chance = random.Random(seed)
+        self.network = free_network()
+        self.names_host, self.engines_host = self.network.host(SUBNET, 100), self.network.host(SUBNET, 101)
+        self.records = Records()
+        self.dispatchers = [Dispatcher(self, number) for number in range(DISPATCHERS)]
+        self.names = NameService(
+            self.records, {each.host: each.number for each in self.dispatchers}, random.Random(seed + 1)
+        )
+        self.engines: dict[str, Engine] = {}
+        self.engine_numbers, self.request_numbers = count(), count(1)
+        self.troubles: list[str] = []
+        self.clients: list[Clients] = []
+
+    async def play(self) -> Judge:
+        """All of it."""
+        loop = asyncio.get_running_loop()
+        for port in NAMES_PORTS:
+            await loop.create_datagram_endpoint(lambda: NamesPort(self.names), (self.names_host, port))
+        for _ in range(ENGINES):
+            await self.add_engine(cold=False)
+        await asyncio.gather(*(each.start() for each in self.dispatchers))
+        watching = asyncio.create_task(self.watch())
+        running = [asyncio.create_task(client.run()) for client in self.make_clients()]
+        await asyncio.sleep(0.5)
+        await self.trouble_until(monotonic() + self.seconds)
+        for client in self.clients:
+            client.ending = True
+        await asyncio.wait(running, timeout=SETTLE + STOP_TO_KILL)
+        watching.cancel()
+        for each in self.dispatchers:
+            if each.process is not None:
+                each.process.kill()
+                each.process.wait()
+        return Judge(self.records)
+
+    def make_clients(self) -> list[Clients]:
+        """Those of all dispatchers; some seeds have three times as many."""
+        each = CLIENTS * self.chance.choice((1, 1, 3))
+        self.clients = [
+            Clients(
+                dispatcher.door,
+                self.records,
+                random.Random(self.chance.random()),
+                self.request_numbers.__next__,
+            )
+            for dispatcher in self.dispatchers
+            for _ in range(each)
+        ]
+        return self.clients
+
+    async def watch(self) -> None:
+        """Measures the observer's own lateness, and looks for crashes."""
+        while True:
+            due = monotonic() + LOOK_EVERY
+            await asyncio.sleep(LOOK_EVERY)
+            if (late := monotonic() - due) > LATE:
+                self.records.late.append((monotonic(), late))
+            for each in self.dispatchers:
+                each.watch()
+
+    async def trouble_until(self, end: float) -> None:
+        """One trouble after another, several at once; each draws from a chance of its own."""
+        kinds = TROUBLES
+        if self.only is not None:
+            kinds = {self.only: (ONLY_WEIGHT, TROUBLES[self.only][1])}
+            kinds |= {"drain": (DRAIN_WEIGHT, engine_troubles.drain)}
+        weights = [weight for weight, _ in kinds.values()]
+        under_way = set[asyncio.Task[None]]()
+        while monotonic() < end:
+            (name,) = self.chance.choices(list(kinds), weights)
+            self.troubles.append(name)
+            self.note(f"trouble: {name}")
+            chance = random.Random(self.chance.random())
+            under_way.add(asyncio.ensure_future(self.carried_out(name, kinds[name][1], chance)))
+            await asyncio.sleep(self.chance.choice((0.0, 0.1, 0.3, 0.6, 1.2)))
+        await asyncio.gather(*under_way)
+
+    async def carried_out(self, name: str, trouble: Trouble, chance: random.Random) -> None:
+        """One trouble; its own fault is no break of the dispatchers'."""
+        try:
+            await trouble(self, chance)
+        except Exception as fault:  # told as one of the observer's own
+            self.records.crashes.append(f"observer: {name}: {fault!r}")
+
+    def up(self) -> list[Dispatcher]:
+        """The dispatchers that run and were not told to end."""
+        return [each for each in self.dispatchers if not each.busy]
+
+    def note(self, text: str) -> None:
+        """For those who read the records."""
+        self.records.notes.append((monotonic(), text))
+
+    async def add_engine(self, cold: bool = True) -> None:
+        """A further engine, which the list tells."""
+        number = next(self.engine_numbers)
+        started = int((monotonic() + self.unix_origin()) * 1000) if cold else 0
+        seat = names.Seat(f"s-{number}", self.engines_host, ENGINE_PORT + number, started=started)
+        engine = Engine(seat, self.records, random.Random(self.seed * 1000 + number))
+        self.engines[seat.ident] = engine
+        await engine.start()
+        self.names.change([*self.names.seats, seat])
+
+    def unix_origin(self) -> float:
+        """Unix time at the observer's zero."""
+        return self.dispatchers[0].clock.unix_ms() / 1000 - monotonic()
+
+
+def free_network() -> Network:
+    """One that no other run on this machine uses just now, from this process's own on."""
+    first = Network.of_this_process().number
+    for number in range(first, first + NETWORKS):
+        network = Network(FIRST_NETWORK + (number - FIRST_NETWORK) % NETWORKS)
+        with socket.socket(type=socket.SOCK_DGRAM) as tried, suppress(OSError):
+            tried.bind((network.host(SUBNET, 100), NAMES_PORTS[0]))
+            return network
+    raise OSError(errno.EADDRINUSE, "no network of the loopback range is free")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 import unittest
 
 from tests.processes import ROOT
-from tests.soak.judge import Attempt, Change, End, Judge, Records, Request
+from tests.soak.judge import Attempt, Change, End, Judge, Outage, Records, Request
 
 SEEDS, SECONDS, WITHIN = (101, 102), 12.0, 120.0
 
@@ -93,7 +93,7 @@
                 request = served(sent_at=at - 0.01, ended_at=at + 0.1)
                 seen = records(request, attempts=(attempt(at),))
                 seen.changes.append(Change(8.0, "s-0", 2, dict(told)))
-                seen.outages += [outage] if outage else []
+                seen.outages += [Outage(*outage)] if outage else []
                 self.assertEqual(self.rules(seen), found)
 
     def test_a_crash(self) -> None:
