--- a/tests/soak/name_service.py
+++ b/tests/soak/name_service.py
@@ -164,9 +164,9 @@
         return any(each.silent for each in self.concerning(dispatcher))
 
     def happens(self, dispatcher: int, fault: str) -> bool:
-        """Whether a fault of that name befalls the datagram of this moment."""
-        shares = [getattr(each, fault) for each in self.concerning(dispatcher)]
-        return any(share and self.chance.random() < share for share in shares)
+        """Whether a fault of that name befalls a datagram now: by the highest share that holds."""
+        share = max((getattr(each, fault) for each in self.concerning(dispatcher)), default=0.0)
+        return bool(share) and self.chance.random() < share
 
     def asked(self, question: bytes, asker: tuple[str, int], transport: Any) -> None:
         """A question, at one of its addresses; it may be lost on its way there."""
--- a/tests/soak/tracing.py
+++ b/tests/soak/tracing.py
@@ -53,7 +53,9 @@
         self.freshness = ListFreshness(GRACE * 1000)
         self.open = dict[int, float]()
         self.taken: list[Taken] = []
+        self.sent = 0  # the highest number of a list in an answer that left
         for datagram in datagrams:
+            self.sent = max(self.sent, datagram.number)
             if datagram.event == "question":
                 self.asked(datagram)
             elif datagram.event == "arrival" and datagram.fault in READABLE:
@@ -91,9 +93,10 @@
         if last is None or last.datagram.at < told_at:
             return "other"
         highest = max(taken.datagram.number for taken in self.taken)
-        if last.datagram.number < last.datagram.newest:
-            older = "older than the list in force" if last.datagram.number < highest else "not the newest"
-            return f"confirmed by an answer with a list {older}"
+        if last.datagram.number < highest:
+            return "confirmed by an answer with a list older than the one in force"
+        if last.datagram.number < self.sent:
+            return "confirmed by an answer with the list in force, behind a newer one that was not taken"
         return "other"
 
 
