--- a/tests/soak/name_troubles.py
+++ b/tests/soak/name_troubles.py
@@ -133,6 +133,17 @@
     await phase(soak, condition, chance.uniform(0.3, 1.5))
 
 
+async def outage_in_faults(soak: Soak, chance: random.Random) -> None:
+    """Each fault befalls some answers for long, with an outage in it, in which dispatchers may be killed."""
+    rates = dict.fromkeys(ANY_FAULT, chance.choice(RATES))
+    condition = replace(Condition(lag=1.0), **rates)  # type: ignore[arg-type]
+    faults = asyncio.create_task(phase(soak, condition, chance.uniform(12.0, 16.0)))
+    if chance.random() < 0.5:
+        await killed(soak, chance)
+    await phase(soak, Condition(silent=True), chance.uniform(2.0, 4.0))
+    await faults
+
+
 async def restart_then_mixed(soak: Soak, chance: random.Random) -> None:
     """A dispatcher starts again while answers fail."""
     begin = chance.choice((restart, killed))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,6 +56,7 @@
     "constant": (1, name_troubles.constant),
     "outage_then_mixed": (1, name_troubles.outage_then_mixed),
     "outage_then_one_way": (1, name_troubles.outage_then_one_way),
+    "outage_in_faults": (1, name_troubles.outage_in_faults),
     "restart_then_mixed": (1, name_troubles.restart_then_mixed),
     "hangup_in_mixed": (1, name_troubles.hangup_in_mixed),
 }
