--- a/tests/soak/tracing.py
+++ b/tests/soak/tracing.py
@@ -71,29 +71,29 @@
     def arrived(self, datagram: Datagram) -> None:
         """See NameService.take_answer."""
         if (asked_at := self.open.pop(datagram.ident, None)) is not None:
-            self.freshness.answered(datagram.at * 1000, asked_at * 1000)
+            newer = datagram.number > self.highest()
+            self.freshness.answered(datagram.at * 1000, asked_at * 1000, newer)
             self.taken.append(Taken(datagram, asked_at))
 
+    def highest(self) -> int:
+        """The highest number of a list in an answer that was taken."""
+        return max((taken.datagram.number for taken in self.taken), default=0)
+
     def state(self, at: float, told_at: float) -> str:
         """What decides whether the list is followed at a time."""
         freshness, now = self.freshness, at * 1000
         oldest = now - freshness.open_since[0] if freshness.open_since else 0.0
-        patience = max(freshness.unread_most, freshness.answer_times.expected())
-        figures = f"{len(freshness.open_since)} open for {oldest:.0f} ms, patience {patience:.0f} ms"
-        return f"{self.reason(now, patience, told_at)}; {figures}, doubt {freshness.doubt(now)}"
+        figures = (
+            f"{len(freshness.open_since)} open for {oldest:.0f} ms, patience {freshness.patience:.0f} ms"
+        )
+        return f"{self.reason(told_at)}; {figures}, doubt {freshness.doubt(now)}"
 
-    def reason(self, now: float, patience: float, told_at: float) -> str:
+    def reason(self, told_at: float) -> str:
         """The condition by which the list was followed."""
-        freshness = self.freshness
-        if freshness.is_silent(now):
-            return "silent"
-        if patience > freshness.unread_most and freshness.open_since:
-            return "patience"
         last = self.taken[-1] if self.taken else None
         if last is None or last.datagram.at < told_at:
             return "other"
-        highest = max(taken.datagram.number for taken in self.taken)
-        if last.datagram.number < highest:
+        if last.datagram.number < self.highest():
             return "confirmed by an answer with a list older than the one in force"
         if last.datagram.number < self.sent:
             return "confirmed by an answer with the list in force, behind a newer one that was not taken"
