--- a/spurdeal/list_freshness.py
+++ b/spurdeal/list_freshness.py
@@ -4,8 +4,8 @@
 not it arrives; and no answer is sent before its question has left. So requests may be sent while each
 question that left more than `patience` ago has had its own answer, and that told the list in force. Nothing
 else renews the lease: not silence, not an answer that cannot be used, nor one that tells an older list. A
-question that stays without an answer is settled by a newer list, or by ROW answers in a row to later
-questions: a single one may come from a replica that lags. Where no question leaves, the lease ends
+question that stays without an answer is settled by ROW answers in a row to later questions, which tell the
+same list: a single one may come from a replica that lags. Where no question leaves, the lease ends
 UNASKED_MOST behind the one that was answered last.
 """
 
@@ -84,16 +84,16 @@
             self.confirmed_at = asked_at
         if asked_at in self.open_since:
             self.open_since.remove(asked_at)
-        self.count_in_row(asked_at)
-        if asked_at >= self.settled_from and (newer or self.row_length >= ROW):
-            settled = asked_at if newer else self.row_since
-            self.open_since = deque(left for left in self.open_since if left > settled)
+        self.count_in_row(asked_at, newer)
+        if asked_at >= self.settled_from and self.row_length >= ROW:
+            self.open_since = deque(left for left in self.open_since if left > self.row_since)
 
-    def count_in_row(self, asked_at: float) -> None:
-        """One more answer; a question without one between them ends the row."""
+    def count_in_row(self, asked_at: float, newer: bool) -> None:
+        """One more answer; a newer list, or a question without an answer between them, ends the row."""
         if asked_at < self.row_since:
             return
-        if self.row_length and not any(self.row_since < left < asked_at for left in self.open_since):
+        missed = any(self.row_since < left < asked_at for left in self.open_since)
+        if self.row_length and not newer and not missed:
             self.row_length += 1
         else:
             self.row_since, self.row_length = asked_at, 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,7 +18,7 @@
 from spurdeal.net.logs import logger
 from spurdeal.net.start import Configuration, load_configuration, read_configuration
 from spurdeal.state import Submission
-from tests.helpers import AGREED, BASE, SETTINGS, Caller, World, configuration, started_process
+from tests.helpers import AGREED, BASE, SETTINGS, SETTLED, Caller, World, configuration, started_process
 
 NETWORK = Network.of_this_process()
 ROW = b"a\t1\tx\n"
@@ -403,6 +403,7 @@
 
         world.list(0, at(0))  # overtaken by what is known
         self.assertEqual(set(world.service.link.seats), {"s-0", "s-1"})
+        world.go(SETTLED)
         world.list(3, at(0, priority=1), at(1))
         for ident in range(3):
             Caller(world).post(ident)
