--- a/spurdeal/answer_times.py
+++ b/spurdeal/answer_times.py
@@ -12,7 +12,11 @@
 LATE_PART = 1.5  # of the slowest recent answer: an answer later than that may have been lost
 REPEAT_LEAST = 40.0  # ms; a loop at rest looks at its sockets each 50 at the latest
 REPEAT_FIRST = 50.0  # ms, before anything was measured
-REPEAT_MOST = 500.0  # ms
+SPREAD = 0.5  # of a pause, from its shortest to its longest: many processes must not ask in step
+BACKOFF = 1.5  # times the pause before, for each further question without an answer
+MOST_STEPS = 10  # of it
+BACKOFF_MOST = 200.0  # ms; as far apart as questions usually are
+REPEAT_MOST = 500.0  # ms, where answers are slow
 
 
 class AnswerTimes:
@@ -25,7 +29,10 @@
         """An answer has taken so many ms."""
         self.recent.append(took)
 
-    def repeat_after(self) -> float:
-        """After how many ms without an answer a question is repeated: it may have been lost."""
+    def repeat_after(self, unanswered: int, chance: float) -> float:
+        """After how many ms the last of so many questions without an answer is repeated; chance: 0 to 1."""
         late = LATE_PART * max(self.recent) if self.recent else REPEAT_FIRST
-        return min(max(REPEAT_LEAST, late), REPEAT_MOST)
+        first = min(max(REPEAT_LEAST, late), REPEAT_MOST)
+        backoff = first * BACKOFF ** max(0, min(unanswered, MOST_STEPS) - 1)
+        spread = 1.0 + SPREAD * (chance - 0.5)
+        return spread * min(backoff, max(first, BACKOFF_MOST))
--- a/spurdeal/fleet/station.py
+++ b/spurdeal/fleet/station.py
@@ -202,8 +202,9 @@
             )
             for ident, row in rows.items()
         }
-        if version.number > self.service.names.number:
-            self.service.names.take_known(KnownList(version.number, seats))
+        names = self.service.names
+        names.take_known(KnownList(max(names.number, version.number), seats))
+        names.is_brought = True
         self.counters.add("lists_from_peers")
         self.acted_on("peer")
         self.link.listed(seats)
--- a/spurdeal/interface.py
+++ b/spurdeal/interface.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from enum import IntEnum, StrEnum
+from enum import Enum, IntEnum, StrEnum, auto
 from typing import NamedTuple, Protocol
 
 
@@ -62,6 +62,14 @@
     READY = 2
 
 
+class Verdict(Enum):
+    """What an answer of the name service tells."""
+
+    CONFIRMED = auto()  # the list in force
+    NEWER = auto()  # another list, which is in force now
+    OLDER = auto()  # a list with a lower number, or that of an earlier question
+
+
 class Word(IntEnum):
     """What a note tells of a trip that is out: its share done, the megabytes it lacks, what it waits for."""
 
@@ -148,9 +156,9 @@
 
     may_send() is asked outside of a turn, as a trip's first byte is about to leave: False, and the trip ends
     as MOOT. Outside of turns come also, where the list is polled: list_known(), the list of the start was
-    read at that time; list_asked(), a question left, to be repeated after the ms returned (0: as usual);
+    read at that time; list_asked(), a question left, to be repeated after the ms returned;
     list_moved(), another name service is asked from now on; list_answered(), the answer to the question which
-    left at that time has told the list that is in force now; True where another question is to leave soon.
+    left at that time told each engine that gets requests; True where another question is to leave soon.
 
     Without an estimate, cost and memory are 0; without a key, key is 0. A submission's trips count from 0.
     """
@@ -160,7 +168,7 @@
     def list_known(self, at: float) -> None: ...
     def list_asked(self, now: float) -> float: ...
     def list_moved(self) -> None: ...
-    def list_answered(self, now: float, asked_at: float, newer: bool) -> bool: ...
+    def list_answered(self, now: float, asked_at: float, verdict: Verdict) -> bool: ...
     def tenured(self, now: float, cold: float, start: float) -> None: ...
     def warned(self, now: float, number: int, left: float) -> None: ...
     def submitted(
--- a/spurdeal/list_agreement.py
+++ b/spurdeal/list_agreement.py
@@ -2,23 +2,23 @@
 
 A number alone says little: it begins anew with each start of a dispatcher, and an answer may come from a
 replica that lags, from before a restart, or spoilt. So what an answer tells is weighed by what it changes.
-An engine that is to get nothing any more gets nothing at once. An engine that is to get requests again, or
-for the first time, gets them once a later question was answered alike. A list with a lower number than the
-one in force confirms nothing; RENUMBERED_AFTER such answers in a row show that the number in force was wrong,
-and the lower one is taken.
+Whatever its number, an engine that it tells to drain gets no more requests at once. An engine that is to get
+requests for the first time gets them once a later question was answered alike, and one that had drained once
+RETURN_HOLD has passed besides. A list with a lower number than the one in force confirms that one only as far
+as it tells the engines that get requests; RENUMBERED_AFTER such answers in a row show that the number in
+force was wrong, and the lower one is taken.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
-from enum import Enum, auto
 from typing import Generic, Protocol, Self, TypeVar
 
-from .interface import Life
+from .interface import Life, Verdict
 
 RENUMBERED_AFTER = 3  # answers in a row
-RENUMBERED_HOLD = 1500.0  # ms; by the protocol no answer lags for longer
+RETURN_HOLD = 1500.0  # ms; by the protocol no answer lags for longer
 
 
 class Entry(Protocol):
@@ -46,26 +46,17 @@
 Seat = TypeVar("Seat", bound=Entry)
 
 
-class Verdict(Enum):
-    """What an answer means for the list in force."""
-
-    CONFIRMED = auto()  # it tells that list
-    CHANGED = auto()  # another list is in force now
-    CONTRADICTED = auto()  # it tells an older list: whether the one in force still holds is not known
-    OVERTAKEN = auto()  # it tells an older list, and a later question was answered before
-
-
 @dataclass(frozen=True)
 class Agreement(Generic[Seat]):
     """The list in force, and what is known for and against it.
 
     Attributes:
         number: Its number.
-        told: As it was told.
-        in_force: The same, without the engines that may not get requests yet.
+        told: As it was told last.
+        in_force: The same, but for the engines that are withheld.
         confirmed_at: When the question left whose answer last told it, in ms.
-        release_from: After when a question must have left, to be answered alike, so that `told` is in force
-            as a whole; None where it is.
+        withheld: The engines that wait for requests, or to be forgotten, and after when a question must have
+            left, to be answered alike.
         contradictions: Answers in a row with a lower number.
     """
 
@@ -73,7 +64,7 @@
     told: Mapping[str, Seat]
     in_force: Mapping[str, Seat]
     confirmed_at: float = float("-inf")
-    release_from: float | None = None
+    withheld: Mapping[str, float] = field(default_factory=dict)
     contradictions: int = 0
 
     @classmethod
@@ -87,52 +78,112 @@
     """What an answer leads to.
 
     Attributes:
+        is_settled: Whether it has told the state of each engine that gets requests.
         ask_again: Whether the next question is to leave soon, as one more answer settles something.
     """
 
     verdict: Verdict
     agreement: Agreement[Seat]
-    ask_again: bool = field(default=False)
+    is_settled: bool = True
+    ask_again: bool = False
 
 
 def judged(
     before: Agreement[Seat], number: int, seats: Mapping[str, Seat], asked_at: float, now: float
 ) -> Judged[Seat]:
     """What the answer to the question that left at `asked_at` leads to. Times are in ms."""
-    overtaken = asked_at < before.confirmed_at
-    if number < before.number:
-        return Judged(Verdict.OVERTAKEN, before) if overtaken else contradicted(before, number, seats, now)
-    if number > before.number:
-        return changed(before, number, seats, asked_at)
-    if alike(seats, before.told):
-        return confirmed(before, asked_at)
-    return Judged(Verdict.OVERTAKEN, before) if overtaken else changed(before, number, seats, asked_at)
-
-
-def confirmed(before: Agreement[Seat], asked_at: float) -> Judged[Seat]:
-    """The list in force was told again."""
-    after = replace(before, confirmed_at=max(asked_at, before.confirmed_at), contradictions=0)
-    if before.release_from is None or asked_at <= before.release_from:
-        return Judged(Verdict.CONFIRMED, after)
-    return Judged(Verdict.CHANGED, replace(after, in_force=before.told, release_from=None))
-
-
-def changed(before: Agreement[Seat], number: int, seats: Mapping[str, Seat], asked_at: float) -> Judged[Seat]:
-    """A newer list was told: what it takes away is in force at once."""
-    in_force = without_unproven(before.in_force, seats)
-    release_from = None if alike(in_force, seats) else asked_at
+    is_same = number == before.number and alike(seats, before.told)
+    if is_same:
+        return confirmed(before, seats, asked_at)
+    if number > before.number or (number == before.number and asked_at >= before.confirmed_at):
+        return newer(before, number, seats, asked_at, now)
+    return older(before, number, seats, asked_at, now)
+
+
+def confirmed(before: Agreement[Seat], seats: Mapping[str, Seat], asked_at: float) -> Judged[Seat]:
+    """The list in force was told again: engines that have waited for that are withheld no more."""
+    in_force, withheld = before.in_force, before.withheld
+    if released := [ident for ident, since in withheld.items() if asked_at > since]:
+        in_force = dict(in_force)
+        for ident in released:
+            in_force.pop(ident, None)
+            if ident in seats:
+                in_force[ident] = seats[ident]
+        withheld = {ident: since for ident, since in withheld.items() if ident not in released}
     confirmed_at = max(asked_at, before.confirmed_at)
-    after = Agreement(number, seats, in_force, confirmed_at, release_from)
-    return Judged(Verdict.CHANGED, after, ask_again=release_from is not None)
+    return Judged(Verdict.CONFIRMED, Agreement(before.number, seats, in_force, confirmed_at, withheld))
 
 
-def contradicted(before: Agreement[Seat], number: int, seats: Mapping[str, Seat], now: float) -> Judged[Seat]:
-    """A list with a lower number was told."""
-    count = before.contradictions + 1
-    if count < RENUMBERED_AFTER:
-        return Judged(Verdict.CONTRADICTED, replace(before, contradictions=count), ask_again=True)
-    in_force = without_unproven(before.in_force, seats) | draining_of(before.in_force, seats)
-    return Judged(Verdict.CHANGED, Agreement(number, seats, in_force, now, now + RENUMBERED_HOLD))
+def newer(
+    before: Agreement[Seat], number: int, seats: Mapping[str, Seat], asked_at: float, now: float
+) -> Judged[Seat]:
+    """Another list was told: what it takes away is in force at once."""
+    in_force, withheld = dict[str, Seat](), dict[str, float]()
+    for ident, seat in seats.items():
+        is_proven = gets_requests(before, ident) or is_told_again(before, ident, seat, asked_at)
+        if is_proven or seat.life != Life.READY:
+            in_force[ident] = seat
+            continue
+        known = before.in_force.get(ident)
+        withheld[ident] = before.withheld.get(ident, asked_at if known is None else now + RETURN_HOLD)
+        if known is not None:
+            in_force[ident] = draining(seat)
+    after = Agreement(number, seats, in_force, max(asked_at, before.confirmed_at), withheld)
+    return Judged(Verdict.NEWER, after, ask_again=any(since <= now for since in withheld.values()))
+
+
+def older(
+    before: Agreement[Seat], number: int, seats: Mapping[str, Seat], asked_at: float, now: float
+) -> Judged[Seat]:
+    """An older list was told, or the number in force is wrong: what drains there gets no more requests."""
+    serving = [ident for ident in before.in_force if gets_requests(before, ident)]
+    ended = [ident for ident in serving if ident in seats and seats[ident].life != Life.READY]
+    after = before
+    if ended:
+        in_force = {**before.in_force, **{ident: draining(before.in_force[ident]) for ident in ended}}
+        withheld = {**before.withheld, **dict.fromkeys(ended, now + RETURN_HOLD)}
+        after = replace(before, in_force=in_force, withheld=withheld)
+    is_settled = all(ident in seats for ident in serving)
+    if asked_at < before.confirmed_at:
+        return Judged(Verdict.OLDER, after, is_settled)
+    after = replace(after, contradictions=before.contradictions + 1)
+    if after.contradictions < RENUMBERED_AFTER:
+        return Judged(Verdict.OLDER, after, is_settled, ask_again=True)
+    return renumbered(after, number, seats, asked_at, now)
+
+
+def renumbered(
+    before: Agreement[Seat], number: int, seats: Mapping[str, Seat], asked_at: float, now: float
+) -> Judged[Seat]:
+    """The number in force was wrong: what a list of a lower number adds or lacks waits for RETURN_HOLD."""
+    lacking = {ident: draining(seat) for ident, seat in before.in_force.items() if ident not in seats}
+    joining = [
+        ident for ident, seat in seats.items() if seat.life == Life.READY and not gets_requests(before, ident)
+    ]
+    in_force = lacking | {
+        ident: draining(seat) if ident in joining else seat
+        for ident, seat in seats.items()
+        if ident not in joining or ident in before.in_force
+    }
+    withheld = dict.fromkeys([*joining, *lacking], now + RETURN_HOLD)
+    return Judged(Verdict.NEWER, Agreement(number, seats, in_force, before.confirmed_at, withheld))
+
+
+def gets_requests(agreement: Agreement[Seat], ident: str) -> bool:
+    """Whether an engine gets requests by the list in force."""
+    known = agreement.in_force.get(ident)
+    return known is not None and known.life == Life.READY
+
+
+def is_told_again(before: Agreement[Seat], ident: str, seat: Seat, asked_at: float) -> bool:
+    """Whether an engine that waits for requests was told alike to an earlier question."""
+    since, told = before.withheld.get(ident), before.told.get(ident)
+    return since is not None and asked_at > since and told is not None and same_use(told, seat)
+
+
+def draining(seat: Seat) -> Seat:
+    """The same engine, which gets no requests any more."""
+    return seat._replace(life=Life.DRAINING)
 
 
 def alike(one: Mapping[str, Seat], other: Mapping[str, Seat]) -> bool:
@@ -145,22 +196,3 @@
 def same_use(one: Entry, other: Entry) -> bool:
     """Whether two entries of an engine tell the same process, in the same state."""
     return (one.host, one.port, one.life, one.started) == (other.host, other.port, other.life, other.started)
-
-
-def without_unproven(in_force: Mapping[str, Seat], seats: Mapping[str, Seat]) -> dict[str, Seat]:
-    """A list in which each engine that did not get requests so far still gets none."""
-    proven = dict[str, Seat]()
-    for ident, seat in seats.items():
-        known = in_force.get(ident)
-        if seat.life != Life.READY or (known is not None and known.life == Life.READY):
-            proven[ident] = seat
-        elif known is not None:
-            proven[ident] = seat._replace(life=known.life)
-    return proven
-
-
-def draining_of(in_force: Mapping[str, Seat], seats: Mapping[str, Seat]) -> dict[str, Seat]:
-    """The engines in force that a list does not name: they get nothing, and are not forgotten yet."""
-    return {
-        ident: seat._replace(life=Life.DRAINING) for ident, seat in in_force.items() if ident not in seats
-    }
--- a/spurdeal/list_freshness.py
+++ b/spurdeal/list_freshness.py
@@ -16,14 +16,15 @@
 from enum import StrEnum
 
 from .answer_times import AnswerTimes
+from .interface import Verdict
 
 TOLD_WITHIN = 1500.0  # ms, by the protocol
 UNASKED_PART = 2 / 3  # of that; the rest is for the distance between two questions, and the way
 UNASKED_MOST = UNASKED_PART * TOLD_WITHIN
 PATIENCE_PART = 0.5  # of the drain's grace
 PATIENCE_LEAST = 100.0  # ms; a loop at rest polls each 50
-SILENT_AFTER = 1000.0  # ms without an answer to repeated questions, and
-SILENT_QUESTIONS = 20  # so many of them: from then on they are as far apart as usual
+KNOWN_AGE = 1000.0  # ms from the writing of a start's configuration to its reading, at most
+KNOWN_FOR = TOLD_WITHIN - KNOWN_AGE  # ms from its reading until the first question has to leave
 ROW = 6  # answers in a row that tell the list in force, after a question without one
 MOST_OPEN = 64  # questions of which the time is kept
 
@@ -43,6 +44,7 @@
         confirmed_at: When the question left whose answer last told the list in force, or the list of the
             start was read; None where the list does not come by questions.
         open_since: When the questions left that have no answer of their own; the oldest first.
+        unanswered: How many questions have left since the latest answer.
         row_since, row_length: When the first question of the latest answers in a row left, and how many these
             are.
         settled_from: When a question must have left at least, for its answer to settle earlier ones.
@@ -55,52 +57,58 @@
         self.patience = max(PATIENCE_LEAST, PATIENCE_PART * drain_grace)
         self.confirmed_at: float | None = None
         self.open_since = deque[float]()
+        self.unanswered = 0
         self.row_since, self.row_length = 0.0, 0
         self.settled_from = float("-inf")
         self.answer_times = AnswerTimes()
         self.polled_at: Callable[[], float] | None = None
 
     def known(self, at: float) -> None:
-        """The list of the start was read, which tells all until then."""
-        self.confirmed_at = at
+        """The list of the start was read; it may have been written some time before."""
+        self.confirmed_at = at + KNOWN_FOR - UNASKED_MOST
 
     def asked(self, now: float) -> None:
         """A question has left."""
         if self.confirmed_at is None:
-            self.known(now)
+            self.confirmed_at = now
         if len(self.open_since) >= MOST_OPEN:
             del self.open_since[1]  # the oldest one begins the doubt, the later ones end it
         self.open_since.append(now)
+        self.unanswered += 1
 
     def moved(self) -> None:
         """Another name service is asked from now on: it may lag behind what the one before it has told."""
         if self.open_since:
             self.settled_from = self.open_since[-1] + TOLD_WITHIN
 
-    def answered(self, now: float, asked_at: float, newer: bool) -> None:
-        """The answer to the question that left at that time has told the list that is in force now."""
+    def answered(self, now: float, asked_at: float, verdict: Verdict) -> None:
+        """The answer to the question that left at that time told each engine that gets requests."""
         if self.confirmed_at is None or asked_at >= self.confirmed_at:
             self.answer_times.measured(now - asked_at)
             self.confirmed_at = asked_at
         if asked_at in self.open_since:
             self.open_since.remove(asked_at)
-        self.count_in_row(asked_at, newer)
+        self.unanswered = 0
+        self.count_in_row(asked_at, verdict)
         if asked_at >= self.settled_from and self.row_length >= ROW:
             self.open_since = deque(left for left in self.open_since if left > self.row_since)
 
-    def count_in_row(self, asked_at: float, newer: bool) -> None:
-        """One more answer; a newer list, or a question without an answer between them, ends the row."""
+    def count_in_row(self, asked_at: float, verdict: Verdict) -> None:
+        """One more answer; another list, or a question without an answer between them, ends the row."""
         if asked_at < self.row_since:
             return
         missed = any(self.row_since < left < asked_at for left in self.open_since)
-        if self.row_length and not newer and not missed:
+        if verdict is Verdict.OLDER:
+            self.row_since, self.row_length = asked_at, 0
+        elif self.row_length and verdict is Verdict.CONFIRMED and not missed:
             self.row_length += 1
         else:
             self.row_since, self.row_length = asked_at, 1
 
     def is_settling(self) -> bool:
-        """Whether answers to more questions are wanted soon."""
-        return bool(self.open_since)
+        """Whether a question has no answer, and a later one has: more answers are to settle it."""
+        oldest = self.open_since[0] if self.open_since else float("inf")
+        return self.confirmed_at is not None and oldest < self.confirmed_at
 
     def doubt(self, now: float) -> Doubt | None:
         """Why requests may not be sent by the list; None where they may."""
@@ -119,10 +127,6 @@
         """Whether requests may be sent by the list."""
         return self.doubt(now) is None
 
-    def is_silent(self, now: float) -> bool:
-        """Whether so many questions have no answer that asking more often brings nothing."""
-        return len(self.open_since) >= SILENT_QUESTIONS and now - self.open_since[0] > SILENT_AFTER
-
-    def repeat_after(self, now: float) -> float:
-        """In how many ms the question that leaves now is to be repeated, if it has no answer; 0: as usual."""
-        return 0.0 if self.is_silent(now) else self.answer_times.repeat_after()
+    def repeat_after(self, chance: float) -> float:
+        """In how many ms the last question is to be repeated, if it has no answer; chance: 0 to 1."""
+        return self.answer_times.repeat_after(self.unanswered, chance)
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -9,7 +9,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred, fail, succeed
 
-from ..interface import NEVER_RAN, Deployment, Ending, EndReason, Life
+from ..interface import NEVER_RAN, Deployment, Ending, EndReason, Life, Verdict
 from ..rules import Dispatcher
 from ..slow_start import StartTimes
 from .answers import COUNTED, Answer, BrokenOff, Delivered, Granted, Shed
@@ -183,22 +183,22 @@
         """The list of the start was read at that time, and tells all until then."""
         self.rules.list_known(at)
 
-    def list_asked(self) -> Asked:
+    def list_asked(self, seconds_ago: float) -> Asked:
         """A question for the list has left."""
-        now = self.clock()
-        return Asked(now, self.rules.list_asked(now))
+        left_at = self.clock() - seconds_ago * 1000
+        return Asked(left_at, self.rules.list_asked(left_at))
 
     def list_moved(self) -> None:
         """Another name service is asked from now on."""
         self.rules.list_moved()
 
-    def list_answered(self, asked_at: float, newer: bool) -> bool:
-        """The answer to the question which left at that time has told the list that is in force now.
+    def list_answered(self, asked_at: float, verdict: Verdict) -> bool:
+        """The answer to the question which left at that time told each engine that gets requests.
 
         Returns:
             Whether another question is to leave soon.
         """
-        return self.rules.list_answered(self.clock(), asked_at, newer)
+        return self.rules.list_answered(self.clock(), asked_at, verdict)
 
     def stop(self, until: float) -> None:
         """All that is taken, and what still comes, is answered by then."""
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -9,7 +9,8 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
-from ..list_agreement import Agreement, Verdict, judged
+from ..interface import Verdict
+from ..list_agreement import Agreement, judged
 from . import dns
 from .counters import Counters
 from .engine_list import Address, KnownList, Seat, answered_seats
@@ -31,7 +32,7 @@
 
     Attributes:
         at: When it left, by the clock of the decisions.
-        repeat_after: In how many ms it is repeated, if it has no answer; 0: when the next one is due.
+        repeat_after: In how many ms it is repeated, if it has no answer.
     """
 
     at: float
@@ -65,14 +66,15 @@
     Attributes:
         address: Where the name service is.
         agreement: The list in force, as far as the answers tell it.
-        numbers_shared: Whether peers tell newer lists too; a lower number then is no contradiction.
+        numbers_shared: Whether peers tell newer lists too.
+        is_brought: Whether the list in force is that of a peer.
         on_list: Takes each newer list.
         on_confirmed: Called with each answer that tells the list in force.
         on_unchanged: Takes each answer without news, where somebody compares them.
         on_closed: Called when its socket has ended, by a failure of the system's.
-        on_asked: Called with each question that has left; decides when it is repeated.
+        on_asked: Called with each question that has left, so many seconds ago; decides when it is repeated.
         on_answered: Called once the list of an answer is in force, with the time at which its question left,
-            and whether that list is newer; tells whether the next question is to leave soon.
+            and what it told; tells whether the next question is to leave soon.
         answered_at: When an answer last told of the list, in the reactor's seconds.
     """
 
@@ -89,7 +91,7 @@
     ) -> None:
         self.reactor, self.address, self.on_list = reactor, address, on_list
         self.agreement = Agreement.of(known.number, known.seats)
-        self.numbers_shared = False
+        self.numbers_shared = self.is_brought = False
         self.last_read: ReadAnswer | None = None
         self.counters, self.log = counters, log
         # Not from 0 at each start: an answer to a predecessor at the same port would count as ours.
@@ -100,8 +102,8 @@
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_unchanged: Callable[[dict[str, Seat]], None] | None = None
         self.on_closed: Callable[[], None] = lambda: None
-        self.on_asked: Callable[[], Asked] = lambda: Asked(0.0, 0.0)
-        self.on_answered: Callable[[float, bool], bool] = lambda _at, _newer: False
+        self.on_asked: Callable[[float], Asked] = lambda _: Asked(0.0, 0.0)
+        self.on_answered: Callable[[float, Verdict], bool] = lambda _at, _verdict: False
         self.answered_at = float("-inf")
         self.heard_or_began = reactor.seconds()  # since when silence counts
         self.silent = False
@@ -136,6 +138,7 @@
         try:
             # Not by the transport's own write, which passes over some errors in silence.
             question = dns.question(self.question_id, SERVICE, dns.SRV)
+            left_at = self.reactor.seconds()
             self.transport.getHandle().sendto(question, self.address)
         except OSError as fault:
             self.next_question.reset(ASK_AGAIN)
@@ -144,14 +147,15 @@
         self.counters.add("names_asked")
         self.unsent = 0
         self.missed += 1
-        self.await_answer(self.question_id, Question(self.on_asked(), self.reactor.seconds(), self.address))
+        asked = self.on_asked(self.reactor.seconds() - left_at)
+        self.await_answer(self.question_id, Question(asked, left_at, self.address))
 
     def await_answer(self, ident: int, question: Question) -> None:
         """A question has left: its answer is taken, or it is repeated."""
         self.open_questions[ident] = question
         if len(self.open_questions) > MOST_OPEN:
             del self.open_questions[next(iter(self.open_questions))]
-        if question.asked.repeat_after > 0.0:
+        if question.asked.repeat_after > 0.0:  # else nobody decides on it
             self.next_question.reset(question.asked.repeat_after / 1000)
 
     def ask_in_time(self, answered: Question) -> None:
@@ -231,7 +235,7 @@
             "number": agreement.number,
             "before": before.number,
             "asked_ms_ago": (self.reactor.seconds() - question.left_at) * 1000,
-            "withheld": agreement.release_from is not None,
+            "withheld": len(agreement.withheld),
         }
         self.log.info("list_answered", extra={"figures": figures})
         try:
@@ -308,33 +312,39 @@
         return self.last_read.told
 
     def take_shared(self, told: KnownList, question: Question) -> None:
-        """Puts a list in force if it is newer. Peers tell lists too, and compare those of one number."""
-        newer = told.number > self.number
-        if newer:
+        """Puts a list in force if it is newer. Peers tell lists too, and compare those of one number.
+
+        A lower number than one that a peer has brought may be that of a name service which lags. Lower than
+        one that the name service itself has told, it confirms nothing.
+        """
+        verdict = Verdict.CONFIRMED
+        if told.number > self.number:
+            verdict = Verdict.NEWER
             self.put_in_force(Agreement.of(told.number, told.seats), question)
+            self.is_brought = False
         elif told.number == self.number:
             self.on_confirmed()
             if self.on_unchanged is not None:
                 self.on_unchanged(told.seats)
-        self.ask_soon(self.on_answered(question.asked.at, newer))
+        elif not self.is_brought:
+            self.note_contradiction(told.number, question)
+            return
+        self.ask_soon(self.on_answered(question.asked.at, verdict))
 
     def take_list(self, told: KnownList, question: Question) -> None:
         """Puts a list in force, or counts the answer for or against the one that is."""
         now = question.asked.at + (self.reactor.seconds() - question.left_at) * 1000
-        number = self.number
         found = judged(self.agreement, told.number, told.seats, question.asked.at, now)
         self.counters.add(f"lists_{found.verdict.name.lower()}")
-        if found.verdict is Verdict.CONTRADICTED:
+        if found.verdict is Verdict.OLDER:
             self.note_contradiction(told.number, question)
-        if found.verdict is Verdict.CHANGED:
+        if found.agreement.in_force is not self.agreement.in_force:
             self.put_in_force(found.agreement, question)
         self.agreement = found.agreement
         if found.verdict is Verdict.CONFIRMED:
             self.on_confirmed()
-        settling = False
-        if found.verdict is not Verdict.CONTRADICTED:
-            settling = self.on_answered(question.asked.at, self.number > number)
-        self.ask_soon(settling or found.ask_again)
+        is_missed = found.is_settled and self.on_answered(question.asked.at, found.verdict)
+        self.ask_soon(is_missed or found.ask_again)
 
     def ask_soon(self, wanted: bool) -> None:
         """One more answer settles something: the next question does not wait for its usual time."""
--- a/spurdeal/rules.py
+++ b/spurdeal/rules.py
@@ -25,6 +25,7 @@
     Link,
     Listed,
     Reach,
+    Verdict,
     Word,
 )
 from .list_freshness import ListFreshness
@@ -202,13 +203,13 @@
 
     def list_asked(self, now: float) -> float:
         self.freshness.asked(now)
-        return self.freshness.repeat_after(now)
+        return self.freshness.repeat_after(self.chance.draw())
 
     def list_moved(self) -> None:
         self.freshness.moved()
 
-    def list_answered(self, now: float, asked_at: float, newer: bool) -> bool:
-        self.freshness.answered(now, asked_at, newer)
+    def list_answered(self, now: float, asked_at: float, verdict: Verdict) -> bool:
+        self.freshness.answered(now, asked_at, verdict)
         return self.freshness.is_settling()
 
     # Submissions on their way out: the stages.
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -23,6 +23,7 @@
 
 BASE = 1_790_000_000_000.0
 AGREED = 60.0  # ms until the name service has told a list a second time
+RETURNED = 1700.0  # ms until an engine that had drained gets requests again
 SETTLED = 600.0  # ms until it has told a list so often that questions without an answer no longer matter
 QUIET = socket.socket(type=socket.SOCK_DGRAM)  # nothing ever comes on it
 SETTINGS: dict[str, Any] = {
--- /dev/null
+++ b/tests/test_review_findings.py
@@ -0,0 +1,271 @@
+"""Orders of answers found in review after which the list is followed, or not, against what was told."""
+
+import unittest
+from unittest.mock import patch
+
+from spurdeal.interface import Life, Verdict
+from spurdeal.lab import names
+from spurdeal.list_agreement import RENUMBERED_AFTER, Agreement, judged, same_use
+from spurdeal.list_freshness import ROW, TOLD_WITHIN, ListFreshness
+from spurdeal.net.engine_list import Seat
+from tests.helpers import World
+
+GRACE, SLACK = 250.0, 50.0  # ms, as the settings and the protocol page have them
+NAMES_AT = ("127.0.8.9", 5300)
+Record = tuple[str, str, int, str]
+
+
+def record(place: int, draining: bool = False) -> Record:
+    """One engine of an answer."""
+    return (f"s-{place}.east.hosts", f"127.0.9.{place}:7001", int(draining), "kind=std cell=0 started=0")
+
+
+ALL_READY = (record(0), record(1))
+ONE_DRAINS = (record(0), record(1, draining=True))
+
+
+class Answered(unittest.TestCase):
+    """A dispatcher with two engines whose questions are answered by hand."""
+
+    def setUp(self) -> None:
+        self.world = World(self, engines=2)
+        self.world.names_silent = True
+        self.told(1, ALL_READY, *range(len(self.world.names)))
+        self.world.go(400)
+        self.told(1, ALL_READY, -1)
+
+    def told(self, serial: int, records: tuple[Record, ...], *questions: int) -> None:
+        """Each of these questions is answered now."""
+        for place in questions:
+            answer = names.answer(self.world.names[place], serial, *records)
+            self.world.service.names.datagramReceived(answer, NAMES_AT)
+        self.world.go()
+
+    def next_question(self) -> float:
+        """Waits for one; when it left."""
+        asked = len(self.world.names)
+        while len(self.world.names) == asked:
+            self.world.go(5)
+        return self.world.now()
+
+    def settle(self) -> None:
+        """The name service answers each question at once, until the list is followed."""
+        for _ in range(2 * ROW):
+            self.next_question()
+            self.told(1, ALL_READY, -1)
+        self.assertTrue(self.followed())
+
+    def followed(self) -> bool:
+        """Whether requests may be sent by the list."""
+        return self.world.service.link.rules.freshness.followed(self.world.now())
+
+    def may_get(self, place: int) -> bool:
+        """Whether an attempt at that engine may begin now."""
+        seat = self.world.service.link.seats.get(f"s-{place}")
+        return self.followed() and seat is not None and seat.life == Life.READY
+
+    def check_never_sent(
+        self, place: int, sent: float, until: float, serial: int, lag: tuple[Record, ...]
+    ) -> None:
+        """From the end of the grace on, that engine gets nothing, while each answer tells an older list."""
+        asked = len(self.world.names)
+        while self.world.now() < until:
+            self.world.go(5)
+            if len(self.world.names) > asked:
+                asked = len(self.world.names)
+                self.told(serial, lag, -1)
+            if self.world.now() > sent + GRACE + SLACK:
+                self.assertFalse(self.may_get(place), f"{self.world.now() - sent:.0f} ms after it was told")
+
+
+class Lost(Answered):
+    """The answer that told a drain was lost; those behind it come from a replica that lags."""
+
+    def test_a_list_that_is_newer_but_older_than_the_lost_one_settles_no_question(self) -> None:
+        self.settle()
+        sent = self.next_question()  # answered with 3, in which s-1 drains: lost
+        self.next_question()
+        self.told(2, ALL_READY, -1)  # newer than 1, and older than what was sent
+        self.check_never_sent(1, sent, sent + TOLD_WITHIN, 2, ALL_READY)
+
+    def test_a_number_that_is_too_high_settles_no_question(self) -> None:
+        self.settle()
+        sent = self.next_question()  # answered with 2, in which s-1 drains: lost
+        self.next_question()
+        self.told(1000, ALL_READY, -1)
+        while self.world.now() < sent + TOLD_WITHIN:  # nothing more arrives
+            self.world.go(5)
+            if self.world.now() > sent + GRACE + SLACK:
+                self.assertFalse(self.may_get(1), f"{self.world.now() - sent:.0f} ms after it was told")
+
+    def test_lagging_answers_in_a_row_settle_no_question_while_a_replica_may_lag(self) -> None:
+        self.settle()
+        sent = self.next_question()  # answered with 2, in which s-1 drains: lost
+        self.check_never_sent(1, sent, sent + TOLD_WITHIN, 1, ALL_READY)
+
+
+class Stalled(Answered):
+    """The process loses its core while a question is handed to the system."""
+
+    def test_a_question_counts_from_before_it_was_handed_over(self) -> None:
+        self.settle()
+        stall, write, sent = 0.2, self.world.write, list[float]()
+
+        def slow_write(datagram: bytes, address: object) -> None:
+            write(datagram, address)
+            sent.append(self.world.now())
+            if len(sent) == 1:
+                self.world.reactor.rightNow += stall
+
+        with patch.object(World, "sendto", staticmethod(slow_write)):
+            self.next_question()  # answered at once with 2, in which s-1 drains: lost, as what follows
+            while self.world.now() < sent[0] + TOLD_WITHIN:
+                if self.world.now() > sent[0] + GRACE + SLACK:
+                    self.assertFalse(
+                        self.may_get(1), f"{self.world.now() - sent[0]:.0f} ms after it was told"
+                    )
+                self.world.go(5)
+
+
+class Comparing(Answered):
+    """What each answer costs."""
+
+    def test_a_list_that_stays_the_same_is_compared_once(self) -> None:
+        self.settle()
+        with patch("spurdeal.list_agreement.same_use", side_effect=same_use) as compared:
+            for _ in range(10):
+                self.next_question()
+                self.told(1, ALL_READY, -1)
+        self.assertLessEqual(compared.call_count, len(ALL_READY))
+
+
+class Overtaken(Answered):
+    """A drain arrives in an answer that a later question's answer has overtaken."""
+
+    def test_a_drain_that_has_arrived_is_in_force_though_a_number_was_too_high(self) -> None:
+        self.settle()
+        sent = self.next_question()
+        self.next_question()
+        self.told(1000, ALL_READY, -1)
+        self.told(2, ONE_DRAINS, -2)
+        while self.world.now() < sent + TOLD_WITHIN:  # nothing more arrives
+            self.world.go(5)
+            if self.world.now() > sent + GRACE + SLACK:
+                self.assertFalse(self.may_get(1), f"{self.world.now() - sent:.0f} ms after it was told")
+
+
+class InAFleet(Answered):
+    """Peers tell lists too."""
+
+    def test_a_number_that_is_too_high_hides_no_drain(self) -> None:
+        self.world.service.names.numbers_shared = True
+        self.settle()
+        self.next_question()
+        self.told(1000, ALL_READY, -1)
+        sent = self.next_question()
+        self.told(2, ONE_DRAINS, -1)
+        self.check_never_sent(1, sent, sent + 2 * TOLD_WITHIN, 2, ONE_DRAINS)
+
+
+class Slow(Answered):
+    """Each answer takes its time."""
+
+    def followed_part(self, takes: float) -> float:
+        """In which part of the looks the list was followed, from 2 s on."""
+        self.settle()
+        due, seen, looks = list[tuple[float, int]](), len(self.world.names), list[bool]()
+        began = self.world.now()
+        while self.world.now() < began + 20_000.0:
+            self.world.go(5)
+            for place in range(seen, len(self.world.names)):
+                due.append((self.world.now() + takes, place))
+            seen = len(self.world.names)
+            while due and due[0][0] <= self.world.now():
+                self.told(1, ALL_READY, due.pop(0)[1])
+            if self.world.now() > began + 2000.0:
+                looks.append(self.followed())
+        return sum(looks) / len(looks)
+
+    def test_a_list_whose_answers_all_come_within_the_grace_is_followed_most_of_the_time(self) -> None:
+        """What an answer holds is in force 200 ms after it was sent at the latest: nothing is late."""
+        self.assertGreater(self.followed_part(200.0), 0.5)
+
+    def test_a_list_whose_answers_all_take_700_ms_is_followed_at_times(self) -> None:
+        self.assertGreater(self.followed_part(700.0), 0.0)
+
+
+class Starting(unittest.TestCase):
+    def test_a_list_of_the_start_that_is_a_second_old_is_not_followed_when_what_it_lacks_was_told(
+        self,
+    ) -> None:
+        """An engine drains right behind the list; it is read 1 s later, and a question leaves 0.9 s later."""
+        freshness = ListFreshness(GRACE)
+        drained = 0.0
+        read = drained + 1000.0
+        freshness.known(read)
+        freshness.asked(read + 900.0)
+        for passed in range(900, 2000, 5):
+            if read + passed > drained + TOLD_WITHIN + GRACE + SLACK:
+                self.assertFalse(freshness.followed(read + passed), passed)
+
+
+def seat(ident: str, life: Life = Life.READY, started: float = 0.0) -> Seat:
+    """One engine."""
+    return Seat(ident, "127.0.9.1", 7001, "east", "std", 0, life, 1.0, started)
+
+
+class Agreeing(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.agreement = Agreement.of(5, {"a": seat("a"), "b": seat("b")})
+
+    def answer(self, number: int, *seats: Seat) -> Verdict:
+        """One answer, 40 ms behind the last."""
+        self.now += 40.0
+        listed = {each.ident: each for each in seats}
+        found = judged(self.agreement, number, listed, self.now - 1.0, self.now)
+        self.agreement, self.is_settled = found.agreement, found.is_settled
+        return found.verdict
+
+    def life(self, ident: str) -> Life | None:
+        """The state of an engine in force."""
+        return self.agreement.in_force[ident].life if ident in self.agreement.in_force else None
+
+    def test_a_change_during_the_hold_after_a_renumbering_releases_nothing_early(self) -> None:
+        drains = seat("b", Life.DRAINING)
+        self.answer(10, seat("a"), drains)
+        told = self.now
+        for _ in range(RENUMBERED_AFTER):  # from a replica that lags
+            self.answer(7, seat("a"), seat("b"))
+        while self.now < told + TOLD_WITHIN:  # it goes on, and still lags
+            self.answer(8, seat("a"), seat("b"), seat("c"))
+            self.assertEqual(self.life("b"), Life.DRAINING, f"{self.now - told:.0f} ms after it was told")
+
+    def test_two_old_lists_with_a_number_that_is_too_high_take_no_drain_back(self) -> None:
+        self.answer(10, seat("a"), seat("b", Life.DRAINING))
+        for _ in range(2):  # from before a restart
+            self.answer(41, seat("a"), seat("b"))
+        self.assertEqual(self.life("b"), Life.DRAINING)
+
+    def test_an_engine_that_was_told_again_gets_requests_though_another_has_joined_meanwhile(self) -> None:
+        joined = [seat("a"), seat("b")]
+        for number in range(6, 56):  # 2 s
+            joined.append(seat(f"n{number}"))
+            self.answer(number, *joined)
+        self.assertEqual(self.life("n6"), Life.READY)
+
+    def test_two_numberings_in_turn_with_the_same_list_leave_it_followed(self) -> None:
+        freshness, followed = ListFreshness(GRACE), False
+        freshness.known(0.0)
+        for number in range(250):  # 10 s
+            asked = self.now + 39.0
+            freshness.asked(asked)
+            verdict = self.answer(5 if number % 2 else 3, seat("a"), seat("b"))
+            if self.is_settled:
+                freshness.answered(self.now, asked, verdict)
+            followed = freshness.followed(self.now)
+        self.assertTrue(followed)
+
+
+if __name__ == "__main__":
+    unittest.main()
