Another source port is asked from where the name service's answers stay away

Cause: discovery asked from one socket, one source port, for a whole life. Where nothing came back to that port any more (a lost entry of an address translation or a connection tracking table, a silent watch), it was asked on from the same port for ever, and no request went out, as questions stayed without their answers.

Change: behind 0.3 s and three questions without a usable answer (net/port_renewal.py), the next question leaves from another socket; again after 0.6, 1.2, 2.4, 4.8 and then each 5 s. The sockets before are read on for 7 s (net/earlier_port.py), also by the look each 0.25 s, and answers there count as before. Four are open at most: a further one waits for room, which the oldest makes at once where an answer has come since. No question is closed by a renewal.

--- a/spurdeal/net/descriptors.py
+++ b/spurdeal/net/descriptors.py
@@ -9,9 +9,10 @@
 OPEN_DESCRIPTORS = "/proc/self/fd"
 TYPICAL_HELD = 6  # standard streams, the event loop's epoll and its wake-up pipe
 OPENED_AT_START = 3  # listener, name service, and the one that Twisted's accept keeps in reserve
+OPENED_FOR_NAMES = 3  # further sockets to the name service, while it is silent
 OPENED_LATER = (
-    OPENED_AT_START + 5
-)  # the configuration read again, a listing of the descriptors; three to spare
+    OPENED_AT_START + OPENED_FOR_NAMES + 2
+)  # the configuration read again, a listing of the descriptors
 OWN_MOST_PART = 1 / 4  # a limit so low that this binds leaves nothing to spare
 CLIENTS_PART = 1 / 2
 CLIENTS_LEAST_PART = 1 / 3  # what the protocol lets clients hold
--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -70,6 +70,7 @@
         on_confirmed: Called with each answer that tells the list in force.
         on_unchanged: Takes each answer without news, where somebody compares them.
         on_closed: Called when its socket has ended, by a failure of the system's.
+        before_asking: Called before each question; may give it another transport to leave by.
         on_asked: Called with each question that has left; decides when it is repeated.
         on_answered: Called once the list of an answer is in force, with the time at which its question left,
             and whether that list is newer; tells whether the next question is to leave soon.
@@ -100,6 +101,7 @@
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_unchanged: Callable[[dict[str, Seat]], None] | None = None
         self.on_closed: Callable[[], None] = lambda: None
+        self.before_asking: Callable[[], None] = lambda: None
         self.on_asked: Callable[[], Asked] = lambda: Asked(0.0, 0.0)
         self.on_answered: Callable[[float, bool], bool] = lambda _at, _newer: False
         self.answered_at = float("-inf")
@@ -133,6 +135,7 @@
         self.question_id = (self.question_id + 1) % IDENTS
         self.next_question = self.reactor.callLater(ASK_EVERY, self.ask)
         self.watch_silence()
+        self.before_asking()
         try:
             # Not by the transport's own write, which passes over some errors in silence.
             question = dns.question(self.question_id, SERVICE, dns.SRV)
--- a/spurdeal/net/service.py
+++ b/spurdeal/net/service.py
@@ -101,7 +101,7 @@
 
     def held_elsewhere(self) -> int:
         """How many descriptors are held for other than clients."""
-        return self.process.held + OPENED_AT_START + self.engines.connections
+        return self.process.held + OPENED_AT_START + len(self.discovery.earlier) + self.engines.connections
 
     def bound(self, configuration: Configuration) -> None:
         """All that follows from the limits of a configuration."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -161,6 +161,9 @@
     def doRead(self) -> None:
         pass
 
+    def stopListening(self) -> None:
+        self.connected = False
+
 
 class Port:
     """The door: `waiting` makes those who wait there come in."""
--- /dev/null
+++ b/tests/test_port_renewal.py
@@ -0,0 +1,196 @@
+"""Nothing comes back to the port that the name service is asked from: another one is asked from."""
+
+import socket
+import struct
+import subprocess
+import time
+import unittest
+from itertools import pairwise
+from pathlib import Path
+
+from spurdeal.lab import names
+from spurdeal.net.port_renewal import MISSED_LEAST, RENEW_AFTER, RENEW_MOST, PortRenewal
+from tests.processes import Addresses, counters_at_exit
+from tests.scripted_names import Answering, ScriptedNameService, Step
+from tests.test_answer_orders import AT_REST, DRAIN, GRACE, SLACK, ScriptedCase, silence
+from tests.test_discovery_faults import FaultyCase
+
+FLOWS_AGAIN = 1.0  # seconds after the first port is lost
+OUTAGE = 9.0  # seconds: longer than an earlier port is read
+EARLIER_READ = 7.0  # seconds
+PORTS_MOST = 4  # open at a time
+OPENED_MOST = 6  # in such an outage, with the one of the start
+LOOK_EACH = 0.1  # seconds
+FOREVER = 60.0  # seconds
+
+
+class PortNameService(ScriptedNameService):
+    """One whose script holds for the first port that asked it only; what others get is set apart.
+
+    Attributes:
+        ports: The source ports that have asked, in their order.
+        others: What happens to answers to ports but the first.
+    """
+
+    def __init__(self, host: str, port: int, seats: list[names.Seat]) -> None:
+        self.ports = list[int]()
+        self.others = Step(Answering.SENT)
+        super().__init__(host, port, seats)
+
+    def carry_out(self, step: Step, question: bytes, asker: tuple[str, int]) -> None:
+        """One answer."""
+        if asker[1] not in self.ports:
+            self.ports.append(asker[1])
+        super().carry_out(step if asker[1] == self.ports[0] else self.others, question, asker)
+
+
+class Silence:
+    """A name service that has answered last at that time."""
+
+    def __init__(self) -> None:
+        self.now = self.heard_or_began = 0.0
+        self.missed = 0
+
+    def unheard(self) -> float:
+        return self.now - self.heard_or_began
+
+
+class Distances(unittest.TestCase):
+    """When another port is due."""
+
+    def renewals(self, seconds: float, silence: Silence) -> list[float]:
+        """When ports are renewed, where a question is asked each 0.1 s, to the tenth of a second."""
+        renewal, found = PortRenewal(silence), list[float]()
+        for tenth in range(round(seconds * 10)):
+            silence.now = tenth / 10
+            silence.missed += 1
+            if renewal.is_due():
+                renewal.renewed()
+                found.append(silence.now)
+        return found
+
+    def test_distances_double_up_to_a_limit(self) -> None:
+        renewals = self.renewals(60.0, Silence())
+        distances = [after - before for before, after in pairwise(renewals)]
+        self.assertAlmostEqual(renewals[0], RENEW_AFTER)
+        for distance, expected in zip(distances, (0.6, 1.2, 2.4, 4.8, *[RENEW_MOST] * 10), strict=True):
+            self.assertAlmostEqual(distance, expected, delta=0.11)
+
+    def test_an_answer_begins_anew(self) -> None:
+        silence = Silence()
+        renewal = PortRenewal(silence)
+        for now in (0.4, 1.1, 2.5):
+            silence.now, silence.missed = now, MISSED_LEAST
+            self.assertTrue(renewal.is_due())
+            renewal.renewed()
+        silence.heard_or_began = 3.0
+        silence.now = 3.0 + RENEW_AFTER - 0.01
+        self.assertFalse(renewal.is_due())
+        silence.now = 3.0 + RENEW_AFTER + 0.01
+        self.assertTrue(renewal.is_due())
+
+    def test_a_process_that_stood_still_keeps_its_port(self) -> None:
+        silence = Silence()
+        renewal = PortRenewal(silence)
+        silence.now, silence.missed = 5.0, MISSED_LEAST - 1
+        self.assertFalse(renewal.is_due())
+        silence.missed = MISSED_LEAST
+        self.assertTrue(renewal.is_due())
+
+
+class LostPorts(ScriptedCase):
+    """The first port gets no answers from some time on; the process, its sides and sockets are real."""
+
+    addresses = Addresses.in_subnet(71)
+    name_service = PortNameService
+    names: PortNameService
+
+    def ended(self, child: subprocess.Popen[str]) -> str:
+        """What the dispatcher has logged until its planned end."""
+        return FaultyCase.ended(self, child)  # type: ignore[arg-type]
+
+    def at_rest(self) -> subprocess.Popen[str]:
+        """A dispatcher whose first port gets its answers."""
+        child = self.dispatcher()
+        time.sleep(AT_REST)
+        self.assertEqual(len(self.names.ports), 1)
+        return child
+
+    def arrived(self, since: float) -> int:
+        """How many requests have come to the servers."""
+        return sum(len(server.since(since)) for server in self.servers)
+
+    def sockets(self, child: subprocess.Popen[str]) -> int:
+        """How many datagram sockets the dispatcher has open."""
+        (address,) = struct.unpack("=I", socket.inet_aton(self.addresses.dispatcher))
+        rows = Path(f"/proc/{child.pid}/net/udp").read_text().splitlines()[1:]
+        return sum(row.split()[1].startswith(f"{address:08X}:") for row in rows)
+
+    def test_requests_flow_again_from_another_port(self) -> None:
+        child = self.at_rest()
+        lost_at = time.monotonic()
+        self.names.play(silence(FOREVER))
+        self.ask_for(FLOWS_AGAIN)
+        flowing_from = time.monotonic()
+        answers = [self.ask() for _ in range(20)]
+        self.ask_for(0.3)
+        self.assertGreaterEqual(self.arrived(flowing_from), len(answers), f"{flowing_from - lost_at:.2f} s")
+        self.assertEqual([answer.result() for answer in answers], [200] * len(answers))
+        counters = counters_at_exit(self.ended(child))
+        self.assertEqual(counters["names_ports_renewed"], 1)
+
+    def check_drain(self, *script: Step) -> None:
+        """A drain is told while the first port gets no answers: nothing is late, and requests flow again."""
+        self.at_rest()
+        self.names.play(*script, silence(FOREVER))
+        told = self.told(self.names)
+        self.ask_for(told + FLOWS_AGAIN - time.monotonic())
+        flowing_from = time.monotonic()
+        self.ask_for(1.0)
+        self.assert_none_late(told)
+        self.assertGreater(len(self.servers[1].since(flowing_from)), 20)
+
+    def test_a_drain_told_to_the_lost_port(self) -> None:
+        self.check_drain(DRAIN, Step(Answering.LOST))
+
+    def test_a_drain_told_to_the_lost_port_again_and_again(self) -> None:
+        self.check_drain(DRAIN, Step(Answering.LOST, times=20))
+
+    def test_a_drain_told_some_time_after_the_port_was_lost(self) -> None:
+        self.check_drain(silence(0.2), DRAIN)
+
+    def test_an_answer_to_an_earlier_port_is_taken(self) -> None:
+        child = self.at_rest()
+        self.names.others = silence(FOREVER)
+        self.names.play(DRAIN, Step(Answering.SENT, delay=1.5), silence(FOREVER))
+        told = self.told(self.names)
+        self.ask_for(told + 2.0 - time.monotonic())
+        self.assertGreaterEqual(len(self.names.ports), 3)
+        self.assert_none_late(told)
+        said = self.ended(child)
+        self.assertIn("server=s-0 before=ready after=draining", said)
+
+    def test_sockets_in_a_long_outage(self) -> None:
+        child = self.at_rest()
+        self.names.others = silence(FOREVER)
+        self.names.play(silence(FOREVER))
+        open_sockets = list[int]()
+        until = time.monotonic() + OUTAGE
+        while time.monotonic() < until:
+            open_sockets.append(self.sockets(child))
+            time.sleep(LOOK_EACH)
+        self.assertEqual(max(open_sockets), PORTS_MOST)
+        self.names.others = Step(Answering.SENT)
+        self.ask_for(FLOWS_AGAIN)
+        flowing_from = time.monotonic()
+        self.ask_for(0.5)
+        self.assertGreater(self.arrived(flowing_from), 20)
+        time.sleep(EARLIER_READ + GRACE + SLACK)
+        self.assertEqual(self.sockets(child), 1)
+        counters = counters_at_exit(self.ended(child))
+        self.assertLessEqual(counters["names_sockets_opened"], OPENED_MOST)
+        self.assertNotIn("names_socket_ended", counters)
+
+
+if __name__ == "__main__":
+    unittest.main()
