No half of a source port that could not be opened is kept

Cause: a renewal that failed behind the protocol's start left the port and its protocol to the garbage collector, each holding the other, and the descriptor open until then.

Change: the first socket and a renewal share `note_not_opened`, which ends what had begun.

--- a/spurdeal/net/discovery_socket.py
+++ b/spurdeal/net/discovery_socket.py
@@ -69,17 +69,17 @@
         self.counters.add("names_sockets_opened")
         return port
 
-    def note_not_opened(self, fault: Exception) -> None:
-        """Count and log it."""
+    def note_not_opened(self, fault: Exception, protocol: DatagramProtocol) -> None:
+        """Count and log it; neither its descriptor nor a half of it is kept."""
         self.counters.add("names_socket_not_opened")
         why = fault.socketError if isinstance(fault, CannotListenError) else fault
         self.log.warning("names_socket_not_opened", extra={"figures": {"why": str(why)}})
+        if protocol.transport is not None:  # it failed behind the protocol's start
+            cast(Any, protocol).doStop()
 
     def not_opened(self, fault: Exception) -> None:
-        """Neither its descriptor nor a half of it is kept."""
-        self.note_not_opened(fault)
-        if self.names.transport is not None:  # it failed behind the protocol's start
-            cast(Any, self.names).doStop()
+        """It is tried again soon."""
+        self.note_not_opened(fault, self.names)
         self.open_later()
 
     def ended(self) -> None:
@@ -119,7 +119,7 @@
         try:
             opened = self.opened(earlier)
         except (CannotListenError, OSError) as fault:
-            self.note_not_opened(fault)
+            self.note_not_opened(fault, earlier)
             return
         earlier.exchange(self.port, opened, self.reactor.seconds())
         earlier.on_ended = self.earlier_ended
--- a/tests/test_port_renewal.py
+++ b/tests/test_port_renewal.py
@@ -1,5 +1,6 @@
 """Nothing comes back to the port that the name service is asked from: another one is asked from."""
 
+import errno
 import socket
 import struct
 import subprocess
@@ -7,9 +8,11 @@
 import unittest
 from itertools import pairwise
 from pathlib import Path
+from typing import Any
 
 from spurdeal.lab import names
 from spurdeal.net.port_renewal import MISSED_LEAST, RENEW_AFTER, RENEW_MOST, PortRenewal
+from tests.helpers import Caller, World
 from tests.processes import Addresses, counters_at_exit
 from tests.scripted_names import Answering, ScriptedNameService, Step
 from tests.test_answer_orders import AT_REST, DRAIN, GRACE, SLACK, ScriptedCase, silence
@@ -98,6 +101,45 @@
         self.assertTrue(renewal.is_due())
 
 
+class FailedRenewals(unittest.TestCase):
+    """Another port cannot be opened: the same is asked from, and another is tried later."""
+
+    def check(self, behind: bool) -> None:
+        """The system fails before the socket is the protocol's, or behind that."""
+        world, failures = World(self), list[object]()
+        real, asked = world.reactor.listenUDP, world.count("names_asked")
+        world.names_silent = True
+
+        def listen(port: int, protocol: Any, **more: Any) -> Any:
+            if behind:
+                protocol.makeConnection(world)
+            failures.append(protocol)
+            raise OSError(errno.ENOBUFS, "by the test")
+
+        world.reactor.listenUDP = listen
+        world.go(2000)
+        self.assertEqual(len(failures), 2)
+        self.assertTrue(all(failed.transport is None for failed in failures))  # type: ignore[attr-defined]
+        self.assertEqual(world.count("names_socket_not_opened"), 2)
+        self.assertGreater(world.count("names_asked"), asked + 9)
+        self.assertEqual(world.count("names_ports_renewed"), 0)
+        self.assertEqual(world.service.names.numPorts, 1)
+        world.reactor.listenUDP = real
+        world.go(1000)
+        self.assertEqual(world.count("names_ports_renewed"), 1)
+        Caller(world).post(1)
+        self.assertEqual(world.reactor.tcpClients, [])
+        world.names_silent = False
+        world.go(600)
+        self.assertEqual(len(world.reactor.tcpClients), 1)
+
+    def test_before_the_protocol_has_started(self) -> None:
+        self.check(behind=False)
+
+    def test_behind_that(self) -> None:
+        self.check(behind=True)
+
+
 class LostPorts(ScriptedCase):
     """The first port gets no answers from some time on; the process, its sides and sockets are real."""
 
