--- a/spurdeal/net/names.py
+++ b/spurdeal/net/names.py
@@ -72,6 +72,7 @@
         on_confirmed: Called with each answer that tells the list in force.
         on_unchanged: Takes each answer without news, where somebody compares them.
         on_closed: Called when its socket has ended, by a failure of the system's.
+        before_asking: Called before each question; may give it another transport to leave by.
         on_asked: Called with each question that has left, so many seconds ago; decides when it is repeated.
         on_answered: Called once the list of an answer is in force, with the time at which its question left,
             and what it told; tells whether the next question is to leave soon.
@@ -102,6 +103,7 @@
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_unchanged: Callable[[dict[str, Seat]], None] | None = None
         self.on_closed: Callable[[], None] = lambda: None
+        self.before_asking: Callable[[], None] = lambda: None
         self.on_asked: Callable[[float], Asked] = lambda _: Asked(0.0, 0.0)
         self.on_answered: Callable[[float, Verdict], bool] = lambda _at, _verdict: False
         self.answered_at = float("-inf")
@@ -135,6 +137,7 @@
         self.question_id = (self.question_id + 1) % IDENTS
         self.next_question = self.reactor.callLater(ASK_EVERY, self.ask)
         self.watch_silence()
+        self.before_asking()
         try:
             # Not by the transport's own write, which passes over some errors in silence.
             question = dns.question(self.question_id, SERVICE, dns.SRV)
