--- a/tests/test_answer_orders.py
+++ b/tests/test_answer_orders.py
@@ -17,6 +17,7 @@
 ASK_EACH = 0.01  # seconds
 TOLD_WITHIN = 30.0  # seconds in which a script comes to its drain
 OUTAGE = 3.2  # seconds
+LONG_OUTAGE = 7.0  # seconds; leaves 35 questions open, of which a wrong id may match one
 AT_REST = 0.5  # seconds of usual answers before a script
 DRAIN, LOST, SENT = Step(Answering.DRAIN), Step(Answering.LOST), Step(Answering.SENT)
 NEVER_MATCHED = range(0x38, 0x68)  # of an id's low 7 bits: a wrong bit leads from there to later questions
@@ -185,7 +186,7 @@
 
     def check_behind_wrong_id(self, *script: Step) -> None:
         """An outage, a wrong id some seconds later, and then the drain."""
-        self.check(silence(OUTAGE), Step(Answering.OPEN_ID), DRAIN, *script, seconds=3.0)
+        self.check(silence(LONG_OUTAGE), Step(Answering.OPEN_ID), DRAIN, *script, seconds=3.0)
 
     def test_lost_answers_behind_a_wrong_id(self) -> None:
         self.check_behind_wrong_id(LOST._replace(times=8))
