Review case 3: a spoilt answer without its number of pages is served as a whole result

Cause, as far as known: engine_answers.number_of_pages() takes a 200 without the field parts for one page. Nothing is fixed.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -50,9 +50,13 @@
         self.file.flush()
 
 
-def free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
+def free_port(host: str, kind: int = socket.SOCK_STREAM, wanted: int = 0) -> int:
+    """A free port of a host; 0 if the wanted one is not free."""
     with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((host, 0))
+        try:
+            probe.bind((host, wanted))
+        except OSError:
+            return 0
         return int(probe.getsockname()[1])
 
 
@@ -119,13 +123,14 @@
 
 
 class Node:
-    """A compute node that runs each request for `work_ms` and answers it with one row."""
+    """A compute node that runs each request for `work_ms` and answers it with the pages that it makes."""
 
     def __init__(self, ident: str, host: str, work_ms: float, record: Record, kind: str, zone: str) -> None:
         self.ident, self.host, self.work_ms, self.record = ident, host, work_ms, record
         self.kind, self.zone, self.port = kind, zone, 0
         self.runs: list[tuple[str, str]] = []  # (id, class) of each request that ran here
         self.tasks: set[asyncio.Task[None]] = set()
+        self.results: dict[bytes, list[bytes]] = {}  # by id, the pages of each request that ran here
 
     async def open(self) -> None:
         self.server = await asyncio.start_server(self.connected, self.host, 0, limit=1 << 20)
@@ -156,6 +161,9 @@
                 elif word == b"cancel" and rest[0] in running:
                     self.record("cancelled", node=self.ident, id=rest[0].decode())
                     running.pop(rest[0]).cancel()
+                elif word == b"read":
+                    page = self.results[rest[0]][int(rest[1])]
+                    writer.write(resp(rest[0], b"chunk", b"part_no=%b" % rest[1], page))
                 elif word in (b"health", b"gauges"):
                     writer.write(resp(rest[0], b"alive", b"-", b""))
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -171,7 +179,17 @@
         self.record("begun", node=self.ident, id=ident.decode(), fields=fields.decode())
         await asyncio.sleep(self.work_ms / 1000)
         self.record("ran", node=self.ident, id=ident.decode())
-        writer.write(resp(ident, b"200", b"parts=1", b"%b\t1\tx\n" % ident))
+        await self.answer(ident, writer)
+
+    async def answer(self, ident: bytes, writer: asyncio.StreamWriter) -> None:
+        pages = self.results[ident] = self.pages_of(ident)
+        writer.write(resp(ident, b"200", self.fields_of(ident, len(pages)), pages[0]))
+
+    def pages_of(self, ident: bytes) -> list[bytes]:
+        return [b"%b\t1\tx\n" % ident]
+
+    def fields_of(self, ident: bytes, pages: int) -> bytes:
+        return b"parts=%d" % pages
 
 
 # Clients.
@@ -235,8 +253,9 @@
 class Dispatcher:
     """The program that `run` of the deploy file starts, with a configuration file of its own."""
 
-    def __init__(self, folder: Path, record: Record, host: str) -> None:
-        self.folder, self.record, self.host = folder, record, host
+    def __init__(self, folder: Path, record: Record, host: str, name: str = "n1") -> None:
+        self.folder, self.record, self.host, self.name = folder, record, host, name
+        self.arguments = ""
         self.port = free_port(host)
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -245,7 +264,7 @@
     ) -> None:
         known = {"generation": 1, "reset": True, "instances": [node.listed() for node in nodes]}
         configuration = {
-            "name": "n1",
+            "name": self.name,
             "listen": f"{self.host}:{self.port}",
             "seed": secrets.token_hex(8),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **limits},
@@ -255,20 +274,30 @@
         }
         (self.folder / "config.json").write_text(json.dumps(configuration))
 
+    def install(self, text: str) -> None:
+        """Give it an operator's file; that needs the extras of requirements-all.txt."""
+        file = self.folder / "installation.yaml"
+        file.write_text(text)
+        self.arguments = f" run --settings {file}"
+
     async def start(self) -> None:
         """Start it, and wait for its first 200 to GET /alive, 30 s at most."""
         environment = {
             **os.environ,
             "ROUTER_CONFIG": str(self.folder / "config.json"),
-            "ROUTER_NAME": "n1",
+            "ROUTER_NAME": self.name,
             "ROUTER_LISTEN": f"{self.host}:{self.port}",
             "TMPDIR": str(self.folder),
         }
-        log = (self.folder / "dispatcher.log").open("wb")
+        log = (self.folder / "dispatcher.log").open("ab")
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", command("run")], cwd=ROOT, env=environment, stdout=log, stderr=log
+            ["/bin/sh", "-c", command("run") + self.arguments],
+            cwd=ROOT,
+            env=environment,
+            stdout=log,
+            stderr=log,
         )
-        self.record("dispatcher_started")
+        self.record("dispatcher_started", name=self.name)
         until = time.monotonic() + 30
         while time.monotonic() < until and self.process.poll() is None:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -277,7 +306,7 @@
                 status, _, _ = await asyncio.wait_for(read_answer(reader), 5)
                 writer.close()
                 if status == 200:
-                    self.record("dispatcher_ready")
+                    self.record("dispatcher_ready", name=self.name)
                     return
             await asyncio.sleep(0.05)
         raise CouldNotRun("the dispatcher was not ready within 30 s: " + self.log()[-500:])
