--- a/review/2/case.py
+++ b/review/2/case.py
@@ -80,6 +80,21 @@
     await asyncio.gather(*(one(number) for number in range(AT_ONCE)))
 
 
+async def front(at: Dispatcher, record: Record) -> None:
+    """Ask for GET /alive on new connections, as the front does at a start; only recorded."""
+    while True:
+        began = now_ms()
+        try:
+            reader, writer = await asyncio.open_connection(at.host, at.port)
+            writer.write(b"GET /alive HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 5)
+            writer.close()
+            record("alive", answer=line.decode().strip(), after_ms=f"{now_ms() - began:.0f}")
+        except (TimeoutError, OSError) as fault:
+            record("alive", answer="none", why=type(fault).__name__, after_ms=f"{now_ms() - began:.0f}")
+        await asyncio.sleep(0.5)
+
+
 async def course(folder: Path, record: Record) -> int:
     nodes = [Node(f"s-{number}", "127.0.0.1", 40.0, record, "std-8", "stirling") for number in range(3)]
     for node in nodes:
@@ -96,11 +111,13 @@
         asked = [
             asyncio.create_task(usual_client(n, dispatcher, until, calls, record)) for n in range(CLIENTS)
         ]
+        alive = asyncio.create_task(front(dispatcher, record))
         bad = None
         if TROUBLE:
             await asyncio.sleep(TROUBLE_AT_S)
             bad = asyncio.create_task(bad_client(dispatcher, record))
         await asyncio.gather(*asked)
+        alive.cancel()
         if bad is not None:
             bad.cancel()
         if dispatcher.ended():
@@ -110,6 +127,7 @@
     if not any(call.status == 200 for call in calls):
         raise CouldNotRun("no request was served")
     lost = [call for call in calls if (took := call.took()) is None or took > WAIT_MS + LATE_MS]
+    record("name_service", answered=names.answered)
     record("usual_requests", sent=len(calls), lost=len(lost), longest_ms=max(c.took() or 0 for c in calls))
     return BROKEN if lost else HELD
 
