--- a/review/3/case.py
+++ b/review/3/case.py
@@ -74,6 +74,7 @@
         writer.write(call.message())
         await writer.drain()
         call.sent_at = now_ms()
+        record("sent", client=number, id=call.ident)
         await asyncio.wait_for(take_answer(reader, call, record), WAIT_MS / 1000 + 0.6)
         await asyncio.sleep(PAUSE_S)
     writer.close()
