--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -60,6 +60,15 @@
         return int(probe.getsockname()[1])
 
 
+def common_port(one: str, other: str, kind: int) -> int:
+    """A port that is free at both hosts."""
+    for _ in range(100):
+        port = free_port(one, kind)
+        if free_port(other, kind, port):
+            return port
+    raise CouldNotRun("no free port")
+
+
 # The name service (RFC 1035).
 
 
