--- a/spurdeal/net/statement.py
+++ b/spurdeal/net/statement.py
@@ -1,20 +1,29 @@
-"""Extracts from an SQL statement the group of tables that it uses."""
+"""Extracts from an SQL statement the group of tables that it uses, in time linear in its length."""
+
+from __future__ import annotations
 
 import re
 from collections.abc import Iterator
 
 TOKENS = re.compile(
     r"""
-    (?P<skip>\s+|--[^\n]*|[eE]'(?:[^'\\]|\\.|'')*+'|'(?:[^']|'')*+')
-    |(?P<comment>/\*)|(?P<dollar>\$(?:[^\W\d]\w*)?\$)
+    (?:\s++|--[^\n]*+|[eE]'(?:[^'\\]|\\.|'')*+'|'(?:[^']|'')*+')*+
+    (?:(?P<name>[^\W\d]\w*+)
+    |(?P<comment>/\*)|(?P<dollar>\$(?:[^\W\d]\w*+)?\$)
     |"(?P<quoted>(?:[^"]|"")*+)"|`(?P<ticked>[^`]*+)`
-    |(?P<name>[^\W\d]\w*)
-    |(?P<other>.)""",
+    |(?P<other>.)
+    |\Z)""",
     re.VERBOSE | re.DOTALL,
 )
+NAME, COMMENT, DOLLAR, QUOTED, TICKED, OTHER = range(1, 7)  # the groups of TOKENS
 COMMENT_DELIMITERS = re.compile(r"/\*|\*/")
+STRING_DELIMITERS = "'\"`"
+QUOTE = '"'  # marks a quoted name among the tokens: unterminated quotes are no tokens
+NAME_MARKS = "_" + QUOTE
 GROUP_SCHEMA = re.compile(r".*_(\d{1,9})", re.DOTALL)
+SCHEMA_END = re.compile(r"_\d{1,9}(?!\w)")  # what each schema that GROUP_SCHEMA matches ends with
 TABLE_KEYWORDS = {"from", "join", "into", "update", "table", "copy", "using", "only", "truncate", "merge"}
+LIST_KEYWORDS = {"from", "using", "truncate", "table"}  # may be followed by several tables
 CLAUSE_KEYWORDS = {
     "where",
     "group",
@@ -39,34 +48,150 @@
 NO_GROUP = -1
 
 
-def tokens(text: str) -> Iterator[tuple[str, bool]]:
-    """Yields names and punctuation, each with whether it is a quoted name. Comments may be nested."""
-    position = 0
-    while position < len(text):
-        found = TOKENS.match(text, position)
-        assert found is not None
+def tokens(text: str) -> Iterator[str]:
+    """Yields names and punctuation, without strings and comments. Comments may be nested.
+
+    Unquoted names are in lower case; a quoted one follows a QUOTE, without its own delimiters.
+    """
+    position, match = 0, TOKENS.match
+    while (found := match(text, position)) is not None and (kind := found.lastindex) is not None:
         position = found.end()
-        if found["comment"]:
-            depth = 1
-            while depth and (delimiter := COMMENT_DELIMITERS.search(text, position)):
-                depth, position = depth + (1 if delimiter[0] == "/*" else -1), delimiter.end()
-            if depth:
-                return
-        elif found["dollar"]:
-            closed = text.find(found["dollar"], position)
-            if closed < 0:
+        if kind == OTHER:
+            character = found[OTHER]
+            if character in STRING_DELIMITERS:  # without its end: the rest may all be a string
                 return
-            position = closed + len(found["dollar"])
-        elif found["quoted"] is not None:
-            yield found["quoted"].replace('""', '"'), True
-        elif found["ticked"] is not None:
-            yield found["ticked"], True
-        elif found["name"]:
-            yield found["name"], False
-        elif found["other"]:
-            if found["other"] in "'\"`":  # an unterminated quote: the rest may all be a string
+            yield character
+        elif kind == NAME:
+            yield found[NAME].lower()
+        elif kind == QUOTED:
+            yield QUOTE + found[QUOTED].replace('""', '"')
+        elif kind == TICKED:
+            yield QUOTE + found[TICKED]
+        else:
+            end = closing_end(text, position, found[DOLLAR])
+            if end is None:
                 return
-            yield found["other"], False
+            position = end
+
+
+def closing_end(text: str, position: int, delimiter: str | None) -> int | None:
+    """The end of what was opened before this position: a string with this delimiter, or a comment."""
+    if delimiter is None:
+        return end_of_comment(text, position)
+    closing = text.find(delimiter, position)
+    return None if closing < 0 else closing + len(delimiter)
+
+
+def end_of_comment(text: str, position: int) -> int | None:
+    """The end of the comment whose opening delimiter ends at this position; None if it is not closed."""
+    depth = 1
+    while depth:
+        delimiter = COMMENT_DELIMITERS.search(text, position)
+        if delimiter is None:
+            return None
+        depth += 1 if delimiter[0] == "/*" else -1
+        position = delimiter.end()
+    return position
+
+
+class TokenStream:
+    """The tokens of a statement.
+
+    Attributes:
+        next: The token that is taken next; None at the end.
+        taken: How many were taken, the measure of the work done.
+    """
+
+    def __init__(self, text: str) -> None:
+        self.source = tokens(text)
+        self.next = next(self.source, None)
+        self.taken = 0
+
+    def take(self) -> str | None:
+        """Removes the next token; None at the end."""
+        token, self.next = self.next, next(self.source, None)
+        self.taken += 1
+        return token
+
+    def take_qualified_name(self, first: str) -> list[str]:
+        """Removes what follows the first part of a name, as `.b.c` behind `a`; returns all parts."""
+        parts = [first]
+        while self.next == "." and self.take() and (part := self.take()) is not None:
+            parts.append(part)
+        return parts
+
+
+def group_of_name(parts: list[str]) -> int:
+    """The number at the end of the schema of a qualified name, or NO_GROUP."""
+    if len(parts) < 2:
+        return NO_GROUP
+    schema = parts[-2].removeprefix(QUOTE)
+    found = GROUP_SCHEMA.fullmatch(schema) if schema.lower() != STAGING else None
+    return NO_GROUP if found is None else int(found[1])
+
+
+class GroupFinder:
+    """Reads tokens until the first table with a group.
+
+    Attributes:
+        in_list: By depth of parentheses: whether a comma is followed by another table.
+        in_call: By depth: whether it is a function call, in which FROM is not followed by a table.
+        table_next: Whether a name would be that of a table.
+        fallback: The first group outside of a table position.
+    """
+
+    def __init__(self, stream: TokenStream) -> None:
+        self.stream = stream
+        self.in_list, self.in_call = [False], [False]
+        self.table_next, self.fallback = False, NO_GROUP
+
+    def find(self) -> int:
+        """The group of the first table that has one; if none has, that of another name."""
+        token, previous = self.stream.take(), ""
+        while token is not None:
+            if not (token[0].isalpha() or token[0] in NAME_MARKS):
+                self.read_punctuation(token)
+            elif not self.read_keyword(token, previous):
+                group = group_of_name(self.stream.take_qualified_name(token))
+                if group != NO_GROUP and self.table_next:
+                    return group
+                if self.fallback == NO_GROUP:
+                    self.fallback = group
+                self.table_next = False
+            token, previous = self.stream.take(), token
+        return self.fallback
+
+    def read_keyword(self, word: str, previous: str) -> bool:
+        """Handles a word if it is a keyword; returns whether it is one."""
+        if word == "from" and (self.in_call[-1] or previous == "distinct"):
+            self.table_next = False  # extract(day from a.b), a is distinct from b.c
+        elif word in TABLE_KEYWORDS:
+            self.table_next = True
+            self.in_list[-1] = self.in_list[-1] or word in LIST_KEYWORDS
+        elif word in CLAUSE_KEYWORDS:
+            self.table_next = self.in_list[-1] = False
+        else:
+            return False
+        return True
+
+    def read_punctuation(self, character: str) -> None:
+        """Handles a character of punctuation."""
+        if character == "(":
+            following = self.stream.next
+            self.in_list.append(self.table_next)
+            self.in_call.append(following is not None and following not in QUERY_STARTS)
+        elif character == ")":
+            self.leave_parentheses()
+            self.table_next = False
+        else:
+            self.table_next = character == "," and self.in_list[-1]
+
+    def leave_parentheses(self) -> None:
+        """Handles a closing parenthesis; one that was not opened begins anew."""
+        self.in_list.pop()
+        self.in_call.pop()
+        if not self.in_list:
+            self.in_list, self.in_call = [False], [False]
 
 
 def table_group(statement: bytes) -> int:
@@ -75,43 +200,5 @@
     Returns NO_GROUP without one. The schema `staging` does not count; one outside of a table position
     counts only if no table has one.
     """
-    tokenized = list(tokens(statement.decode("utf-8", "replace")))
-    lists: list[bool] = [False]  # by depth of parentheses: whether a comma is followed by another table
-    # By depth: whether it is a function call, in which FROM is not followed by a table.
-    calls: list[bool] = [False]
-    table, fallback, index, before = False, NO_GROUP, 0, ""
-    while index < len(tokenized):
-        word, quoted = tokenized[index]
-        lower = word if quoted else word.lower()
-        index, before, last = index + 1, lower, before
-        if not quoted and lower == "(":
-            lists.append(table)
-            calls.append(index < len(tokenized) and tokenized[index][0].lower() not in QUERY_STARTS)
-        elif not quoted and lower == ")":
-            lists, calls = lists[:-1] or [False], calls[:-1] or [False]
-            table = False
-        elif not quoted and lower == "from" and (calls[-1] or last == "distinct"):
-            table = False  # extract(day from a.b), a is distinct from b.c
-        elif not quoted and lower == ",":
-            table = lists[-1]
-        elif not quoted and lower in TABLE_KEYWORDS:
-            table = True
-            lists[-1] = lists[-1] or lower in ("from", "using", "truncate", "table")
-        elif not quoted and lower in CLAUSE_KEYWORDS:
-            table = lists[-1] = False
-        elif quoted or word[0].isalpha() or word[0] == "_":
-            parts = [lower]
-            while index + 1 < len(tokenized) and tokenized[index] == (".", False):
-                parts.append(tokenized[index + 1][0])
-                index += 2
-            schema = (
-                GROUP_SCHEMA.fullmatch(parts[-2]) if len(parts) > 1 and parts[-2].lower() != STAGING else None
-            )
-            if schema and table:
-                return int(schema[1])
-            if schema and fallback == NO_GROUP:
-                fallback = int(schema[1])
-            table = False
-        else:
-            table = False
-    return fallback
+    text = statement.decode("utf-8", "replace")
+    return GroupFinder(TokenStream(text)).find() if SCHEMA_END.search(text) else NO_GROUP
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -218,6 +218,9 @@
             ("/* never closed from a_1.b", NO_GROUP),
             ("select * from c_2x.d", NO_GROUP),
             ("select * from c_2", NO_GROUP),
+            ('select f("select" from o_1.d) from c_2.d', 2),  # a quoted keyword is a name
+            ("select a from (((select b from c_2.d)))", 2),
+            (")) select a from c_2.d, (e_4.f", 2),
             ("\xff\0;..,", NO_GROUP),
         ):
             with self.subTest(text):
@@ -226,3 +229,7 @@
     def test_long_malformed_statements_end_soon(self) -> None:
         for text in ("'" * 65535, "$a" * 32000, "/*" * 32000, '"' * 65535, "e'\\" * 20000, "(" * 65000):
             self.assertEqual(table_group(text.encode()), NO_GROUP)
+
+    def test_a_table_behind_deep_parentheses_is_found(self) -> None:
+        text = "(" * 30_000 + ")" * 30_000 + " from c_2.d"
+        self.assertEqual(table_group(text.encode()), 2)
