--- a/spurdeal/net/client.py
+++ b/spurdeal/net/client.py
@@ -19,7 +19,6 @@
 from .http import BadRequest, RequestParser, response
 from .link import Answer, Delivered, Failed, Shed
 from .socket_inspection import may_have_input
-from .statement import table_group
 from .tolerant_socket import wrap_socket
 
 if TYPE_CHECKING:
@@ -302,7 +301,7 @@
             wait - self.arrivals.waited(self.clients.clock()),
             cost,
             memory,
-            table_group(statement),
+            self.clients.groups.group_of(statement),
             statement,
             client_connected=self.is_connected,
             tenant=self.clients.tenants.get(owner),
--- a/spurdeal/net/clients.py
+++ b/spurdeal/net/clients.py
@@ -12,6 +12,7 @@
 from .client import Client
 from .counters import Counters
 from .eviction import MIN_AGE, evict
+from .group_lookup import GroupLookup
 from .link import SocketAdapter
 from .poll_watch import AcceptWatch, Unpolled
 from .socket_inspection import count_waiting_connections, has_waiting_connections
@@ -34,6 +35,7 @@
         accepts: Connections accepted per round of the event loop, and free slots that eviction maintains.
         max_read_ahead: Bytes that a client may pipeline behind its open request.
         workload_names: The workloads' names by index.
+        groups: Finds the groups of tables of statements.
         port: The listening port; None until it is opened.
         other_descriptors: Returns how many descriptors the process holds for other uses.
         fleet: Returns the state of the fleet for GET /fleet; None without a fleet.
@@ -60,6 +62,7 @@
         self.tenants, self.max_slashes = tenants, max(name.count(b"/") for name in workloads)
         self.clock, self.counters, self.log = clock, counters, log
         self.connections: dict[Client, None] = {}
+        self.groups = GroupLookup(clock, counters)
         self.port: Any = None
         self.accept_limit_call: Any = None  # the delayed call
         self.other_descriptors: Callable[[], int] = lambda: 0
--- a/spurdeal/net/link.py
+++ b/spurdeal/net/link.py
@@ -102,7 +102,7 @@
             wait: For how many ms the client still waits for the answer.
             cost: The client's estimate of the work; 0 if it gave none.
             memory: The client's estimate of the memory, in MB; 0 if it gave none.
-            group: The group of tables that it uses, see `statement.table_group`; NO_GROUP if it has none.
+            group: The group of tables that it uses, see `statement.Reading`; NO_GROUP if it has none.
             statement: The statement to run.
             sender: Sends its attempts; None for our own connections to engines.
             client_connected: Whether the client is still connected.
--- a/spurdeal/net/statement.py
+++ b/spurdeal/net/statement.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Iterator
+from typing import NamedTuple
 
 TOKENS = re.compile(
     r"""
@@ -21,7 +22,7 @@
 QUOTE = '"'  # marks a quoted name among the tokens: unterminated quotes are no tokens
 NAME_MARKS = "_" + QUOTE
 GROUP_SCHEMA = re.compile(r".*_(\d{1,9})", re.DOTALL)
-SCHEMA_END = re.compile(r"_\d{1,9}(?!\w)")  # what each schema that GROUP_SCHEMA matches ends with
+SCHEMA_END = re.compile(r"_\d{1,9}+(?!\w)")  # what each schema that GROUP_SCHEMA matches ends with
 TABLE_KEYWORDS = {"from", "join", "into", "update", "table", "copy", "using", "only", "truncate", "merge"}
 LIST_KEYWORDS = {"from", "using", "truncate", "table"}  # may be followed by several tables
 CLAUSE_KEYWORDS = {
@@ -95,22 +96,27 @@
 
 
 class TokenStream:
-    """The tokens of a statement.
+    """The tokens of a statement, up to a limit.
 
     Attributes:
         next: The token that is taken next; None at the end.
         taken: How many were taken, the measure of the work done.
+        stopped: Whether the limit was reached before the end.
     """
 
-    def __init__(self, text: str) -> None:
-        self.source = tokens(text)
+    def __init__(self, text: str, limit: int) -> None:
+        self.source, self.limit = tokens(text), limit
         self.next = next(self.source, None)
-        self.taken = 0
+        self.taken, self.stopped = 0, False
 
     def take(self) -> str | None:
-        """Removes the next token; None at the end."""
-        token, self.next = self.next, next(self.source, None)
+        """Removes the next token; None at the end or at the limit."""
+        token = self.next
+        if self.taken >= self.limit:
+            self.stopped = self.stopped or token is not None
+            return None
         self.taken += 1
+        self.next = next(self.source, None)
         return token
 
     def take_qualified_name(self, first: str) -> list[str]:
@@ -146,20 +152,23 @@
         self.table_next, self.fallback = False, NO_GROUP
 
     def find(self) -> int:
-        """The group of the first table that has one; if none has, that of another name."""
-        token, previous = self.stream.take(), ""
-        while token is not None:
+        """The group of the first table that has one; if none has, that of another name.
+
+        Returns NO_GROUP if the limit of tokens is reached before.
+        """
+        previous = ""
+        while (token := self.stream.take()) is not None:
             if not (token[0].isalpha() or token[0] in NAME_MARKS):
                 self.read_punctuation(token)
             elif not self.read_keyword(token, previous):
                 group = group_of_name(self.stream.take_qualified_name(token))
-                if group != NO_GROUP and self.table_next:
+                if group != NO_GROUP and self.table_next and not self.stream.stopped:
                     return group
                 if self.fallback == NO_GROUP:
                     self.fallback = group
                 self.table_next = False
-            token, previous = self.stream.take(), token
-        return self.fallback
+            previous = token
+        return NO_GROUP if self.stream.stopped else self.fallback
 
     def read_keyword(self, word: str, previous: str) -> bool:
         """Handles a word if it is a keyword; returns whether it is one."""
@@ -194,11 +203,32 @@
             self.in_list, self.in_call = [False], [False]
 
 
-def table_group(statement: bytes) -> int:
-    """The number at the end of the name of the first schema that is read or written, as 17 of `sales_17`.
+class Reading(NamedTuple):
+    """What was found out about a statement.
 
-    Returns NO_GROUP without one. The schema `staging` does not count; one outside of a table position
-    counts only if no table has one.
+    Attributes:
+        group: The number at the end of the name of the first schema that is read or written, as 17 of
+            `sales_17`, or NO_GROUP. The schema `staging` does not count; one outside of a table position
+            counts only if no table has one.
+        tokens: How many tokens were read.
+        complete: Whether no more tokens had to be read.
     """
+
+    group: int
+    tokens: int
+    complete: bool
+
+
+def read(statement: bytes, limit: int) -> Reading:
+    """Reads a statement up to its first table that has a group, but at most `limit` tokens."""
     text = statement.decode("utf-8", "replace")
-    return GroupFinder(TokenStream(text)).find() if SCHEMA_END.search(text) else NO_GROUP
+    if SCHEMA_END.search(text) is None:
+        return Reading(NO_GROUP, 0, True)
+    stream = TokenStream(text, limit)
+    group = GroupFinder(stream).find()
+    return Reading(group, stream.taken, not stream.stopped)
+
+
+def table_group(statement: bytes) -> int:
+    """The group of tables of a statement, however much of it has to be read."""
+    return read(statement, len(statement)).group
--- a/tests/test_expensive_requests.py
+++ b/tests/test_expensive_requests.py
@@ -11,7 +11,12 @@
 import unittest
 from collections.abc import Iterator
 from http.client import HTTPConnection
+from unittest.mock import patch
 
+from spurdeal.net import statement
+from spurdeal.net.counters import Counters
+from spurdeal.net.group_lookup import MAX_TOKENS, TOKENS_PER_MS, UNLIMITED_BYTES, GroupLookup
+from spurdeal.net.statement import NO_GROUP
 from tests.processes import Addresses, ProcessCase, counters_at_exit
 
 WAIT_MS = 1000
@@ -21,7 +26,10 @@
 OBSERVED = 2.5  # seconds for which usual requests are sent behind the expensive ones
 PAUSE = 0.05  # seconds between two usual requests
 USUAL = b"SELECT day FROM sales_17.orders"
+TABLE = b" from sales_17.orders"
+LONG = b"();," * (STATEMENT_BYTES // 4)
 BRACKETS = b"(" * (STATEMENT_BYTES // 2) + b")" * (STATEMENT_BYTES // 2)
+TOKENS = statement.tokens
 
 
 def request(ident: int, statement: bytes) -> bytes:
@@ -33,6 +41,49 @@
     return head.encode() + statement
 
 
+class Lookup(unittest.TestCase):
+    """The groups of long statements, and the tokens that are read for them."""
+
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.counters = Counters()
+        self.lookup = GroupLookup(lambda: self.now, self.counters)
+
+    def test_the_allowance_bounds_the_tokens_of_all_long_statements(self) -> None:
+        with patch.object(statement, "tokens", self.counted_tokens):
+            self.read = 0
+            for _ in range(AT_ONCE):
+                self.lookup.group_of(LONG + TABLE)
+        self.assertLessEqual(self.read, MAX_TOKENS + 2 * AT_ONCE)  # two of lookahead for each
+        self.assertEqual(self.counters.figures()["statements_not_read"], AT_ONCE)
+
+    def counted_tokens(self, text: str) -> Iterator[str]:
+        """The tokens of a text; counts each that is read."""
+        for token in TOKENS(text):
+            self.read += 1
+            yield token
+
+    def test_short_statements_keep_their_groups_when_the_allowance_is_used_up(self) -> None:
+        self.lookup.group_of(LONG + TABLE)
+        self.assertEqual(self.lookup.group_of(b"select 1" + TABLE), 17)
+        self.assertEqual(self.lookup.group_of(b"select 1" + b" " * 2 * UNLIMITED_BYTES + TABLE), NO_GROUP)
+
+    def test_the_allowance_is_restored_with_time(self) -> None:
+        self.lookup.group_of(LONG + TABLE)
+        self.now += MAX_TOKENS / TOKENS_PER_MS
+        self.assertEqual(self.lookup.group_of(b"(" * (MAX_TOKENS // 2) + b"select 1" + TABLE), 17)
+
+    def test_a_name_that_is_cut_by_the_limit_is_no_group(self) -> None:
+        for limit in range(1, 5):
+            with self.subTest(limit):
+                self.assertEqual(statement.read(b"from a_1.b_2.c", limit), (NO_GROUP, limit, False))
+        self.assertEqual(statement.read(b"from a_1.b_2.c", 6), (2, 6, True))
+
+    def test_a_long_statement_whose_table_comes_first_is_read_no_further(self) -> None:
+        for _ in range(AT_ONCE):
+            self.assertEqual(self.lookup.group_of(b"insert into c_2.d values " + b"(1)," * 10_000), 2)
+
+
 class ExpensiveStatements(ProcessCase):
     """A dispatcher, two engines, a usual client, and many long statements at once."""
 
@@ -83,6 +134,12 @@
         counters = self.serve_beside(BRACKETS)
         self.assertGreater(counters["answers_200"], 0)
 
+    def test_many_long_statements_leave_others_their_answers(self) -> None:
+        # Guards against work that is bounded for each statement, and adds up over all that arrive at once.
+        counters = self.serve_beside(LONG + TABLE)
+        self.assertGreater(counters["answers_200"], 0)
+        self.assertGreater(counters["statements_not_read"], 0)
+
 
 if __name__ == "__main__":
     unittest.main()
