--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -2,9 +2,10 @@
 
 import struct
 import unittest
+from unittest.mock import patch
 
 from spurdeal.lab.name_server import answer as name_answer
-from spurdeal.net import dns
+from spurdeal.net import dns, http
 from spurdeal.net.http import MAX_BODY_SIZE, MAX_HEAD_SIZE, BadRequest, RequestParser
 from spurdeal.net.resp import MAX_PART_BYTES, MAX_PARTS, ArrayParser, BadAnswer, command
 from spurdeal.net.statement import NO_GROUP, table_group
@@ -34,6 +35,21 @@
             found += parser.take() is not None
         self.assertEqual((found, parser.remaining()), (1, 0))
 
+    def test_a_head_is_parsed_once_however_many_reads_its_body_takes(self) -> None:
+        # Guards against parsing the whole head again at each piece of the body, which costs their product.
+        with patch.object(http, "read_fields", wraps=http.read_fields) as read:
+            parser = RequestParser()
+            parser.feed(b"POST /a HTTP/1.1\r\nContent-Length: 500\r\n" + b"a:\r\n" * 1000 + b"\r\n")
+            for _ in range(499):
+                self.assertIsNone(parser.take())
+                parser.feed(b"x")
+            parser.feed(b"xGET /alive HTTP/1.1\r\n\r\n")
+            taken = [parser.take(), parser.take(), parser.take()]
+        self.assertEqual(
+            [request and request[:2] for request in taken], [(b"POST", b"/a"), (b"GET", b"/alive"), None]
+        )
+        self.assertEqual(read.call_count, 2)
+
     def test_malformed_input(self) -> None:
         for text, status in (
             (b"GET /a\r\n\r\n", 400),
