--- a/spurdeal/net/connection.py
+++ b/spurdeal/net/connection.py
@@ -385,35 +385,33 @@
 
     def handle_answer(self, parts: list[memoryview]) -> None:
         """Handle one answer of the engine."""
-        ident, status, fields, body = engine_answers.read(parts)
-        pages = engine_answers.number_of_pages(fields) if status == b"200" else 1
-        attempt = self.attempts.get(ident)
-        if attempt is None or (status == b"200" and attempt.page_count):
+        answer = engine_answers.read(parts)
+        attempt = self.attempts.get(answer.ident)
+        if attempt is None or (answer.status == b"200" and attempt.page_count):
             # The attempt was given up in the meantime, and its further pages are released; or the engine has
             # sent 200 twice, or an unsolicited answer. Valid, but superfluous.
             self.engines.counters.add("answers_crossed")
-            if attempt is None and pages > 1 and self.finished_ids.get(bytes(ident)):
-                self.write(b"release", ident)
-        elif status == b"200":
-            attempt.page_count, attempt.report = pages, self.engines.report(fields.get("stats", ""))
-            for page in range(1, pages):
-                self.write(b"read", ident, b"%d" % page)
-            self.page(attempt, 0, body)
-        elif status == b"chunk":
-            number = int(fields.get("part_no", "-1"))
-            if not 0 < number < attempt.page_count:
+            if attempt is None and answer.pages > 1 and self.finished_ids.get(bytes(answer.ident)):
+                self.write(b"release", answer.ident)
+        elif answer.status == b"200":
+            attempt.page_count, attempt.report = answer.pages, self.engines.report(answer.report)
+            for page in range(1, answer.pages):
+                self.write(b"read", answer.ident, b"%d" % page)
+            self.page(attempt, 0, answer.body)
+        elif answer.status == b"chunk":
+            if not answer.page_number < attempt.page_count:
                 raise BadAnswer("a page that was not requested")
-            if number in attempt.pages:  # a second copy: valid, but superfluous
+            if answer.page_number in attempt.pages:  # a second copy: valid, but superfluous
                 self.engines.counters.add("answers_crossed")
             else:
-                self.page(attempt, number, body)
+                self.page(attempt, answer.page_number, answer.body)
         else:
             # After a 200, any other status means that the remaining pages are lost.
-            ending = Ending.ERROR if attempt.page_count else engine_answers.ENDINGS[status]
+            ending = Ending.ERROR if attempt.page_count else engine_answers.ENDINGS[answer.status]
             if attempt.page_count:
                 self.engines.counters.add("pages_lost")
-                self.write(b"release", ident)
-            self.finish(attempt, Outcome(ending, (), self.engines.report(fields.get("stats", ""))))
+                self.write(b"release", answer.ident)
+            self.finish(attempt, Outcome(ending, (), self.engines.report(answer.report)))
 
     def page(self, attempt: OutgoingAttempt, number: int, text: memoryview) -> None:
         """Store a page of a result, and deliver the result if it is complete."""
--- a/spurdeal/net/engine_answers.py
+++ b/spurdeal/net/engine_answers.py
@@ -14,11 +14,22 @@
 
 
 class EngineAnswer(NamedTuple):
-    """One answer; its id and body are valid only as long as the buffer that they were read from."""
+    """One answer.
+
+    Attributes:
+        ident: The id of its request; valid only as long as the buffer that it was read from.
+        status: One of STATUSES.
+        pages: The number of pages of the result, with 200; else 0.
+        page_number: The page's number, with `chunk`; else 0.
+        report: The load report, as text; empty if there is none.
+        body: The page; valid only as long as the buffer that it was read from.
+    """
 
     ident: memoryview
     status: bytes
-    fields: dict[str, str]
+    pages: int
+    page_number: int
+    report: str
     body: memoryview
 
 
@@ -41,27 +52,31 @@
     """Parse the parts of one answer.
 
     Raises:
-        BadAnswer: It has a wrong number of parts, an unknown status, or fields that cannot be parsed.
+        BadAnswer: It has a wrong number of parts, an unknown status, or fields that cannot be parsed; or a
+            field that its status requires is missing or has an invalid value.
     """
     if len(parts) != PARTS:
         raise BadAnswer(f"{len(parts)} parts where {PARTS} were expected")
-    answer = EngineAnswer(parts[0], bytes(parts[1]), read_fields(parts[2]), parts[3])
-    if answer.status not in STATUSES:
+    ident, status, fields, body = parts[0], bytes(parts[1]), read_fields(parts[2]), parts[3]
+    if status not in STATUSES:
         raise BadAnswer("an answer has an unknown status")
-    return answer
+    pages = required_number(fields, "parts", MAX_PAGES) if status == b"200" else 0
+    page_number = required_number(fields, "part_no", MAX_PAGES - 1) if status == b"chunk" else 0
+    return EngineAnswer(ident, status, pages, page_number, fields.get("stats", ""), body)
 
 
-def number_of_pages(fields: dict[str, str]) -> int:
-    """The number of pages of a result.
+def required_number(fields: dict[str, str], name: str, maximum: int) -> int:
+    """The value of a field that must be there, from 1 on.
 
     Raises:
-        BadAnswer: The number is out of range.
-        ValueError: It is not a number.
+        BadAnswer: The field is missing, or its value is not a number or out of range.
     """
-    pages = int(fields.get("parts", "1"))
-    if not 1 <= pages <= MAX_PAGES:
-        raise BadAnswer("the number of pages of a result is out of range")
-    return pages
+    if name not in fields:
+        raise BadAnswer(f"an answer without its field {name}")
+    value = int(fields[name])
+    if not 1 <= value <= maximum:
+        raise BadAnswer(f"the field {name} is out of range")
+    return value
 
 
 def page_of(text: memoryview) -> bytes:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -66,7 +66,7 @@
         self.assertEqual([message[1] for message in peer.received()], [f"{1:016x}"])
         peer.say(1, "200", "parts=1", ROW)
         self.assertEqual([message[1] for message in peer.received()], [f"{2:016x}"])
-        peer.say(2, "200")
+        peer.say(2, "200", "parts=1")
         self.assertEqual(
             [value for _, _, value in caller.answers()], [{"result": [["a", "1", "x"]]}, {"result": []}]
         )
@@ -93,6 +93,7 @@
             "reset after page 0",
             "no array",
             "bad fields",
+            "no number of pages",
             "bad rows",
             "an unasked page",
             "a changed end",
@@ -110,6 +111,8 @@
                     peer.raw(b"HTTP/1.1 200 OK\r\n")
                 elif outcome == "bad fields":
                     peer.say(1, "200", "parts")
+                elif outcome == "no number of pages":
+                    peer.say(1, "200", "pqrts=2", ROW)
                 elif outcome == "bad rows":
                     peer.say(1, "200", "parts=1", b"a\tb\n")
                 elif outcome == "an unasked page":
@@ -131,6 +134,21 @@
         world.peer(1).up().say(1, "200", "parts=1", ROW)
         self.assertEqual(self.outcome(caller), (200, [["a", "1", "x"]]))
 
+    def test_an_answer_that_does_not_tell_its_number_of_pages_is_not_believed(self) -> None:
+        # Guards against serving the first page of a spoilt answer as the whole result.
+        for fields in ("pqrts=2", "-", "stats=parts:2", "=2", "Parts=2"):
+            with self.subTest(fields):
+                world = World(self, engines=2)
+                caller = Caller(world)
+                caller.post(1)
+                peer = world.peer().up()
+                peer.say(1, "200", fields, ROW)
+                self.assertEqual((caller.answers(), peer.pipe.aborted), ([], True))
+                other = world.peer(1).up()
+                other.say(1, "200", "parts=2", ROW)
+                other.say(1, "chunk", "part_no=1", b"b\t1\tx\n")
+                self.assertEqual(self.outcome(caller), (200, [["a", "1", "x"], ["b", "1", "x"]]))
+
     def test_a_silent_engine_times_out_before_the_client_does(self) -> None:
         for workload, wanted in (("lookup", SHED), ("load", BROKEN)):
             with self.subTest(workload):
@@ -279,7 +297,7 @@
         self.assertEqual(sorted(len(peer.received()) for peer in peers), [1, 1, 2, 2])
         crowded = max(peers, key=lambda peer: len(peer.protocol.attempts))
         for ident in [attempt.ident for attempt in crowded.protocol.attempts.values()][1:]:
-            crowded.say(int(ident, 16), "200")
+            crowded.say(int(ident, 16), "200", "parts=1")
         crowded.raw(b"nonsense\r\n")
         self.assertEqual([len(caller.answers()) for caller in callers].count(1), 1)
         self.assertEqual(
@@ -432,7 +450,7 @@
         world.list(4, ("s-5.east.hosts", "127.0.9.1:7001", 0, "kind=std cell=0 started=0"))
         self.assertFalse(peers[0].pipe.disconnecting)  # gone, but its attempts may still finish
         for ident, peer in enumerate(peers):
-            peer.say(ident, "200")
+            peer.say(ident, "200", "parts=1")
             self.assertTrue(peer.pipe.disconnecting)
         world.go(LIST_CONFIRMED_MS)
         Caller(world).post(7)
