--- a/spurdeal/net/connection.py
+++ b/spurdeal/net/connection.py
@@ -19,6 +19,7 @@
 from ..interface import Ending
 from . import engine_answers, immediate_io
 from .attempts import Outcome, OutgoingAttempt, SendTerms
+from .engine_answers import EngineAnswer
 from .resp import ArrayParser, BadAnswer, command
 from .socket_inspection import peek
 from .tolerant_socket import wrap_socket
@@ -387,12 +388,14 @@
         """Handle one answer of the engine."""
         answer = engine_answers.read(parts)
         attempt = self.attempts.get(answer.ident)
-        if attempt is None or (answer.status == b"200" and attempt.page_count):
-            # The attempt was given up in the meantime, and its further pages are released; or the engine has
-            # sent 200 twice, or an unsolicited answer. Valid, but superfluous.
+        if attempt is None:
+            # It was given up in the meantime, and its further pages are released; or the engine has sent an
+            # unsolicited answer. Valid, but superfluous.
             self.engines.counters.add("answers_crossed")
-            if attempt is None and answer.pages > 1 and self.finished_ids.get(bytes(answer.ident)):
+            if answer.pages > 1 and self.finished_ids.get(bytes(answer.ident)):
                 self.write(b"release", answer.ident)
+        elif answer.status == b"200" and attempt.page_count:
+            self.check_copy(answer, attempt.pages[0], answer.pages == attempt.page_count)
         elif answer.status == b"200":
             attempt.page_count, attempt.report = answer.pages, self.engines.report(answer.report)
             for page in range(1, answer.pages):
@@ -401,8 +404,8 @@
         elif answer.status == b"chunk":
             if not answer.page_number < attempt.page_count:
                 raise BadAnswer("a page that was not requested")
-            if answer.page_number in attempt.pages:  # a second copy: valid, but superfluous
-                self.engines.counters.add("answers_crossed")
+            if answer.page_number in attempt.pages:
+                self.check_copy(answer, attempt.pages[answer.page_number])
             else:
                 self.page(attempt, answer.page_number, answer.body)
         else:
@@ -413,6 +416,16 @@
                 self.write(b"release", answer.ident)
             self.finish(attempt, Outcome(ending, (), self.engines.report(answer.report)))
 
+    def check_copy(self, answer: EngineAnswer, page: bytes, same_count: bool = True) -> None:
+        """Count a second copy of an answer, which is superfluous.
+
+        Raises:
+            BadAnswer: It differs from the first, so one of them is spoilt.
+        """
+        if not same_count or answer.body != page:
+            raise BadAnswer("a second copy that differs from the first")
+        self.engines.counters.add("answers_crossed")
+
     def page(self, attempt: OutgoingAttempt, number: int, text: memoryview) -> None:
         """Store a page of a result, and deliver the result if it is complete."""
         attempt.result_bytes += len(text)
--- a/spurdeal/net/engine_answers.py
+++ b/spurdeal/net/engine_answers.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
-from ..interface import Ending
+from ..interface import NEVER_RAN, Ending
 from .resp import BadAnswer
 
 # 503: refused as full. 500: failed. 504: not run, so it counts as if it had not been sent.
 ENDINGS = {b"503": Ending.FULL, b"500": Ending.ERROR, b"504": Ending.MOOT}
 STATUSES = (b"200", b"chunk", *ENDINGS)
 PARTS, MAX_PAGES, COLUMNS = 4, 256, 3
+PAGE_COUNT, PAGE_NUMBER = "parts", "part_no"  # fields of a result, each required with one status
+RESULT_FIELDS = {PAGE_COUNT, PAGE_NUMBER}
+NUMBER = re.compile(r"[0-9]{1,9}")  # int() takes signs, blanks, underscores and other scripts' digits too
 
 
 class EngineAnswer(NamedTuple):
@@ -37,7 +41,7 @@
     """Parse a list `name=value,name=value`, or `-` for an empty one.
 
     Raises:
-        BadAnswer: The text has another form.
+        BadAnswer: The text has another form, or a name comes twice.
     """
     text_fields = bytes(text).decode("utf-8")
     if text_fields == "-":
@@ -45,7 +49,10 @@
     pairs = [pair.partition("=") for pair in text_fields.split(",")]
     if not all(separator for _, separator, _ in pairs):
         raise BadAnswer("fields cannot be parsed")
-    return {name: value for name, _, value in pairs}
+    fields = {name: value for name, _, value in pairs}
+    if len(fields) < len(pairs):
+        raise BadAnswer("a field comes twice")
+    return fields
 
 
 def read(parts: list[memoryview]) -> EngineAnswer:
@@ -53,15 +60,18 @@
 
     Raises:
         BadAnswer: It has a wrong number of parts, an unknown status, or fields that cannot be parsed; or a
-            field that its status requires is missing or has an invalid value.
+            field that its status requires is missing or has an invalid value; or it is to prove that
+            nothing ran, and has a field of a result.
     """
     if len(parts) != PARTS:
         raise BadAnswer(f"{len(parts)} parts where {PARTS} were expected")
     ident, status, fields, body = parts[0], bytes(parts[1]), read_fields(parts[2]), parts[3]
     if status not in STATUSES:
         raise BadAnswer("an answer has an unknown status")
-    pages = required_number(fields, "parts", MAX_PAGES) if status == b"200" else 0
-    page_number = required_number(fields, "part_no", MAX_PAGES - 1) if status == b"chunk" else 0
+    if ENDINGS.get(status) in NEVER_RAN and fields.keys() & RESULT_FIELDS:
+        raise BadAnswer("a refusal that has a result")
+    pages = required_number(fields, PAGE_COUNT, MAX_PAGES) if status == b"200" else 0
+    page_number = required_number(fields, PAGE_NUMBER, MAX_PAGES - 1) if status == b"chunk" else 0
     return EngineAnswer(ident, status, pages, page_number, fields.get("stats", ""), body)
 
 
@@ -73,6 +83,8 @@
     """
     if name not in fields:
         raise BadAnswer(f"an answer without its field {name}")
+    if not NUMBER.fullmatch(fields[name]):
+        raise BadAnswer(f"the field {name} is not a number")
     value = int(fields[name])
     if not 1 <= value <= maximum:
         raise BadAnswer(f"the field {name} is out of range")
