Engines: the pages of a result are put together by a part of their own, without I/O

What an attempt had received stood in four fields of it and was checked in the connection. No change of what engines or clients see, but that the further pages are asked for once the first one was checked.

--- a/spurdeal/net/attempts.py
+++ b/spurdeal/net/attempts.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from .connection import Connection
+    from .partial_result import PartialResult
 
 
 class Outcome(NamedTuple):
@@ -48,10 +49,7 @@
         "deadline",
         "done",
         "ident",
-        "page_count",
-        "pages",
-        "report",
-        "result_bytes",
+        "result",
         "sent",
         "statement",
         "workload",
@@ -70,5 +68,5 @@
         self.deadline, self.at_send, self.written = deadline, at_send, False
         self.done: Deferred[Outcome] = Deferred()
         self.connection: Connection | None = None
-        self.page_count, self.result_bytes, self.sent, self.pages = 0, 0, 0.0, dict[int, bytes]()
-        self.report: tuple[float, ...] = ()
+        self.sent = 0.0
+        self.result: PartialResult | None = None  # from its first page on
--- a/spurdeal/net/connection.py
+++ b/spurdeal/net/connection.py
@@ -20,6 +20,7 @@
 from . import engine_answers, immediate_io
 from .attempts import Outcome, OutgoingAttempt, SendTerms
 from .engine_answers import EngineAnswer
+from .partial_result import PartialResult
 from .resp import ArrayParser, BadAnswer, command
 from .socket_inspection import peek
 from .tolerant_socket import wrap_socket
@@ -27,7 +28,6 @@
 if TYPE_CHECKING:
     from .engines import EnginePool
 
-MAX_RESULT_BYTES = 96_000
 MAX_FINISHED_IDS = 16  # finished attempts remembered per connection: more than answers can cross
 # Limits on the time between an answer's first and last byte: a multiple of the connect timeout, at least so
 # many ms, and at most this share of the time that its attempt still has.
@@ -259,7 +259,7 @@
         if not attempt.written:
             self.withdraw(attempt)
             return
-        self.write(b"release" if attempt.page_count else b"cancel", attempt.ident)
+        self.write(b"release" if attempt.result is not None else b"cancel", attempt.ident)
         connect_timeout_passed = self.engines.clock() - attempt.sent > self.engines.connect_timeout
         if (
             self.up
@@ -394,47 +394,39 @@
             self.engines.counters.add("answers_crossed")
             if answer.pages > 1 and self.finished_ids.get(bytes(answer.ident)):
                 self.write(b"release", answer.ident)
-        elif answer.status == b"200" and attempt.page_count:
-            self.check_copy(answer, attempt.pages[0], answer.pages == attempt.page_count)
-        elif answer.status == b"200":
-            attempt.page_count, attempt.report = answer.pages, self.engines.report(answer.report)
-            for page in range(1, answer.pages):
-                self.write(b"read", answer.ident, b"%d" % page)
-            self.page(attempt, 0, answer.body)
-        elif answer.status == b"chunk":
-            if not answer.page_number < attempt.page_count:
-                raise BadAnswer("a page that was not requested")
-            if answer.page_number in attempt.pages:
-                self.check_copy(answer, attempt.pages[answer.page_number])
+        elif answer.status in engine_answers.ENDINGS:
+            self.handle_end(attempt, answer)
+        elif attempt.result is not None:
+            if attempt.result.add(answer):
+                self.finish_if_whole(attempt, attempt.result)
             else:
-                self.page(attempt, answer.page_number, answer.body)
+                self.engines.counters.add("answers_crossed")
+        elif answer.status == b"chunk":
+            raise BadAnswer("a page of a result that has not begun")
         else:
-            # After a 200, any other status means that the remaining pages are lost.
-            ending = Ending.ERROR if attempt.page_count else engine_answers.ENDINGS[answer.status]
-            if attempt.page_count:
-                self.engines.counters.add("pages_lost")
-                self.write(b"release", answer.ident)
-            self.finish(attempt, Outcome(ending, (), self.engines.report(answer.report)))
-
-    def check_copy(self, answer: EngineAnswer, page: bytes, same_count: bool = True) -> None:
-        """Count a second copy of an answer, which is superfluous.
-
-        Raises:
-            BadAnswer: It differs from the first, so one of them is spoilt.
-        """
-        if not same_count or answer.body != page:
-            raise BadAnswer("a second copy that differs from the first")
-        self.engines.counters.add("answers_crossed")
-
-    def page(self, attempt: OutgoingAttempt, number: int, text: memoryview) -> None:
-        """Store a page of a result, and deliver the result if it is complete."""
-        attempt.result_bytes += len(text)
-        if attempt.result_bytes > MAX_RESULT_BYTES:
-            raise BadAnswer("a result is too large")
-        page = engine_answers.page_of(text)
-        attempt.pages[number] = page
-        if len(attempt.pages) == attempt.page_count:
-            if attempt.page_count > 1:
-                self.write(b"release", attempt.ident)
-            pages = tuple(attempt.pages[place] for place in range(attempt.page_count))
-            self.finish(attempt, Outcome(Ending.DELIVERED, pages, attempt.report))
+            self.begin_result(attempt, answer)
+
+    def handle_end(self, attempt: OutgoingAttempt, answer: EngineAnswer) -> None:
+        """End an attempt without a result; after a 200, that means that the remaining pages are lost."""
+        ending = engine_answers.ENDINGS[answer.status]
+        if attempt.result is not None:
+            ending = Ending.ERROR
+            self.engines.counters.add("pages_lost")
+            self.write(b"release", answer.ident)
+        self.finish(attempt, Outcome(ending, (), self.engines.report(answer.report)))
+
+    def begin_result(self, attempt: OutgoingAttempt, answer: EngineAnswer) -> None:
+        """Keep the first page of a result, and ask for the others."""
+        attempt.result = PartialResult(answer, self.engines.report(answer.report))
+        for page in range(1, answer.pages):
+            self.write(b"read", answer.ident, b"%d" % page)
+        self.finish_if_whole(attempt, attempt.result)
+
+    def finish_if_whole(self, attempt: OutgoingAttempt, result: PartialResult) -> None:
+        """Deliver a result once it is complete."""
+        pages = result.whole()
+        if pages is None:
+            return
+        if result.page_count > 1:
+            self.write(b"release", attempt.ident)
+        self.finish(attempt, Outcome(Ending.DELIVERED, pages, result.report))
--- a/spurdeal/net/engines.py
+++ b/spurdeal/net/engines.py
@@ -234,7 +234,7 @@
 
     def set_priority(self, attempt: OutgoingAttempt, rank: int) -> None:
         """Tell the engine the new priority of an attempt that it has not answered."""
-        if attempt.connection is not None and attempt.written and not attempt.page_count:
+        if attempt.connection is not None and attempt.written and attempt.result is None:
             attempt.connection.write(b"weigh", attempt.ident, b"%d" % rank)
 
     def give_up(self, attempt: OutgoingAttempt, ending: Ending) -> None:
