--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -193,6 +193,36 @@
         with self.assertRaises(dns.BadDatagram):
             self.read(loop + struct.pack("!HH", dns.SRV, 1))
 
+    def test_a_long_name_is_decoded_once_however_many_records_point_to_it(self) -> None:
+        # Guards against decoding all labels again for each record, which costs their product.
+        name = b"\1a" * 126 + b"\0"
+        head = struct.pack("!6H", 7, 0x8400, 1, 201, 0, 0) + self.ASKED[12:]
+        first = b"\0" + struct.pack("!HHIH", 99, dns.IN, 0, len(name)) + name
+        pointer = struct.pack("!H", 0xC000 | (len(head) + len(first) - len(name)))
+        record = pointer + struct.pack("!HHIH", dns.A, dns.IN, 0, 4) + b"\1\2\3\4"
+        label = dns.NameReader.label
+        with patch.object(dns.NameReader, "label", autospec=True, side_effect=label) as decoded:
+            found = self.read(head + first + 200 * record)
+        self.assertEqual(found, (None, [], {".".join("a" * 126): "1.2.3.4"}, {}))
+        self.assertLess(decoded.call_count, 2 * 126)
+
+    def test_a_name_of_more_pointers_than_labels_is_refused(self) -> None:
+        # Guards against long chains of pointers, each of which is followed again for each record.
+        head = struct.pack("!6H", 7, 0x8400, 1, 2, 0, 0) + self.ASKED[12:]
+        at = len(head) + 11
+        for hops, refused in ((dns.MAX_POINTERS - 1, False), (dns.MAX_POINTERS, True)):
+            chain = b"\0" + struct.pack("!H", 0xC000 | at)
+            chain += b"".join(struct.pack("!H", 0xC000 | (at + 1 + 2 * hop)) for hop in range(hops - 1))
+            first = b"\0" + struct.pack("!HHIH", 99, dns.IN, 0, len(chain)) + chain
+            pointer = struct.pack("!H", 0xC000 | (at + len(chain) - 2))
+            record = pointer + struct.pack("!HHIH", dns.A, dns.IN, 0, 4) + b"\1\2\3\4"
+            with self.subTest(hops):
+                if refused:
+                    with self.assertRaises(dns.BadDatagram):
+                        self.read(head + first + record)
+                else:
+                    self.assertIsNotNone(self.read(head + first + record))
+
 
 class Statement(unittest.TestCase):
     def test_groups(self) -> None:
