--- a/spurdeal/net/group_lookup.py
+++ b/spurdeal/net/group_lookup.py
@@ -11,7 +11,7 @@
 from . import statement
 from .counters import Counters
 
-UNLIMITED_BYTES = 1024  # a statement up to this length costs no more to read than its request costs otherwise
+UNLIMITED_BYTES = 1024  # usual statements keep their groups while long ones use up the allowance
 MAX_TOKENS = 8192  # read at once, of longer statements
 TOKENS_PER_MS = 50.0  # at which the allowance is restored
 
