Engines: a superfluous answer need not tell its number of pages

Cause: read what a status requires before it looked whether anyone waits for the answer. Change: required fields are checked where an open attempt takes the answer. An answer to none is dropped, as before.

--- a/spurdeal/net/connection.py
+++ b/spurdeal/net/connection.py
@@ -392,7 +392,7 @@
             # It was given up in the meantime, and its further pages are released; or the engine has sent an
             # unsolicited answer. Valid, but superfluous.
             self.engines.counters.add("answers_crossed")
-            if answer.pages > 1 and self.finished_ids.get(bytes(answer.ident)):
+            if self.finished_ids.get(bytes(answer.ident)) and answer.has_further_pages():
                 self.write(b"release", answer.ident)
         elif answer.status in engine_answers.ENDINGS:
             self.handle_end(attempt, answer)
@@ -418,7 +418,7 @@
     def begin_result(self, attempt: OutgoingAttempt, answer: EngineAnswer) -> None:
         """Keep the first page of a result, and ask for the others."""
         attempt.result = PartialResult(answer, self.engines.report(answer.report))
-        for page in range(1, answer.pages):
+        for page in range(1, attempt.result.page_count):
             self.write(b"read", answer.ident, b"%d" % page)
         self.finish_if_whole(attempt, attempt.result)
 
--- a/spurdeal/net/engine_answers.py
+++ b/spurdeal/net/engine_answers.py
@@ -18,24 +18,46 @@
 
 
 class EngineAnswer(NamedTuple):
-    """One answer.
-
-    Attributes:
-        ident: The id of its request; valid only as long as the buffer that it was read from.
-        status: One of STATUSES.
-        pages: The number of pages of the result, with 200; else 0.
-        page_number: The page's number, with `chunk`; else 0.
-        report: The load report, as text; empty if there is none.
-        body: The page; valid only as long as the buffer that it was read from.
+    """One answer; its id and body are valid only as long as the buffer that they were read from.
+
+    What a status requires is checked where it is used: answers to no open attempt are superfluous, and need not
+    have it.
     """
 
     ident: memoryview
     status: bytes
-    pages: int
-    page_number: int
-    report: str
+    fields: dict[str, str]
     body: memoryview
 
+    @property
+    def report(self) -> str:
+        """The load report, as text; empty if there is none."""
+        return self.fields.get("stats", "")
+
+    def page_count(self) -> int:
+        """The number of pages of the result, which an answer 200 has to tell.
+
+        Raises:
+            BadAnswer: It is missing or invalid.
+        """
+        return required_number(self.fields, PAGE_COUNT, MAX_PAGES)
+
+    def page_number(self) -> int:
+        """The number of the page: 0 in an answer 200; any other has to tell it.
+
+        Raises:
+            BadAnswer: It is missing or invalid.
+        """
+        return 0 if self.status == b"200" else required_number(self.fields, PAGE_NUMBER, MAX_PAGES - 1)
+
+    def has_further_pages(self) -> bool:
+        """Whether it tells of more pages than its own.
+
+        Raises:
+            BadAnswer: The number of pages is invalid.
+        """
+        return self.status == b"200" and PAGE_COUNT in self.fields and self.page_count() > 1
+
 
 def read_fields(text: memoryview) -> dict[str, str]:
     """Parse a list `name=value,name=value`, or `-` for an empty one.
@@ -59,20 +81,17 @@
     """Parse the parts of one answer.
 
     Raises:
-        BadAnswer: It has a wrong number of parts, an unknown status, or fields that cannot be parsed; or a
-            field that its status requires is missing or has an invalid value; or it is to prove that
-            nothing ran, and has a field of a result.
+        BadAnswer: It has a wrong number of parts, an unknown status, or fields that cannot be parsed; or it
+            is to prove that nothing ran, and has a field of a result.
     """
     if len(parts) != PARTS:
         raise BadAnswer(f"{len(parts)} parts where {PARTS} were expected")
-    ident, status, fields, body = parts[0], bytes(parts[1]), read_fields(parts[2]), parts[3]
-    if status not in STATUSES:
+    answer = EngineAnswer(parts[0], bytes(parts[1]), read_fields(parts[2]), parts[3])
+    if answer.status not in STATUSES:
         raise BadAnswer("an answer has an unknown status")
-    if ENDINGS.get(status) in NEVER_RAN and fields.keys() & RESULT_FIELDS:
+    if ENDINGS.get(answer.status) in NEVER_RAN and answer.fields.keys() & RESULT_FIELDS:
         raise BadAnswer("a refusal that has a result")
-    pages = required_number(fields, PAGE_COUNT, MAX_PAGES) if status == b"200" else 0
-    page_number = required_number(fields, PAGE_NUMBER, MAX_PAGES - 1) if status == b"chunk" else 0
-    return EngineAnswer(ident, status, pages, page_number, fields.get("stats", ""), body)
+    return answer
 
 
 def required_number(fields: dict[str, str], name: str, maximum: int) -> int:
--- a/spurdeal/net/partial_result.py
+++ b/spurdeal/net/partial_result.py
@@ -22,10 +22,10 @@
         """Begin with an answer 200.
 
         Raises:
-            BadAnswer: Its page is malformed or too large.
+            BadAnswer: It doesn't tell its number of pages, or its page is malformed or too large.
             UnicodeDecodeError: Its page is not UTF-8.
         """
-        self.page_count, self.report = answer.pages, report
+        self.page_count, self.report = answer.page_count(), report
         self.pages = dict[int, bytes]()
         self.size = 0
         self.add(answer)
@@ -38,11 +38,12 @@
                 its first copy: one of them is spoilt.
             UnicodeDecodeError: The page is not UTF-8.
         """
-        number = answer.page_number  # 0 in an answer 200
+        number = answer.page_number()
         if number >= self.page_count:
             raise BadAnswer("a page that was not requested")
         if number in self.pages:
-            if answer.body != self.pages[number] or answer.pages not in (0, self.page_count):
+            same_count = number > 0 or answer.page_count() == self.page_count
+            if not same_count or answer.body != self.pages[number]:
                 raise BadAnswer("a second copy that differs from the first")
             return False
         self.size += len(answer.body)
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -117,6 +117,13 @@
                     self.assertEqual(len(world.reactor.tcpClients), 1)
                     self.assertEqual(self.served(caller) == [ROWS], status == true_status)
 
+    def test_an_answer_to_no_open_request_need_not_tell_its_pages(self) -> None:
+        # Guards against failing a connection, with all its attempts, for a superfluous answer.
+        ahead = command(b"%016x" % (IDENT + 1), b"200", b"-", PAGES[0])
+        world, caller = self.play("lookup", (ahead, *answers(), ahead))
+        self.assertEqual((self.served(caller), world.count("answers_crossed")), ([ROWS], 2))
+        self.assertEqual(world.count("engine_bad_answers"), 0)
+
     def test_a_field_that_comes_twice_is_not_believed(self) -> None:
         # Guards against taking the last of two values, one of which is spoilt.
         first, *pages = answers(b",parts=1")
