--- a/spurdeal/net/engine_answers.py
+++ b/spurdeal/net/engine_answers.py
@@ -20,8 +20,8 @@
 class EngineAnswer(NamedTuple):
     """One answer; its id and body are valid only as long as the buffer that they were read from.
 
-    What a status requires is checked where it is used: answers to no open attempt are superfluous, and need not
-    have it.
+    What a status requires is checked where it is used: answers to no open attempt are superfluous, and need
+    not have it.
     """
 
     ident: memoryview
