--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -248,6 +248,7 @@
 
     def __init__(self, rig: Rig, ident: str, host: str, load_ms: float) -> None:
         self.rig, self.ident, self.host, self.port, self.load_ms = rig, ident, host, 7001, load_ms
+        self.lookup_ms = 20.0
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -264,7 +265,7 @@
                     words = [bytes(part) for part in parts]
                     if words[0] == b"serve":
                         self.rig.begun(words[1].decode(), self)
-                        took = self.load_ms if b"class=load" in words[2] else 20.0
+                        took = self.load_ms if b"class=load" in words[2] else self.lookup_ms
                         task = asyncio.ensure_future(self.run(words[1], took / 1000, writer))
                         self.tasks.add(task)
                         task.add_done_callback(self.tasks.discard)
