Review case 8: a returning dispatcher admits what its peer knows has run

Cause: after vrrp.bar Handover admits loads though the peer's records are not all here, and the peer takes the announcement for a repetition of that of the dispatcher's earlier start.

Also: each run.sh exits with 2 where the packages are missing (an import error was exit code 1), and a script that is told to end takes its processes along.

--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -292,7 +292,8 @@
 
 def main(folder: str, case: Callable[[Rig], Awaitable[list[str]]]) -> None:
     """Run a case and exit with its code; the case returns what broke the rule."""
-    rig = None
+    rig, code = None, 2
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that nothing that was started is left
     try:
         rig = Rig(Path(folder).resolve().parent)
         broken = asyncio.run(asyncio.wait_for(case(rig), TIME_LIMIT))
